--- /dev/null
+++ b/crates/core/src/catalog.rs
@@ -0,0 +1,137 @@
+//! The configuration in force on one node.
+
+use std::sync::Arc;
+
+use crate::prelude::*;
+use crate::route::{Route, Router};
+use crate::table::{Table, Versioned};
+
+/// Names one entry of the configuration, such as `profiles/default`.
+pub type Key = Arc<str>;
+
+/// The text of an entry with its revision, as nodes pass it on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Document {
+    /// Key.
+    pub key: Key,
+    /// Revision.
+    pub revision: Revision,
+    /// Text as stored.
+    pub text: Arc<[u8]>,
+}
+
+impl Versioned for Document {
+    fn version(&self) -> (Version, u64) {
+        // Two texts of one revision can only come from a store that lost a change; any fixed
+        // order of the two keeps the nodes equal.
+        (self.revision, crate::id::hash(&self.text))
+    }
+}
+
+/// A checked entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// A profile.
+    Profile(Profile),
+    /// A service and the profile that it follows.
+    Service(ServiceName, ProfileName),
+    /// A route.
+    Route(Route),
+    /// An organisation and its limit of requests in flight at one entry; 0 sets no limit.
+    Organisation(OrganisationName, u32),
+}
+
+/// What became of a document.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// It is in force now.
+    Applied,
+    /// The same or a newer revision is in force.
+    Known,
+    /// It is malformed; what was in force stays.
+    Rejected,
+}
+
+/// Keeps the newest good revision of each key.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    documents: Table<Key, Document>,
+    items: IndexMap<Key, Item>,
+    rejected: IndexMap<Key, (Revision, String)>,
+    profiles: IndexMap<ProfileName, Profile>,
+    router: Router,
+}
+
+impl Catalog {
+    /// Takes in a document with the result of its check.
+    ///
+    /// A revision only rises: older documents change nothing.
+    pub fn apply<E: std::error::Error>(
+        &mut self,
+        document: Document,
+        checked: Result<Item, E>,
+        source: Option<NodeId>,
+    ) -> Taken {
+        let known = self.documents.get(&document.key).map_or(0, |d| d.revision);
+        if document.revision < known {
+            return Taken::Known;
+        }
+        let (key, revision) = (document.key.clone(), document.revision);
+        let item = match checked {
+            Ok(item) => item,
+            Err(error) => {
+                self.rejected.insert(key, (revision, error.to_string()));
+                return Taken::Rejected;
+            }
+        };
+        if !self.documents.merge(key.clone(), document, source) {
+            return Taken::Known;
+        }
+        self.rejected.swap_remove(&key);
+        self.replace(key, item);
+        Taken::Applied
+    }
+
+    /// Returns the documents, to pass them on.
+    pub fn documents(&self) -> &Table<Key, Document> {
+        &self.documents
+    }
+
+    /// Returns the routes.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// Returns the profile that a service follows, or the default profile.
+    pub fn profile(&self, service: &str) -> Profile {
+        let name = match self.items.get(format!("services/{service}").as_str()) {
+            Some(Item::Service(_, profile)) => profile.clone(),
+            _ => ProfileName::from("default"),
+        };
+        self.profiles.get(&name).cloned().unwrap_or_default()
+    }
+
+    /// Returns the checked entries.
+    pub fn items(&self) -> impl Iterator<Item = (&Key, &Item)> {
+        self.items.iter()
+    }
+
+    /// Returns the malformed documents: key, revision and fault.
+    pub fn rejected(&self) -> impl Iterator<Item = (&Key, Revision, &str)> {
+        self.rejected.iter().map(|(key, (revision, fault))| (key, *revision, fault.as_str()))
+    }
+
+    fn replace(&mut self, key: Key, item: Item) {
+        if let Some(Item::Route(old)) = self.items.get(&key) {
+            self.router.remove(&old.prefix);
+        }
+        match &item {
+            Item::Profile(profile) => {
+                self.profiles.insert(profile.name.clone(), profile.clone());
+            }
+            Item::Route(route) => self.router.insert(route.clone()),
+            Item::Service(..) | Item::Organisation(..) => {}
+        }
+        self.items.insert(key, item);
+    }
+}
--- /dev/null
+++ b/crates/core/src/choice.rs
@@ -0,0 +1,171 @@
+//! Chooses the gate for a request.
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::gate::Offered;
+use crate::pool::{GateView, Pool};
+use crate::prelude::*;
+use crate::witness::{Observation, Witness};
+
+/// Cost of another zone: two ways between availability zones.
+const CROSSING: Duration = Duration::from_millis(3);
+/// Share of idempotent requests that test a gate which is out of the choice.
+const TRIAL_SHARE: f64 = 0.05;
+
+/// Chooses among the gates of each service, by two random choices on the expected time.
+#[derive(Debug)]
+pub struct Chooser {
+    zone: ZoneName,
+    pools: IndexMap<ServiceName, Pool>,
+    offers: IndexMap<NodeId, Vec<ServiceName>>,
+    paths: IndexMap<NodeId, Witness>,
+}
+
+impl Chooser {
+    /// Creates a chooser for an entry in `zone`.
+    pub fn new(zone: ZoneName) -> Self {
+        Self { zone, pools: IndexMap::new(), offers: IndexMap::new(), paths: IndexMap::new() }
+    }
+
+    /// Takes in what a node offers; nothing when it is leaving.
+    pub fn set_node(&mut self, node: NodeId, zone: &ZoneName, offers: &[Offered], expelled: bool) {
+        let near = *zone == self.zone;
+        let services: Vec<ServiceName> = offers.iter().map(|offer| offer.service.clone()).collect();
+        let old = self.offers.insert(node, services).unwrap_or_default();
+        for service in old.iter().filter(|s| !offers.iter().any(|offer| offer.service == **s)) {
+            if let Some(pool) = self.pools.get_mut(service) {
+                pool.remove(node);
+            }
+        }
+        for offer in offers {
+            let pool = self.pools.entry(offer.service.clone()).or_default();
+            let gate = pool.gate_mut(node, near);
+            gate.slots = offer.slots;
+            gate.expelled = expelled;
+            gate.load.condition = offer.condition;
+            gate.load.evidence = offer.evidence;
+        }
+    }
+
+    /// Removes a node.
+    pub fn remove_node(&mut self, node: NodeId) {
+        for service in self.offers.swap_remove(&node).unwrap_or_default() {
+            if let Some(pool) = self.pools.get_mut(&service) {
+                pool.remove(node);
+            }
+        }
+        self.paths.swap_remove(&node);
+    }
+
+    /// Chooses a gate that is not excluded.
+    pub fn pick(
+        &mut self,
+        service: &ServiceName,
+        profile: &Profile,
+        idempotent: bool,
+        excluded: &[NodeId],
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<NodeId> {
+        let pool = self.pools.get_mut(service)?;
+        let paths = &self.paths;
+        pool.refresh(now, profile.caution.floor, |node| path_evidence(paths, node));
+        if idempotent
+            && excluded.is_empty()
+            && rng.random_bool(TRIAL_SHARE)
+            && let Some(node) = pool.take_trial(now)
+        {
+            return Some(node);
+        }
+        let (near, all) = pool.choice();
+        let mut samples: Vec<usize> = near.choose_multiple(rng, 2).copied().collect();
+        samples.extend(all.choose_multiple(rng, if near.is_empty() { 2 } else { 1 }));
+        let best = best_of(pool, &samples, excluded, now);
+        // The samples can all be excluded; then any other gate will do.
+        best.or_else(|| best_of(pool, all, excluded, now))
+    }
+
+    /// Counts a dispatch that no load report includes yet.
+    pub fn dispatched(&mut self, service: &ServiceName, node: NodeId) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.dispatched(node);
+        }
+    }
+
+    /// Uncounts a dispatch, with the load report that includes it if there is one.
+    pub fn settled(
+        &mut self,
+        service: &ServiceName,
+        node: NodeId,
+        load: Option<Load>,
+        now: Instant,
+    ) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.settled(node);
+            if let Some(load) = load {
+                pool.report(node, load, now);
+            }
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, service: &ServiceName, node: NodeId, load: Load, now: Instant) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.report(node, load, now);
+        }
+    }
+
+    /// Adds evidence about the path to a node; it counts for this entry only.
+    pub fn observe_path(
+        &mut self,
+        node: NodeId,
+        observation: Observation,
+        now: Instant,
+        profile: &Profile,
+    ) {
+        let witness = self.paths.entry(node).or_default();
+        if witness.observe(observation, now, &profile.forgiveness) {
+            self.invalidate(node);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Instant) {
+        let paths = self.paths.iter_mut();
+        let changed: Vec<NodeId> =
+            paths.filter_map(|(node, witness)| witness.tick(now).then_some(*node)).collect();
+        for node in changed {
+            self.invalidate(node);
+        }
+    }
+
+    /// Returns the services and their pools.
+    pub fn pools(&self) -> impl Iterator<Item = (&ServiceName, &Pool)> {
+        self.pools.iter()
+    }
+
+    /// Returns the condition of the path to a node and the evidence against it.
+    pub fn path(&self, node: NodeId) -> (Condition, f32) {
+        path_evidence(&self.paths, node)
+    }
+
+    fn invalidate(&mut self, node: NodeId) {
+        for service in self.offers.get(&node).into_iter().flatten() {
+            if let Some(pool) = self.pools.get_mut(service) {
+                pool.invalidate();
+            }
+        }
+    }
+}
+
+fn path_evidence(paths: &IndexMap<NodeId, Witness>, node: NodeId) -> (Condition, f32) {
+    let witness = paths.get(&node);
+    witness.map_or((Condition::Well, 0.0), |w| (w.condition(), w.evidence()))
+}
+
+fn best_of(pool: &Pool, indexes: &[usize], excluded: &[NodeId], now: Instant) -> Option<NodeId> {
+    let gates = indexes.iter().map(|index| pool.at(*index));
+    let free = gates.filter(|gate| !excluded.contains(&gate.node));
+    free.min_by_key(|gate: &&GateView| gate.expected_time(now, CROSSING)).map(|gate| gate.node)
+}
--- /dev/null
+++ b/crates/core/src/entry.rs
@@ -0,0 +1,545 @@
+//! The entry: decides where a request goes and answers for its outcome.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::budget::Budget;
+use crate::choice::Chooser;
+use crate::gate::Offered;
+use crate::ledger::{Claim, Ledger};
+use crate::prelude::*;
+use crate::request::{Arrival, Conclusion, EntryAction, Plan, Report};
+use crate::route::Router;
+use crate::ticket::StoredAnswer;
+use crate::witness::Observation;
+
+#[derive(Debug)]
+struct Flight {
+    arrival: Arrival,
+    service: ServiceName,
+    profile: Profile,
+    idempotent: bool,
+    long: bool,
+    ticket: Option<TicketId>,
+    deadline: Instant,
+    gate: Option<NodeId>,
+    pending: bool,
+    consumed: bool,
+    streaming: bool,
+    tried: Vec<NodeId>,
+}
+
+/// Identity of an entry.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The node.
+    pub node: NodeId,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// The zone.
+    pub zone: ZoneName,
+}
+
+/// Limits of the memory for tickets.
+#[derive(Clone, Copy, Debug)]
+pub struct TicketLimits {
+    /// How long tickets are remembered.
+    pub retention: Duration,
+    /// Most bytes of stored answers.
+    pub answers: usize,
+}
+
+/// Decides where requests go and answers for them.
+#[derive(Debug)]
+pub struct Entry {
+    clock: SharedClock,
+    rng: Pcg64Mcg,
+    identity: Identity,
+    chooser: Chooser,
+    ledger: Ledger,
+    router: Router,
+    profiles: IndexMap<ServiceName, Profile>,
+    limits: IndexMap<OrganisationName, u32>,
+    budgets: IndexMap<ServiceName, Budget>,
+    busy: IndexMap<OrganisationName, u32>,
+    flights: IndexMap<RequestId, Flight>,
+    waiting: IndexMap<RequestId, TicketId>,
+    forwarded: IndexSet<RequestId>,
+    homes: IndexSet<NodeId>,
+    next_attempt: Serial,
+    draining: bool,
+}
+
+impl Entry {
+    /// Creates an entry without routes and gates; `seed` drives its random choices.
+    pub fn new(identity: Identity, limits: TicketLimits, clock: SharedClock, seed: u64) -> Self {
+        Self {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            chooser: Chooser::new(identity.zone.clone()),
+            ledger: Ledger::new(
+                identity.node,
+                identity.incarnation,
+                limits.retention,
+                limits.answers,
+            ),
+            clock,
+            identity,
+            router: Router::default(),
+            profiles: IndexMap::new(),
+            limits: IndexMap::new(),
+            budgets: IndexMap::new(),
+            busy: IndexMap::new(),
+            flights: IndexMap::new(),
+            waiting: IndexMap::new(),
+            forwarded: IndexSet::new(),
+            homes: IndexSet::new(),
+            next_attempt: 1,
+            draining: false,
+        }
+    }
+
+    /// Sets the routes.
+    pub fn set_router(&mut self, router: Router) {
+        self.router = router;
+    }
+
+    /// Sets the profile of a service.
+    pub fn set_profile(&mut self, service: &ServiceName, profile: Profile) {
+        self.profiles.insert(service.clone(), profile);
+    }
+
+    /// Sets an organisation's limit of requests in flight; 0 removes it.
+    pub fn set_limit(&mut self, organisation: &OrganisationName, limit: u32) {
+        if limit == 0 {
+            self.limits.swap_remove(organisation);
+        } else {
+            self.limits.insert(organisation.clone(), limit);
+        }
+    }
+
+    /// Takes in what a node offers; nothing when it is leaving.
+    pub fn set_node(&mut self, node: NodeId, zone: &ZoneName, offers: &[Offered], expelled: bool) {
+        self.homes.insert(node);
+        self.chooser.set_node(node, zone, offers, expelled);
+    }
+
+    /// Forgets a node.
+    pub fn remove_node(&mut self, node: NodeId) {
+        self.homes.swap_remove(&node);
+        self.chooser.remove_node(node);
+    }
+
+    /// Issues a ticket; none while draining.
+    pub fn issue(&mut self) -> Option<TicketId> {
+        let now = self.clock.now();
+        (!self.draining).then(|| self.ledger.issue(now))
+    }
+
+    /// Takes no new requests from now on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Returns how many requests are in flight, forwarded and waiting ones too.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len() + self.waiting.len() + self.forwarded.len()
+    }
+
+    /// Returns the chooser, to look at its gates.
+    pub fn chooser(&self) -> &Chooser {
+        &self.chooser
+    }
+
+    /// Returns the ledger, to look at its size.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns the profile that a service follows.
+    pub fn profile(&self, service: &ServiceName) -> Profile {
+        self.profiles.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self) {
+        let now = self.clock.now();
+        self.chooser.tick(now);
+        self.ledger.expire(now);
+    }
+
+    /// Decides on a new request.
+    pub fn begin(&mut self, arrival: Arrival) -> Vec<EntryAction> {
+        let route = self.router.find(&arrival.target);
+        let is_routed = route.is_some();
+        // Without a route the request does not run, but its ticket must still be burned.
+        let service = route.map_or_else(|| ServiceName::from(""), |route| route.service.clone());
+        let idempotent = route.is_none_or(|r| r.repeat.allows(&arrival.method))
+            && (is_routed || arrival.ticket.is_none());
+        let route_long = route.is_some_and(|route| route.long);
+        let profile = self.profile(&service);
+        let declared = arrival.body_length.is_some_and(|length| length > profile.caution.long_body);
+        let long = route_long || declared || !arrival.whole;
+        let most = if long { profile.patience.long } else { profile.patience.deadline };
+        let remaining = arrival.deadline.map_or(most, |deadline| deadline.min(most));
+        let flight = Flight {
+            deadline: self.clock.now() + remaining,
+            ticket: arrival.ticket.filter(|_| !idempotent),
+            arrival,
+            service,
+            profile,
+            idempotent,
+            long,
+            gate: None,
+            pending: false,
+            consumed: false,
+            streaming: false,
+            tried: Vec::new(),
+        };
+        match flight.ticket {
+            Some(ticket) if ticket.home != self.identity.node => self.forward(&flight, ticket),
+            ticket if !is_routed => self.refuse_arrival(&flight, ticket, Reason::NoRoute),
+            ticket => self.admit(flight, ticket),
+        }
+    }
+
+    /// Takes in what happened to the attempt or the forwarded copy of a request.
+    pub fn report(&mut self, request: RequestId, report: Report) -> Vec<EntryAction> {
+        let now = self.clock.now();
+        if self.waiting.swap_remove(&request).is_some() {
+            return conclude(request, Outcome::Unknown, lost_reason(&report));
+        }
+        if self.forwarded.swap_remove(&request) {
+            return self.report_forwarded(request, &report);
+        }
+        let Some(mut flight) = self.flights.swap_remove(&request) else {
+            return Vec::new();
+        };
+        self.learn(&mut flight, &report, now);
+        match report {
+            Report::Admitted(_) => {
+                // From now on the caller's body is on its way to this gate.
+                flight.consumed = !flight.arrival.whole;
+                self.flights.insert(request, flight);
+                Vec::new()
+            }
+            Report::Refused(Reason::Duplicate, _) => self.lose(&flight, Reason::Duplicate),
+            Report::Refused(reason, _) => self.retry_refused(flight, reason, now),
+            Report::Unreachable => self.retry_refused(flight, Reason::Unreachable, now),
+            Report::Answered { status, answer, .. } => self.answered(flight, status, answer, now),
+            Report::Completed(_) => self.finish(&flight, Outcome::Ran, None),
+            Report::Cut => self.finish(&flight, Outcome::Unknown, None),
+            Report::Lost(reason) => self.retry_lost(flight, reason, now),
+            Report::Abandoned => self.lose(&flight, Reason::CallerGone),
+        }
+    }
+
+    /// Decides on a request whose ticket this entry is the home of, or that has none.
+    fn admit(&mut self, mut flight: Flight, ticket: Option<TicketId>) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        if let Some(reason) = self.refuses(&flight) {
+            return self.refuse_arrival(&flight, ticket, reason);
+        }
+        if !flight.idempotent {
+            let now = self.clock.now();
+            let ticket = ticket.unwrap_or_else(|| self.ledger.issue(now));
+            let claim = self.ledger.claim(ticket, flight.arrival.fingerprint, request);
+            if claim != Claim::Run {
+                return self.answer_claim(&flight, ticket, claim);
+            }
+            flight.ticket = Some(ticket);
+        }
+        if let Some(organisation) = &flight.arrival.organisation {
+            *self.busy.entry(organisation.clone()).or_default() += 1;
+        }
+        self.budgets
+            .entry(flight.service.clone())
+            .or_default()
+            .deposit(flight.profile.forgiveness.retries);
+        self.dispatch(flight, None)
+    }
+
+    fn refuses(&self, flight: &Flight) -> Option<Reason> {
+        if self.draining {
+            return Some(Reason::Leaving);
+        }
+        let organisation = flight.arrival.organisation.as_ref()?;
+        let limit = self.limits.get(organisation)?;
+        let busy = self.busy.get(organisation).copied().unwrap_or_default();
+        (busy >= *limit).then_some(Reason::OrganisationLimit)
+    }
+
+    /// Refuses a request before it was dispatched; its ticket is burned first.
+    fn refuse_arrival(
+        &mut self,
+        flight: &Flight,
+        ticket: Option<TicketId>,
+        reason: Reason,
+    ) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        let Some(ticket) = ticket else {
+            return self.conclude_not_run(request, reason, !flight.idempotent);
+        };
+        match self.ledger.burn(ticket, flight.arrival.fingerprint, request, reason) {
+            Claim::Refused(_) => self.conclude_not_run(request, reason, true),
+            claim => self.answer_claim(flight, ticket, claim),
+        }
+    }
+
+    fn answer_claim(
+        &mut self,
+        flight: &Flight,
+        ticket: TicketId,
+        claim: Claim,
+    ) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        match claim {
+            // Only `admit` claims tickets to run them.
+            Claim::Run => Vec::new(),
+            Claim::Wait => {
+                self.waiting.insert(request, ticket);
+                let remaining = flight.deadline.saturating_duration_since(self.clock.now());
+                vec![EntryAction::Wait { request, remaining }]
+            }
+            Claim::Replay(answer) => {
+                let conclusion = Conclusion {
+                    outcome: Outcome::Ran,
+                    reason: Reason::Answered,
+                    answer: Some(answer),
+                    fresh: None,
+                };
+                vec![EntryAction::Conclude { request, conclusion }]
+            }
+            Claim::Over(Outcome::Ran) => conclude(request, Outcome::Ran, Reason::AnswerGone),
+            Claim::Over(outcome) => conclude(request, outcome, Reason::Lost),
+            Claim::Refused(_) => self.conclude_not_run(request, Reason::TicketRefused, true),
+            Claim::Mismatch => self.conclude_not_run(request, Reason::TicketMismatch, true),
+            // The number can be issued later, so this is no proof that it never runs.
+            Claim::Invalid => conclude(request, Outcome::Unknown, Reason::TicketInvalid),
+            Claim::Expired => conclude(request, Outcome::Unknown, Reason::TicketExpired),
+        }
+    }
+
+    fn forward(&mut self, flight: &Flight, ticket: TicketId) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        if flight.arrival.forwarded || !self.homes.contains(&ticket.home) {
+            return conclude(request, Outcome::Unknown, Reason::HomeLost);
+        }
+        self.forwarded.insert(request);
+        let remaining = flight.deadline.saturating_duration_since(self.clock.now());
+        vec![EntryAction::Forward { request, home: ticket.home, ticket, remaining }]
+    }
+
+    fn report_forwarded(&mut self, request: RequestId, report: &Report) -> Vec<EntryAction> {
+        match report {
+            Report::Answered { answer: Some(_), .. } => {
+                vec![EntryAction::Relay { request, ticket: None }]
+            }
+            Report::Answered { answer: None, .. } => {
+                self.forwarded.insert(request);
+                vec![EntryAction::Relay { request, ticket: None }]
+            }
+            Report::Completed(_) | Report::Cut => Vec::new(),
+            _ => conclude(request, Outcome::Unknown, Reason::HomeLost),
+        }
+    }
+
+    fn dispatch(&mut self, mut flight: Flight, retry: Option<Reason>) -> Vec<EntryAction> {
+        let now = self.clock.now();
+        if now >= flight.deadline {
+            return self.refuse(&flight, Reason::DeadlinePast);
+        }
+        let gate = self.chooser.pick(
+            &flight.service,
+            &flight.profile,
+            flight.idempotent,
+            &flight.tried,
+            now,
+            &mut self.rng,
+        );
+        let Some(gate) = gate else {
+            return self.refuse(&flight, retry.unwrap_or(Reason::NoGate));
+        };
+        let attempt = AttemptId {
+            node: self.identity.node,
+            incarnation: self.identity.incarnation,
+            serial: self.next_attempt,
+        };
+        self.next_attempt += 1;
+        self.chooser.dispatched(&flight.service, gate);
+        flight.gate = Some(gate);
+        flight.pending = true;
+        flight.tried.push(gate);
+        let plan = Plan {
+            service: flight.service.clone(),
+            long: flight.long,
+            idempotent: flight.idempotent,
+            patience: flight.profile.patience.queue,
+            remaining: flight.deadline - now,
+        };
+        let (request, ticket) = (flight.arrival.request, flight.ticket);
+        self.flights.insert(request, flight);
+        vec![EntryAction::Dispatch { request, attempt, ticket, gate, plan, retry }]
+    }
+
+    /// Updates the load and the evidence about the path.
+    fn learn(&mut self, flight: &mut Flight, report: &Report, now: Instant) {
+        let Some(gate) = flight.gate else { return };
+        let load = match report {
+            Report::Admitted(load) => Some(*load),
+            Report::Refused(_, load) | Report::Completed(load) => *load,
+            Report::Answered { load, .. } => *load,
+            _ => None,
+        };
+        let was_pending = std::mem::take(&mut flight.pending);
+        if was_pending {
+            self.chooser.settled(&flight.service, gate, load, now);
+        } else if let Some(load) = load {
+            self.chooser.report(&flight.service, gate, load, now);
+        }
+        let observation = match report {
+            Report::Unreachable | Report::Lost(Reason::Lost) => Observation::Failure,
+            // The gate has not even decided on the attempt.
+            Report::Lost(Reason::DeadlinePast) if was_pending => Observation::Failure,
+            Report::Admitted(_) | Report::Refused(..) => Observation::Success,
+            _ => return,
+        };
+        self.chooser.observe_path(gate, observation, now, &flight.profile);
+    }
+
+    fn may_retry(&mut self, flight: &Flight, now: Instant, costs: bool) -> bool {
+        let attempts = u32::try_from(flight.tried.len()).unwrap_or(u32::MAX);
+        !flight.consumed
+            && !flight.streaming
+            && attempts < flight.profile.forgiveness.attempts
+            && now < flight.deadline
+            && (!costs || self.budgets.entry(flight.service.clone()).or_default().withdraw())
+    }
+
+    /// Goes on after proof that the attempt did not run.
+    fn retry_refused(&mut self, flight: Flight, reason: Reason, now: Instant) -> Vec<EntryAction> {
+        // A gate that is gone is no sign of load, so going elsewhere cannot feed a retry storm.
+        let gone = matches!(reason, Reason::Leaving | Reason::NoUpstream | Reason::Unreachable);
+        if self.may_retry(&flight, now, !gone) {
+            self.dispatch(flight, Some(reason))
+        } else {
+            self.refuse(&flight, reason)
+        }
+    }
+
+    /// Goes on after an attempt that may have run.
+    fn retry_lost(&mut self, flight: Flight, reason: Reason, now: Instant) -> Vec<EntryAction> {
+        if flight.idempotent && self.may_retry(&flight, now, true) {
+            self.dispatch(flight, Some(reason))
+        } else {
+            self.lose(&flight, reason)
+        }
+    }
+
+    fn answered(
+        &mut self,
+        mut flight: Flight,
+        status: u16,
+        answer: Option<Arc<StoredAnswer>>,
+        now: Instant,
+    ) -> Vec<EntryAction> {
+        let failed = status >= 500 && answer.is_some();
+        if failed && flight.idempotent && self.may_retry(&flight, now, true) {
+            return self.dispatch(flight, Some(Reason::UpstreamFailed));
+        }
+        let (request, ticket) = (flight.arrival.request, flight.ticket);
+        let relay = EntryAction::Relay { request, ticket };
+        if answer.is_none() {
+            flight.streaming = true;
+            self.flights.insert(request, flight);
+            return vec![relay];
+        }
+        let mut actions = vec![relay];
+        actions.extend(self.finish(&flight, Outcome::Ran, answer));
+        actions
+    }
+
+    /// Ends a request on proof that it did not run; its ticket is burned first.
+    fn refuse(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
+        self.release(flight);
+        let waiters = flight.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
+        let wants_ticket = !flight.idempotent;
+        let mut actions = self.conclude_not_run(flight.arrival.request, reason, wants_ticket);
+        for request in waiters.into_iter().flatten() {
+            if self.waiting.swap_remove(&request).is_some() {
+                actions.extend(self.conclude_not_run(request, reason, wants_ticket));
+            }
+        }
+        actions
+    }
+
+    /// Ends a request that may have run.
+    fn lose(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        let mut actions = conclude(request, Outcome::Unknown, reason);
+        actions.extend(self.finish(flight, Outcome::Unknown, None));
+        actions
+    }
+
+    /// Frees what a request held and answers the repetitions that waited for it.
+    fn finish(
+        &mut self,
+        flight: &Flight,
+        outcome: Outcome,
+        answer: Option<Arc<StoredAnswer>>,
+    ) -> Vec<EntryAction> {
+        self.release(flight);
+        let Some(ticket) = flight.ticket else {
+            return Vec::new();
+        };
+        let waiters = self.ledger.settle(ticket, outcome, answer.clone());
+        let reason = match (outcome, &answer) {
+            (Outcome::Ran, Some(_)) => Reason::Answered,
+            (Outcome::Ran, None) => Reason::AnswerGone,
+            _ => Reason::Lost,
+        };
+        let conclusion = Conclusion { outcome, reason, answer, fresh: None };
+        waiters
+            .into_iter()
+            .filter(|request| self.waiting.swap_remove(request).is_some())
+            .map(|request| EntryAction::Conclude { request, conclusion: conclusion.clone() })
+            .collect()
+    }
+
+    fn release(&mut self, flight: &Flight) {
+        let Some(organisation) = &flight.arrival.organisation else {
+            return;
+        };
+        if let Some(busy) = self.busy.get_mut(organisation) {
+            *busy -= 1;
+            if *busy == 0 {
+                self.busy.swap_remove(organisation);
+            }
+        }
+    }
+
+    fn conclude_not_run(
+        &mut self,
+        request: RequestId,
+        reason: Reason,
+        wants_ticket: bool,
+    ) -> Vec<EntryAction> {
+        let fresh = if wants_ticket { self.issue() } else { None };
+        let conclusion = Conclusion { outcome: Outcome::NotRun, reason, answer: None, fresh };
+        vec![EntryAction::Conclude { request, conclusion }]
+    }
+}
+
+fn conclude(request: RequestId, outcome: Outcome, reason: Reason) -> Vec<EntryAction> {
+    let conclusion = Conclusion { outcome, reason, answer: None, fresh: None };
+    vec![EntryAction::Conclude { request, conclusion }]
+}
+
+fn lost_reason(report: &Report) -> Reason {
+    match report {
+        Report::Lost(reason) => *reason,
+        Report::Abandoned => Reason::CallerGone,
+        _ => Reason::Lost,
+    }
+}
--- /dev/null
+++ b/crates/core/src/gate.rs
@@ -0,0 +1,509 @@
+//! The gate: admits work to the upstreams of its own VM.
+//!
+//! All work for an upstream passes its one gate, and a slot is reserved before the work is sent,
+//! so the count of work in flight is exact.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+use crate::queue::{Queue, Waiting};
+use crate::upstream::{Announcement, AnyUpstream};
+use crate::window::Window;
+use crate::witness::Observation;
+
+/// Short work that runs longer than this multiple of the usual time counts as stuck.
+const STUCK_FACTOR: u32 = 10;
+/// Short work counts as stuck after this part of its deadline at the earliest.
+const STUCK_DIVISOR: u32 = 4;
+
+/// A request for a slot.
+#[derive(Clone, Debug)]
+pub struct Offer {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The service.
+    pub service: ServiceName,
+    /// Whether it is long work.
+    pub long: bool,
+    /// Whether it may be repeated.
+    pub idempotent: bool,
+    /// Longest time in the queue.
+    pub patience: Duration,
+    /// Time left until the deadline.
+    pub remaining: Duration,
+}
+
+/// How a run on an upstream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunResult {
+    /// A whole answer that is not a server error.
+    Success,
+    /// A whole answer with a server error.
+    ServerError,
+    /// No connection could be opened: the request did not run.
+    ConnectFailed,
+    /// The upstream refused the request because of its load: it did not run.
+    Shed,
+    /// The answer broke off or did not come.
+    Broken,
+    /// The deadline passed during the run.
+    TimedOut,
+    /// The caller or the entry gave up, or the request body broke off.
+    Cancelled,
+}
+
+/// What the gate wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GateAction {
+    /// Run the attempt on this upstream before the deadline.
+    Start {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Where the upstream serves HTTP.
+        address: SocketAddr,
+        /// When the run must have ended.
+        deadline: Instant,
+        /// Load of the service.
+        load: Load,
+    },
+    /// Tell the entry that the attempt did not run and will not run.
+    Refuse {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: Reason,
+        /// Load of the service.
+        load: Load,
+    },
+    /// Tell the other nodes what this gate offers now.
+    Publish,
+}
+
+/// What a gate offers of one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offered {
+    /// The service.
+    pub service: ServiceName,
+    /// Slots of all upstreams.
+    pub slots: u32,
+    /// Whether the upstreams are in use.
+    pub condition: Condition,
+    /// Weight of the evidence against the best upstream.
+    pub evidence: f32,
+}
+
+#[derive(Debug)]
+struct Running {
+    upstream: UpstreamId,
+    started: Instant,
+    long: bool,
+    progress: bool,
+    stuck: bool,
+}
+
+#[derive(Debug, Default)]
+struct ServiceState {
+    short: Queue,
+    long: Queue,
+    profile: Profile,
+}
+
+/// Admits work to upstreams.
+#[derive(Debug)]
+pub struct Gate {
+    clock: SharedClock,
+    upstreams: IndexMap<UpstreamId, AnyUpstream>,
+    services: IndexMap<ServiceName, ServiceState>,
+    offers: IndexMap<AttemptId, (Offer, Instant)>,
+    running: IndexMap<AttemptId, Running>,
+    window: Window,
+    draining: bool,
+    published: Vec<Offered>,
+}
+
+impl Gate {
+    /// Creates a gate without upstreams.
+    pub fn new(clock: SharedClock) -> Self {
+        Self {
+            clock,
+            upstreams: IndexMap::new(),
+            services: IndexMap::new(),
+            offers: IndexMap::new(),
+            running: IndexMap::new(),
+            window: Window::default(),
+            draining: false,
+            published: Vec::new(),
+        }
+    }
+
+    /// Sets the profile of a service.
+    pub fn configure(&mut self, service: &ServiceName, profile: Profile) {
+        self.services.entry(service.clone()).or_default().profile = profile;
+    }
+
+    /// Takes in an announcement.
+    pub fn announce(&mut self, announcement: &Announcement) -> Vec<GateAction> {
+        let now = self.clock.now();
+        self.services.entry(announcement.service.clone()).or_default();
+        let known = self.upstreams.swap_remove(&announcement.id);
+        let upstream = match known.filter(|u| u.common().service == announcement.service) {
+            Some(upstream) => upstream.renew(announcement, now),
+            None => AnyUpstream::new(announcement, now),
+        };
+        self.upstreams.insert(announcement.id.clone(), upstream);
+        self.tick()
+    }
+
+    /// Decides on an attempt: starts it, queues it or refuses it.
+    pub fn offer(&mut self, offer: Offer) -> Vec<GateAction> {
+        let now = self.clock.now();
+        if !offer.idempotent && !self.window.accept(offer.attempt) {
+            return vec![self.refusal(&offer, Reason::Duplicate)];
+        }
+        if let Some(reason) = self.refuses(&offer, now) {
+            return vec![self.refusal(&offer, reason)];
+        }
+        let (attempt, service, long) = (offer.attempt, offer.service.clone(), offer.long);
+        let deadline = now + offer.remaining;
+        let patience_end = now + offer.patience;
+        let waiting = Waiting {
+            attempt,
+            since: now,
+            until: deadline.min(patience_end),
+            deadline: deadline <= patience_end,
+        };
+        self.offers.insert(attempt, (offer, deadline));
+        let state = self.services.entry(service.clone()).or_default();
+        if long {
+            state.long.push(waiting);
+        } else {
+            state.short.push(waiting);
+        }
+        self.fill(&service)
+    }
+
+    /// Notes that the first byte of the answer has come.
+    pub fn progress(&mut self, attempt: AttemptId) {
+        if let Some(running) = self.running.get_mut(&attempt) {
+            running.progress = true;
+        }
+    }
+
+    /// Withdraws an attempt that waits; one that runs ends by [`Gate::finish`].
+    pub fn cancel(&mut self, attempt: AttemptId) {
+        if self.running.contains_key(&attempt) {
+            return;
+        }
+        if let Some((offer, _)) = self.offers.swap_remove(&attempt)
+            && let Some(state) = self.services.get_mut(&offer.service)
+        {
+            state.short.remove(attempt);
+            state.long.remove(attempt);
+        }
+    }
+
+    /// Frees the slot of an attempt and learns from its result.
+    ///
+    /// Returns the service's load after it, and what to do with the slot.
+    pub fn finish(&mut self, attempt: AttemptId, result: RunResult) -> (Load, Vec<GateAction>) {
+        let now = self.clock.now();
+        let Some(running) = self.running.swap_remove(&attempt) else {
+            return (Load::default(), Vec::new());
+        };
+        let Some((offer, _)) = self.offers.swap_remove(&attempt) else {
+            return (Load::default(), Vec::new());
+        };
+        let profile = self.profile(&offer.service);
+        let mut changed = false;
+        if let Some(upstream) = self.upstreams.get_mut(&running.upstream) {
+            release(upstream, running.long);
+            changed = learn(upstream, &running, result, now, &profile);
+        }
+        let mut actions = self.fill(&offer.service);
+        if changed {
+            actions.extend(self.publish());
+        }
+        (self.load(&offer.service), actions)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self) -> Vec<GateAction> {
+        let now = self.clock.now();
+        let upstreams = std::mem::take(&mut self.upstreams);
+        self.upstreams = upstreams.into_iter().map(|(id, u)| (id, u.tick(now))).collect();
+        for upstream in self.upstreams.values_mut() {
+            upstream.common_mut().witness.tick(now);
+        }
+        self.review_running(now);
+        self.upstreams.retain(|_, upstream| !upstream.is_gone());
+        let mut actions = self.expire(now);
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for service in services {
+            actions.extend(self.fill(&service));
+        }
+        actions.extend(self.publish());
+        actions
+    }
+
+    /// Stops admitting work. Work in the queue is refused, work that runs goes on.
+    pub fn drain(&mut self) -> Vec<GateAction> {
+        self.draining = true;
+        let queues = self.services.values_mut();
+        let waiting: Vec<Waiting> =
+            queues.flat_map(|s| [s.short.clear(), s.long.clear()]).flatten().collect();
+        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
+    }
+
+    /// Returns how many attempts run.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the load of a service.
+    pub fn load(&self, service: &ServiceName) -> Load {
+        let now = self.clock.now();
+        let mut load =
+            Load { condition: Condition::Ejected, evidence: f32::MAX, ..Load::default() };
+        let mut seen = false;
+        for upstream in self.upstreams.values().filter(|u| u.common().service == *service) {
+            seen = true;
+            let common = upstream.common();
+            load.busy += common.short + common.long;
+            load.slots += upstream.limit(now);
+            load.pace = load.pace.max(common.witness.pace());
+            load.condition = best(load.condition, common.witness.condition());
+            load.evidence = load.evidence.min(common.witness.evidence());
+        }
+        if !seen {
+            return Load::default();
+        }
+        let queues = self.services.get(service);
+        let queued = queues.map_or(0, |state| state.short.len() + state.long.len());
+        load.queued = u32::try_from(queued).unwrap_or(u32::MAX);
+        load
+    }
+
+    /// Returns what this gate offers.
+    pub fn offered(&self) -> Vec<Offered> {
+        let now = self.clock.now();
+        let mut slots: IndexMap<&ServiceName, u32> = IndexMap::new();
+        for upstream in self.upstreams.values().filter(|u| u.limit(now) > 0) {
+            let common = upstream.common();
+            *slots.entry(&common.service).or_default() += common.slots;
+        }
+        let offers = slots.into_iter().map(|(service, slots)| {
+            let load = self.load(service);
+            let evidence = if load.condition == Condition::Well { 0.0 } else { load.evidence };
+            Offered { service: service.clone(), slots, condition: load.condition, evidence }
+        });
+        offers.collect()
+    }
+
+    /// Returns the upstreams with their ids, in the order of their last announcement.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&UpstreamId, &AnyUpstream)> {
+        self.upstreams.iter()
+    }
+
+    fn profile(&self, service: &ServiceName) -> Profile {
+        self.services.get(service).map(|state| state.profile.clone()).unwrap_or_default()
+    }
+
+    fn refuses(&self, offer: &Offer, now: Instant) -> Option<Reason> {
+        if self.draining {
+            return Some(Reason::Leaving);
+        }
+        if offer.remaining.is_zero() {
+            return Some(Reason::DeadlinePast);
+        }
+        let upstreams = self.upstreams.values().filter(|u| u.common().service == offer.service);
+        let slots: u32 = upstreams.map(|u| u.limit(now)).sum();
+        if slots == 0 {
+            let known = self.upstreams.values().any(|u| u.common().service == offer.service);
+            return Some(if known { Reason::Leaving } else { Reason::NoUpstream });
+        }
+        (self.expected_wait(offer, slots) > offer.patience).then_some(Reason::QueueFull)
+    }
+
+    /// Estimates the wait of a new request from the work before it.
+    fn expected_wait(&self, offer: &Offer, slots: u32) -> Duration {
+        let load = self.load(&offer.service);
+        let queued = self.services.get(&offer.service);
+        let ahead = queued.map_or(0, |s| if offer.long { s.long.len() } else { s.short.len() });
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        load.pace * ahead / slots.max(1)
+    }
+
+    fn refusal(&self, offer: &Offer, reason: Reason) -> GateAction {
+        GateAction::Refuse { attempt: offer.attempt, reason, load: self.load(&offer.service) }
+    }
+
+    fn refuse_waiting(&mut self, waiting: &Waiting, reason: Reason) -> Option<GateAction> {
+        let (offer, _) = self.offers.swap_remove(&waiting.attempt)?;
+        Some(self.refusal(&offer, reason))
+    }
+
+    /// Gives free slots to waiting requests, short work first.
+    fn fill(&mut self, service: &ServiceName) -> Vec<GateAction> {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        for long in [false, true] {
+            while let Some(id) = self.free_upstream(service, long, now) {
+                let Some(state) = self.services.get_mut(service) else {
+                    break;
+                };
+                let queue = if long { &mut state.long } else { &mut state.short };
+                let Some(waiting) = queue.pop(now) else { break };
+                actions.extend(self.start(&waiting, &id, long, now));
+            }
+        }
+        actions
+    }
+
+    fn start(
+        &mut self,
+        waiting: &Waiting,
+        id: &UpstreamId,
+        long: bool,
+        now: Instant,
+    ) -> Option<GateAction> {
+        if now >= waiting.until {
+            return self.refuse_waiting(waiting, spent(waiting));
+        }
+        let (offer, deadline) = self.offers.get(&waiting.attempt)?;
+        let (service, deadline) = (offer.service.clone(), *deadline);
+        let common = self.upstreams.get_mut(id)?.common_mut();
+        *(if long { &mut common.long } else { &mut common.short }) += 1;
+        let address = common.address;
+        let running =
+            Running { upstream: id.clone(), started: now, long, progress: false, stuck: false };
+        self.running.insert(waiting.attempt, running);
+        let load = self.load(&service);
+        let (attempt, upstream) = (waiting.attempt, id.clone());
+        Some(GateAction::Start { attempt, upstream, address, deadline, load })
+    }
+
+    /// Returns the least busy upstream with a free slot, healthy ones first.
+    fn free_upstream(&self, service: &ServiceName, long: bool, now: Instant) -> Option<UpstreamId> {
+        let share = self.services.get(service)?.profile.caution.long_share;
+        let free = self.upstreams.iter().filter(|(_, upstream)| {
+            let common = upstream.common();
+            let limit = upstream.limit(now);
+            common.service == *service
+                && common.short + common.long < limit
+                && (!long || common.long < long_limit(limit, common.slots, share))
+        });
+        let best = free.min_by_key(|(_, upstream)| {
+            let common = upstream.common();
+            let ejected = common.witness.condition() != Condition::Well;
+            (ejected, (common.short + common.long) * 1000 / common.slots.max(1))
+        });
+        best.map(|(id, _)| id.clone())
+    }
+
+    /// Counts old work as long and stuck work as failed.
+    fn review_running(&mut self, now: Instant) {
+        for (attempt, running) in &mut self.running {
+            let Some((offer, _)) = self.offers.get(attempt) else {
+                continue;
+            };
+            let Some(state) = self.services.get(&offer.service) else {
+                continue;
+            };
+            let Some(upstream) = self.upstreams.get_mut(&running.upstream) else {
+                continue;
+            };
+            let common = upstream.common_mut();
+            let age = now.saturating_duration_since(running.started);
+            if !running.long && age > state.profile.caution.long_after {
+                running.long = true;
+                common.short -= 1;
+                common.long += 1;
+            }
+            let usual = common.witness.pace() * STUCK_FACTOR;
+            let late = usual.max(state.profile.patience.deadline / STUCK_DIVISOR);
+            if !offer.long && !running.progress && !running.stuck && age > late {
+                running.stuck = true;
+                common.witness.observe(Observation::Failure, now, &state.profile.forgiveness);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<GateAction> {
+        let queues = self.services.values_mut();
+        let expired: Vec<Waiting> =
+            queues.flat_map(|s| [s.short.expire(now), s.long.expire(now)]).flatten().collect();
+        expired.iter().filter_map(|w| self.refuse_waiting(w, spent(w))).collect()
+    }
+
+    fn publish(&mut self) -> Option<GateAction> {
+        let offered = self.offered();
+        let same = offered.len() == self.published.len()
+            && offered.iter().all(|new| {
+                self.published.iter().any(|old| {
+                    (&old.service, old.slots, old.condition)
+                        == (&new.service, new.slots, new.condition)
+                })
+            });
+        if same {
+            return None;
+        }
+        self.published = offered;
+        Some(GateAction::Publish)
+    }
+}
+
+/// Returns how many slots long work may hold; short work keeps one unless there is only one.
+fn long_limit(limit: u32, slots: u32, share: f64) -> u32 {
+    if limit == 1 && slots > 1 {
+        return 0;
+    }
+    ((f64::from(limit) * share) as u32).max(1)
+}
+
+fn spent(waiting: &Waiting) -> Reason {
+    if waiting.deadline { Reason::DeadlinePast } else { Reason::PatienceSpent }
+}
+
+fn best(one: Condition, other: Condition) -> Condition {
+    match (one, other) {
+        (Condition::Well, _) | (_, Condition::Well) => Condition::Well,
+        (Condition::Trial, _) | (_, Condition::Trial) => Condition::Trial,
+        _ => Condition::Ejected,
+    }
+}
+
+fn release(upstream: &mut AnyUpstream, long: bool) {
+    let common = upstream.common_mut();
+    let count = if long { &mut common.long } else { &mut common.short };
+    *count = count.saturating_sub(1);
+}
+
+fn learn(
+    upstream: &mut AnyUpstream,
+    running: &Running,
+    result: RunResult,
+    now: Instant,
+    profile: &Profile,
+) -> bool {
+    let rules = &profile.forgiveness;
+    let elapsed = now.saturating_duration_since(running.started);
+    if result == RunResult::Shed {
+        upstream.shed(now);
+    }
+    let witness = &mut upstream.common_mut().witness;
+    if result == RunResult::Success && !running.long {
+        witness.sample(elapsed);
+    }
+    let observation = match result {
+        RunResult::Success => Observation::Success,
+        RunResult::ServerError
+        | RunResult::ConnectFailed
+        | RunResult::Broken
+        | RunResult::TimedOut => Observation::Failure,
+        RunResult::Shed | RunResult::Cancelled => return false,
+    };
+    // Stuck work has been counted as failed already.
+    !running.stuck && witness.observe(observation, now, rules)
+}
--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,252 @@
+//! The ledger of the tickets that one incarnation of a node has issued.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use crate::prelude::*;
+use crate::ticket::{AnyTicket, Dispatched, StoredAnswer, Ticket};
+
+/// Interval between two marks of the serial numbers that were issued.
+const MARK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a request with a ticket may do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// The ticket is now used: run the request.
+    Run,
+    /// The request runs: wait for its answer.
+    Wait,
+    /// The request ran and this is its answer.
+    Replay(Arc<StoredAnswer>),
+    /// The request is over with this outcome, and no answer is stored.
+    Over(Outcome),
+    /// The request was refused for this reason and never runs.
+    Refused(Reason),
+    /// The ticket is bound to another request.
+    Mismatch,
+    /// The ticket was never issued.
+    Invalid,
+    /// The ticket is too old to know what became of it.
+    Expired,
+}
+
+/// Records what became of the tickets of one incarnation.
+///
+/// A ticket without a record is unused. Tickets older than the retention time expire: nothing
+/// runs under them any more.
+#[derive(Debug)]
+pub struct Ledger {
+    home: NodeId,
+    incarnation: Incarnation,
+    next: Serial,
+    base: Serial,
+    records: BTreeMap<Serial, AnyTicket>,
+    marks: VecDeque<(Instant, Serial)>,
+    retention: Duration,
+    stored: VecDeque<Serial>,
+    stored_bytes: usize,
+    max_bytes: usize,
+}
+
+impl Ledger {
+    /// Creates an empty ledger that remembers tickets for `retention` and stores up to
+    /// `max_bytes` of answers.
+    pub fn new(
+        home: NodeId,
+        incarnation: Incarnation,
+        retention: Duration,
+        max_bytes: usize,
+    ) -> Self {
+        Self {
+            home,
+            incarnation,
+            next: 1,
+            base: 1,
+            records: BTreeMap::new(),
+            marks: VecDeque::new(),
+            retention,
+            stored: VecDeque::new(),
+            stored_bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Issues a ticket.
+    pub fn issue(&mut self, now: Instant) -> TicketId {
+        let serial = self.next;
+        self.next += 1;
+        let due = self.marks.back().is_none_or(|(time, _)| now >= *time + MARK_INTERVAL);
+        if due {
+            self.marks.push_back((now, serial));
+        }
+        TicketId { home: self.home, incarnation: self.incarnation, serial }
+    }
+
+    /// Claims a ticket for the request with this fingerprint.
+    ///
+    /// Returns [`Claim::Run`] at most once per ticket.
+    pub fn claim(&mut self, id: TicketId, fingerprint: u64, request: RequestId) -> Claim {
+        if let Some(claim) = self.check(id) {
+            return claim;
+        }
+        let Some(record) = self.records.get_mut(&id.serial) else {
+            let ticket = Ticket::new(id).dispatch(fingerprint);
+            self.records.insert(id.serial, AnyTicket::Dispatched(ticket));
+            return Claim::Run;
+        };
+        if record.fingerprint() != fingerprint {
+            return Claim::Mismatch;
+        }
+        match record {
+            AnyTicket::Dispatched(ticket) => {
+                ticket.wait(request);
+                Claim::Wait
+            }
+            AnyTicket::Done(ticket) => match ticket.answer() {
+                Some(answer) => Claim::Replay(Arc::clone(answer)),
+                None => Claim::Over(ticket.outcome()),
+            },
+            AnyTicket::Refused(ticket) => Claim::Refused(ticket.reason()),
+        }
+    }
+
+    /// Burns the ticket if it is unused, so that a late copy of the request cannot run.
+    ///
+    /// Otherwise returns what [`Ledger::claim`] would return.
+    pub fn burn(
+        &mut self,
+        id: TicketId,
+        fingerprint: u64,
+        request: RequestId,
+        reason: Reason,
+    ) -> Claim {
+        if let Some(claim) = self.check(id) {
+            return claim;
+        }
+        if self.records.contains_key(&id.serial) {
+            return self.claim(id, fingerprint, request);
+        }
+        let ticket = Ticket::new(id).refuse(fingerprint, reason);
+        self.records.insert(id.serial, AnyTicket::Refused(ticket));
+        Claim::Refused(reason)
+    }
+
+    /// Burns a dispatched ticket on proof that its request did not run.
+    ///
+    /// Returns the repetitions that wait for the answer.
+    pub fn refuse(&mut self, id: TicketId, reason: Reason) -> Vec<RequestId> {
+        self.replace(id, |ticket| {
+            let (ticket, waiters) = ticket.refuse(reason);
+            (AnyTicket::Refused(ticket), waiters)
+        })
+    }
+
+    /// Ends a dispatched ticket and returns the repetitions that wait for the answer.
+    pub fn settle(
+        &mut self,
+        id: TicketId,
+        outcome: Outcome,
+        answer: Option<Arc<StoredAnswer>>,
+    ) -> Vec<RequestId> {
+        if !matches!(self.records.get(&id.serial), Some(AnyTicket::Dispatched(_))) {
+            return Vec::new();
+        }
+        let weight = answer.as_ref().map_or(0, |answer| answer.weight());
+        let answer = answer.filter(|_| weight <= self.max_bytes);
+        if answer.is_some() {
+            self.stored.push_back(id.serial);
+            self.stored_bytes += weight;
+        }
+        let waiters = self.replace(id, |ticket| {
+            let (ticket, waiters) = ticket.settle(outcome, answer);
+            (AnyTicket::Done(ticket), waiters)
+        });
+        self.limit_answers();
+        waiters
+    }
+
+    /// Forgets tickets that are older than the retention time.
+    pub fn expire(&mut self, now: Instant) {
+        while let Some((time, _)) = self.marks.front() {
+            // A mark stands for all serials up to the next one.
+            let newest = *time + MARK_INTERVAL;
+            if now < newest + self.retention {
+                break;
+            }
+            self.marks.pop_front();
+            self.base = self.marks.front().map_or(self.next, |(_, serial)| *serial);
+        }
+        let base = self.base;
+        let expired: Vec<Serial> = self.records.range(..base).map(|(serial, _)| *serial).collect();
+        for serial in expired {
+            if !matches!(self.records.get(&serial), Some(AnyTicket::Dispatched(_))) {
+                self.forget_answer(serial);
+                self.records.remove(&serial);
+            }
+        }
+        self.stored.retain(|serial| *serial >= base);
+    }
+
+    /// Returns the number of tickets with a record.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no ticket has a record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the memory of the stored answers, in bytes.
+    pub fn stored_bytes(&self) -> usize {
+        self.stored_bytes
+    }
+
+    fn check(&self, id: TicketId) -> Option<Claim> {
+        if id.home != self.home || id.incarnation != self.incarnation {
+            // Another incarnation may have run it.
+            return Some(Claim::Expired);
+        }
+        if id.serial >= self.next || id.serial == 0 {
+            return Some(Claim::Invalid);
+        }
+        let expired = id.serial < self.base && !self.records.contains_key(&id.serial);
+        expired.then_some(Claim::Expired)
+    }
+
+    fn replace(
+        &mut self,
+        id: TicketId,
+        step: impl FnOnce(Ticket<Dispatched>) -> (AnyTicket, Vec<RequestId>),
+    ) -> Vec<RequestId> {
+        match self.records.remove(&id.serial) {
+            Some(AnyTicket::Dispatched(ticket)) => {
+                let (ticket, waiters) = step(ticket);
+                self.records.insert(id.serial, ticket);
+                waiters
+            }
+            Some(other) => {
+                self.records.insert(id.serial, other);
+                Vec::new()
+            }
+            None => Vec::new(),
+        }
+    }
+
+    fn limit_answers(&mut self) {
+        while self.stored_bytes > self.max_bytes {
+            let Some(serial) = self.stored.pop_front() else {
+                break;
+            };
+            self.forget_answer(serial);
+        }
+    }
+
+    fn forget_answer(&mut self, serial: Serial) {
+        if let Some(AnyTicket::Done(ticket)) = self.records.get_mut(&serial)
+            && let Some(answer) = ticket.forget_answer()
+        {
+            self.stored_bytes -= answer.weight();
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool.rs
@@ -0,0 +1,209 @@
+//! The gates that offer one service, as one entry sees them.
+
+use crate::floor::{self, Candidate};
+use crate::prelude::*;
+
+/// Interval at which slow gates are looked for.
+const REFRESH: Duration = Duration::from_millis(100);
+/// A gate is slow when its short work takes this many times the median of the service.
+const SLOW_FACTOR: u32 = 5;
+/// A gate is slow only when its short work takes this much longer than the median.
+const SLOW_MARGIN: Duration = Duration::from_millis(20);
+/// Gates with known times from which on a slow one can be told.
+const MIN_PACES: usize = 4;
+/// Evidence against a node that most of its observers cannot reach.
+const EXPELLED: f32 = 50.0;
+/// Evidence against a slow gate.
+const SLOW: f32 = 14.0;
+/// Age at which a load report no longer says how busy a gate is.
+const STALE: Duration = Duration::from_millis(250);
+/// Time of short work that is assumed before the first report.
+const FIRST_PACE: Duration = Duration::from_millis(5);
+/// Least interval between two trial requests to one gate.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// One gate, as one entry sees it.
+#[derive(Clone, Debug)]
+pub struct GateView {
+    /// The gate's node.
+    pub node: NodeId,
+    /// Whether it is in the entry's own zone.
+    pub near: bool,
+    /// Announced slots.
+    pub slots: u32,
+    /// Whether most observers cannot reach the node.
+    pub expelled: bool,
+    /// The last load report.
+    pub load: Load,
+    /// Requests dispatched by this entry and not yet in a load report.
+    pub pending: u32,
+    reported: Option<Instant>,
+    tried: Option<Instant>,
+}
+
+impl GateView {
+    /// Creates the view of a gate without a load report.
+    pub fn new(node: NodeId, near: bool) -> Self {
+        Self {
+            node,
+            near,
+            slots: 0,
+            expelled: false,
+            load: Load::default(),
+            pending: 0,
+            reported: None,
+            tried: None,
+        }
+    }
+
+    /// Estimates how long a request would wait and run.
+    pub fn expected_time(&self, now: Instant, crossing: Duration) -> Duration {
+        let fresh = self.reported.is_some_and(|time| now < time + STALE);
+        let busy = if fresh { self.load.busy + self.load.queued } else { 0 };
+        let pace = if self.load.pace.is_zero() { FIRST_PACE } else { self.load.pace };
+        let work = pace * (busy + self.pending + 1) / self.slots.max(1);
+        if self.near { work } else { work + crossing }
+    }
+}
+
+/// The gates of one service and which of them are in the choice.
+#[derive(Debug, Default)]
+pub struct Pool {
+    gates: IndexMap<NodeId, GateView>,
+    chosen: Vec<usize>,
+    near: Vec<usize>,
+    trials: Vec<usize>,
+    refreshed: Option<Instant>,
+}
+
+/// Evidence against the path to a gate: whether it is suspect, and how strong the evidence is.
+pub type PathEvidence = (Condition, f32);
+
+impl Pool {
+    /// Returns a gate, to change it. The choice is made anew.
+    pub fn gate_mut(&mut self, node: NodeId, near: bool) -> &mut GateView {
+        self.refreshed = None;
+        self.gates.entry(node).or_insert_with(|| GateView::new(node, near))
+    }
+
+    /// Removes a gate.
+    pub fn remove(&mut self, node: NodeId) {
+        self.refreshed = None;
+        self.gates.swap_remove(&node);
+    }
+
+    /// Makes the choice anew, when the evidence against a path has changed.
+    pub fn invalidate(&mut self) {
+        self.refreshed = None;
+    }
+
+    /// Tells whether there is no gate.
+    pub fn is_empty(&self) -> bool {
+        self.gates.is_empty()
+    }
+
+    /// Returns all gates, with whether each is in the choice.
+    pub fn gates(&self) -> impl Iterator<Item = (&GateView, bool)> {
+        self.gates.values().enumerate().map(|(i, gate)| (gate, self.chosen.contains(&i)))
+    }
+
+    /// Counts a dispatch that no load report includes yet.
+    pub fn dispatched(&mut self, node: NodeId) {
+        if let Some(gate) = self.gates.get_mut(&node) {
+            gate.pending += 1;
+        }
+    }
+
+    /// Uncounts a dispatch that a load report includes or that came to nothing.
+    pub fn settled(&mut self, node: NodeId) {
+        if let Some(gate) = self.gates.get_mut(&node) {
+            gate.pending = gate.pending.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, node: NodeId, load: Load, now: Instant) {
+        let Some(gate) = self.gates.get_mut(&node) else {
+            return;
+        };
+        if gate.load.condition != load.condition {
+            self.refreshed = None;
+        }
+        gate.load = load;
+        gate.reported = Some(now);
+    }
+
+    /// Decides which gates are in the choice, if that is due.
+    pub fn refresh(&mut self, now: Instant, floor: f64, path: impl Fn(NodeId) -> PathEvidence) {
+        if self.refreshed.is_some_and(|time| now < time + REFRESH) {
+            return;
+        }
+        self.refreshed = Some(now);
+        let slow = self.slow_limit();
+        let gates = self.gates.values();
+        let candidates: Vec<Candidate> = gates.map(|gate| candidate(gate, slow, &path)).collect();
+        let chosen = floor::select(&candidates, floor);
+        self.chosen = (0..chosen.len()).filter(|i| chosen[*i]).collect();
+        self.near = self.chosen.iter().copied().filter(|i| self.gates[*i].near).collect();
+        let on_trial = |i: &usize| {
+            let gate = &self.gates[*i];
+            !chosen[*i]
+                && !gate.expelled
+                && gate.load.condition != Condition::Ejected
+                && path(gate.node).0 != Condition::Ejected
+        };
+        self.trials = (0..chosen.len()).filter(on_trial).collect();
+    }
+
+    /// Returns the gates in the choice: those in the own zone and all.
+    pub fn choice(&self) -> (&[usize], &[usize]) {
+        (&self.near, &self.chosen)
+    }
+
+    /// Returns the gate at an index of [`Pool::choice`].
+    pub fn at(&self, index: usize) -> &GateView {
+        &self.gates[index]
+    }
+
+    /// Takes a gate for a trial request, if one is due.
+    pub fn take_trial(&mut self, now: Instant) -> Option<NodeId> {
+        let due = |gate: &GateView| gate.tried.is_none_or(|time| now >= time + TRIAL_INTERVAL);
+        let index = self.trials.iter().copied().find(|i| due(&self.gates[*i]))?;
+        let gate = &mut self.gates[index];
+        gate.tried = Some(now);
+        Some(gate.node)
+    }
+
+    /// Returns the time above which short work counts as slow.
+    fn slow_limit(&self) -> Option<Duration> {
+        let paces = self.gates.values().map(|gate| gate.load.pace);
+        let mut paces: Vec<Duration> = paces.filter(|pace| !pace.is_zero()).collect();
+        if paces.len() < MIN_PACES {
+            return None;
+        }
+        paces.sort_unstable();
+        let median = paces[paces.len() / 2];
+        Some((median * SLOW_FACTOR).max(median + SLOW_MARGIN))
+    }
+}
+
+fn candidate(
+    gate: &GateView,
+    slow: Option<Duration>,
+    path: impl Fn(NodeId) -> PathEvidence,
+) -> Candidate {
+    let (path_condition, path_evidence) = path(gate.node);
+    let is_slow = slow.is_some_and(|limit| gate.load.pace > limit);
+    let ill = gate.load.condition != Condition::Well;
+    let unreachable = path_condition != Condition::Well;
+    let mut evidence = 0.0;
+    evidence += if ill { gate.load.evidence } else { 0.0 };
+    evidence += if unreachable { path_evidence } else { 0.0 };
+    evidence += if is_slow { SLOW } else { 0.0 };
+    evidence += if gate.expelled { EXPELLED } else { 0.0 };
+    Candidate {
+        slots: gate.slots,
+        suspect: ill || unreachable || is_slow || gate.expelled,
+        evidence,
+    }
+}
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,14 @@
+//! The types that most modules use.
+
+pub use std::time::{Duration, Instant, SystemTime};
+
+pub use indexmap::{IndexMap, IndexSet};
+
+pub use crate::clock::{Clock, SharedClock};
+pub use crate::id::{
+    AttemptId, Incarnation, NodeId, OrganisationName, ProfileName, RequestId, Revision, Serial,
+    ServiceName, TicketId, UpstreamId, Version, ZoneName,
+};
+pub use crate::load::{Condition, Load};
+pub use crate::profile::Profile;
+pub use crate::reason::{Outcome, Reason};
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,69 @@
+//! The queue of one service at a gate.
+
+use std::collections::VecDeque;
+
+use crate::prelude::*;
+
+/// A request that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// When it joined the queue.
+    pub since: Instant,
+    /// When it must have left the queue.
+    pub until: Instant,
+    /// Whether the end of waiting is the request's own deadline.
+    pub deadline: bool,
+}
+
+/// Holds requests for a bounded time; newest first while it is overloaded.
+#[derive(Debug, Default)]
+pub struct Queue {
+    waiting: VecDeque<Waiting>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, waiting: Waiting) {
+        self.waiting.push_back(waiting);
+    }
+
+    /// Takes the next request to run.
+    ///
+    /// The oldest goes first until it has used half of its time; from then on the newest goes
+    /// first, so that those who can still be served in time are.
+    pub fn pop(&mut self, now: Instant) -> Option<Waiting> {
+        let oldest = self.waiting.front()?;
+        let half = oldest.since + (oldest.until - oldest.since) / 2;
+        if now >= half { self.waiting.pop_back() } else { self.waiting.pop_front() }
+    }
+
+    /// Removes the requests whose time is over.
+    pub fn expire(&mut self, now: Instant) -> Vec<Waiting> {
+        let (expired, waiting) = self.waiting.drain(..).partition(|w| now >= w.until);
+        self.waiting = waiting;
+        Vec::from_iter::<VecDeque<Waiting>>(expired)
+    }
+
+    /// Removes one request.
+    pub fn remove(&mut self, attempt: AttemptId) -> Option<Waiting> {
+        let position = self.waiting.iter().position(|w| w.attempt == attempt)?;
+        self.waiting.remove(position)
+    }
+
+    /// Removes all requests.
+    pub fn clear(&mut self) -> Vec<Waiting> {
+        self.waiting.drain(..).collect()
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Tells whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/rings.rs
@@ -0,0 +1,60 @@
+//! Says which nodes observe which.
+//!
+//! Nodes stand on several rings, each in another pseudo-random order. On each ring a node is
+//! observed by the live node before it. Together the rings form an expander: gossip along their
+//! edges reaches every node in a logarithmic number of steps, and the observers of one node are
+//! spread over the fleet.
+
+use indexmap::IndexSet;
+
+use crate::id::{NodeId, hash};
+
+/// Number of rings, and so of observers per node.
+pub const RINGS: u64 = 4;
+
+/// The rings of a fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Rings {
+    orders: Vec<Vec<NodeId>>,
+}
+
+impl Rings {
+    /// Arranges nodes on the rings.
+    pub fn new(nodes: impl IntoIterator<Item = NodeId>) -> Self {
+        let nodes: Vec<NodeId> = nodes.into_iter().collect();
+        let orders = (0..RINGS).map(|ring| {
+            let mut order = nodes.clone();
+            order.sort_unstable_by_key(|node| hash(&(ring, node)));
+            order
+        });
+        Self { orders: orders.collect() }
+    }
+
+    /// Returns the live nodes that observe `subject`: on each ring the nearest one before it.
+    pub fn observers(&self, subject: NodeId, is_live: impl Fn(NodeId) -> bool) -> IndexSet<NodeId> {
+        let find = |order: &Vec<NodeId>| {
+            let start = order.iter().position(|node| *node == subject)?;
+            let before = order[..start].iter().rev().chain(order[start + 1..].iter().rev());
+            before.copied().find(|node| is_live(*node))
+        };
+        self.orders.iter().filter_map(find).collect()
+    }
+
+    /// Returns the nodes that `observer` observes: on each ring the next live node and the dead
+    /// ones before it.
+    pub fn subjects(&self, observer: NodeId, is_live: impl Fn(NodeId) -> bool) -> IndexSet<NodeId> {
+        let mut subjects = IndexSet::new();
+        for order in &self.orders {
+            let Some(start) = order.iter().position(|node| *node == observer) else {
+                continue;
+            };
+            for node in order[start + 1..].iter().chain(&order[..start]) {
+                subjects.insert(*node);
+                if is_live(*node) {
+                    break;
+                }
+            }
+        }
+        subjects
+    }
+}
--- /dev/null
+++ b/crates/core/src/roster.rs
@@ -0,0 +1,317 @@
+//! The membership: which nodes there are and which of them can be reached.
+//!
+//! A node is expelled while most of its live observers (see [`crate::rings`]) doubt that they can
+//! reach it. One observer behind a one-way cut is outvoted. An observer that fails to reach most
+//! of its subjects suspects itself and raises no doubt.
+
+use std::net::SocketAddr;
+
+use crate::gate::Offered;
+use crate::id::hash;
+use crate::prelude::*;
+use crate::rings::Rings;
+use crate::table::{Table, Versioned};
+
+/// Failed pings after which an observer raises a doubt.
+const PINGS_TO_DOUBT: u32 = 3;
+/// Subjects from which on an observer can suspect itself.
+const MIN_SUBJECTS: usize = 3;
+/// Time after which an expelled node is forgotten.
+const BURY_AFTER: Duration = Duration::from_secs(600);
+/// Time for which old records of a forgotten node are not taken in again.
+const KEEP_BURIED: Duration = Duration::from_secs(3600);
+
+/// What a node tells the others about itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Id.
+    pub node: NodeId,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// Orders its records, across restarts too.
+    pub version: Version,
+    /// Name.
+    pub name: String,
+    /// Address for other nodes.
+    pub peer: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// What its gate offers.
+    pub offers: Vec<Offered>,
+}
+
+impl Versioned for Member {
+    fn version(&self) -> (Version, u64) {
+        (self.version, self.incarnation)
+    }
+}
+
+/// An observer's report that it cannot reach a node, or that it can again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Doubt {
+    /// Who reports.
+    pub observer: NodeId,
+    /// Who cannot be reached.
+    pub subject: NodeId,
+    /// The run of the subject's process.
+    pub incarnation: Incarnation,
+    /// Orders the reports.
+    pub version: Version,
+    /// Whether the doubt stands.
+    pub raised: bool,
+}
+
+impl Versioned for Doubt {
+    fn version(&self) -> (Version, u64) {
+        (self.version, self.incarnation)
+    }
+}
+
+/// Keeps the members and the doubts.
+#[derive(Debug)]
+pub struct Roster {
+    clock: SharedClock,
+    me: Member,
+    members: Table<NodeId, Member>,
+    doubts: Table<(NodeId, NodeId), Doubt>,
+    rings: Rings,
+    expelled: IndexMap<NodeId, Instant>,
+    failures: IndexMap<NodeId, u32>,
+    buried: IndexMap<NodeId, (Version, Instant)>,
+}
+
+impl Roster {
+    /// Creates a roster of this node alone. The version of `me` is set here.
+    pub fn new(clock: SharedClock, me: Member) -> Self {
+        let mut roster = Self {
+            clock,
+            me,
+            members: Table::default(),
+            doubts: Table::default(),
+            rings: Rings::default(),
+            expelled: IndexMap::new(),
+            failures: IndexMap::new(),
+            buried: IndexMap::new(),
+        };
+        roster.renew(|_| {});
+        roster.arrange();
+        roster
+    }
+
+    /// Returns this node's own record.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns the records of all nodes, this one's too.
+    pub fn members(&self) -> &Table<NodeId, Member> {
+        &self.members
+    }
+
+    /// Returns all doubts.
+    pub fn doubts(&self) -> &Table<(NodeId, NodeId), Doubt> {
+        &self.doubts
+    }
+
+    /// Changes this node's own record.
+    pub fn renew(&mut self, change: impl FnOnce(&mut Member)) {
+        change(&mut self.me);
+        self.me.version = self.next_version(self.me.version);
+        self.members.merge(self.me.node, self.me.clone(), None);
+    }
+
+    /// Takes in a record; returns whether it was news.
+    pub fn merge(&mut self, member: Member, source: NodeId) -> bool {
+        if member.node == self.me.node {
+            return self.answer_for_self(&member);
+        }
+        if self.buried.get(&member.node).is_some_and(|(version, _)| member.version <= *version) {
+            return false;
+        }
+        let node = member.node;
+        let arrived = self.members.get(&node).is_none();
+        let news = self.members.merge(node, member, Some(source));
+        if news && arrived {
+            self.arrange();
+        }
+        if news {
+            self.review();
+        }
+        news
+    }
+
+    /// Takes in a doubt; returns whether it was news.
+    pub fn merge_doubt(&mut self, doubt: Doubt, source: NodeId) -> bool {
+        if self.members.get(&doubt.subject).is_none() {
+            return false;
+        }
+        let news = self.doubts.merge((doubt.observer, doubt.subject), doubt, Some(source));
+        if news {
+            self.review();
+        }
+        news
+    }
+
+    /// Notes that a ping was answered; returns whether a doubt was withdrawn.
+    pub fn reached(&mut self, node: NodeId) -> bool {
+        self.failures.swap_remove(&node);
+        self.set_doubt(node, false)
+    }
+
+    /// Notes that a ping was not answered; returns whether a doubt was raised.
+    pub fn missed(&mut self, node: NodeId) -> bool {
+        let failures = self.failures.entry(node).or_default();
+        *failures = failures.saturating_add(1);
+        if *failures < PINGS_TO_DOUBT || self.suspects_self() {
+            return false;
+        }
+        self.set_doubt(node, true)
+    }
+
+    /// Returns the nodes that this node pings.
+    pub fn subjects(&self) -> IndexSet<NodeId> {
+        self.rings.subjects(self.me.node, |node| !self.is_expelled(node))
+    }
+
+    /// Tells whether most observers of a node cannot reach it.
+    pub fn is_expelled(&self, node: NodeId) -> bool {
+        self.expelled.contains_key(&node)
+    }
+
+    /// Returns the expelled nodes and since when they are.
+    pub fn expelled(&self) -> impl Iterator<Item = (NodeId, Instant)> {
+        self.expelled.iter().map(|(node, since)| (*node, *since))
+    }
+
+    /// Forgets nodes that have been expelled for long; returns them.
+    pub fn bury(&mut self) -> Vec<NodeId> {
+        let now = self.clock.now();
+        self.buried.retain(|_, (_, since)| now < *since + KEEP_BURIED);
+        let old: Vec<NodeId> = self
+            .expelled()
+            .filter(|(_, since)| now >= *since + BURY_AFTER)
+            .map(|(n, _)| n)
+            .collect();
+        for node in &old {
+            self.forget(*node, now);
+        }
+        if !old.is_empty() {
+            self.arrange();
+        }
+        old
+    }
+
+    /// Tells whether this node is among the first `count` live ones of its zone, in an order that
+    /// all nodes agree on.
+    pub fn is_delegate(&self, count: usize) -> bool {
+        let rank = |node: NodeId| hash(&("delegate", node));
+        let mine = rank(self.me.node);
+        let peers = self.members.iter().map(|(_, member)| member);
+        let ahead = peers.filter(|member| {
+            member.zone == self.me.zone
+                && !member.leaving
+                && !self.is_expelled(member.node)
+                && rank(member.node) < mine
+        });
+        ahead.count() < count
+    }
+
+    fn next_version(&self, old: Version) -> Version {
+        let wall = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        // Microseconds since 1970 fit into 64 bits.
+        (wall.as_micros() as u64).max(old + 1)
+    }
+
+    /// Overrules a record of an earlier run of this node that has a higher version.
+    fn answer_for_self(&mut self, member: &Member) -> bool {
+        let outdated = member.version >= self.me.version && *member != self.me;
+        if outdated {
+            self.me.version = member.version;
+            self.renew(|_| {});
+        }
+        outdated
+    }
+
+    fn set_doubt(&mut self, subject: NodeId, raised: bool) -> bool {
+        let Some(incarnation) = self.members.get(&subject).map(|member| member.incarnation) else {
+            return false;
+        };
+        let key = (self.me.node, subject);
+        let old = self.doubts.get(&key);
+        let stands = old.is_some_and(|d| d.raised && d.incarnation == incarnation);
+        if stands == raised {
+            return false;
+        }
+        let version = self.next_version(old.map_or(0, |doubt| doubt.version));
+        let doubt = Doubt { observer: self.me.node, subject, incarnation, version, raised };
+        self.doubts.merge(key, doubt, None);
+        self.review();
+        true
+    }
+
+    fn suspects_self(&self) -> bool {
+        let subjects = self.subjects();
+        let live: Vec<&NodeId> = subjects.iter().filter(|node| !self.is_expelled(**node)).collect();
+        let failing = live.iter().filter(|node| {
+            self.failures.get(**node).is_some_and(|failures| *failures >= PINGS_TO_DOUBT)
+        });
+        live.len() >= MIN_SUBJECTS && failing.count() * 2 > live.len()
+    }
+
+    fn arrange(&mut self) {
+        self.rings = Rings::new(self.members.iter().map(|(node, _)| *node));
+        self.review();
+    }
+
+    /// Recomputes which nodes are expelled, until nothing changes.
+    fn review(&mut self) {
+        let subjects: IndexSet<NodeId> =
+            self.doubts.iter().filter(|(_, doubt)| doubt.raised).map(|(key, _)| key.1).collect();
+        let now = self.clock.now();
+        self.expelled.retain(|node, _| subjects.contains(node));
+        // Expelling one node changes the observers of others; each round settles at least one.
+        for _ in 0..=subjects.len() {
+            let before = self.expelled.len();
+            for subject in &subjects {
+                if !self.is_doubted(*subject) {
+                    self.expelled.swap_remove(subject);
+                } else if !self.is_expelled(*subject) {
+                    self.expelled.insert(*subject, now);
+                }
+            }
+            if self.expelled.len() == before {
+                break;
+            }
+        }
+    }
+
+    fn is_doubted(&self, subject: NodeId) -> bool {
+        let Some(member) = self.members.get(&subject) else {
+            return false;
+        };
+        let is_live = |node| node != subject && !self.is_expelled(node);
+        let observers = self.rings.observers(subject, is_live);
+        let doubting = observers.iter().filter(|observer| {
+            let doubt = self.doubts.get(&(**observer, subject));
+            doubt.is_some_and(|d| d.raised && d.incarnation == member.incarnation)
+        });
+        !observers.is_empty() && doubting.count() * 2 > observers.len()
+    }
+
+    fn forget(&mut self, node: NodeId, now: Instant) {
+        if let Some(member) = self.members.remove(&node) {
+            self.buried.insert(node, (member.version, now));
+        }
+        self.expelled.swap_remove(&node);
+        self.failures.swap_remove(&node);
+        let keys = self.doubts.iter().map(|(key, _)| *key);
+        let about: Vec<(NodeId, NodeId)> = keys.filter(|k| k.0 == node || k.1 == node).collect();
+        for key in about {
+            self.doubts.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/window.rs
@@ -0,0 +1,56 @@
+//! Recognises attempts that a gate has seen before.
+
+use std::collections::BTreeSet;
+
+use crate::prelude::*;
+
+/// Attempts that are remembered per incarnation of an entry.
+const MAX_SEEN: usize = 1024;
+/// Incarnations of entries that are remembered.
+const MAX_PEERS: usize = 8192;
+
+#[derive(Debug, Default)]
+struct Seen {
+    floor: Serial,
+    serials: BTreeSet<Serial>,
+}
+
+/// Accepts each attempt at most once.
+///
+/// Serial numbers below the remembered ones count as seen, so a delayed duplicate is never
+/// accepted, however late it comes.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow_core::{id::AttemptId, window::Window};
+///
+/// let mut window = Window::default();
+/// let attempt = AttemptId { node: 1, incarnation: 2, serial: 3 };
+/// assert!(window.accept(attempt));
+/// assert!(!window.accept(attempt));
+/// ```
+#[derive(Debug, Default)]
+pub struct Window {
+    peers: IndexMap<(NodeId, Incarnation), Seen>,
+}
+
+impl Window {
+    /// Accepts the attempt unless it may have been seen before.
+    pub fn accept(&mut self, attempt: AttemptId) -> bool {
+        let key = (attempt.node, attempt.incarnation);
+        if !self.peers.contains_key(&key) && self.peers.len() >= MAX_PEERS {
+            self.peers.shift_remove_index(0);
+        }
+        let seen = self.peers.entry(key).or_default();
+        if attempt.serial <= seen.floor || !seen.serials.insert(attempt.serial) {
+            return false;
+        }
+        if seen.serials.len() > MAX_SEEN
+            && let Some(oldest) = seen.serials.pop_first()
+        {
+            seen.floor = oldest;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/witness.rs
@@ -0,0 +1,159 @@
+//! Judges from real work whether an upstream or a path is healthy.
+//!
+//! Two sequential likelihood-ratio tests (CUSUM) run side by side: one is tuned to an upstream that
+//! fails nearly everything, the other to one that fails a part. Both reset towards zero on success,
+//! so honest errors at the normal rate do not add up.
+
+use crate::prelude::*;
+use crate::profile::Forgiveness;
+
+/// Evidence at which an upstream is ejected, in natural-log units. Chosen for less than one wrong
+/// ejection in a million requests.
+pub const THRESHOLD: f32 = 13.0;
+/// Failure share of an upstream that fails nearly everything.
+const TOTAL: f32 = 0.9;
+/// Failure share of an upstream that fails a part.
+const PARTIAL: f32 = 0.3;
+/// Successes that end a trial.
+const TRIAL_SUCCESSES: u32 = 5;
+/// Most doublings of the ejection time.
+const MAX_DOUBLINGS: u32 = 5;
+/// Healthy time after which earlier ejections are forgotten, as a multiple of the last ejection.
+const FORGET_FACTOR: u32 = 10;
+/// Weight of the newest sample in the smoothed time.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// What a finished or stuck request says about an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Observation {
+    /// The request succeeded.
+    Success,
+    /// The request failed by the upstream's or the path's fault.
+    Failure,
+}
+
+/// A one-sided cumulative sum of log-likelihood ratios.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cusum(f32);
+
+impl Cusum {
+    fn observe(&mut self, observation: Observation, normal: f32, faulty: f32) {
+        let ratio = match observation {
+            Observation::Success => (1.0 - faulty) / (1.0 - normal),
+            Observation::Failure => faulty / normal,
+        };
+        // The bound keeps a long failure from delaying the return.
+        self.0 = (self.0 + ratio.ln()).clamp(0.0, 2.0 * THRESHOLD);
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Standing {
+    Well { since: Option<Instant> },
+    Ejected { until: Instant },
+    Trial { successes: u32 },
+}
+
+/// Collects observations and decides on ejection and return.
+#[derive(Clone, Debug)]
+pub struct Witness {
+    total: Cusum,
+    partial: Cusum,
+    standing: Standing,
+    repeats: u32,
+    pace: Duration,
+}
+
+impl Default for Witness {
+    fn default() -> Self {
+        Self {
+            total: Cusum::default(),
+            partial: Cusum::default(),
+            standing: Standing::Well { since: None },
+            repeats: 0,
+            pace: Duration::ZERO,
+        }
+    }
+}
+
+impl Witness {
+    /// Adds an observation; returns true when the condition changed.
+    pub fn observe(&mut self, observation: Observation, now: Instant, rules: &Forgiveness) -> bool {
+        let before = self.condition();
+        let normal = (rules.errors as f32).clamp(0.001, 0.2);
+        self.total.observe(observation, normal, TOTAL);
+        self.partial.observe(observation, normal, PARTIAL);
+        match (self.standing, observation) {
+            (Standing::Well { since }, _) if self.evidence() >= THRESHOLD => {
+                self.eject(since, now, rules);
+            }
+            (Standing::Trial { .. }, Observation::Failure) => self.eject(None, now, rules),
+            (Standing::Trial { successes }, Observation::Success) => {
+                self.try_return(successes + 1, now);
+            }
+            _ => {}
+        }
+        before != self.condition()
+    }
+
+    /// Lets time pass; returns true when an ejection ended and the trial began.
+    pub fn tick(&mut self, now: Instant) -> bool {
+        match self.standing {
+            Standing::Ejected { until } if now >= until => {
+                self.standing = Standing::Trial { successes: 0 };
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Adds the time that a short request took.
+    pub fn sample(&mut self, elapsed: Duration) {
+        if self.pace.is_zero() {
+            self.pace = elapsed;
+        } else {
+            let smoothed = self.pace.mul_f64(1.0 - PACE_WEIGHT);
+            self.pace = smoothed + elapsed.mul_f64(PACE_WEIGHT);
+        }
+    }
+
+    /// Returns the smoothed time of short requests; zero before the first.
+    pub fn pace(&self) -> Duration {
+        self.pace
+    }
+
+    /// Returns the weight of the evidence.
+    pub fn evidence(&self) -> f32 {
+        self.total.0.max(self.partial.0)
+    }
+
+    /// Returns the condition.
+    pub fn condition(&self) -> Condition {
+        match self.standing {
+            Standing::Well { .. } => Condition::Well,
+            Standing::Ejected { .. } => Condition::Ejected,
+            Standing::Trial { .. } => Condition::Trial,
+        }
+    }
+
+    fn eject(&mut self, well_since: Option<Instant>, now: Instant, rules: &Forgiveness) {
+        let length = rules.ejection * (1 << self.repeats.min(MAX_DOUBLINGS));
+        let forgotten = well_since.is_some_and(|since| now > since + length * FORGET_FACTOR);
+        if forgotten {
+            self.repeats = 0;
+        }
+        let length = rules.ejection * (1 << self.repeats.min(MAX_DOUBLINGS));
+        self.repeats += 1;
+        self.standing = Standing::Ejected { until: now + length };
+    }
+
+    fn try_return(&mut self, successes: u32, now: Instant) {
+        self.standing = if successes >= TRIAL_SUCCESSES {
+            self.total = Cusum::default();
+            self.partial = Cusum::default();
+            Standing::Well { since: Some(now) }
+        } else {
+            Standing::Trial { successes }
+        };
+    }
+}
--- /dev/null
+++ b/crates/schema/src/convert/configuration.rs
@@ -0,0 +1,197 @@
+//! Checks of stored configuration and of announcements.
+
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use lavenderflow_core::catalog::{Document, Item};
+use lavenderflow_core::profile::{Caution, Forgiveness, Patience, Profile};
+use lavenderflow_core::route::{Repeat, Route};
+use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
+
+use super::ConvertError;
+use crate::configuration as stored;
+
+/// Longest time that a profile may set, in milliseconds: a day.
+const MAX_MS: u32 = 24 * 60 * 60 * 1000;
+/// Most slots that an upstream may announce.
+const MAX_SLOTS: u32 = 10_000;
+/// Longest name.
+const MAX_NAME: usize = 200;
+
+/// Parses a stored value.
+///
+/// # Errors
+///
+/// The text is not JSON, or has unknown fields.
+pub fn parse(text: &[u8]) -> Result<stored::Stored, ConvertError> {
+    serde_json::from_slice(text).map_err(|error| ConvertError::Json(error.to_string()))
+}
+
+/// Checks a document and returns what it configures.
+///
+/// # Errors
+///
+/// The text is malformed, a value is out of range or the key does not fit.
+pub fn check(document: &Document) -> Result<Item, ConvertError> {
+    let value = parse(&document.text)?;
+    if value.revision != document.revision {
+        return Err(ConvertError::invalid("revision", &value.revision, "the document's revision"));
+    }
+    let (kind, name) = document.key.split_once('/').unwrap_or_default();
+    let (found, item) = match (kind, value) {
+        ("profiles", stored::Stored { profile: Some(value), .. }) => {
+            (value.name.clone(), Item::Profile(profile(&value)?))
+        }
+        ("services", stored::Stored { service: Some(value), .. }) => (
+            value.name.clone(),
+            Item::Service(
+                name_of("name", &value.name)?.into(),
+                name_of("profile", &value.profile)?.into(),
+            ),
+        ),
+        ("routes", stored::Stored { route: Some(value), .. }) => {
+            (value.name.clone(), Item::Route(route(&value)?))
+        }
+        ("organisations", stored::Stored { organisation: Some(value), .. }) => (
+            value.name.clone(),
+            Item::Organisation(name_of("name", &value.name)?.into(), value.concurrency),
+        ),
+        _ => return Err(ConvertError::Key(document.key.to_string())),
+    };
+    if found == name { Ok(item) } else { Err(ConvertError::Key(document.key.to_string())) }
+}
+
+/// Checks a profile.
+///
+/// # Errors
+///
+/// Names the first field that is missing or out of range.
+pub fn profile(value: &stored::Profile) -> Result<Profile, ConvertError> {
+    let patience = value.patience.as_ref().ok_or(ConvertError::Missing("patience"))?;
+    let caution = value.caution.as_ref().ok_or(ConvertError::Missing("caution"))?;
+    let forgiveness = value.forgiveness.as_ref().ok_or(ConvertError::Missing("forgiveness"))?;
+    Ok(Profile {
+        name: name_of("name", &value.name)?.into(),
+        patience: Patience {
+            queue: time("patience.queue_ms", patience.queue_ms, 0..=MAX_MS)?,
+            deadline: time("patience.deadline_ms", patience.deadline_ms, 1..=MAX_MS)?,
+            long: time("patience.long_ms", patience.long_ms, 1..=MAX_MS)?,
+        },
+        caution: Caution {
+            floor: share("caution.floor_percent", caution.floor_percent, 0..=100)?,
+            long_share: share("caution.long_percent", caution.long_percent, 1..=100)?,
+            long_body: u64::from(caution.long_kb) * 1024,
+            long_after: time("caution.long_after_ms", caution.long_after_ms, 1..=MAX_MS)?,
+        },
+        forgiveness: Forgiveness {
+            retries: share("forgiveness.retry_percent", forgiveness.retry_percent, 0..=100)?,
+            attempts: number("forgiveness.attempts", forgiveness.attempts, 1..=10)?,
+            ejection: time("forgiveness.eject_ms", forgiveness.eject_ms, 1..=MAX_MS)?,
+            errors: share("forgiveness.error_percent", forgiveness.error_percent, 0..=20)?,
+        },
+    })
+}
+
+/// Returns a profile in its stored form.
+pub fn stored_profile(profile: &Profile) -> stored::Profile {
+    let percent = |share: f64| (share * 100.0).round() as u32;
+    let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    let (patience, caution) = (&profile.patience, &profile.caution);
+    let forgiveness = &profile.forgiveness;
+    stored::Profile {
+        name: profile.name.to_string(),
+        patience: Some(stored::Patience {
+            queue_ms: millis(patience.queue),
+            deadline_ms: millis(patience.deadline),
+            long_ms: millis(patience.long),
+        }),
+        caution: Some(stored::Caution {
+            floor_percent: percent(caution.floor),
+            long_percent: percent(caution.long_share),
+            long_kb: u32::try_from(caution.long_body / 1024).unwrap_or(u32::MAX),
+            long_after_ms: millis(caution.long_after),
+        }),
+        forgiveness: Some(stored::Forgiveness {
+            retry_percent: percent(forgiveness.retries),
+            attempts: forgiveness.attempts,
+            eject_ms: millis(forgiveness.ejection),
+            error_percent: percent(forgiveness.errors),
+        }),
+    }
+}
+
+/// Parses and checks an announcement.
+///
+/// # Errors
+///
+/// The text is not JSON of an announcement, or names the first field that is out of range.
+pub fn announcement(text: &[u8]) -> Result<Announcement, ConvertError> {
+    let value: stored::Announcement =
+        serde_json::from_slice(text).map_err(|error| ConvertError::Json(error.to_string()))?;
+    let phase = match value.phase.as_str() {
+        "warming" => AnnouncedPhase::Warming,
+        "serving" => AnnouncedPhase::Serving,
+        "leaving" => AnnouncedPhase::Leaving,
+        other => {
+            return Err(ConvertError::invalid("phase", other, "warming, serving or leaving"));
+        }
+    };
+    let address = value.address.parse();
+    Ok(Announcement {
+        id: name_of("id", &value.id)?.into(),
+        service: name_of("service", &value.service)?.into(),
+        address: address.map_err(|_| {
+            ConvertError::invalid("address", &value.address, "an IP address and port")
+        })?,
+        slots: number("slots", value.slots, 1..=MAX_SLOTS)?,
+        phase,
+        lease: time("lease_ms", value.lease_ms, 100..=MAX_MS)?,
+    })
+}
+
+fn route(value: &stored::Route) -> Result<Route, ConvertError> {
+    let repeat = match value.idempotent.as_str() {
+        "" | "auto" => Repeat::ByMethod,
+        "yes" => Repeat::Yes,
+        "no" => Repeat::No,
+        other => return Err(ConvertError::invalid("idempotent", other, "auto, yes or no")),
+    };
+    if !value.prefix.starts_with('/') {
+        return Err(ConvertError::invalid("prefix", &value.prefix, "a path"));
+    }
+    let service = name_of("service", &value.service)?.into();
+    Ok(Route { prefix: value.prefix.clone(), service, repeat, long: value.long })
+}
+
+fn name_of<'a>(field: &'static str, name: &'a str) -> Result<&'a str, ConvertError> {
+    let allowed = |c: char| c.is_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if !name.is_empty() && name.len() <= MAX_NAME && name.chars().all(allowed) {
+        Ok(name)
+    } else {
+        Err(ConvertError::invalid(field, name, "a name of letters, digits, '-', '_' and '.'"))
+    }
+}
+
+fn number(
+    field: &'static str,
+    value: u32,
+    range: RangeInclusive<u32>,
+) -> Result<u32, ConvertError> {
+    if range.contains(&value) {
+        Ok(value)
+    } else {
+        Err(ConvertError::invalid(field, &value, "in its range"))
+    }
+}
+
+fn time(
+    field: &'static str,
+    value: u32,
+    range: RangeInclusive<u32>,
+) -> Result<Duration, ConvertError> {
+    number(field, value, range).map(|ms| Duration::from_millis(u64::from(ms)))
+}
+
+fn share(field: &'static str, value: u32, range: RangeInclusive<u32>) -> Result<f64, ConvertError> {
+    number(field, value, range).map(|percent| f64::from(percent) / 100.0)
+}
--- /dev/null
+++ b/crates/schema/src/convert/gossip.rs
@@ -0,0 +1,153 @@
+//! Conversions of gossip.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use lavenderflow_core::catalog::Document;
+use lavenderflow_core::gate::Offered;
+use lavenderflow_core::gossip::Exchange;
+use lavenderflow_core::roster::{Doubt, Member};
+
+use super::ConvertError;
+use crate::wire;
+
+impl From<&Exchange> for wire::Exchange {
+    fn from(exchange: &Exchange) -> Self {
+        let [member_summary, document_summary, doubt_summary] = exchange.summaries;
+        Self {
+            sender: exchange.sender,
+            incarnation: exchange.incarnation,
+            members: exchange.members.iter().map(Into::into).collect(),
+            doubts: exchange.doubts.iter().map(Into::into).collect(),
+            documents: exchange.documents.iter().map(Into::into).collect(),
+            member_digests: exchange.member_digests.clone(),
+            document_digests: exchange.document_digests.clone(),
+            member_summary,
+            document_summary,
+            doubt_summary,
+        }
+    }
+}
+
+impl TryFrom<wire::Exchange> for Exchange {
+    type Error = ConvertError;
+
+    fn try_from(exchange: wire::Exchange) -> Result<Self, Self::Error> {
+        let members: Result<_, _> = exchange.members.into_iter().map(TryInto::try_into).collect();
+        Ok(Self {
+            sender: exchange.sender,
+            incarnation: exchange.incarnation,
+            members: members?,
+            doubts: exchange.doubts.into_iter().map(Into::into).collect(),
+            documents: exchange.documents.into_iter().map(Into::into).collect(),
+            member_digests: exchange.member_digests,
+            document_digests: exchange.document_digests,
+            summaries: [exchange.member_summary, exchange.document_summary, exchange.doubt_summary],
+        })
+    }
+}
+
+impl From<&Member> for wire::Member {
+    fn from(member: &Member) -> Self {
+        let phase = if member.leaving { wire::Phase::Leaving } else { wire::Phase::Serving };
+        Self {
+            node: member.node,
+            incarnation: member.incarnation,
+            version: member.version,
+            name: member.name.clone(),
+            peer: member.peer.to_string(),
+            callers: member.callers.to_string(),
+            zone: member.zone.to_string(),
+            phase: phase.into(),
+            offers: member.offers.iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<wire::Member> for Member {
+    type Error = ConvertError;
+
+    fn try_from(member: wire::Member) -> Result<Self, Self::Error> {
+        Ok(Self {
+            node: member.node,
+            incarnation: member.incarnation,
+            version: member.version,
+            leaving: member.phase() == wire::Phase::Leaving,
+            peer: address("peer", &member.peer)?,
+            callers: address("callers", &member.callers)?,
+            name: member.name,
+            zone: member.zone.into(),
+            offers: member.offers.into_iter().map(Into::into).collect(),
+        })
+    }
+}
+
+impl From<&Offered> for wire::Offer {
+    fn from(offer: &Offered) -> Self {
+        Self {
+            service: offer.service.to_string(),
+            slots: offer.slots,
+            condition: wire::Condition::from(offer.condition).into(),
+            evidence: offer.evidence,
+        }
+    }
+}
+
+impl From<wire::Offer> for Offered {
+    fn from(offer: wire::Offer) -> Self {
+        Self {
+            slots: offer.slots,
+            condition: offer.condition().into(),
+            evidence: offer.evidence,
+            service: offer.service.into(),
+        }
+    }
+}
+
+impl From<&Doubt> for wire::Doubt {
+    fn from(doubt: &Doubt) -> Self {
+        Self {
+            observer: doubt.observer,
+            subject: doubt.subject,
+            incarnation: doubt.incarnation,
+            version: doubt.version,
+            raised: doubt.raised,
+        }
+    }
+}
+
+impl From<wire::Doubt> for Doubt {
+    fn from(doubt: wire::Doubt) -> Self {
+        Self {
+            observer: doubt.observer,
+            subject: doubt.subject,
+            incarnation: doubt.incarnation,
+            version: doubt.version,
+            raised: doubt.raised,
+        }
+    }
+}
+
+impl From<&Document> for wire::Document {
+    fn from(document: &Document) -> Self {
+        Self {
+            key: document.key.to_string(),
+            revision: document.revision,
+            value: Bytes::copy_from_slice(&document.text),
+        }
+    }
+}
+
+impl From<wire::Document> for Document {
+    fn from(document: wire::Document) -> Self {
+        Self {
+            key: document.key.into(),
+            revision: document.revision,
+            text: document.value.as_ref().into(),
+        }
+    }
+}
+
+fn address(field: &'static str, text: &str) -> Result<SocketAddr, ConvertError> {
+    text.parse().map_err(|_| ConvertError::invalid(field, text, "an IP address and port"))
+}
--- /dev/null
+++ b/crates/schema/src/convert/request.rs
@@ -0,0 +1,83 @@
+//! Conversions of what requests carry.
+
+use std::time::Duration;
+
+use lavenderflow_core::id::{AttemptId, TicketId};
+use lavenderflow_core::load::{Condition, Load};
+
+use crate::wire;
+
+impl From<AttemptId> for wire::Attempt {
+    fn from(id: AttemptId) -> Self {
+        Self { node: id.node, incarnation: id.incarnation, serial: id.serial }
+    }
+}
+
+impl From<wire::Attempt> for AttemptId {
+    fn from(id: wire::Attempt) -> Self {
+        Self { node: id.node, incarnation: id.incarnation, serial: id.serial }
+    }
+}
+
+impl From<TicketId> for wire::Ticket {
+    fn from(id: TicketId) -> Self {
+        Self { home: id.home, incarnation: id.incarnation, serial: id.serial }
+    }
+}
+
+impl From<wire::Ticket> for TicketId {
+    fn from(id: wire::Ticket) -> Self {
+        Self { home: id.home, incarnation: id.incarnation, serial: id.serial }
+    }
+}
+
+impl From<Condition> for wire::Condition {
+    fn from(condition: Condition) -> Self {
+        match condition {
+            Condition::Well => Self::Well,
+            Condition::Ejected => Self::Ejected,
+            Condition::Trial => Self::Trial,
+        }
+    }
+}
+
+impl From<wire::Condition> for Condition {
+    fn from(condition: wire::Condition) -> Self {
+        match condition {
+            wire::Condition::Well | wire::Condition::Unspecified => Self::Well,
+            wire::Condition::Ejected => Self::Ejected,
+            wire::Condition::Trial => Self::Trial,
+        }
+    }
+}
+
+impl From<Load> for wire::Load {
+    fn from(load: Load) -> Self {
+        Self {
+            busy: load.busy,
+            slots: load.slots,
+            queued: load.queued,
+            pace_us: micros(load.pace),
+            condition: wire::Condition::from(load.condition).into(),
+            evidence: load.evidence,
+        }
+    }
+}
+
+impl From<wire::Load> for Load {
+    fn from(load: wire::Load) -> Self {
+        Self {
+            busy: load.busy,
+            slots: load.slots,
+            queued: load.queued,
+            pace: Duration::from_micros(load.pace_us),
+            condition: load.condition().into(),
+            evidence: load.evidence,
+        }
+    }
+}
+
+/// Returns a duration in whole microseconds.
+pub fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,29 @@
+//! Messages between nodes, configuration in the store and settings of a node.
+//!
+//! The types are generated from the files in `schema/`; see `crates/schema-gen`.
+
+pub mod convert;
+pub mod setting;
+
+/// Messages between nodes.
+#[allow(clippy::all, clippy::doc_markdown, missing_docs, unused_qualifications)]
+pub mod wire {
+    include!("generated/lavenderflow.wire.rs");
+}
+
+/// Configuration that operators keep in the store.
+#[allow(clippy::all, clippy::doc_markdown, missing_docs, unused_qualifications)]
+pub mod configuration {
+    include!("generated/lavenderflow.configuration.rs");
+}
+
+/// Settings of a node.
+#[allow(clippy::doc_markdown)]
+pub mod settings {
+    include!("generated/settings.rs");
+}
+
+/// Tells whether a field can be left out of JSON.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
