--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -66,16 +66,7 @@
         node: NodeId,
     ) -> (Exchange, Position) {
         let (members, doubts, documents) = (roster.members(), roster.doubts(), catalog.documents());
-        // A new peer is brought up to date by digests, not by sending everything.
-        let peer = self.peers.entry(node).or_insert_with(|| Peer {
-            position: Position {
-                members: members.sequence(),
-                doubts: 0,
-                documents: documents.sequence(),
-            },
-            mismatches: MISMATCHES,
-            asked: None,
-        });
+        let peer = self.peer(roster, catalog, node);
         let mut position = peer.position;
         let mut exchange = Exchange {
             sender: roster.me().node,
@@ -122,6 +113,20 @@
         }
     }
 
+    /// Returns what is known of a peer.
+    fn peer(&mut self, roster: &Roster, catalog: &Catalog, node: NodeId) -> &mut Peer {
+        // A new peer is brought up to date by digests, not by sending everything.
+        self.peers.entry(node).or_insert_with(|| Peer {
+            position: Position {
+                members: roster.members().sequence(),
+                doubts: 0,
+                documents: catalog.documents().sequence(),
+            },
+            mismatches: MISMATCHES,
+            asked: None,
+        })
+    }
+
     /// Tells whether a peer should be sent another exchange at once.
     pub fn is_pending(&self, roster: &Roster, catalog: &Catalog, node: NodeId) -> bool {
         let Some(peer) = self.peers.get(&node) else {
--- /dev/null
+++ b/crates/lavenderflow/src/actor.rs
@@ -0,0 +1,7 @@
+//! The actors: each owns one part of the node's decision state.
+
+pub mod counters;
+pub mod entry;
+pub mod fleet;
+pub mod gate;
+pub mod lifecycle;
--- /dev/null
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -0,0 +1,188 @@
+//! Owns the entry's decisions and the channels to the requests in flight.
+
+use lavenderflow_core::catalog::Item;
+use lavenderflow_core::entry::Entry;
+use lavenderflow_core::gate::Offered;
+use lavenderflow_core::pool::GateView;
+use lavenderflow_core::request::EntryAction;
+use lavenderflow_core::route::Router;
+use stakker::{Actor, CX, Fwd, after, call};
+use tokio::sync::{mpsc, oneshot};
+
+use super::counters::CountersActor;
+use super::gate::GateActor;
+use crate::message::EntryMessage;
+use crate::prelude::*;
+use crate::status::{GateStatus, ServiceStatus, Status, condition_name};
+
+/// Interval at which time passes for the entry.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Owns the entry.
+pub struct EntryActor {
+    entry: Entry,
+    counters: Actor<CountersActor>,
+    requests: IndexMap<RequestId, mpsc::Sender<EntryAction>>,
+}
+
+impl EntryActor {
+    /// Starts the actor.
+    pub fn init(cx: CX![], entry: Entry, counters: Actor<CountersActor>) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        Some(Self { entry, counters, requests: IndexMap::new() })
+    }
+
+    /// Handles a message.
+    pub fn handle(&mut self, _: CX![], message: EntryMessage) {
+        let actions = match message {
+            EntryMessage::Begin(arrival, sender) => {
+                self.requests.insert(arrival.request, sender);
+                self.entry.begin(arrival)
+            }
+            EntryMessage::Report(request, report) => self.entry.report(request, report),
+            EntryMessage::Issue(reply) => {
+                let _ = reply.send(self.entry.issue());
+                return;
+            }
+        };
+        for action in actions {
+            self.execute(action);
+        }
+    }
+
+    /// Takes in what a node offers; nothing when it is leaving.
+    pub fn set_node(
+        &mut self,
+        _: CX![],
+        node: NodeId,
+        zone: ZoneName,
+        offers: Vec<Offered>,
+        expelled: bool,
+    ) {
+        self.entry.set_node(node, &zone, &offers, expelled);
+    }
+
+    /// Forgets a node.
+    pub fn remove_node(&mut self, _: CX![], node: NodeId) {
+        self.entry.remove_node(node);
+    }
+
+    /// Takes in the routes.
+    pub fn set_router(&mut self, _: CX![], router: Router) {
+        self.entry.set_router(router);
+    }
+
+    /// Takes in a service's profile.
+    pub fn set_profile(&mut self, _: CX![], service: ServiceName, profile: Profile) {
+        self.entry.set_profile(&service, profile);
+    }
+
+    /// Takes in an organisation's limit.
+    pub fn set_limit(&mut self, _: CX![], item: Item) {
+        if let Item::Organisation(organisation, limit) = item {
+            self.entry.set_limit(&organisation, limit);
+        }
+    }
+
+    /// Takes no new requests from now on.
+    pub fn drain(&mut self, _: CX![]) {
+        self.entry.drain();
+    }
+
+    /// Tells the lifecycle how many requests are in flight.
+    pub fn report_requests(&mut self, _: CX![], reply: Fwd<usize>) {
+        reply.fwd(self.entry.in_flight());
+    }
+
+    /// Completes a status and passes it on to the gate.
+    pub fn status(
+        &mut self,
+        _: CX![],
+        mut status: Status,
+        gate: Actor<GateActor>,
+        reply: oneshot::Sender<Status>,
+    ) {
+        status.requests = self.entry.in_flight();
+        status.tickets = self.entry.ledger().len();
+        status.services = self.services();
+        let counters = self.counters.clone();
+        call!([gate], status(status, counters, reply));
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        self.entry.tick();
+        self.requests.retain(|_, sender| !sender.is_closed());
+    }
+
+    fn execute(&mut self, action: EntryAction) {
+        let (request, is_last) = match &action {
+            EntryAction::Dispatch { request, retry, .. } => {
+                if let Some(reason) = retry {
+                    self.count_retry(*reason);
+                }
+                (*request, false)
+            }
+            EntryAction::Forward { request, .. } | EntryAction::Wait { request, .. } => {
+                (*request, false)
+            }
+            EntryAction::Relay { request, .. } | EntryAction::Conclude { request, .. } => {
+                (*request, true)
+            }
+        };
+        let Some(sender) = self.requests.get(&request) else { return };
+        // The channel holds more actions than a request has before it takes the next one.
+        if sender.try_send(action).is_err() {
+            log::debug!("event=action-unwanted request={request:x}");
+        }
+        if is_last {
+            self.requests.swap_remove(&request);
+        }
+    }
+
+    fn count_retry(&self, reason: Reason) {
+        let counters = &self.counters;
+        call!([counters], add(Counter::Retried(reason)));
+    }
+
+    fn services(&self) -> Vec<ServiceStatus> {
+        let pools = self.entry.chooser().pools();
+        pools
+            .map(|(service, pool)| {
+                let profile = self.entry.profile(service);
+                let gates = pool.gates().map(|(gate, chosen)| self.gate_status(gate, chosen));
+                ServiceStatus {
+                    name: service.to_string(),
+                    profile: profile.name.to_string(),
+                    floor_percent: (profile.caution.floor * 100.0).round() as u32,
+                    gates: gates.collect(),
+                }
+            })
+            .collect()
+    }
+
+    fn gate_status(&self, gate: &GateView, chosen: bool) -> GateStatus {
+        let (path, path_evidence) = self.entry.chooser().path(gate.node);
+        let mut causes = Vec::new();
+        if gate.expelled {
+            causes.push("most observers cannot reach it".to_owned());
+        }
+        if path != Condition::Well {
+            causes.push(format!("path {} evidence {path_evidence:.1}", condition_name(path)));
+        }
+        let condition = gate.load.condition;
+        if condition != Condition::Well {
+            let name = condition_name(condition);
+            causes.push(format!("upstreams {name} evidence {:.1}", gate.load.evidence));
+        }
+        if causes.is_empty() && !chosen {
+            causes.push(format!("slow: {} ms", gate.load.pace.as_millis()));
+        }
+        GateStatus {
+            node: format!("{:x}", gate.node),
+            slots: gate.slots,
+            chosen,
+            suspicion: causes.join("; "),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -0,0 +1,465 @@
+//! Owns the membership, the configuration and the gossip that spreads both.
+
+use std::net::SocketAddr;
+
+use lavenderflow_core::catalog::{Catalog, Document, Item, Taken};
+use lavenderflow_core::gate::Offered;
+use lavenderflow_core::gossip::{Exchange, Gossip, Position};
+use lavenderflow_core::roster::Roster;
+use lavenderflow_schema::convert::configuration;
+use stakker::{Actor, CX, after, call};
+use tokio::sync::{oneshot, watch};
+
+use super::counters::CountersActor;
+use super::entry::EntryActor;
+use super::gate::GateActor;
+use crate::message::FleetMessage;
+use crate::net::endpoint::{Command, Network};
+use crate::prelude::*;
+use crate::status::{MemberStatus, RejectedStatus, Status};
+use crate::watcher::{WatchCommand, Watcher};
+
+/// Time for which changes are collected before they are passed on.
+const COLLECT: Duration = Duration::from_millis(20);
+/// Interval at which the seeds are greeted, in pings.
+const GREET_PINGS: u32 = 10;
+/// Nodes per zone that watch the store.
+const DELEGATES: usize = 2;
+/// Nodes that a refused caller is told to try.
+const NEXT_NODES: usize = 3;
+
+/// What the fleet actor is started with.
+#[derive(Debug)]
+pub struct Setup {
+    /// The membership, of this node alone.
+    pub roster: Roster,
+    /// Peer addresses from the settings.
+    pub seeds: Vec<SocketAddr>,
+    /// Interval of pings.
+    pub ping: Duration,
+    /// To the network task.
+    pub network: Network,
+    /// To the watcher of the store.
+    pub watcher: Watcher,
+    /// Where refused callers are told to go.
+    pub next: watch::Sender<String>,
+}
+
+/// Owns the membership and the configuration.
+pub struct FleetActor {
+    roster: Roster,
+    catalog: Catalog,
+    gossip: Gossip,
+    seeds: Vec<SocketAddr>,
+    introduced: IndexSet<SocketAddr>,
+    ping: Duration,
+    network: Network,
+    watcher: Watcher,
+    next: watch::Sender<String>,
+    entry: Actor<EntryActor>,
+    gate: Option<Actor<GateActor>>,
+    counters: Actor<CountersActor>,
+    profiles: IndexMap<ServiceName, Profile>,
+    busy: IndexSet<NodeId>,
+    known: IndexSet<NodeId>,
+    rounds: u32,
+    flushing: bool,
+}
+
+impl FleetActor {
+    /// Starts the actor.
+    pub fn init(
+        cx: CX![],
+        setup: Setup,
+        entry: Actor<EntryActor>,
+        counters: Actor<CountersActor>,
+    ) -> Option<Self> {
+        let mut fleet = Self {
+            roster: setup.roster,
+            catalog: Catalog::default(),
+            gossip: Gossip::default(),
+            seeds: setup.seeds,
+            introduced: IndexSet::new(),
+            ping: setup.ping,
+            network: setup.network,
+            watcher: setup.watcher,
+            next: setup.next,
+            entry,
+            gate: None,
+            counters,
+            profiles: IndexMap::new(),
+            busy: IndexSet::new(),
+            known: IndexSet::new(),
+            rounds: 0,
+            flushing: false,
+        };
+        fleet.round(cx);
+        Some(fleet)
+    }
+
+    /// Takes in the gate, which was started later.
+    pub fn set_gate(&mut self, _: CX![], gate: Actor<GateActor>) {
+        self.gate = Some(gate);
+    }
+
+    /// Handles a message.
+    pub fn handle(&mut self, cx: CX![], message: FleetMessage) {
+        match message {
+            FleetMessage::Exchange(exchange, reply) => {
+                let peer = exchange.sender;
+                self.take(cx, exchange);
+                let (answer, position) = self.gossip.compose(&self.roster, &self.catalog, peer);
+                // A lost answer is made good by digests.
+                self.gossip.delivered(peer, position);
+                let _ = reply.send(answer);
+            }
+            FleetMessage::Pinged(node, position, answer) => self.pinged(cx, node, position, answer),
+            FleetMessage::Greeted(answer) => {
+                if let Some(exchange) = answer {
+                    self.take(cx, exchange);
+                }
+            }
+            FleetMessage::Stored(documents, is_all) => self.stored(cx, documents, is_all),
+            FleetMessage::Introduced(addresses) => {
+                let own = self.roster.me().peer;
+                self.introduced = addresses.into_iter().filter(|peer| *peer != own).collect();
+                self.greet();
+            }
+            FleetMessage::Documents(reply) => {
+                let documents = self.catalog.documents().iter();
+                let _ = reply.send(documents.map(|(_, document)| document.clone()).collect());
+            }
+        }
+    }
+
+    /// Takes in what this node's gate offers.
+    pub fn publish(&mut self, cx: CX![], offers: Vec<Offered>) {
+        self.roster.renew(|me| me.offers = offers);
+        let own = self.roster.me().node;
+        self.changed(cx, &[own]);
+    }
+
+    /// Tells everyone that this node takes no new work.
+    pub fn leave(&mut self, cx: CX![]) {
+        self.roster.renew(|me| me.leaving = true);
+        let own = self.roster.me().node;
+        self.changed(cx, &[own]);
+    }
+
+    /// Begins a status and passes it on to the entry.
+    pub fn status(
+        &mut self,
+        _: CX![],
+        state: &'static str,
+        gate: Actor<GateActor>,
+        reply: oneshot::Sender<Status>,
+    ) {
+        let mut revisions: IndexMap<String, Revision> = self
+            .catalog
+            .documents()
+            .iter()
+            .map(|(key, document)| (key.to_string(), document.revision))
+            .collect();
+        revisions.sort_keys();
+        let rejected = self.catalog.rejected().map(|(key, revision, fault)| RejectedStatus {
+            key: key.to_string(),
+            revision,
+            fault: fault.to_owned(),
+        });
+        let status = Status {
+            node: self.roster.me().name.clone(),
+            zone: self.roster.me().zone.to_string(),
+            state: state.to_owned(),
+            members: self.members(),
+            revisions,
+            rejected: rejected.collect(),
+            ..Status::default()
+        };
+        let entry = &self.entry;
+        call!([entry], status(status, gate, reply));
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let members = self.roster.members().iter().map(|(node, member)| {
+            let state = match (self.roster.is_expelled(*node), member.leaving) {
+                (true, _) => "expelled",
+                (false, true) => "leaving",
+                (false, false) => "alive",
+            };
+            MemberStatus {
+                id: format!("{node:x}"),
+                name: member.name.clone(),
+                zone: member.zone.to_string(),
+                callers: member.callers.to_string(),
+                state: state.to_owned(),
+            }
+        });
+        let mut members: Vec<MemberStatus> = members.collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+
+    /// Pings the subjects and looks after what changes slowly.
+    fn round(&mut self, cx: CX![]) {
+        after!(self.ping, [cx], round());
+        self.rounds = self.rounds.wrapping_add(1);
+        for node in self.roster.subjects() {
+            self.ping(node);
+        }
+        if self.rounds % GREET_PINGS == 1 {
+            self.greet();
+            for node in self.roster.bury() {
+                self.known.swap_remove(&node);
+                let entry = &self.entry;
+                call!([entry], remove_node(node));
+                self.send(Command::Forget(node));
+            }
+        }
+        let is_delegate = self.roster.is_delegate(DELEGATES);
+        let peer = self.roster.me().peer;
+        self.watcher.send(WatchCommand { is_delegate, introduce: self.zone_peers(peer) });
+    }
+
+    /// Returns the peer addresses to introduce for this node's zone.
+    fn zone_peers(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        let zone = &self.roster.me().zone;
+        let members = self.roster.members().iter().map(|(_, member)| member);
+        let others = members.filter(|member| {
+            member.zone == *zone && !member.leaving && !self.roster.is_expelled(member.node)
+        });
+        let mut peers: Vec<SocketAddr> = others.map(|member| member.peer).collect();
+        peers.sort_unstable();
+        peers.truncate(NEXT_NODES);
+        if peers.is_empty() {
+            peers.push(own);
+        }
+        peers
+    }
+
+    fn ping(&mut self, node: NodeId) {
+        // One exchange at a time per peer: the answer says how far it has come.
+        if !self.busy.insert(node) {
+            return;
+        }
+        let (exchange, position) = self.gossip.compose(&self.roster, &self.catalog, node);
+        if !self.send(Command::Ping(node, exchange, position)) {
+            self.busy.swap_remove(&node);
+        }
+    }
+
+    fn pinged(&mut self, cx: CX![], node: NodeId, position: Position, answer: Option<Exchange>) {
+        self.busy.swap_remove(&node);
+        let Some(exchange) = answer else {
+            if self.roster.missed(node) {
+                log::info!("event=doubt subject={node:x}");
+                self.changed(cx, &[node]);
+            }
+            return;
+        };
+        self.gossip.delivered(node, position);
+        if self.roster.reached(node) {
+            log::info!("event=doubt-withdrawn subject={node:x}");
+            self.changed(cx, &[node]);
+        }
+        self.take(cx, exchange);
+    }
+
+    /// Greets the seeds that are not known as nodes.
+    fn greet(&mut self) {
+        let members = self.roster.members();
+        let known: IndexSet<SocketAddr> = members
+            .iter()
+            .filter(|(node, _)| !self.roster.is_expelled(**node))
+            .map(|(_, member)| member.peer)
+            .collect();
+        let seeds = self.seeds.iter().chain(&self.introduced);
+        let seeds: IndexSet<SocketAddr> =
+            seeds.filter(|seed| !known.contains(*seed)).copied().collect();
+        for seed in seeds {
+            let mut exchange = Exchange {
+                sender: self.roster.me().node,
+                incarnation: self.roster.me().incarnation,
+                members: vec![self.roster.me().clone()],
+                member_digests: self.roster.members().digests().to_vec(),
+                document_digests: self.catalog.documents().digests().to_vec(),
+                ..Exchange::default()
+            };
+            exchange.summaries[0] = self.roster.members().summary();
+            exchange.summaries[1] = self.catalog.documents().summary();
+            self.send(Command::Greet(seed, exchange));
+        }
+    }
+
+    /// Takes in an exchange.
+    fn take(&mut self, cx: CX![], exchange: Exchange) {
+        let source = exchange.sender;
+        let mut nodes = Vec::new();
+        for member in exchange.members.clone() {
+            let node = member.node;
+            if self.roster.merge(member, source) {
+                nodes.push(node);
+            }
+        }
+        for doubt in exchange.doubts.clone() {
+            let subject = doubt.subject;
+            if self.roster.merge_doubt(doubt, source) {
+                nodes.push(subject);
+            }
+        }
+        let mut news = false;
+        for document in exchange.documents.clone() {
+            news |= self.apply(document, Some(source));
+        }
+        self.gossip.compare(&self.roster, &self.catalog, &exchange);
+        if news {
+            self.configure();
+        }
+        if news || !nodes.is_empty() {
+            self.changed(cx, &nodes);
+        }
+        if self.gossip.is_pending(&self.roster, &self.catalog, source) {
+            self.flush_soon(cx);
+        }
+    }
+
+    /// Takes in what the store holds. What is newer here is put back there.
+    fn stored(&mut self, cx: CX![], documents: Vec<Document>, is_all: bool) {
+        let mut outdated = Vec::new();
+        let mut seen = IndexSet::new();
+        let mut news = false;
+        for document in documents {
+            seen.insert(document.key.clone());
+            let known = self.catalog.documents().get(&document.key);
+            match known.filter(|known| known.revision > document.revision) {
+                Some(known) => outdated.push(known.clone()),
+                None => news |= self.apply(document, None),
+            }
+        }
+        if is_all {
+            let missing = self.catalog.documents().iter().filter(|(key, _)| !seen.contains(*key));
+            outdated.extend(missing.map(|(_, document)| document.clone()));
+        }
+        for document in outdated {
+            log::warn!("event=store-outdated key={} revision={}", document.key, document.revision);
+            self.watcher.restore(document);
+        }
+        if news {
+            self.configure();
+            self.changed(cx, &[]);
+        }
+    }
+
+    fn apply(&mut self, document: Document, source: Option<NodeId>) -> bool {
+        let checked = configuration::check(&document);
+        let (key, revision) = (document.key.clone(), document.revision);
+        match self.catalog.apply(document, checked, source) {
+            Taken::Applied => {
+                log::info!("event=configuration key={key} revision={revision}");
+                true
+            }
+            Taken::Known => false,
+            Taken::Rejected => {
+                log::warn!("event=configuration-rejected key={key} revision={revision}");
+                let counters = &self.counters;
+                call!([counters], add(Counter::Fault(Fault::Configuration)));
+                false
+            }
+        }
+    }
+
+    /// Brings the configuration into force at the entry and the gate.
+    fn configure(&mut self) {
+        let entry = self.entry.clone();
+        let router = self.catalog.router().clone();
+        call!([entry], set_router(router));
+        for (_, item) in self.catalog.items() {
+            if let Item::Organisation(..) = item {
+                let item = item.clone();
+                call!([entry], set_limit(item));
+            }
+        }
+        self.set_profiles();
+    }
+
+    /// Passes on the profiles of all known services that have changed.
+    fn set_profiles(&mut self) {
+        let members = self.roster.members().iter();
+        let offered = members.flat_map(|(_, member)| member.offers.iter().map(|o| &o.service));
+        let services: IndexSet<ServiceName> = offered.cloned().collect();
+        for service in services {
+            let profile = self.catalog.profile(&service);
+            if self.profiles.get(&service) == Some(&profile) {
+                continue;
+            }
+            self.profiles.insert(service.clone(), profile.clone());
+            let (entry, name, own) = (&self.entry, service.clone(), profile.clone());
+            call!([entry], set_profile(name, own));
+            if let Some(gate) = &self.gate {
+                call!([gate], set_profile(service, profile));
+            }
+        }
+    }
+
+    /// Tells the entry and the network task about changed nodes and passes the news on.
+    fn changed(&mut self, cx: CX![], nodes: &[NodeId]) {
+        // Expelling a node can change others, so all whose standing changed are passed on.
+        let expelled: IndexSet<NodeId> = self.roster.expelled().map(|(node, _)| node).collect();
+        let affected: IndexSet<NodeId> =
+            nodes.iter().chain(&expelled).chain(&self.known).copied().collect();
+        for node in affected {
+            let Some(member) = self.roster.members().get(&node) else { continue };
+            let is_expelled = expelled.contains(&node);
+            if nodes.contains(&node) || is_expelled != self.known.contains(&node) {
+                let offers = if member.leaving { Vec::new() } else { member.offers.clone() };
+                let (entry, zone) = (&self.entry, member.zone.clone());
+                call!([entry], set_node(node, zone, offers, is_expelled));
+                let command = Command::Member(node, member.incarnation, member.peer);
+                self.send(command);
+            }
+        }
+        self.known = expelled;
+        self.set_profiles();
+        self.set_next();
+        let subjects = self.roster.subjects();
+        self.gossip
+            .retain(|node| subjects.contains(&node) || self.roster.members().get(&node).is_some());
+        self.flush_soon(cx);
+    }
+
+    fn set_next(&self) {
+        let own = self.roster.me().node;
+        let members = self.roster.members().iter().map(|(_, member)| member);
+        let others = members.filter(|member| {
+            member.node != own && !member.leaving && !self.roster.is_expelled(member.node)
+        });
+        let urls: Vec<String> =
+            others.take(NEXT_NODES).map(|member| format!("http://{}", member.callers)).collect();
+        self.next.send_replace(urls.join(", "));
+    }
+
+    fn flush_soon(&mut self, cx: CX![]) {
+        if !self.flushing {
+            self.flushing = true;
+            after!(COLLECT, [cx], flush());
+        }
+    }
+
+    /// Passes changes on to the subjects that lack them.
+    fn flush(&mut self, _: CX![]) {
+        self.flushing = false;
+        for node in self.roster.subjects() {
+            if self.gossip.is_pending(&self.roster, &self.catalog, node) {
+                self.ping(node);
+            }
+        }
+    }
+
+    /// Sends a command; returns false when the network task is too far behind.
+    fn send(&self, command: Command) -> bool {
+        let sent = self.network.try_send(command);
+        if let Err(fault) = &sent {
+            log::warn!("event=network-behind fault={fault:?}");
+        }
+        sent.is_ok()
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -0,0 +1,164 @@
+//! Owns the gate's decisions and the channels to the attempts that wait for one.
+
+use lavenderflow_core::gate::{Gate, GateAction, Offered, RunResult};
+use stakker::{Actor, CX, Fwd, after, call};
+use tokio::sync::oneshot;
+
+use super::counters::CountersActor;
+use crate::message::{Decision, GateMessage};
+use crate::prelude::*;
+use crate::status::{Status, UpstreamStatus, condition_name};
+
+/// Interval at which time passes for the gate.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Owns the gate.
+pub struct GateActor {
+    gate: Gate,
+    counters: Actor<CountersActor>,
+    publish: Fwd<Vec<Offered>>,
+    waiting: IndexMap<AttemptId, oneshot::Sender<Decision>>,
+    offered: Vec<Offered>,
+}
+
+impl GateActor {
+    /// Starts the actor; `publish` takes what the gate offers whenever it changes.
+    pub fn init(
+        cx: CX![],
+        gate: Gate,
+        counters: Actor<CountersActor>,
+        publish: Fwd<Vec<Offered>>,
+    ) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        Some(Self { gate, counters, publish, waiting: IndexMap::new(), offered: Vec::new() })
+    }
+
+    /// Handles a message.
+    pub fn handle(&mut self, _: CX![], message: GateMessage) {
+        let actions = match message {
+            GateMessage::Offer(offer, reply) => {
+                self.waiting.insert(offer.attempt, reply);
+                self.gate.offer(offer)
+            }
+            GateMessage::Progress(attempt) => {
+                self.gate.progress(attempt);
+                return;
+            }
+            GateMessage::Finish(attempt, result, reply) => {
+                let (load, actions) = self.gate.finish(attempt, result);
+                let _ = reply.send(load);
+                actions
+            }
+            GateMessage::Cancel(attempt) => {
+                self.waiting.swap_remove(&attempt);
+                self.gate.cancel(attempt);
+                return;
+            }
+            GateMessage::Announce(announcement) => self.gate.announce(&announcement),
+        };
+        self.execute(actions);
+    }
+
+    /// Takes in a service's profile.
+    pub fn set_profile(&mut self, _: CX![], service: ServiceName, profile: Profile) {
+        self.gate.configure(&service, profile);
+    }
+
+    /// Admits no more work.
+    pub fn drain(&mut self, _: CX![]) {
+        let actions = self.gate.drain();
+        self.execute(actions);
+    }
+
+    /// Tells the lifecycle how many attempts run.
+    pub fn report_running(&mut self, _: CX![], reply: Fwd<usize>) {
+        reply.fwd(self.gate.in_flight());
+    }
+
+    /// Completes a status and passes it on to the counters.
+    pub fn status(
+        &mut self,
+        _: CX![],
+        mut status: Status,
+        counters: Actor<CountersActor>,
+        reply: oneshot::Sender<Status>,
+    ) {
+        status.running = self.gate.in_flight();
+        status.upstreams = self.upstreams();
+        call!([counters], status(status, reply));
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let actions = self.gate.tick();
+        self.execute(actions);
+    }
+
+    fn execute(&mut self, actions: Vec<GateAction>) {
+        for action in actions {
+            match action {
+                GateAction::Start { attempt, address, deadline, load, .. } => {
+                    self.decide(attempt, Decision::Start { address, deadline, load });
+                }
+                GateAction::Refuse { attempt, reason, load } => {
+                    self.count(Counter::Gate(reason));
+                    self.decide(attempt, Decision::Refuse(reason, load));
+                }
+                GateAction::Publish => self.publish(),
+            }
+        }
+    }
+
+    fn decide(&mut self, attempt: AttemptId, decision: Decision) {
+        let sent = self.waiting.swap_remove(&attempt).map(|reply| reply.send(decision));
+        // Nobody waits for the start any more, so the slot is free again and nothing ran.
+        if let Some(Err(Decision::Start { .. })) | None = sent {
+            let (_, actions) = self.gate.finish(attempt, RunResult::Cancelled);
+            self.execute(actions);
+        }
+    }
+
+    fn publish(&mut self) {
+        let offered = self.gate.offered();
+        for new in &offered {
+            let old = self.offered.iter().find(|old| old.service == new.service);
+            let old = old.map_or(Condition::Well, |old| old.condition);
+            match (old, new.condition) {
+                (Condition::Well, Condition::Ejected) => self.count(Counter::Ejected),
+                (Condition::Trial, Condition::Well) => self.count(Counter::Returned),
+                _ => {}
+            }
+            if old != new.condition {
+                let (service, condition) = (&new.service, condition_name(new.condition));
+                log::info!(
+                    "event=condition service={service} condition={condition} evidence={:.1}",
+                    new.evidence
+                );
+            }
+        }
+        self.offered.clone_from(&offered);
+        self.publish.fwd(offered);
+    }
+
+    fn count(&self, counter: Counter) {
+        let counters = &self.counters;
+        call!([counters], add(counter));
+    }
+
+    fn upstreams(&self) -> Vec<UpstreamStatus> {
+        let upstreams = self.gate.upstreams().map(|(id, upstream)| {
+            let common = upstream.common();
+            UpstreamStatus {
+                id: id.to_string(),
+                service: common.service.to_string(),
+                state: upstream.state().to_owned(),
+                condition: condition_name(common.witness.condition()).to_owned(),
+                evidence: common.witness.evidence(),
+                busy: common.short + common.long,
+                slots: common.slots,
+                pace_us: u64::try_from(common.witness.pace().as_micros()).unwrap_or(u64::MAX),
+            }
+        });
+        upstreams.collect()
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -0,0 +1,104 @@
+//! Owns the life cycle of the node and carries out a graceful stop.
+
+use std::sync::Arc;
+
+use lavenderflow_core::node::{AnyNode, Node};
+use stakker::{Actor, CX, StopCause, after, call, fwd_to};
+use tokio::sync::oneshot;
+
+use super::entry::EntryActor;
+use super::fleet::FleetActor;
+use super::gate::GateActor;
+use crate::prelude::*;
+use crate::status::Status;
+
+/// Interval at which a stopping node looks whether it is done.
+const CHECK: Duration = Duration::from_millis(50);
+
+/// The actors that take part in a stop.
+#[derive(Clone)]
+pub struct Parts {
+    /// The entry.
+    pub entry: Actor<EntryActor>,
+    /// The gate.
+    pub gate: Actor<GateActor>,
+    /// The fleet.
+    pub fleet: Actor<FleetActor>,
+}
+
+/// Owns the life cycle.
+pub struct LifecycleActor {
+    node: AnyNode,
+    parts: Parts,
+    work: Arc<()>,
+    spare: usize,
+    linger: Duration,
+    idle: Option<Instant>,
+    requests: usize,
+    running: usize,
+}
+
+impl LifecycleActor {
+    /// Starts the actor. Clones of `work` beyond those that exist now stand for unfinished work.
+    pub fn init(_: CX![], parts: Parts, work: Arc<()>, linger: Duration) -> Option<Self> {
+        let node = AnyNode::Serving(Node::new().serve());
+        let spare = Arc::strong_count(&work);
+        Some(Self { node, parts, work, spare, linger, idle: None, requests: 0, running: 0 })
+    }
+
+    /// Begins a graceful stop.
+    pub fn drain(&mut self, cx: CX![]) {
+        let node = std::mem::replace(&mut self.node, AnyNode::Starting(Node::new()));
+        let AnyNode::Serving(node) = node else {
+            self.node = node;
+            return;
+        };
+        log::info!("event=draining");
+        self.node = AnyNode::Draining(node.drain(cx.now()));
+        let Parts { entry, gate, fleet } = &self.parts;
+        call!([fleet], leave());
+        call!([entry], drain());
+        call!([gate], drain());
+        self.ask(cx);
+        after!(CHECK, [cx], check());
+    }
+
+    /// Begins a status with the state and passes it on to the fleet.
+    pub fn status(&mut self, _: CX![], reply: oneshot::Sender<Status>) {
+        let state = self.node.name();
+        let Parts { fleet, gate, .. } = &self.parts;
+        let gate = gate.clone();
+        call!([fleet], status(state, gate, reply));
+    }
+
+    fn ask(&mut self, cx: CX![]) {
+        let Parts { entry, gate, .. } = &self.parts;
+        let requests = fwd_to!([cx], set_requests() as (usize));
+        call!([entry], report_requests(requests));
+        let running = fwd_to!([cx], set_running() as (usize));
+        call!([gate], report_running(running));
+    }
+
+    fn set_requests(&mut self, _: CX![], requests: usize) {
+        self.requests = requests;
+    }
+
+    fn set_running(&mut self, _: CX![], running: usize) {
+        self.running = running;
+    }
+
+    /// Stops the node once nothing has been in flight for the lingering time.
+    fn check(&mut self, cx: CX![]) {
+        let unfinished = Arc::strong_count(&self.work).saturating_sub(self.spare);
+        let is_idle = self.requests == 0 && self.running == 0 && unfinished == 0;
+        let idle = self.idle.filter(|_| is_idle);
+        self.idle = idle.or_else(|| is_idle.then(|| cx.now()));
+        if idle.is_some_and(|since| cx.now() >= since + self.linger) {
+            log::info!("event=stopped");
+            cx.shutdown(StopCause::Stopped);
+            return;
+        }
+        self.ask(cx);
+        after!(CHECK, [cx], check());
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/clock.rs
@@ -0,0 +1,17 @@
+//! The system's clock.
+
+use lavenderflow_core::prelude::*;
+
+/// Tells the time of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/command.rs
@@ -0,0 +1,138 @@
+//! The command line.
+
+pub mod configure;
+pub mod keys;
+pub mod node;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use lavenderflow_schema::setting::SettingsError;
+use lavenderflow_schema::settings::{CheckArgs, NodeArgs};
+
+use crate::error::{KeyError, NodeError};
+use crate::operator::{Operator, OperatorError};
+use configure::{OrganisationArgs, ProfileArgs, RouteArgs, ServiceArgs};
+use keys::KeysArgs;
+
+/// A proxy fleet for upstreams with gray failures.
+#[derive(Debug, FromArgs)]
+#[argh(note = "Exit codes: 0 done, 1 wrong usage, 2 invalid settings or values, 3 conflict with \
+    another change, 4 the store failed, 5 the node cannot be reached, 6 the node cannot start.")]
+pub struct Command {
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    Check(CheckArgs),
+    Drain(DrainArgs),
+    Keys(KeysArgs),
+    Node(NodeArgs),
+    Organisation(OrganisationArgs),
+    Profile(ProfileArgs),
+    Route(RouteArgs),
+    Service(ServiceArgs),
+    Status(StatusArgs),
+}
+
+/// show what a node knows of itself and of the fleet
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusArgs {
+    /// the node's address for operators
+    #[argh(option)]
+    node: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// stop a node gracefully
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainArgs {
+    /// the node's address for operators
+    #[argh(option)]
+    node: SocketAddr,
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// Settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// A node cannot run.
+    #[error(transparent)]
+    Node(#[from] NodeError),
+    /// Keys cannot be made or used.
+    #[error(transparent)]
+    Key(#[from] KeyError),
+    /// An operator's command failed.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
+    /// The output cannot be formed.
+    #[error("output: {0}")]
+    Output(#[from] serde_json::Error),
+    /// An option is missing.
+    #[error("{0} must be given")]
+    Option(&'static str),
+}
+
+impl CommandError {
+    /// Returns the exit code.
+    pub fn code(&self) -> u8 {
+        match self {
+            Self::Option(_) => 1,
+            Self::Settings(_) | Self::Key(_) => 2,
+            Self::Operator(error) => match error {
+                OperatorError::Conflict { .. } => 3,
+                OperatorError::Store(_) | OperatorError::Unsettled { .. } => 4,
+                OperatorError::Node { .. } => 5,
+                _ => 2,
+            },
+            Self::Node(_) | Self::Output(_) => 6,
+        }
+    }
+}
+
+/// Runs the command of this process.
+pub fn main() -> ExitCode {
+    let command: Command = argh::from_env();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match run(command.action) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lavenderflow: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+fn run(action: Action) -> Result<(), CommandError> {
+    match action {
+        Action::Check(args) => node::check(&args),
+        Action::Node(args) => node::run(&args),
+        Action::Keys(args) => Ok(keys::run(&args)?),
+        Action::Drain(args) => Ok(Operator::drain(args.node)?),
+        Action::Status(args) => status(&args),
+        Action::Organisation(args) => args.run(),
+        Action::Profile(args) => args.run(),
+        Action::Route(args) => args.run(),
+        Action::Service(args) => args.run(),
+    }
+}
+
+fn status(args: &StatusArgs) -> Result<(), CommandError> {
+    let status = Operator::status(args.node)?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&status)?);
+    } else {
+        println!("{}", status.render());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lavenderflow/src/command/configure.rs
@@ -0,0 +1,153 @@
+//! `profile`, `service`, `route` and `organisation`: list, show and set.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+
+use super::CommandError;
+use crate::clock::SystemClock;
+use crate::operator::{Assignment, Kind, Operator};
+use crate::store::Store;
+
+/// Default of the time to settle a change whose answer was lost, in seconds.
+const SETTLE_SECONDS: u64 = 30;
+
+macro_rules! subcommands {
+    ($($(#[$doc:meta])* $args:ident = $name:literal, $kind:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[derive(Debug, FromArgs)]
+            #[argh(subcommand, name = $name)]
+            pub struct $args {
+                #[argh(subcommand)]
+                action: Action,
+            }
+
+            impl $args {
+                pub(super) fn run(&self) -> Result<(), CommandError> {
+                    self.action.run($kind)
+                }
+            }
+        )*
+    };
+}
+
+subcommands! {
+    /// limits of the callers' organisations
+    OrganisationArgs = "organisation", Kind::Organisation;
+    /// how patient, cautious and forgiving traffic is
+    ProfileArgs = "profile", Kind::Profile;
+    /// which paths belong to which service
+    RouteArgs = "route", Kind::Route;
+    /// which service follows which profile
+    ServiceArgs = "service", Kind::Service;
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    List(ListArgs),
+    Set(SetArgs),
+    Show(ShowArgs),
+}
+
+/// list all
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListArgs {
+    /// address of the store
+    #[argh(option)]
+    store: SocketAddr,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// show one
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+struct ShowArgs {
+    /// address of the store
+    #[argh(option)]
+    store: SocketAddr,
+    /// name
+    #[argh(positional)]
+    name: String,
+}
+
+/// change or create one
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "set")]
+struct SetArgs {
+    /// address of the store
+    #[argh(option)]
+    store: SocketAddr,
+    /// a node's address for operators; finds newer values than an old copy of the store has
+    #[argh(option)]
+    node: Option<SocketAddr>,
+    /// name of the operator, kept with the change
+    #[argh(option, default = "String::from(\"operator\")")]
+    author: String,
+    /// seconds to go on settling a change whose answer was lost (default 30)
+    #[argh(option, default = "SETTLE_SECONDS")]
+    settle: u64,
+    /// name
+    #[argh(positional)]
+    name: String,
+    /// FIELD=VALUE, inner fields joined by dots
+    #[argh(positional)]
+    fields: Vec<String>,
+}
+
+impl Action {
+    fn run(&self, kind: Kind) -> Result<(), CommandError> {
+        match self {
+            Self::List(args) => list(kind, args),
+            Self::Show(args) => {
+                let stored = operator(args.store).show(kind, &args.name)?;
+                println!("{}", serde_json::to_string_pretty(&stored)?);
+                Ok(())
+            }
+            Self::Set(args) => set(kind, args),
+        }
+    }
+}
+
+fn operator(store: SocketAddr) -> Operator {
+    Operator {
+        store: Store::new(store),
+        node: None,
+        author: String::new(),
+        patience: Duration::ZERO,
+        clock: Arc::new(SystemClock),
+    }
+}
+
+fn list(kind: Kind, args: &ListArgs) -> Result<(), CommandError> {
+    let entries = operator(args.store).list(kind)?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&entries)?);
+        return Ok(());
+    }
+    for (name, stored) in entries {
+        let follows = stored.service.map(|s| format!(" profile {}", s.profile)).unwrap_or_default();
+        println!("{name} revision {} by {}{follows}", stored.revision, stored.author);
+    }
+    Ok(())
+}
+
+fn set(kind: Kind, args: &SetArgs) -> Result<(), CommandError> {
+    let assignments: Result<Vec<_>, _> =
+        args.fields.iter().map(|field| Assignment::parse(field)).collect();
+    let operator = Operator {
+        node: args.node,
+        author: args.author.clone(),
+        patience: Duration::from_secs(args.settle),
+        ..operator(args.store)
+    };
+    let change = operator.set(kind, &args.name, &assignments?)?;
+    println!("{} {} revision {} accepted", kind.prefix(), args.name, change.revision());
+    Ok(())
+}
--- /dev/null
+++ b/crates/lavenderflow/src/command/node.rs
@@ -0,0 +1,27 @@
+//! `node` and `check`.
+
+use std::env;
+
+use lavenderflow_schema::setting::SettingsError;
+use lavenderflow_schema::settings::{CheckArgs, NodeArgs, NodeSettings};
+
+use super::CommandError;
+use crate::net::key;
+
+/// Runs a node until it is stopped.
+pub fn run(args: &NodeArgs) -> Result<(), CommandError> {
+    let settings = read(|name| args.value(name))?;
+    Ok(crate::node::run(&settings)?)
+}
+
+/// Checks settings and keys and starts nothing.
+pub fn check(args: &CheckArgs) -> Result<(), CommandError> {
+    let settings = read(|name| args.value(name))?;
+    key::load(&settings.authority, &settings.certificate, &settings.key)?;
+    println!("settings of node {} are valid", settings.name);
+    Ok(())
+}
+
+fn read<'a>(value: impl Fn(&str) -> Option<&'a str>) -> Result<NodeSettings, SettingsError> {
+    NodeSettings::read(|name| value(name).map(str::to_owned), |variable| env::var(variable).ok())
+}
--- /dev/null
+++ b/crates/lavenderflow/src/http.rs
@@ -0,0 +1,6 @@
+//! HTTP towards callers, operators and upstreams on the same VM.
+
+pub mod admin;
+pub mod answer;
+pub mod callers;
+pub mod header;
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -1,1 +1,21 @@
+//! The node and the operators' commands of lavenderflow.
+//!
+//! Decisions are in `lavenderflow-core`. Here are the actors that own their state, the tasks and
+//! threads that own sockets, and the typed messages between them.
 
+pub mod actor;
+pub mod clock;
+pub mod command;
+pub mod counter;
+pub mod error;
+pub mod http;
+pub mod message;
+pub mod net;
+pub mod node;
+pub mod operator;
+pub mod prelude;
+pub mod status;
+pub mod store;
+pub mod upstream;
+pub mod watcher;
+pub mod workers;
--- /dev/null
+++ b/crates/lavenderflow/src/main.rs
@@ -0,0 +1,7 @@
+//! The `lavenderflow` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lavenderflow::command::main()
+}
--- /dev/null
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -0,0 +1,198 @@
+//! The QUIC endpoint and what all tasks on the network thread share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lavenderflow_core::gossip::{Exchange, Position};
+use lavenderflow_schema::wire::frame::Body;
+use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
+use tokio::sync::{mpsc, oneshot};
+
+use super::connector::Connector;
+use super::drive::{self, Reply, Request};
+use super::link::{LinkError, Sink, Source};
+use super::{ping, serve};
+use crate::error::NodeError;
+use crate::prelude::*;
+use crate::upstream::Call;
+
+/// Commands that can wait for the network task.
+const CAPACITY: usize = 4096;
+
+/// A command to the network task.
+#[derive(Debug)]
+pub enum Command {
+    /// Serve a caller's request; the answer goes to the sender.
+    Drive(Request, oneshot::Sender<Reply>),
+    /// Ping a node with an exchange.
+    Ping(NodeId, Exchange, Position),
+    /// Introduce this node at an address.
+    Greet(SocketAddr, Exchange),
+    /// Note where a node is.
+    Member(NodeId, Incarnation, SocketAddr),
+    /// Forget a node.
+    Forget(NodeId),
+    /// Close all connections; the sender hears when that is done.
+    Close(oneshot::Sender<()>),
+}
+
+/// Sends commands to the network task.
+pub type Network = mpsc::Sender<Command>;
+
+/// Creates the channel to the network task.
+pub fn channel() -> (Network, mpsc::Receiver<Command>) {
+    mpsc::channel(CAPACITY)
+}
+
+/// What the tasks on the network thread share.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// This node.
+    pub node: NodeId,
+    /// The clock.
+    pub clock: SharedClock,
+    /// To the actors.
+    pub mailbox: Mailbox,
+    /// To the connections.
+    pub connector: Connector,
+    /// To the threads that call upstreams.
+    pub calls: mpsc::Sender<Call>,
+    /// Each clone stands for work that a graceful stop waits for.
+    pub work: Arc<()>,
+    /// Interval of pings.
+    pub ping: Duration,
+}
+
+/// What the network task is started with.
+#[derive(Debug)]
+pub struct Setup {
+    /// This node.
+    pub node: NodeId,
+    /// Address for other nodes.
+    pub address: SocketAddr,
+    /// Keys for incoming and outgoing connections.
+    pub keys: (ServerConfig, ClientConfig),
+    /// The clock.
+    pub clock: SharedClock,
+    /// To the actors.
+    pub mailbox: Mailbox,
+    /// To the threads that call upstreams.
+    pub calls: mpsc::Sender<Call>,
+    /// Stands for work that a graceful stop waits for.
+    pub work: Arc<()>,
+    /// Interval of pings.
+    pub ping: Duration,
+}
+
+/// Binds the endpoint and serves until the command channel closes.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn run(
+    setup: Setup,
+    mut commands: mpsc::Receiver<Command>,
+    bound: oneshot::Sender<Result<(), NodeError>>,
+) {
+    let (server, client) = setup.keys;
+    let endpoint = match Endpoint::server(server, setup.address) {
+        Ok(endpoint) => endpoint,
+        Err(fault) => {
+            let error = NodeError::Listen { address: setup.address, fault: fault.to_string() };
+            let _ = bound.send(Err(error));
+            return;
+        }
+    };
+    let _ = bound.send(Ok(()));
+    let mut endpoint = endpoint;
+    endpoint.set_default_client_config(client);
+    let context = Context {
+        node: setup.node,
+        clock: setup.clock,
+        mailbox: setup.mailbox.clone(),
+        connector: Connector::start(endpoint.clone(), setup.mailbox),
+        calls: setup.calls,
+        work: setup.work,
+        ping: setup.ping,
+    };
+    tokio::spawn(accept(context.clone(), endpoint.clone()));
+    while let Some(command) = commands.recv().await {
+        if let Command::Close(done) = command {
+            endpoint.close(VarInt::from_u32(0), b"stopped");
+            endpoint.wait_idle().await;
+            let _ = done.send(());
+            return;
+        }
+        execute(&context, command).await;
+    }
+}
+
+async fn execute(context: &Context, command: Command) {
+    match command {
+        Command::Drive(request, reply) => {
+            let context = context.clone();
+            tokio::spawn(async move {
+                let _ = reply.send(drive::drive(&context, request).await);
+            });
+        }
+        Command::Ping(node, exchange, position) => {
+            tokio::spawn(ping::ping(context.clone(), node, exchange, position));
+        }
+        Command::Greet(address, exchange) => {
+            tokio::spawn(ping::greet(context.clone(), address, exchange));
+        }
+        Command::Member(node, incarnation, address) => {
+            context.connector.set_member(node, incarnation, address).await;
+        }
+        Command::Forget(node) => context.connector.forget(node).await,
+        Command::Close(_) => {}
+    }
+}
+
+async fn accept(context: Context, endpoint: Endpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(handshake(context.clone(), incoming));
+    }
+}
+
+async fn handshake(context: Context, incoming: Incoming) {
+    let address = incoming.remote_address();
+    match incoming.await {
+        Ok(connection) => serve_connection(context, connection).await,
+        Err(fault) => {
+            log::warn!("event=handshake-failed peer={address} fault={fault:?}");
+            context.mailbox.send(Message::Count(Counter::Fault(Fault::Handshake))).await;
+        }
+    }
+}
+
+async fn serve_connection(context: Context, connection: Connection) {
+    while let Ok((sink, source)) = connection.accept_bi().await {
+        let context = context.clone();
+        tokio::spawn(async move {
+            let (sink, source) = (Sink::Quic(sink), Source::Quic(source));
+            if let Err(fault) = serve_stream(&context, sink, source).await {
+                count_fault(&context, &fault).await;
+            }
+        });
+    }
+}
+
+async fn serve_stream(context: &Context, sink: Sink, mut source: Source) -> Result<(), LinkError> {
+    match source.receive().await? {
+        Some(Body::Begin(begin)) => serve::serve(context, begin, sink, source).await,
+        Some(Body::Exchange(exchange)) => ping::answer(context, exchange, sink).await,
+        Some(_) => Err(LinkError::Unexpected),
+        None => Ok(()),
+    }
+}
+
+async fn count_fault(context: &Context, fault: &LinkError) {
+    log::debug!("event=stream-failed fault={fault:?}");
+    let fault = match fault {
+        LinkError::TooLarge(_) => Fault::FrameSize,
+        LinkError::Malformed(_) | LinkError::Unexpected => Fault::Frame,
+        LinkError::Closed | LinkError::Read(_) | LinkError::Write(_) => return,
+    };
+    context.mailbox.send(Message::Count(Counter::Fault(fault))).await;
+}
--- /dev/null
+++ b/crates/lavenderflow/src/net/key.rs
@@ -0,0 +1,104 @@
+//! Keys: QUIC with mutual TLS under one authority of the fleet.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use rustls::RootCertStore;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+
+use crate::error::KeyError;
+use crate::prelude::*;
+
+/// The name that every node's certificate carries.
+pub const SERVER_NAME: &str = "node.lavenderflow";
+/// Application protocol, with the version of the messages.
+const PROTOCOL: &[u8] = b"lavenderflow/1";
+/// Time without a packet after which a connection is lost, in milliseconds.
+const IDLE_TIMEOUT_MS: u32 = 3000;
+/// Interval of keep-alive packets.
+const KEEP_ALIVE: Duration = Duration::from_millis(1000);
+/// Most requests at once on one connection.
+const MAX_STREAMS: u32 = 8192;
+/// Bytes that a peer may send on one stream before they are read.
+const STREAM_WINDOW: u32 = 256 * 1024;
+/// Unacknowledged bytes per connection.
+const SEND_WINDOW: u64 = 32 * 1024 * 1024;
+/// First estimate of the round trip, for zones of one region.
+const FIRST_ROUND_TRIP: Duration = Duration::from_millis(10);
+
+/// Loads the keys for both sides of connections between nodes.
+///
+/// # Errors
+///
+/// A file is missing or malformed, or the key does not fit the certificate.
+pub fn load(
+    authority: &Path,
+    certificate: &Path,
+    key: &Path,
+) -> Result<(ServerConfig, ClientConfig), KeyError> {
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates(authority)? {
+        roots.add(certificate)?;
+    }
+    let roots = Arc::new(roots);
+    let chain = certificates(certificate)?;
+    let key = PrivateKeyDer::from_pem_file(key)
+        .map_err(|fault| KeyError::File { path: key.to_owned(), fault })?;
+    let server = server(Arc::clone(&roots), chain.clone(), key.clone_key())?;
+    Ok((server, client(roots, chain, key)?))
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, KeyError> {
+    let file = |fault| KeyError::File { path: path.to_owned(), fault };
+    CertificateDer::pem_file_iter(path).map_err(file)?.collect::<Result<_, _>>().map_err(file)
+}
+
+fn server(
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ServerConfig, KeyError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider));
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_client_cert_verifier(verifier.build()?)
+        .with_single_cert(chain, key)?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
+    config.transport_config(Arc::new(transport()));
+    Ok(config)
+}
+
+fn client(
+    roots: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ClientConfig, KeyError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(chain, key)?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
+    config.transport_config(Arc::new(transport()));
+    Ok(config)
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
+        .keep_alive_interval(Some(KEEP_ALIVE))
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW))
+        .send_window(SEND_WINDOW)
+        .initial_rtt(FIRST_ROUND_TRIP);
+    transport
+}
--- /dev/null
+++ b/crates/lavenderflow/src/net/link.rs
@@ -0,0 +1,159 @@
+//! Frames over a QUIC stream, or over channels when both ends are in one process.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use lavenderflow_schema::wire::{Frame, frame::Body};
+use prost::Message as _;
+use quinn::{ReadExactError, RecvStream, SendStream, VarInt, WriteError};
+use tokio::sync::mpsc;
+
+/// Largest frame, in bytes.
+pub const MAX_FRAME: usize = 1024 * 1024;
+/// Size of the length before each frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+/// Frames that can wait on a link within a process.
+const LOCAL_FRAMES: usize = 2;
+/// Error code of a stream that was given up.
+const GIVEN_UP: VarInt = VarInt::from_u32(1);
+
+/// Why a link failed.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// The peer closed the link in the middle of a message or of a body.
+    #[error("the link was closed")]
+    Closed,
+    /// The frame is too large.
+    #[error("a frame of {0} bytes is too large")]
+    TooLarge(usize),
+    /// The frame is not a known message.
+    #[error("malformed frame: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// The message is not allowed here.
+    #[error("unexpected frame")]
+    Unexpected,
+    /// The stream was reset or the connection was lost.
+    #[error("read: {0}")]
+    Read(#[from] quinn::ReadError),
+    /// The stream was stopped or the connection was lost.
+    #[error("write: {0}")]
+    Write(#[from] WriteError),
+}
+
+/// Sends frames.
+#[derive(Debug)]
+pub enum Sink {
+    /// To another process.
+    Quic(SendStream),
+    /// Within the process.
+    Local(mpsc::Sender<Body>),
+}
+
+/// Receives frames.
+#[derive(Debug)]
+pub enum Source {
+    /// From another process.
+    Quic(RecvStream),
+    /// Within the process.
+    Local(mpsc::Receiver<Body>),
+}
+
+/// Creates both ends of a link within the process.
+pub fn local() -> ((Sink, Source), (Sink, Source)) {
+    let (left_sink, right_source) = mpsc::channel(LOCAL_FRAMES);
+    let (right_sink, left_source) = mpsc::channel(LOCAL_FRAMES);
+    let left = (Sink::Local(left_sink), Source::Local(left_source));
+    (left, (Sink::Local(right_sink), Source::Local(right_source)))
+}
+
+impl Sink {
+    /// Sends a frame; waits while the receiver is behind.
+    ///
+    /// # Errors
+    ///
+    /// The receiver is gone or the frame is too large.
+    pub async fn send(&mut self, body: Body) -> Result<(), LinkError> {
+        match self {
+            Self::Quic(stream) => {
+                let bytes = encode(body)?;
+                Ok(stream.write_chunk(bytes).await?)
+            }
+            Self::Local(channel) => channel.send(body).await.map_err(|_| LinkError::Closed),
+        }
+    }
+
+    /// Ends the link and waits until the peer has received everything.
+    pub async fn finish(self) {
+        if let Self::Quic(mut stream) = self
+            && stream.finish().is_ok()
+        {
+            let _ = stream.stopped().await;
+        }
+    }
+
+    /// Gives the link up, so that the peer sees a failure.
+    pub fn reset(self) {
+        if let Self::Quic(mut stream) = self {
+            let _ = stream.reset(GIVEN_UP);
+        }
+    }
+
+    /// Completes when the receiver no longer wants frames.
+    pub async fn closed(&self) {
+        match self {
+            Self::Quic(stream) => {
+                let _ = stream.stopped().await;
+            }
+            Self::Local(channel) => channel.closed().await,
+        }
+    }
+}
+
+impl Source {
+    /// Receives the next frame; `None` at the regular end.
+    ///
+    /// # Errors
+    ///
+    /// The frame is malformed or the link failed.
+    pub async fn receive(&mut self) -> Result<Option<Body>, LinkError> {
+        match self {
+            Self::Quic(stream) => receive(stream).await,
+            Self::Local(channel) => Ok(channel.recv().await),
+        }
+    }
+}
+
+fn encode(body: Body) -> Result<Bytes, LinkError> {
+    let frame = Frame { body: Some(body) };
+    let length = frame.encoded_len();
+    if length > MAX_FRAME {
+        return Err(LinkError::TooLarge(length));
+    }
+    let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + length);
+    // The length is at most MAX_FRAME.
+    bytes.put_u32(length as u32);
+    frame.encode_raw(&mut bytes);
+    Ok(bytes.freeze())
+}
+
+async fn receive(stream: &mut RecvStream) -> Result<Option<Body>, LinkError> {
+    let mut prefix = [0; LENGTH_BYTES];
+    match stream.read_exact(&mut prefix).await {
+        Ok(()) => {}
+        Err(ReadExactError::FinishedEarly(0)) => return Ok(None),
+        Err(error) => return Err(read_error(error)),
+    }
+    let length = u32::from_be_bytes(prefix) as usize;
+    if length > MAX_FRAME {
+        return Err(LinkError::TooLarge(length));
+    }
+    let mut bytes = BytesMut::zeroed(length);
+    stream.read_exact(&mut bytes).await.map_err(read_error)?;
+    let frame = Frame::decode(bytes.freeze())?;
+    frame.body.map(Some).ok_or(LinkError::Unexpected)
+}
+
+fn read_error(error: ReadExactError) -> LinkError {
+    match error {
+        ReadExactError::FinishedEarly(_) => LinkError::Closed,
+        ReadExactError::ReadError(error) => LinkError::Read(error),
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -0,0 +1,338 @@
+//! Serves requests from other nodes: as their gate, or as the home of their tickets.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+use lavenderflow_core::gate::{Offer, RunResult};
+use lavenderflow_core::request::Arrival;
+use lavenderflow_schema::wire::frame::Body;
+use lavenderflow_schema::wire::{self, Answer, Begin, Header, Purpose};
+use rand::random;
+use tokio::sync::{mpsc, oneshot};
+
+use super::body::{BodyPart, CHANNEL_PARTS};
+use super::drive::{self, ReplyBody, Request};
+use super::endpoint::Context;
+use super::link::{LinkError, Sink, Source};
+use crate::message::{Decision, GateMessage};
+use crate::prelude::*;
+use crate::upstream::{Call, CallEvent};
+
+/// Answers up to this size are sent whole, in bytes.
+pub const WHOLE_BYTES: usize = 64 * 1024;
+
+/// Serves one request.
+///
+/// # Errors
+///
+/// The request is malformed or the link failed.
+pub async fn serve(
+    context: &Context,
+    begin: Begin,
+    sink: Sink,
+    source: Source,
+) -> Result<(), LinkError> {
+    let _work = context.work.clone();
+    match begin.purpose() {
+        Purpose::Dispatch => serve_gate(context, begin, sink, source).await,
+        Purpose::Forward => serve_home(context, begin, sink, source).await,
+        Purpose::Unspecified => Err(LinkError::Unexpected),
+    }
+}
+
+/// Runs a request on an upstream of this node's gate.
+///
+/// # Errors
+///
+/// The request is malformed or the link failed.
+pub async fn serve_gate(
+    context: &Context,
+    begin: Begin,
+    mut sink: Sink,
+    source: Source,
+) -> Result<(), LinkError> {
+    let attempt: AttemptId = begin.attempt.ok_or(LinkError::Unexpected)?.into();
+    let offer = Offer {
+        attempt,
+        service: begin.service.as_str().into(),
+        long: begin.long,
+        idempotent: begin.idempotent,
+        patience: Duration::from_micros(begin.patience_us),
+        remaining: Duration::from_micros(begin.remaining_us),
+    };
+    let (reply, decision) = oneshot::channel();
+    send_gate(context, GateMessage::Offer(offer, reply)).await;
+    let decision = tokio::select! {
+        decision = decision => decision.ok(),
+        () = sink.closed() => None,
+    };
+    match decision {
+        Some(Decision::Start { address, deadline, load }) => {
+            let load = Some(load.into());
+            let admitted = wire::Verdict { admitted: true, reason: String::new(), load };
+            if sink.send(Body::Verdict(admitted)).await.is_err() {
+                finish(context, attempt, RunResult::Cancelled).await;
+                return Err(LinkError::Closed);
+            }
+            let (events, received) = mpsc::channel(CHANNEL_PARTS);
+            let id = begin.request_id.clone();
+            let rest = begin.body_follows.then(|| {
+                let (sender, rest) = mpsc::channel(CHANNEL_PARTS);
+                tokio::spawn(receive_body(source, sender));
+                rest
+            });
+            let call = Call { rest, ..call(begin, address, deadline, events) };
+            if context.calls.send(call).await.is_err() {
+                finish(context, attempt, RunResult::Cancelled).await;
+                return Err(LinkError::Closed);
+            }
+            Running { context, attempt, id, sink }.relay(received).await
+        }
+        Some(Decision::Refuse(reason, load)) => refuse(sink, reason, Some(load)).await,
+        None => {
+            send_gate(context, GateMessage::Cancel(attempt)).await;
+            Err(LinkError::Closed)
+        }
+    }
+}
+
+async fn send_gate(context: &Context, message: GateMessage) {
+    context.mailbox.send(Message::Gate(message)).await;
+}
+
+async fn finish(context: &Context, attempt: AttemptId, result: RunResult) -> Option<Load> {
+    let (reply, load) = oneshot::channel();
+    send_gate(context, GateMessage::Finish(attempt, result, reply)).await;
+    load.await.ok()
+}
+
+async fn refuse(mut sink: Sink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
+    let load = load.map(Into::into);
+    let verdict = wire::Verdict { admitted: false, reason: reason.name().to_owned(), load };
+    sink.send(Body::Verdict(verdict)).await?;
+    sink.finish().await;
+    Ok(())
+}
+
+/// Returns the call to the upstream, without the rest of the body.
+fn call(
+    begin: Begin,
+    address: SocketAddr,
+    deadline: Instant,
+    events: mpsc::Sender<CallEvent>,
+) -> Call {
+    let whole = Some(begin.body.len() as u64);
+    Call {
+        address,
+        deadline,
+        idempotent: begin.idempotent,
+        method: begin.method,
+        target: begin.target,
+        headers: begin.headers.into_iter().map(|field| (field.name, field.value)).collect(),
+        body: begin.body,
+        rest: None,
+        length: if begin.body_follows { begin.body_length } else { whole },
+        events,
+    }
+}
+
+/// Passes the rest of a request body on; drops the sender without an end when it breaks off.
+async fn receive_body(mut source: Source, parts: mpsc::Sender<BodyPart>) {
+    loop {
+        let (part, is_end) = match source.receive().await {
+            Ok(Some(Body::Chunk(chunk))) => (BodyPart::Data(chunk.data), false),
+            Ok(Some(Body::End(_))) => (BodyPart::End, true),
+            _ => return,
+        };
+        if parts.send(part).await.is_err() || is_end {
+            return;
+        }
+    }
+}
+
+/// A run on an upstream.
+struct Running<'a> {
+    context: &'a Context,
+    attempt: AttemptId,
+    id: String,
+    sink: Sink,
+}
+
+impl Running<'_> {
+    /// Passes the answer on and frees the slot when the run has ended.
+    async fn relay(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+        let mut answer: Option<Answer> = None;
+        let mut first = BytesMut::new();
+        let mut total = 0;
+        loop {
+            let event = tokio::select! {
+                event = events.recv() => event,
+                () = self.sink.closed() => None,
+            };
+            match event {
+                Some(CallEvent::Head { status, headers }) => {
+                    send_gate(self.context, GateMessage::Progress(self.attempt)).await;
+                    answer = Some(self.head(status, headers));
+                }
+                Some(CallEvent::Data(data)) => {
+                    total += data.len() as u64;
+                    let is_sent = answer.as_ref().is_none_or(|a| !a.body.is_empty());
+                    if !is_sent {
+                        first.extend_from_slice(&data);
+                        if first.len() > WHOLE_BYTES
+                            && let Some(answer) = &mut answer
+                        {
+                            answer.body = first.split().freeze();
+                            let head = answer.clone();
+                            self.send(Body::Answer(head)).await?;
+                        }
+                    } else {
+                        self.send(Body::Chunk(wire::Chunk { data })).await?;
+                    }
+                }
+                Some(CallEvent::End) => return self.end(answer, first.freeze(), total).await,
+                Some(CallEvent::Failed { result, not_run }) => {
+                    return self.fail(answer, result, not_run).await;
+                }
+                None => {
+                    finish(self.context, self.attempt, RunResult::Cancelled).await;
+                    return Err(LinkError::Closed);
+                }
+            }
+        }
+    }
+
+    fn head(&self, status: u16, headers: Vec<(String, String)>) -> Answer {
+        let headers = headers.into_iter().map(|(name, value)| Header { name, value }).collect();
+        Answer { request_id: self.id.clone(), status: status.into(), headers, ..Answer::default() }
+    }
+
+    async fn send(&mut self, body: Body) -> Result<(), LinkError> {
+        let sent = self.sink.send(body).await;
+        if sent.is_err() {
+            finish(self.context, self.attempt, RunResult::Cancelled).await;
+        }
+        sent
+    }
+
+    async fn end(
+        mut self,
+        answer: Option<Answer>,
+        first: Bytes,
+        total: u64,
+    ) -> Result<(), LinkError> {
+        let answer = answer.unwrap_or_default();
+        let failed = answer.status >= 500;
+        let result = if failed { RunResult::ServerError } else { RunResult::Success };
+        let load = finish(self.context, self.attempt, result).await.map(Into::into);
+        let body = if answer.body.is_empty() {
+            Body::Answer(Answer { body: first, whole: true, load, ..answer })
+        } else {
+            Body::End(wire::End { length: total, load })
+        };
+        self.sink.send(body).await?;
+        self.sink.finish().await;
+        Ok(())
+    }
+
+    async fn fail(
+        mut self,
+        answer: Option<Answer>,
+        result: RunResult,
+        not_run: Option<Reason>,
+    ) -> Result<(), LinkError> {
+        let load = finish(self.context, self.attempt, result).await;
+        if let Some(reason) = not_run
+            && answer.is_none()
+        {
+            return refuse(self.sink, reason, load).await;
+        }
+        let reason = match result {
+            RunResult::TimedOut => Reason::DeadlinePast,
+            RunResult::Cancelled => Reason::CallerGone,
+            _ => Reason::UpstreamFailed,
+        };
+        let load = load.map(Into::into);
+        let cut = wire::Cut { reason: reason.name().to_owned(), load, not_run: false };
+        self.sink.send(Body::Cut(cut)).await?;
+        self.sink.finish().await;
+        Ok(())
+    }
+}
+
+/// Decides on a request whose ticket this node is the home of.
+async fn serve_home(
+    context: &Context,
+    begin: Begin,
+    mut sink: Sink,
+    source: Source,
+) -> Result<(), LinkError> {
+    let (rest, asked) = oneshot::channel();
+    let request = forwarded(begin, rest);
+    let driving = drive::drive(context, request);
+    tokio::pin!(driving);
+    let reply = tokio::select! {
+        reply = &mut driving => reply,
+        Ok(sender) = asked => {
+            let load = None;
+            let verdict = wire::Verdict { admitted: true, reason: String::new(), load };
+            sink.send(Body::Verdict(verdict)).await?;
+            tokio::spawn(receive_body(source, sender));
+            driving.await
+        }
+    };
+    let whole = matches!(reply.body, ReplyBody::Whole(_));
+    let (first, parts) = match reply.body {
+        ReplyBody::Whole(body) => (body, None),
+        ReplyBody::Parts(first, parts) => (first, Some(parts)),
+    };
+    let headers = reply.headers.into_iter().map(|(name, value)| Header { name, value });
+    let mut total = first.len() as u64;
+    let answer = Answer {
+        request_id: String::new(),
+        status: reply.status.into(),
+        headers: headers.collect(),
+        body: first,
+        whole,
+        load: None,
+        outcome: reply.outcome.name().to_owned(),
+        reason: reply.reason.name().to_owned(),
+        fresh: reply.ticket.map(Into::into),
+    };
+    sink.send(Body::Answer(answer)).await?;
+    if let Some(mut parts) = parts {
+        while let Some(part) = parts.recv().await {
+            let Ok(data) = part else {
+                sink.reset();
+                return Ok(());
+            };
+            total += data.len() as u64;
+            sink.send(Body::Chunk(wire::Chunk { data })).await?;
+        }
+        sink.send(Body::End(wire::End { length: total, load: None })).await?;
+    }
+    sink.finish().await;
+    Ok(())
+}
+
+fn forwarded(begin: Begin, rest: super::body::BodyRequest) -> Request {
+    let organisation = Some(begin.organisation.as_str()).filter(|name| !name.is_empty());
+    Request {
+        arrival: Arrival {
+            request: random(),
+            organisation: organisation.map(Into::into),
+            ticket: begin.ticket.map(Into::into),
+            body_length: begin.body_length,
+            whole: !begin.body_follows,
+            fingerprint: begin.fingerprint,
+            deadline: Some(Duration::from_micros(begin.remaining_us)),
+            forwarded: true,
+            method: begin.method,
+            target: begin.target,
+        },
+        id: begin.request_id,
+        headers: begin.headers.into_iter().map(|field| (field.name, field.value)).collect(),
+        body: begin.body,
+        rest: begin.body_follows.then_some(rest),
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/node.rs
@@ -0,0 +1,249 @@
+//! Assembles a node and runs its main loop.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
+use lavenderflow_core::gate::Gate;
+use lavenderflow_core::id::node_id;
+use lavenderflow_core::roster::{Member, Roster};
+use lavenderflow_schema::settings::NodeSettings;
+use rand::random;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use stakker::{ActorOwn, Stakker, actor, call, fwd_to, ret_nop, ret_shutdown};
+use tokio::runtime::Runtime;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+use crate::actor::counters::CountersActor;
+use crate::actor::entry::EntryActor;
+use crate::actor::fleet::{self, FleetActor};
+use crate::actor::gate::GateActor;
+use crate::actor::lifecycle::{LifecycleActor, Parts};
+use crate::clock::SystemClock;
+use crate::counter;
+use crate::error::NodeError;
+use crate::http::{admin, callers};
+use crate::net::endpoint::{self, Command, Network};
+use crate::net::key;
+use crate::prelude::*;
+use crate::store::Store;
+use crate::upstream::{Call, CallEvent, Caller};
+use crate::watcher::Watcher;
+use crate::workers::Workers;
+
+/// Longest sleep of the main loop.
+const MAX_SLEEP: Duration = Duration::from_secs(60);
+/// Messages that are handled before the actors run.
+const BATCH: usize = 256;
+/// Most calls to upstreams at once.
+const MAX_CALLS: usize = 4096;
+/// Calls that can wait for a thread.
+const CALL_QUEUE: usize = 256;
+
+/// Runs a node until it is stopped.
+///
+/// # Errors
+///
+/// The node cannot start.
+pub fn run(settings: &NodeSettings) -> Result<(), NodeError> {
+    let clock: SharedClock = Arc::new(SystemClock);
+    let (mailbox, messages) = Mailbox::new();
+    let (network, commands) = endpoint::channel();
+    let work = Arc::new(());
+    let (next, next_nodes) = watch::channel(String::new());
+    let statsd = counter::statsd(settings.statsd.first().copied())?;
+    start_network(settings, &clock, &mailbox, commands, &work)?;
+    let caller_context = callers::Context {
+        name: settings.name.clone(),
+        mailbox: mailbox.clone(),
+        network: network.clone(),
+        work: Arc::clone(&work),
+        next: next_nodes,
+    };
+    let workers = usize::try_from(settings.workers).unwrap_or(usize::MAX);
+    admin::start(settings.admin, mailbox.clone())?;
+    start_signals(mailbox.clone())?;
+    let store = Store::new(settings.store);
+    let zone = settings.zone.as_str().into();
+    let watcher = Watcher::start(store, zone, Arc::clone(&clock), mailbox)?;
+    let fleet = fleet::Setup {
+        roster: Roster::new(Arc::clone(&clock), member(settings)),
+        seeds: settings.seeds.clone(),
+        ping: settings.ping,
+        network: network.clone(),
+        watcher,
+        next,
+    };
+    let mut main = Main::new(settings, &clock, fleet, statsd, work);
+    callers::start(settings.callers, workers, caller_context)?;
+    let Member { name, callers, peer, .. } = member(settings);
+    log::info!("event=serving node={name} callers={callers} peer={peer}");
+    main.serve(messages)?;
+    close(&network);
+    Ok(())
+}
+
+fn member(settings: &NodeSettings) -> Member {
+    Member {
+        node: node_id(&settings.name),
+        incarnation: random(),
+        version: 0,
+        name: settings.name.clone(),
+        peer: settings.advertised.first().copied().unwrap_or(settings.peers),
+        callers: settings.callers,
+        zone: settings.zone.as_str().into(),
+        leaving: false,
+        offers: Vec::new(),
+    }
+}
+
+fn runtime() -> Result<Runtime, NodeError> {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().build().map_err(NodeError::Runtime)
+}
+
+/// Starts the network thread and the threads that call upstreams.
+fn start_network(
+    settings: &NodeSettings,
+    clock: &SharedClock,
+    mailbox: &Mailbox,
+    commands: mpsc::Receiver<Command>,
+    work: &Arc<()>,
+) -> Result<(), NodeError> {
+    let keys = key::load(&settings.authority, &settings.certificate, &settings.key)?;
+    let (calls, queue) = mpsc::channel(CALL_QUEUE);
+    spawn("calls", call_upstreams(queue, Arc::clone(clock)))?;
+    let setup = endpoint::Setup {
+        node: node_id(&settings.name),
+        address: settings.peers,
+        keys,
+        clock: Arc::clone(clock),
+        mailbox: mailbox.clone(),
+        calls,
+        work: Arc::clone(work),
+        ping: settings.ping,
+    };
+    let (bound, is_bound) = oneshot::channel();
+    let runtime = runtime()?;
+    spawn("network", move || runtime.block_on(endpoint::run(setup, commands, bound)))?;
+    is_bound
+        .blocking_recv()
+        .unwrap_or_else(|_| Err(NodeError::Thread(io::ErrorKind::UnexpectedEof.into())))
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), NodeError> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(run).map(|_| ()).map_err(NodeError::Thread)
+}
+
+/// Hands calls to upstreams to threads.
+fn call_upstreams(mut queue: mpsc::Receiver<Call>, clock: SharedClock) -> impl FnOnce() + Send {
+    move || {
+        let caller = Caller::new(clock);
+        let mut workers = Workers::new("upstream", MAX_CALLS, move |call| caller.run(call));
+        while let Some(call) = queue.blocking_recv() {
+            if let Err(call) = workers.submit(call) {
+                let not_run = Some(Reason::WorkersBusy);
+                let result = lavenderflow_core::gate::RunResult::Cancelled;
+                let _ = call.events.blocking_send(CallEvent::Failed { result, not_run });
+            }
+        }
+    }
+}
+
+/// Turns signals into a graceful stop.
+fn start_signals(mailbox: Mailbox) -> Result<(), NodeError> {
+    let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(NodeError::Signal)?;
+    spawn("signals", move || {
+        for _ in signals.forever() {
+            mailbox.send_blocking(Message::Drain);
+        }
+    })
+}
+
+fn close(network: &Network) {
+    let (done, is_done) = oneshot::channel();
+    if network.blocking_send(Command::Close(done)).is_ok() {
+        let _ = is_done.blocking_recv();
+    }
+}
+
+/// The actors and the loop that feeds them.
+struct Main {
+    stakker: Stakker,
+    clock: SharedClock,
+    counters: ActorOwn<CountersActor>,
+    entry: ActorOwn<EntryActor>,
+    gate: ActorOwn<GateActor>,
+    fleet: ActorOwn<FleetActor>,
+    lifecycle: ActorOwn<LifecycleActor>,
+}
+
+impl Main {
+    fn new(
+        settings: &NodeSettings,
+        clock: &SharedClock,
+        fleet: fleet::Setup,
+        statsd: cadence::StatsdClient,
+        work: Arc<()>,
+    ) -> Self {
+        let mut stakker = Stakker::new(clock.now());
+        let s = &mut stakker;
+        let me = fleet.roster.me();
+        let identity =
+            Identity { node: me.node, incarnation: me.incarnation, zone: me.zone.clone() };
+        let answers = usize::try_from(settings.answers * 1024).unwrap_or(usize::MAX);
+        let limits = TicketLimits { retention: settings.tickets, answers };
+        let entry = Entry::new(identity, limits, Arc::clone(clock), random());
+        let counters = actor!(s, CountersActor::init(statsd), ret_nop!());
+        let count = counters.clone();
+        let entry = actor!(s, EntryActor::init(entry, count), ret_shutdown!(s));
+        let (handle, count) = (entry.clone(), counters.clone());
+        let fleet = actor!(s, FleetActor::init(fleet, handle, count), ret_shutdown!(s));
+        let publish = fwd_to!([fleet], publish() as (Vec<lavenderflow_core::gate::Offered>));
+        let gate = Gate::new(Arc::clone(clock));
+        let count = counters.clone();
+        let gate = actor!(s, GateActor::init(gate, count, publish), ret_shutdown!(s));
+        let handle = gate.clone();
+        call!([fleet], set_gate(handle));
+        let parts = Parts { entry: entry.clone(), gate: gate.clone(), fleet: fleet.clone() };
+        let lifecycle =
+            actor!(s, LifecycleActor::init(parts, work, settings.linger), ret_shutdown!(s));
+        Self { stakker, clock: Arc::clone(clock), counters, entry, gate, fleet, lifecycle }
+    }
+
+    /// Hands messages to the actors until one of them ends the node.
+    fn serve(&mut self, mut messages: mpsc::Receiver<Message>) -> Result<(), NodeError> {
+        let runtime = runtime()?;
+        self.stakker.run(self.clock.now(), false);
+        while self.stakker.not_shutdown() {
+            let wait = self.stakker.next_wait_max(self.clock.now(), MAX_SLEEP, false);
+            let next = runtime.block_on(async { timeout(wait, messages.recv()).await });
+            if let Ok(Some(message)) = next {
+                self.handle(message);
+                for _ in 0..BATCH {
+                    let Ok(message) = messages.try_recv() else { break };
+                    self.handle(message);
+                }
+            }
+            self.stakker.run(self.clock.now(), false);
+        }
+        Ok(())
+    }
+
+    fn handle(&self, message: Message) {
+        let Self { counters, entry, gate, fleet, lifecycle, .. } = self;
+        match message {
+            Message::Entry(message) => call!([entry], handle(message)),
+            Message::Gate(message) => call!([gate], handle(message)),
+            Message::Fleet(message) => call!([fleet], handle(message)),
+            Message::Count(counter) => call!([counters], add(counter)),
+            Message::Drain => call!([lifecycle], drain()),
+            Message::Status(reply) => call!([lifecycle], status(reply)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/operator.rs
@@ -0,0 +1,379 @@
+//! Changes of the configuration, as operators' commands make them.
+
+use std::net::SocketAddr;
+use std::thread;
+
+use lavenderflow_core::catalog::Document;
+use lavenderflow_core::change::{Accepted, Change, Current, Proposed, Settled};
+use lavenderflow_schema::configuration::{Organisation, Profile, Route, Service, Stored};
+use lavenderflow_schema::convert::{ConvertError, configuration};
+use rand::random;
+use serde_json::{Map, Value};
+
+use crate::prelude::*;
+use crate::status::Status;
+use crate::store::{Store, StoreError, StoreRevision};
+use crate::watcher::CONFIGURATION;
+
+/// Interval between two tries to read back a change whose answer was lost.
+const READ_BACK: Duration = Duration::from_millis(250);
+
+/// Why an operator's command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum OperatorError {
+    /// Another operator made a change meanwhile.
+    #[error("{key}: {author} changed it meanwhile; revision {revision} is stored")]
+    Conflict {
+        /// Key.
+        key: String,
+        /// Who made the other change.
+        author: String,
+        /// Revision of the other change.
+        revision: Revision,
+    },
+    /// A field is not given as a name and a value.
+    #[error("{0:?} is not of the form FIELD=VALUE")]
+    Assignment(String),
+    /// A field does not exist.
+    #[error("there is no field {0}")]
+    Field(String),
+    /// The changed value is malformed.
+    #[error(transparent)]
+    Value(#[from] ConvertError),
+    /// The stored value is malformed.
+    #[error("{0} is malformed in the store")]
+    Stored(String),
+    /// There is no such entry.
+    #[error("there is no {0}")]
+    Missing(String),
+    /// The store failed before anything was sent to it.
+    #[error("nothing was changed: {0}")]
+    Store(#[from] StoreError),
+    /// The store's answer was lost and it cannot be read back.
+    #[error("the change {change} of {key} may have taken effect: {fault}")]
+    Unsettled {
+        /// Id of the change.
+        change: String,
+        /// Key.
+        key: String,
+        /// The last fault.
+        fault: StoreError,
+    },
+    /// The node does not answer.
+    #[error("the node at {address} cannot be reached: {fault}")]
+    Node {
+        /// Address for operators.
+        address: SocketAddr,
+        /// Fault.
+        fault: ureq::Error,
+    },
+}
+
+/// The kinds of configuration entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Organisations.
+    Organisation,
+    /// Profiles.
+    Profile,
+    /// Routes.
+    Route,
+    /// Services.
+    Service,
+}
+
+impl Kind {
+    /// Returns the first part of the keys.
+    pub fn prefix(self) -> &'static str {
+        match self {
+            Self::Organisation => "organisations",
+            Self::Profile => "profiles",
+            Self::Route => "routes",
+            Self::Service => "services",
+        }
+    }
+
+    /// Returns the value that a new entry starts from.
+    fn template(self, name: &str) -> Stored {
+        let name = name.to_owned();
+        let mut stored = Stored::default();
+        match self {
+            Self::Organisation => {
+                stored.organisation = Some(Organisation { name, ..Organisation::default() });
+            }
+            Self::Profile => {
+                let profile = lavenderflow_core::profile::Profile::default();
+                stored.profile = Some(Profile { name, ..configuration::stored_profile(&profile) });
+            }
+            Self::Route => stored.route = Some(Route { name, ..Route::default() }),
+            Self::Service => {
+                let profile = "default".to_owned();
+                stored.service = Some(Service { name, profile });
+            }
+        }
+        stored
+    }
+
+    /// Replaces the value of this kind in JSON form.
+    fn update(
+        self,
+        stored: &mut Stored,
+        change: impl FnOnce(&mut Value) -> Result<(), OperatorError>,
+    ) -> Result<(), OperatorError> {
+        let json = |fault: serde_json::Error| ConvertError::Json(fault.to_string());
+        match self {
+            Self::Organisation => edit(&mut stored.organisation, change, json),
+            Self::Profile => edit(&mut stored.profile, change, json),
+            Self::Route => edit(&mut stored.route, change, json),
+            Self::Service => edit(&mut stored.service, change, json),
+        }
+    }
+}
+
+fn edit<T: serde::Serialize + serde::de::DeserializeOwned>(
+    field: &mut Option<T>,
+    change: impl FnOnce(&mut Value) -> Result<(), OperatorError>,
+    json: impl Fn(serde_json::Error) -> ConvertError,
+) -> Result<(), OperatorError> {
+    let mut value = serde_json::to_value(&*field).map_err(&json)?;
+    change(&mut value)?;
+    *field = Some(serde_json::from_value(value).map_err(&json)?);
+    Ok(())
+}
+
+/// One assignment of a value to a field.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Assignment {
+    /// Names of the fields from the outermost in.
+    pub path: Vec<String>,
+    /// Value.
+    pub value: String,
+}
+
+impl Assignment {
+    /// Parses `FIELD=VALUE`, where inner fields are joined by dots.
+    ///
+    /// # Errors
+    ///
+    /// The text has another form.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow::operator::Assignment;
+    ///
+    /// let assignment = Assignment::parse("patience.queue_ms=300")?;
+    /// assert_eq!(assignment.path, ["patience", "queue_ms"]);
+    /// # Ok::<(), lavenderflow::operator::OperatorError>(())
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, OperatorError> {
+        let (path, value) =
+            text.split_once('=').ok_or_else(|| OperatorError::Assignment(text.to_owned()))?;
+        let path = path.split('.').map(str::to_owned).collect();
+        Ok(Self { path, value: value.to_owned() })
+    }
+
+    /// Sets the field in a JSON value; the field must exist, and its type stays.
+    fn apply(&self, target: &mut Value) -> Result<(), OperatorError> {
+        let missing = || OperatorError::Field(self.path.join("."));
+        let mut field = target;
+        for name in &self.path {
+            field = field
+                .as_object_mut()
+                .and_then(|map: &mut Map<_, _>| map.get_mut(name))
+                .ok_or_else(missing)?;
+        }
+        *field = match field {
+            Value::String(_) => Value::String(self.value.clone()),
+            _ => serde_json::from_str(&self.value).map_err(|_| {
+                OperatorError::Assignment(format!("{}={}", self.path.join("."), self.value))
+            })?,
+        };
+        Ok(())
+    }
+}
+
+/// What commands need to reach the store and a node.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// The store.
+    pub store: Store,
+    /// A node's address for operators.
+    pub node: Option<SocketAddr>,
+    /// Name of the operator, kept with each change.
+    pub author: String,
+    /// How long to try to settle a change whose answer was lost.
+    pub patience: Duration,
+    /// The clock.
+    pub clock: SharedClock,
+}
+
+/// A stored value that was read.
+#[derive(Clone, Debug, Default)]
+struct Read {
+    revision: StoreRevision,
+    value: Option<Stored>,
+}
+
+impl Read {
+    fn current(&self) -> Current {
+        let value = self.value.clone().unwrap_or_default();
+        Current { revision: value.revision, changes: value.changes, author: value.author }
+    }
+}
+
+impl Operator {
+    /// Lists the entries of a kind by name.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub fn list(&self, kind: Kind) -> Result<IndexMap<String, Stored>, OperatorError> {
+        let prefix = format!("{CONFIGURATION}{}/", kind.prefix());
+        let page = self.store.list(&prefix, 0, Duration::ZERO)?;
+        let entries = page.entries.iter().filter_map(|entry| {
+            let name = entry.key.strip_prefix(&prefix)?.to_owned();
+            Some((name, configuration::parse(entry.value.as_bytes()).ok()?))
+        });
+        Ok(entries.collect())
+    }
+
+    /// Shows an entry.
+    ///
+    /// # Errors
+    ///
+    /// There is none, it is malformed or the store does not answer.
+    pub fn show(&self, kind: Kind, name: &str) -> Result<Stored, OperatorError> {
+        let key = format!("{}/{name}", kind.prefix());
+        self.read(&key)?.value.ok_or(OperatorError::Missing(key))
+    }
+
+    /// Changes fields of an entry, which is created if there is none.
+    ///
+    /// # Errors
+    ///
+    /// The value is malformed, another operator was faster, or the store failed.
+    pub fn set(
+        &self,
+        kind: Kind,
+        name: &str,
+        assignments: &[Assignment],
+    ) -> Result<Change<Accepted>, OperatorError> {
+        let key = format!("{}/{name}", kind.prefix());
+        let read = self.read(&key)?;
+        let in_force = self.in_force(&key)?;
+        let stored = read.value.clone();
+        let newest = [stored, in_force].into_iter().flatten().max_by_key(|value| value.revision);
+        let base = newest.unwrap_or_else(|| kind.template(name));
+        let revision = read.current().revision;
+        let change = Change::propose(format!("{:016x}", random::<u64>()), revision, base.revision);
+        let mut value = base.clone();
+        for assignment in assignments {
+            kind.update(&mut value, |json| assignment.apply(json))?;
+        }
+        value.revision = change.revision();
+        value.changes = change.history(&Current { changes: base.changes, ..Current::default() });
+        value.author.clone_from(&self.author);
+        let text = serde_json::to_string(&value).map_err(|f| ConvertError::Json(f.to_string()))?;
+        let document = Document {
+            key: key.as_str().into(),
+            revision: value.revision,
+            text: text.as_bytes().into(),
+        };
+        configuration::check(&document)?;
+        self.write(&key, &text, &read, change)
+    }
+
+    /// Returns a node's status.
+    ///
+    /// # Errors
+    ///
+    /// The node does not answer.
+    pub fn status(address: SocketAddr) -> Result<Status, OperatorError> {
+        let node = |fault| OperatorError::Node { address, fault };
+        let url = format!("http://{address}/v1/status");
+        ureq::get(url)
+            .call()
+            .map_err(node)?
+            .body_mut()
+            .with_config()
+            .limit(u64::MAX)
+            .read_json()
+            .map_err(node)
+    }
+
+    /// Tells a node to stop gracefully.
+    ///
+    /// # Errors
+    ///
+    /// The node does not answer.
+    pub fn drain(address: SocketAddr) -> Result<(), OperatorError> {
+        let node = |fault| OperatorError::Node { address, fault };
+        ureq::post(format!("http://{address}/v1/drain")).send_empty().map(|_| ()).map_err(node)
+    }
+
+    fn read(&self, key: &str) -> Result<Read, OperatorError> {
+        let entry = self.store.get(&format!("{CONFIGURATION}{key}"))?;
+        let Some(entry) = entry else { return Ok(Read::default()) };
+        let value = configuration::parse(entry.value.as_bytes())
+            .map_err(|_| OperatorError::Stored(key.to_owned()))?;
+        Ok(Read { revision: entry.revision, value: Some(value) })
+    }
+
+    /// Returns the value that the node holds, which is newer than the store's when the store was
+    /// put back to an older copy.
+    fn in_force(&self, key: &str) -> Result<Option<Stored>, OperatorError> {
+        let Some(address) = self.node else { return Ok(None) };
+        let node = |fault| OperatorError::Node { address, fault };
+        let url = format!("http://{address}/v1/documents");
+        let mut response = ureq::get(url).call().map_err(node)?;
+        let documents: IndexMap<String, Stored> =
+            response.body_mut().with_config().limit(u64::MAX).read_json().map_err(node)?;
+        Ok(documents.get(key).cloned())
+    }
+
+    /// Sends the compare-and-swap until it is known whether it took effect.
+    fn write(
+        &self,
+        key: &str,
+        text: &str,
+        base: &Read,
+        mut change: Change<Proposed>,
+    ) -> Result<Change<Accepted>, OperatorError> {
+        let path = format!("{CONFIGURATION}{key}");
+        let end = self.clock.now() + self.patience;
+        loop {
+            match self.store.put(&path, text, base.revision) {
+                Ok(_) => return Ok(change.accept()),
+                Err(fault) => log::info!("event=change-unanswered key={key} fault={fault}"),
+            }
+            let read = self.read_back(key, &change, end)?;
+            change = match change.settle(&base.current(), read.current()) {
+                Settled::Accepted(change) => return Ok(change),
+                Settled::Pending(change) => change,
+                Settled::Conflict(Current { author, revision, .. }) => {
+                    return Err(OperatorError::Conflict { key: key.to_owned(), author, revision });
+                }
+            };
+        }
+    }
+
+    fn read_back(
+        &self,
+        key: &str,
+        change: &Change<Proposed>,
+        end: Instant,
+    ) -> Result<Read, OperatorError> {
+        loop {
+            let fault = match self.read(key) {
+                Err(OperatorError::Store(fault)) => fault,
+                other => return other,
+            };
+            if self.clock.now() >= end {
+                let (change, key) = (change.id().to_owned(), key.to_owned());
+                return Err(OperatorError::Unsettled { change, key, fault });
+            }
+            thread::sleep(READ_BACK);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that most modules use.
+
+pub use lavenderflow_core::prelude::*;
+
+pub use crate::counter::{Counter, Fault};
+pub use crate::message::{Mailbox, Message};
--- /dev/null
+++ b/crates/lavenderflow/src/status.rs
@@ -0,0 +1,170 @@
+//! What a node tells operators about itself.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// The status of a node.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// Name of the node.
+    pub node: String,
+    /// Availability zone.
+    pub zone: String,
+    /// State in the node's life cycle.
+    pub state: String,
+    /// Requests in flight at the entry.
+    pub requests: usize,
+    /// Attempts that run behind the gate.
+    pub running: usize,
+    /// Tickets that are remembered.
+    pub tickets: usize,
+    /// Upstreams on this VM.
+    pub upstreams: Vec<UpstreamStatus>,
+    /// Services as this entry sees them.
+    pub services: Vec<ServiceStatus>,
+    /// All nodes.
+    pub members: Vec<MemberStatus>,
+    /// Revision of each configuration key.
+    pub revisions: IndexMap<String, Revision>,
+    /// Stored configuration that is malformed; what was in force stays.
+    pub rejected: Vec<RejectedStatus>,
+    /// Counters.
+    pub counters: IndexMap<String, u64>,
+}
+
+/// An upstream on the node's VM.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamStatus {
+    /// Id.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// State in its life cycle.
+    pub state: String,
+    /// Well, ejected or on trial.
+    pub condition: String,
+    /// Weight of the evidence against it.
+    pub evidence: f32,
+    /// Requests that run on it.
+    pub busy: u32,
+    /// Requests that may run on it now.
+    pub slots: u32,
+    /// Smoothed time of short work, in microseconds.
+    pub pace_us: u64,
+}
+
+/// A service as an entry sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServiceStatus {
+    /// Name.
+    pub name: String,
+    /// Profile that it follows.
+    pub profile: String,
+    /// Least share of slots that stays in the choice, in percent.
+    pub floor_percent: u32,
+    /// Gates that offer it.
+    pub gates: Vec<GateStatus>,
+}
+
+/// A gate as an entry sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct GateStatus {
+    /// Node of the gate, in hexadecimal.
+    pub node: String,
+    /// Announced slots.
+    pub slots: u32,
+    /// Whether it is in the choice.
+    pub chosen: bool,
+    /// Why it is suspect; empty when it is not.
+    pub suspicion: String,
+}
+
+/// A node as another sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct MemberStatus {
+    /// Id in hexadecimal.
+    pub id: String,
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Address for callers.
+    pub callers: String,
+    /// Alive, leaving or expelled.
+    pub state: String,
+}
+
+/// A malformed document.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RejectedStatus {
+    /// Key.
+    pub key: String,
+    /// Revision.
+    pub revision: Revision,
+    /// What is wrong.
+    pub fault: String,
+}
+
+/// Returns the name of a condition.
+pub fn condition_name(condition: Condition) -> &'static str {
+    match condition {
+        Condition::Well => "well",
+        Condition::Ejected => "ejected",
+        Condition::Trial => "trial",
+    }
+}
+
+impl Status {
+    /// Renders the status for a terminal.
+    pub fn render(&self) -> String {
+        let mut lines = vec![
+            format!("node {} zone {} {}", self.node, self.zone, self.state),
+            format!("requests {} running {} tickets {}", self.requests, self.running, self.tickets),
+            String::new(),
+            format!("members {}", self.members.len()),
+        ];
+        for member in &self.members {
+            let MemberStatus { name, zone, callers, state, .. } = member;
+            lines.push(format!("  {name:<16} {zone:<12} {callers:<22} {state}"));
+        }
+        lines.push(String::new());
+        lines.push(format!("upstreams {}", self.upstreams.len()));
+        for upstream in &self.upstreams {
+            let UpstreamStatus { id, service, state, condition, busy, slots, .. } = upstream;
+            lines
+                .push(format!("  {id:<16} {service:<12} {state:<9} {condition:<8} {busy}/{slots}"));
+        }
+        for service in &self.services {
+            lines.push(String::new());
+            lines.extend(render_service(service));
+        }
+        lines.push(String::new());
+        lines.push("configuration".to_owned());
+        lines.extend(self.revisions.iter().map(|(key, revision)| format!("  {key} {revision}")));
+        for RejectedStatus { key, revision, fault } in &self.rejected {
+            lines.push(format!("  {key} {revision} REJECTED: {fault}"));
+        }
+        lines.push(String::new());
+        lines.push("counters".to_owned());
+        lines.extend(self.counters.iter().map(|(name, count)| format!("  {name} {count}")));
+        lines.join("\n")
+    }
+}
+
+fn render_service(service: &ServiceStatus) -> Vec<String> {
+    let out = service.gates.iter().filter(|gate| !gate.chosen).count();
+    let held = service.gates.iter().filter(|g| g.chosen && !g.suspicion.is_empty()).count();
+    let mut lines = vec![format!(
+        "service {} profile {} floor {}%: {} gates, {out} out, {held} held in by the floor",
+        service.name,
+        service.profile,
+        service.floor_percent,
+        service.gates.len(),
+    )];
+    for gate in service.gates.iter().filter(|gate| !gate.suspicion.is_empty()) {
+        let place = if gate.chosen { "held in" } else { "out" };
+        lines.push(format!("  {} slots {} {place}: {}", gate.node, gate.slots, gate.suspicion));
+    }
+    lines
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,250 @@
+//! Starts nodes as processes, and waits for conditions.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+
+use crate::error::Error;
+
+/// Longest time to wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Interval at which a condition is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// How to start a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Peer addresses of other nodes.
+    pub seeds: Vec<SocketAddr>,
+    /// Peer address that others are told.
+    pub advertised: Option<SocketAddr>,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Directory with the fleet's keys.
+    pub keys: PathBuf,
+    /// Further arguments.
+    pub extra: Vec<String>,
+}
+
+impl NodeSettings {
+    /// Creates settings with free ports.
+    ///
+    /// # Errors
+    ///
+    /// There is no free port.
+    pub fn new(name: &str, zone: &str, store: SocketAddr, keys: &Path) -> Result<Self, Error> {
+        Ok(Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            store,
+            seeds: Vec::new(),
+            advertised: None,
+            peers: free_udp_port()?,
+            callers: free_tcp_port()?,
+            admin: free_tcp_port()?,
+            keys: keys.to_owned(),
+            extra: Vec::new(),
+        })
+    }
+
+    /// Returns the arguments of the node's command.
+    pub fn arguments(&self) -> Vec<String> {
+        let key = |file: String| self.keys.join(file).display().to_string();
+        let list = |addresses: &[SocketAddr]| {
+            addresses.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+        };
+        let pairs = [
+            ("--name", self.name.clone()),
+            ("--zone", self.zone.clone()),
+            ("--store", self.store.to_string()),
+            ("--seeds", list(&self.seeds)),
+            ("--advertised", list(self.advertised.as_slice())),
+            ("--peers", self.peers.to_string()),
+            ("--callers", self.callers.to_string()),
+            ("--admin", self.admin.to_string()),
+            ("--authority", key("authority.pem".to_owned())),
+            ("--certificate", key(format!("{}.pem", self.name))),
+            ("--key", key(format!("{}.key", self.name))),
+        ];
+        let pairs = pairs.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]);
+        std::iter::once("node".to_owned()).chain(pairs).chain(self.extra.iter().cloned()).collect()
+    }
+}
+
+/// A node process; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Its settings.
+    pub settings: NodeSettings,
+    child: Child,
+}
+
+impl NodeProcess {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn start(binary: &Path, settings: NodeSettings) -> Result<Self, Error> {
+        let mut command = Command::new(binary);
+        command.args(settings.arguments()).stdin(Stdio::null());
+        Ok(Self { child: command.spawn()?, settings })
+    }
+
+    /// Returns the URL for callers.
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.settings.callers)
+    }
+
+    /// Returns the status, if the node answers.
+    pub fn status(&self) -> Option<Value> {
+        let url = format!("http://{}/v1/status", self.settings.admin);
+        let call = ureq::get(url).config().timeout_global(Some(Duration::from_secs(2))).build();
+        let mut response = call.call().ok()?;
+        response.body_mut().with_config().limit(u64::MAX).read_json().ok()
+    }
+
+    /// Stops the node gracefully.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be signalled.
+    pub fn terminate(&self) -> Result<(), Error> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Kills the node.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be signalled.
+    pub fn kill(&mut self) -> Result<(), Error> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Stops the process from running until [`NodeProcess::thaw`].
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be signalled.
+    pub fn freeze(&self) -> Result<(), Error> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be signalled.
+    pub fn thaw(&self) -> Result<(), Error> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Returns how the process ended, if it has.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be looked at.
+    pub fn exit(&mut self) -> Result<Option<ExitStatus>, Error> {
+        Ok(self.child.try_wait()?)
+    }
+
+    /// Returns the memory that the process holds, in bytes.
+    pub fn memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim()
+            .trim_end_matches(" kB")
+            .trim()
+            .parse::<u64>()
+            .ok()
+            .map(|kilobytes| kilobytes * 1024)
+    }
+
+    /// Returns the processor time that the process has used.
+    pub fn processor_time(&self) -> Option<Duration> {
+        /// Clock ticks per second on Linux.
+        const TICKS: u64 = 100;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 =
+            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some(Duration::from_millis(ticks * 1000 / TICKS))
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        Ok(kill_process(pid.ok_or(Error::Stopped)?, signal)?)
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until a condition is true.
+///
+/// # Errors
+///
+/// It did not come true within [`PATIENCE`].
+pub fn wait_until(what: &'static str, condition: impl FnMut() -> bool) -> Result<(), Error> {
+    wait_for(what, PATIENCE, condition)
+}
+
+/// Waits until a condition is true, up to a limit.
+///
+/// # Errors
+///
+/// It did not come true in time.
+pub fn wait_for(
+    what: &'static str,
+    limit: Duration,
+    mut condition: impl FnMut() -> bool,
+) -> Result<(), Error> {
+    let end = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() >= end {
+            return Err(Error::Timeout(what));
+        }
+        thread::sleep(LOOK);
+    }
+    Ok(())
+}
+
+/// Returns a TCP address that is free now.
+///
+/// # Errors
+///
+/// There is none.
+pub fn free_tcp_port() -> Result<SocketAddr, Error> {
+    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+}
+
+/// Returns a UDP address that is free now.
+///
+/// # Errors
+///
+/// There is none.
+pub fn free_udp_port() -> Result<SocketAddr, Error> {
+    Ok(UdpSocket::bind(("127.0.0.1", 0))?.local_addr()?)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,11 @@
+//! Stand-ins of the platform's store, upstreams, the network and callers.
+//!
+//! They are for tests and experiments only and are not shipped.
 
+pub mod error;
+pub mod fleet;
+pub mod http;
+pub mod load;
+pub mod proxy;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/standins/src/proxy.rs
@@ -0,0 +1,194 @@
+//! A UDP proxy that cuts, delays or holds packets by sender and direction.
+//!
+//! One thread owns the rules and all sockets' forwarding decisions; readers hand it packets.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::error::Error;
+
+/// Largest UDP packet.
+const MAX_PACKET: usize = 65_536;
+/// Longest sleep of the owner.
+const MAX_SLEEP: Duration = Duration::from_secs(3600);
+
+/// Direction of packets, as seen from the peer whose flow it is.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Direction {
+    /// From the peer to the target.
+    In,
+    /// From the target back to the peer.
+    Out,
+}
+
+#[derive(Debug)]
+enum Command {
+    Packet(SocketAddr, Direction, Vec<u8>),
+    Cut(SocketAddr, Direction),
+    CutAll,
+    Heal,
+    Delay(Duration),
+}
+
+/// A running proxy in front of one target.
+#[derive(Debug)]
+pub struct UdpProxy {
+    address: SocketAddr,
+    commands: Sender<Command>,
+}
+
+impl UdpProxy {
+    /// Starts a proxy in front of a target.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub fn start(target: SocketAddr) -> Result<Self, Error> {
+        let front = UdpSocket::bind(("127.0.0.1", 0))?;
+        let address = front.local_addr()?;
+        let (commands, received) = mpsc::channel();
+        let (reader, sender) = (front.try_clone()?, commands.clone());
+        thread::spawn(move || {
+            let mut buffer = vec![0; MAX_PACKET];
+            while let Ok((length, from)) = reader.recv_from(&mut buffer) {
+                let packet = Command::Packet(from, Direction::In, buffer[..length].to_vec());
+                if sender.send(packet).is_err() {
+                    return;
+                }
+            }
+        });
+        let owner = Owner {
+            front,
+            target,
+            sender: commands.clone(),
+            flows: IndexMap::new(),
+            cuts: IndexSet::new(),
+            cut_all: false,
+            delay: Duration::ZERO,
+            held: Vec::new(),
+        };
+        thread::spawn(move || owner.run(&received));
+        Ok(Self { address, commands })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Drops packets of one peer in one direction.
+    pub fn cut(&self, peer: SocketAddr, direction: Direction) {
+        let _ = self.commands.send(Command::Cut(peer, direction));
+    }
+
+    /// Drops all packets.
+    pub fn cut_all(&self) {
+        let _ = self.commands.send(Command::CutAll);
+    }
+
+    /// Drops nothing any more.
+    pub fn heal(&self) {
+        let _ = self.commands.send(Command::Heal);
+    }
+
+    /// Delays all packets.
+    pub fn delay(&self, delay: Duration) {
+        let _ = self.commands.send(Command::Delay(delay));
+    }
+}
+
+struct Held {
+    due: Instant,
+    peer: SocketAddr,
+    direction: Direction,
+    packet: Vec<u8>,
+}
+
+struct Owner {
+    front: UdpSocket,
+    target: SocketAddr,
+    sender: Sender<Command>,
+    flows: IndexMap<SocketAddr, UdpSocket>,
+    cuts: IndexSet<(SocketAddr, Direction)>,
+    cut_all: bool,
+    delay: Duration,
+    held: Vec<Held>,
+}
+
+impl Owner {
+    fn run(mut self, commands: &Receiver<Command>) {
+        loop {
+            let due = self.held.iter().map(|held| held.due).min();
+            let wait = due.map_or(MAX_SLEEP, |due| due.saturating_duration_since(Instant::now()));
+            match commands.recv_timeout(wait) {
+                Ok(command) => self.handle(command),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.release();
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Packet(peer, direction, packet) => {
+                if self.cut_all || self.cuts.contains(&(peer, direction)) {
+                    return;
+                }
+                let due = Instant::now() + self.delay;
+                self.held.push(Held { due, peer, direction, packet });
+            }
+            Command::Cut(peer, direction) => {
+                self.cuts.insert((peer, direction));
+            }
+            Command::CutAll => self.cut_all = true,
+            Command::Heal => {
+                self.cuts.clear();
+                self.cut_all = false;
+            }
+            Command::Delay(delay) => self.delay = delay,
+        }
+    }
+
+    fn release(&mut self) {
+        let now = Instant::now();
+        let held = std::mem::take(&mut self.held);
+        let (due, held): (Vec<Held>, Vec<Held>) = held.into_iter().partition(|h| h.due <= now);
+        self.held = held;
+        for Held { peer, direction, packet, .. } in due {
+            // A packet that cannot be sent is lost, as on a network.
+            let _ = match direction {
+                Direction::In => self.flow(peer).and_then(|flow| Ok(flow.send(&packet)?)),
+                Direction::Out => self.front.send_to(&packet, peer).map_err(Error::from),
+            };
+        }
+    }
+
+    fn flow(&mut self, peer: SocketAddr) -> Result<&UdpSocket, Error> {
+        if !self.flows.contains_key(&peer) {
+            let flow = UdpSocket::bind(("127.0.0.1", 0))?;
+            flow.connect(self.target)?;
+            let (reader, sender) = (flow.try_clone()?, self.sender.clone());
+            thread::spawn(move || {
+                let mut buffer = vec![0; MAX_PACKET];
+                loop {
+                    // A target that is down shows as an error; it may come back.
+                    let Ok(length) = reader.recv(&mut buffer) else {
+                        thread::sleep(Duration::from_millis(10));
+                        continue;
+                    };
+                    let packet = Command::Packet(peer, Direction::Out, buffer[..length].to_vec());
+                    if sender.send(packet).is_err() {
+                        return;
+                    }
+                }
+            });
+            self.flows.insert(peer, flow);
+        }
+        self.flows.get(&peer).ok_or(Error::Stopped)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/upstream.rs
@@ -0,0 +1,351 @@
+//! An upstream with slots and gray failures.
+//!
+//! One thread owns its state; each connection has a thread that asks it by messages.
+//!
+//! A request says what it wants in its query: `work_ms` is the time that it takes and `size` the
+//! length of the answer. The answer repeats the request's id so that crossed answers show.
+
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use serde_json::json;
+
+use crate::error::Error;
+use crate::http::Head;
+
+/// Interval of announcements.
+const ANNOUNCE: Duration = Duration::from_millis(300);
+/// Validity of an announcement, in milliseconds.
+const LEASE_MS: u64 = 2000;
+/// Length of an answer when the request names none, in bytes.
+const DEFAULT_SIZE: u64 = 32;
+/// Time for which a stuck request is held.
+const STUCK: Duration = Duration::from_secs(30);
+/// Size of the pieces of an answer.
+const PIECE: usize = 16 * 1024;
+
+/// How an upstream behaves; probes always succeed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    /// As it should.
+    Well,
+    /// It fails this share of the requests, in percent, with status 500.
+    Fails(u32),
+    /// It fails requests of one method.
+    FailsMethod(&'static str),
+    /// It takes this many times longer.
+    Slow(u32),
+    /// It accepts requests and never answers.
+    Stuck,
+    /// It closes the connection in the middle of each answer.
+    Truncates,
+    /// It stops sending in the middle of each answer.
+    Stalls,
+    /// It refuses work because of its load.
+    Sheds,
+    /// It fails everything and is well by turns of this length.
+    Flaps(Duration),
+    /// It runs the request and closes the connection without an answer.
+    Vanishes,
+}
+
+/// What an upstream is started with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Id.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// The node's address for announcements.
+    pub node: SocketAddr,
+    /// Slots to announce.
+    pub slots: u32,
+    /// Time that a request takes when it names none.
+    pub work: Duration,
+}
+
+#[derive(Debug)]
+enum Command {
+    Begin(String, Sender<Mode>),
+    End,
+    Mode(Mode),
+    Phase(&'static str),
+    Ran(Sender<IndexMap<String, u32>>),
+    Busy(Sender<(u32, u32)>),
+    Stop,
+}
+
+/// A running upstream.
+#[derive(Debug)]
+pub struct UpstreamStandin {
+    address: SocketAddr,
+    commands: Sender<Command>,
+}
+
+impl UpstreamStandin {
+    /// Starts an upstream on a free port and lets it announce itself.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub fn start(settings: Settings) -> Result<Self, Error> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let address = listener.local_addr()?;
+        let (commands, received) = mpsc::channel();
+        let (sender, work) = (commands.clone(), settings.work);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let sender = sender.clone();
+                thread::spawn(move || drop(serve(stream, &sender, work)));
+            }
+        });
+        thread::spawn(move || Owner::new(settings, address).run(&received));
+        Ok(Self { address, commands })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it behaves.
+    pub fn set_mode(&self, mode: Mode) {
+        let _ = self.commands.send(Command::Mode(mode));
+    }
+
+    /// Changes the phase that it announces, at once.
+    pub fn set_phase(&self, phase: &'static str) {
+        let _ = self.commands.send(Command::Phase(phase));
+    }
+
+    /// Returns how often it ran each request id.
+    ///
+    /// # Errors
+    ///
+    /// The upstream has stopped.
+    pub fn ran(&self) -> Result<IndexMap<String, u32>, Error> {
+        self.ask(Command::Ran)
+    }
+
+    /// Returns how many requests run now, and the most that ever ran at once.
+    ///
+    /// # Errors
+    ///
+    /// The upstream has stopped.
+    pub fn busy(&self) -> Result<(u32, u32), Error> {
+        self.ask(Command::Busy)
+    }
+
+    fn ask<T>(&self, command: impl FnOnce(Sender<T>) -> Command) -> Result<T, Error> {
+        let (reply, answer) = mpsc::channel();
+        self.commands.send(command(reply)).map_err(|_| Error::Stopped)?;
+        answer.recv().map_err(|_| Error::Stopped)
+    }
+}
+
+impl Drop for UpstreamStandin {
+    fn drop(&mut self) {
+        let _ = self.commands.send(Command::Stop);
+    }
+}
+
+struct Owner {
+    settings: Settings,
+    address: SocketAddr,
+    mode: Mode,
+    phase: &'static str,
+    ran: IndexMap<String, u32>,
+    busy: u32,
+    most: u32,
+    started: Instant,
+    count: u32,
+}
+
+impl Owner {
+    fn new(settings: Settings, address: SocketAddr) -> Self {
+        Self {
+            settings,
+            address,
+            mode: Mode::Well,
+            phase: "serving",
+            ran: IndexMap::new(),
+            busy: 0,
+            most: 0,
+            started: Instant::now(),
+            count: 0,
+        }
+    }
+
+    fn run(mut self, commands: &Receiver<Command>) {
+        let mut next = Instant::now();
+        loop {
+            let now = Instant::now();
+            if now >= next {
+                self.announce();
+                next = now + ANNOUNCE;
+            }
+            match commands.recv_timeout(next.saturating_duration_since(now)) {
+                Ok(Command::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(Command::Phase(phase)) => {
+                    self.phase = phase;
+                    next = now;
+                }
+                Ok(command) => self.handle(command),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Begin(id, reply) => {
+                let mode = self.current_mode();
+                if mode != Mode::Sheds {
+                    *self.ran.entry(id).or_default() += 1;
+                }
+                self.busy += 1;
+                self.most = self.most.max(self.busy);
+                let _ = reply.send(mode);
+            }
+            Command::End => self.busy -= 1,
+            Command::Mode(mode) => {
+                self.mode = mode;
+                self.started = Instant::now();
+            }
+            Command::Ran(reply) => drop(reply.send(self.ran.clone())),
+            Command::Busy(reply) => drop(reply.send((self.busy, self.most))),
+            Command::Phase(_) | Command::Stop => {}
+        }
+    }
+
+    /// Returns the mode for the next request.
+    fn current_mode(&mut self) -> Mode {
+        self.count = self.count.wrapping_add(1);
+        match self.mode {
+            // Evenly spread, so that runs are repeatable.
+            Mode::Fails(percent) => {
+                let fails = self.count.wrapping_mul(37) % 100 < percent;
+                if fails { Mode::Fails(100) } else { Mode::Well }
+            }
+            Mode::Flaps(turn) => {
+                let turns = self.started.elapsed().as_millis() / turn.as_millis().max(1);
+                if turns.is_multiple_of(2) { Mode::Fails(100) } else { Mode::Well }
+            }
+            mode => mode,
+        }
+    }
+
+    fn announce(&self) {
+        let body = json!({
+            "id": self.settings.id,
+            "service": self.settings.service,
+            "address": self.address.to_string(),
+            "slots": self.settings.slots,
+            "phase": self.phase,
+            "lease_ms": LEASE_MS,
+        });
+        let url = format!("http://{}/v1/upstreams", self.settings.node);
+        // A node that is down is announced to again soon.
+        let call = ureq::post(url).config().timeout_global(Some(ANNOUNCE * 2)).build();
+        let _ = call.send(body.to_string());
+    }
+}
+
+fn serve(stream: TcpStream, commands: &Sender<Command>, work: Duration) -> Result<(), Error> {
+    let peer = stream.peer_addr()?;
+    stream.set_nodelay(true)?;
+    let mut writer = stream.try_clone()?;
+    let mut reader = BufReader::new(stream);
+    while let Some(head) = Head::read(&mut reader, peer)? {
+        if head.target.starts_with("/healthz") {
+            answer(&mut writer, 200, &[], b"ok")?;
+            continue;
+        }
+        let id = head.header("lavenderflow-request-id").unwrap_or_default().to_owned();
+        let (reply, mode) = mpsc::channel();
+        commands.send(Command::Begin(id.clone(), reply)).map_err(|_| Error::Stopped)?;
+        let mode = mode.recv().map_err(|_| Error::Stopped)?;
+        let result = run(&head, &id, mode, work, &mut reader, &mut writer, peer);
+        commands.send(Command::End).map_err(|_| Error::Stopped)?;
+        result?;
+    }
+    Ok(())
+}
+
+fn run(
+    head: &Head,
+    id: &str,
+    mode: Mode,
+    work: Duration,
+    reader: &mut BufReader<TcpStream>,
+    writer: &mut TcpStream,
+    peer: SocketAddr,
+) -> Result<(), Error> {
+    let (length, sum) = head.read_body(reader, peer)?;
+    let work = head.number("work_ms").map_or(work, Duration::from_millis);
+    let size = head.number("size").unwrap_or(DEFAULT_SIZE);
+    let body = body(id, size);
+    let fields = [("standin-id", id.to_owned()), ("standin-received", format!("{length}-{sum}"))];
+    match mode {
+        Mode::Sheds => {
+            return answer(writer, 503, &[("lavenderflow-outcome", "not-run".to_owned())], b"");
+        }
+        Mode::Stuck => thread::sleep(STUCK),
+        Mode::Slow(factor) => thread::sleep(work * factor),
+        _ => thread::sleep(work),
+    }
+    match mode {
+        Mode::Fails(_) => answer(writer, 500, &fields, b"failed"),
+        Mode::FailsMethod(method) if method == head.method => {
+            answer(writer, 500, &fields, b"failed")
+        }
+        Mode::Truncates | Mode::Stalls => {
+            write_head(writer, 200, &fields, body.len())?;
+            writer.write_all(&body[..body.len() / 2])?;
+            if mode == Mode::Stalls {
+                thread::sleep(STUCK);
+            }
+            Ok(writer.shutdown(Shutdown::Both)?)
+        }
+        Mode::Vanishes => Ok(writer.shutdown(Shutdown::Both)?),
+        _ => answer(writer, 200, &fields, &body),
+    }
+}
+
+/// Returns the answer's body: the request's id over and over.
+pub fn body(id: &str, size: u64) -> Vec<u8> {
+    let size = usize::try_from(size).unwrap_or(usize::MAX);
+    let pattern = if id.is_empty() { "-" } else { id };
+    pattern.bytes().cycle().take(size).collect()
+}
+
+fn answer(
+    writer: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, String)],
+    body: &[u8],
+) -> Result<(), Error> {
+    write_head(writer, status, fields, body.len())?;
+    for piece in body.chunks(PIECE) {
+        writer.write_all(piece)?;
+    }
+    Ok(())
+}
+
+fn write_head(
+    writer: &mut TcpStream,
+    status: u16,
+    fields: &[(&str, String)],
+    length: usize,
+) -> Result<(), Error> {
+    let mut head = format!("HTTP/1.1 {status} status\r\ncontent-length: {length}\r\n");
+    for (name, value) in fields {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    Ok(writer.write_all(head.as_bytes())?)
+}
