--- a/crates/lavenderflow/src/actor/lifecycle.rs
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -1,7 +1,5 @@
 //! Owns the life cycle of the node and carries out a graceful stop.
 
-use std::sync::Arc;
-
 use lavenderflow_core::node::{AnyNode, Node};
 use stakker::{Actor, CX, StopCause, after, call, fwd_to};
 use tokio::sync::oneshot;
@@ -11,6 +9,7 @@
 use super::gate::GateActor;
 use crate::prelude::*;
 use crate::status::Status;
+use crate::work::Work;
 
 /// Interval at which a stopping node looks whether it is done.
 const CHECK: Duration = Duration::from_millis(50);
@@ -30,8 +29,7 @@
 pub struct LifecycleActor {
     node: AnyNode,
     parts: Parts,
-    work: Arc<()>,
-    spare: usize,
+    work: Work,
     linger: Duration,
     idle: Option<Instant>,
     requests: usize,
@@ -39,11 +37,10 @@
 }
 
 impl LifecycleActor {
-    /// Starts the actor. Clones of `work` beyond those that exist now stand for unfinished work.
-    pub fn init(_: CX![], parts: Parts, work: Arc<()>, linger: Duration) -> Option<Self> {
+    /// Starts the actor; a stop waits until `work` is finished.
+    pub fn init(_: CX![], parts: Parts, work: Work, linger: Duration) -> Option<Self> {
         let node = AnyNode::Serving(Node::new().serve());
-        let spare = Arc::strong_count(&work);
-        Some(Self { node, parts, work, spare, linger, idle: None, requests: 0, running: 0 })
+        Some(Self { node, parts, work, linger, idle: None, requests: 0, running: 0 })
     }
 
     /// Begins a graceful stop.
@@ -89,8 +86,7 @@
 
     /// Stops the node once nothing has been in flight for the lingering time.
     fn check(&mut self, cx: CX![]) {
-        let unfinished = Arc::strong_count(&self.work).saturating_sub(self.spare);
-        let is_idle = self.requests == 0 && self.running == 0 && unfinished == 0;
+        let is_idle = self.requests == 0 && self.running == 0 && self.work.unfinished() == 0;
         let idle = self.idle.filter(|_| is_idle);
         self.idle = idle.or_else(|| is_idle.then(|| cx.now()));
         if idle.is_some_and(|since| cx.now() >= since + self.linger) {
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -3,7 +3,6 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, Read};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::thread;
 
 use bytes::Bytes;
@@ -20,6 +19,7 @@
 use crate::net::drive::{Reply, Request};
 use crate::net::endpoint::{Command, Network};
 use crate::prelude::*;
+use crate::work::Work;
 use crate::workers::Workers;
 
 /// Bodies up to this size are read whole before the request is served, in bytes.
@@ -40,8 +40,8 @@
     pub mailbox: Mailbox,
     /// To the network task.
     pub network: Network,
-    /// Stands for work that a graceful stop waits for.
-    pub work: Arc<()>,
+    /// Counts what a graceful stop waits for.
+    pub work: Work,
     /// Where refused callers can go.
     pub next: watch::Receiver<String>,
 }
@@ -97,7 +97,7 @@
 }
 
 fn serve(context: &Context, mut request: tiny_http::Request) {
-    let _work = Arc::clone(&context.work);
+    let _piece = context.work.begin();
     let headers = headers(&request);
     let id = header::find(&headers, header::REQUEST_ID).map(str::to_owned);
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod store;
 pub mod upstream;
 pub mod watcher;
+pub mod work;
 pub mod workers;
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -196,7 +196,7 @@
         let context = context.clone();
         tokio::spawn(async move {
             if let Ok(Some(Body::Begin(begin))) = source.receive().await {
-                let _work = context.work.clone();
+                let _piece = context.work.begin();
                 let _ = serve::serve_gate(&context, begin, sink, source).await;
             }
         });
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -1,7 +1,6 @@
 //! The QUIC endpoint and what all tasks on the network thread share.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use lavenderflow_core::gossip::{Exchange, Position};
 use lavenderflow_schema::wire::frame::Body;
@@ -15,6 +14,7 @@
 use crate::error::NodeError;
 use crate::prelude::*;
 use crate::upstream::Call;
+use crate::work::Work;
 
 /// Commands that can wait for the network task.
 const CAPACITY: usize = 4096;
@@ -57,8 +57,8 @@
     pub connector: Connector,
     /// To the threads that call upstreams.
     pub calls: mpsc::Sender<Call>,
-    /// Each clone stands for work that a graceful stop waits for.
-    pub work: Arc<()>,
+    /// Counts what a graceful stop waits for.
+    pub work: Work,
     /// Interval of pings.
     pub ping: Duration,
 }
@@ -78,8 +78,8 @@
     pub mailbox: Mailbox,
     /// To the threads that call upstreams.
     pub calls: mpsc::Sender<Call>,
-    /// Stands for work that a graceful stop waits for.
-    pub work: Arc<()>,
+    /// Counts what a graceful stop waits for.
+    pub work: Work,
     /// Interval of pings.
     pub ping: Duration,
 }
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -32,7 +32,7 @@
     sink: Sink,
     source: Source,
 ) -> Result<(), LinkError> {
-    let _work = context.work.clone();
+    let _piece = context.work.begin();
     match begin.purpose() {
         Purpose::Dispatch => serve_gate(context, begin, sink, source).await,
         Purpose::Forward => serve_home(context, begin, sink, source).await,
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -33,6 +33,7 @@
 use crate::store::Store;
 use crate::upstream::{Call, CallEvent, Caller};
 use crate::watcher::Watcher;
+use crate::work::Work;
 use crate::workers::Workers;
 
 /// Longest sleep of the main loop.
@@ -53,7 +54,7 @@
     let clock: SharedClock = Arc::new(SystemClock);
     let (mailbox, messages) = Mailbox::new();
     let (network, commands) = endpoint::channel();
-    let work = Arc::new(());
+    let work = Work::default();
     let (next, next_nodes) = watch::channel(String::new());
     let statsd = counter::statsd(settings.statsd.first().copied())?;
     start_network(settings, &clock, &mailbox, commands, &work)?;
@@ -61,7 +62,7 @@
         name: settings.name.clone(),
         mailbox: mailbox.clone(),
         network: network.clone(),
-        work: Arc::clone(&work),
+        work: work.clone(),
         next: next_nodes,
     };
     let workers = usize::try_from(settings.workers).unwrap_or(usize::MAX);
@@ -112,7 +113,7 @@
     clock: &SharedClock,
     mailbox: &Mailbox,
     commands: mpsc::Receiver<Command>,
-    work: &Arc<()>,
+    work: &Work,
 ) -> Result<(), NodeError> {
     let keys = key::load(&settings.authority, &settings.certificate, &settings.key)?;
     let (calls, queue) = mpsc::channel(CALL_QUEUE);
@@ -124,7 +125,7 @@
         clock: Arc::clone(clock),
         mailbox: mailbox.clone(),
         calls,
-        work: Arc::clone(work),
+        work: work.clone(),
         ping: settings.ping,
     };
     let (bound, is_bound) = oneshot::channel();
@@ -189,7 +190,7 @@
         clock: &SharedClock,
         fleet: fleet::Setup,
         statsd: cadence::StatsdClient,
-        work: Arc<()>,
+        work: Work,
     ) -> Self {
         let mut stakker = Stakker::new(clock.now());
         let s = &mut stakker;
--- a/crates/lavenderflow/tests/common/mod.rs
+++ b/crates/lavenderflow/tests/common/mod.rs
@@ -114,23 +114,43 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> Option<Seen> {
+    try_call(agent, method, url, headers, body).ok()
+}
+
+/// Sends a request and returns the whole answer.
+pub fn try_call(
+    agent: &Agent,
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Result<Seen, ureq::Error> {
     let mut builder = ureq::http::Request::builder().method(method).uri(url);
     for (name, value) in headers {
         builder = builder.header(*name, *value);
     }
     let response = if body.is_empty() {
-        agent.run(builder.body(()).expect("a valid request"))
+        agent.run(builder.body(())?)
     } else {
-        agent.run(builder.body(body.to_owned()).expect("a valid request"))
+        agent.run(builder.body(body.to_owned())?)
     };
-    let mut response = response.ok()?;
+    let mut response = response?;
     let fields = response.headers().iter();
     let headers = fields
         .map(|(name, value)| (name.to_string(), value.to_str().unwrap_or_default().to_owned()))
         .collect();
     let status = response.status().as_u16();
-    let body = response.body_mut().with_config().limit(u64::MAX).read_to_vec().ok()?;
-    Some(Seen { status, headers, body })
+    let body = response.body_mut().with_config().limit(u64::MAX).read_to_vec()?;
+    Ok(Seen { status, headers, body })
+}
+
+/// Tells whether a request certainly never reached a node.
+pub fn is_refused_connection(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Io(fault) => fault.kind() == std::io::ErrorKind::ConnectionRefused,
+        ureq::Error::ConnectionFailed => true,
+        _ => false,
+    }
 }
 
 impl Site {
--- a/crates/lavenderflow/tests/input.rs
+++ b/crates/lavenderflow/tests/input.rs
@@ -14,6 +14,9 @@
 use lavenderflow_standins::fleet::{NodeProcess, NodeSettings, free_udp_port, wait_until};
 use quinn::{Connection, Endpoint};
 
+/// Method, path, headers, status and reason.
+type Case<'a> = (&'a str, &'a str, &'a [(&'a str, &'a str)], u16, &'a str);
+
 fn raw(address: SocketAddr, text: &str) -> String {
     let mut stream = TcpStream::connect(address).expect("a connection");
     stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a timeout");
@@ -32,7 +35,7 @@
 fn bad_requests_are_refused_and_counted() {
     let site = Site::start(Plan::default());
     let long = "a".repeat(20_000);
-    let cases: [(&str, &str, &[(&str, &str)], u16, &str); 6] = [
+    let cases: [Case; 6] = [
         ("GET", "/work", &[("x-long", &long)], 431, "headers-too-large"),
         ("POST", "/work", &[("lavenderflow-ticket", "nonsense")], 400, "ticket-invalid"),
         ("POST", "/work", &[("lavenderflow-ticket", "1-2-3-4")], 400, "ticket-invalid"),
--- /dev/null
+++ b/crates/lavenderflow/tests/membership.rs
@@ -0,0 +1,72 @@
+//! Nodes learn of each other's arrival, leaving and death, also without the store.
+
+mod common;
+
+use common::{Plan, Site, gate_count};
+use lavenderflow_standins::fleet::{NodeProcess, wait_until};
+use lavenderflow_standins::proxy::Direction;
+use lavenderflow_standins::store::Mode;
+
+const ZONES: [&str; 5] = ["zone-a", "zone-a", "zone-b", "zone-b", "zone-c"];
+
+/// Returns the names of the members in this state, as one node sees them.
+fn members(node: &NodeProcess, state: &str) -> Vec<String> {
+    let Some(status) = node.status() else { return Vec::new() };
+    let members = status["members"].as_array().cloned().unwrap_or_default();
+    let members = members.iter().filter(|member| member["state"] == state);
+    members.filter_map(|member| Some(member["name"].as_str()?.to_owned())).collect()
+}
+
+#[test]
+fn death_and_return_are_seen_by_all_while_the_store_is_down() {
+    let mut site = Site::start(Plan { zones: ZONES.to_vec(), ..Plan::default() });
+    site.store.set_mode(Mode::Down);
+    site.nodes[3].kill().expect("a kill");
+    let others = [0, 1, 2, 4];
+    wait_until("all others have expelled the dead node", || {
+        others.iter().all(|node| members(&site.nodes[*node], "expelled") == ["vm-3"])
+    })
+    .expect("an expulsion");
+    site.restart_node(3);
+    wait_until("all nodes see all nodes alive", || {
+        site.nodes.iter().all(|node| members(node, "alive").len() == ZONES.len())
+    })
+    .expect("a return");
+    wait_until("its upstream is back", || site.nodes.iter().all(|n| gate_count(n) == ZONES.len()))
+        .expect("all gates");
+}
+
+#[test]
+fn a_one_way_cut_expels_nobody_whom_others_hear() {
+    let site = Site::start(Plan { zones: ZONES.to_vec(), proxied: true, ..Plan::default() });
+    let peer = site.nodes[0].settings.peers;
+    site.proxies[1].cut(peer, Direction::In);
+    site.proxies[0].cut(site.nodes[1].settings.peers, Direction::Out);
+    // Many times as long as a death takes to be seen.
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(5);
+    while std::time::Instant::now() < end {
+        for node in &site.nodes {
+            assert_eq!(members(node, "expelled"), Vec::<String>::new());
+        }
+    }
+    // Requests through the cut node go elsewhere.
+    for _ in 0..50 {
+        let seen = site.call(0, "GET", "/work", &[], "").expect("an answer");
+        assert_eq!(seen.status, 200, "{}", seen.reason());
+    }
+}
+
+#[test]
+fn the_store_is_not_asked_more_by_more_nodes() {
+    let calls = |zones: Vec<&'static str>| {
+        let site = Site::start(Plan { zones, upstreams: 0, ..Plan::default() });
+        // The watchers have settled; count what they need from now on.
+        std::thread::sleep(std::time::Duration::from_secs(2));
+        let before = site.store.calls().expect("a count");
+        std::thread::sleep(std::time::Duration::from_secs(12));
+        site.store.calls().expect("a count") - before
+    };
+    let (few, many) = (calls(vec!["zone-a"; 3]), calls(vec!["zone-a"; 12]));
+    // Both have two delegates, each with a watch of five seconds and a review of ten.
+    assert!(many <= few + 4, "{few} calls with 3 nodes, {many} with 12");
+}
--- /dev/null
+++ b/crates/lavenderflow/tests/stop.rs
@@ -0,0 +1,186 @@
+//! Planned stops cut nobody off, and a leaving upstream gets no new work.
+
+mod common;
+
+use std::io::Read;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::{Plan, Site, agent, gate_count, is_refused_connection, try_call};
+use lavenderflow_standins::fleet::wait_until;
+
+/// A body that comes a little at a time.
+struct Trickle {
+    left: usize,
+    pause: Duration,
+}
+
+impl Read for Trickle {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        const PIECE: usize = 2048;
+        thread::sleep(self.pause);
+        let count = self.left.min(PIECE).min(buffer.len());
+        buffer[..count].fill(1);
+        self.left -= count;
+        Ok(count)
+    }
+}
+
+/// Uploads slowly and returns what the upstream received.
+fn trickle(url: String, size: usize, pause: Duration) -> thread::JoinHandle<Option<String>> {
+    thread::spawn(move || {
+        let body = ureq::SendBody::from_owned_reader(Trickle { left: size, pause });
+        let builder = ureq::http::Request::builder().method("POST").uri(url);
+        let request = builder.header("content-length", size.to_string()).body(body).ok()?;
+        let response = agent().run(request).ok()?;
+        let received = response.headers().get("standin-received")?;
+        Some(received.to_str().ok()?.to_owned())
+    })
+}
+
+fn stop_during_upload(stopped: usize, entry: usize, only_gate: Option<usize>) {
+    const SIZE: usize = 200_000;
+    let mut site = Site::start(Plan::default());
+    if let Some(gate) = only_gate {
+        for (index, upstream) in site.upstreams.iter().enumerate().filter(|(i, _)| *i != gate) {
+            upstream.set_phase("leaving");
+            let node = &site.nodes[index];
+            wait_until("the upstream has left", || {
+                node.status().is_some_and(|s| s["upstreams"].as_array().is_some_and(Vec::is_empty))
+            })
+            .expect("a leaving upstream");
+        }
+        wait_until("one gate is left", || gate_count(&site.nodes[entry]) == 1).expect("a gate");
+    }
+    // About four seconds.
+    let upload = trickle(site.nodes[entry].url("/work"), SIZE, Duration::from_millis(40));
+    wait_until("the upload runs", || {
+        site.upstreams.iter().any(|upstream| upstream.busy().expect("a count").0 > 0)
+    })
+    .expect("an upload");
+    let answer = {
+        let url = site.nodes[entry].url("/work?work_ms=1500&size=400000");
+        thread::spawn(move || try_call(&agent(), "GET", &url, &[], "").ok())
+    };
+    thread::sleep(Duration::from_millis(300));
+    site.nodes[stopped].terminate().expect("a signal");
+    let received = upload.join().expect("a caller");
+    assert_eq!(received, Some(format!("{SIZE}-{SIZE}")));
+    let answer = answer.join().expect("a caller").expect("a whole answer");
+    assert_eq!((answer.status, answer.body.len()), (200, 400_000));
+    let mut status = None;
+    wait_until("the node has stopped", || {
+        status = site.nodes[stopped].exit().expect("a process");
+        status.is_some()
+    })
+    .expect("a stop");
+    assert!(status.is_some_and(|status| status.success()));
+}
+
+#[test]
+fn a_stopping_entry_finishes_its_uploads() {
+    stop_during_upload(0, 0, Some(1));
+}
+
+#[test]
+fn a_stopping_gate_finishes_its_uploads() {
+    stop_during_upload(1, 0, Some(1));
+}
+
+#[test]
+fn a_stopping_node_finishes_uploads_of_its_own_upstreams() {
+    stop_during_upload(0, 0, Some(0));
+}
+
+/// What a caller that follows refusals saw.
+#[derive(Debug, Default)]
+struct Tally {
+    served: u32,
+    refused: u32,
+    faults: Vec<String>,
+}
+
+/// Calls nodes in turn until told to stop; a refused request goes to the next node.
+fn caller(urls: Vec<String>, number: usize, stop: Arc<AtomicBool>) -> thread::JoinHandle<Tally> {
+    thread::spawn(move || {
+        let (agent, mut tally) = (agent(), Tally::default());
+        let mut node = number;
+        let method = if number.is_multiple_of(2) { "GET" } else { "POST" };
+        while !stop.load(Ordering::Relaxed) {
+            let url = &urls[node % urls.len()];
+            match try_call(&agent, method, url, &[], "") {
+                Ok(seen) if seen.status == 200 => tally.served += 1,
+                Ok(seen) if seen.outcome() == "not-run" => {
+                    tally.refused += 1;
+                    node += 1;
+                }
+                Ok(seen) => tally.faults.push(format!("{} {}", seen.status, seen.reason())),
+                Err(error) if is_refused_connection(&error) => node += 1,
+                Err(error) => tally.faults.push(error.to_string()),
+            }
+        }
+        tally
+    })
+}
+
+#[test]
+fn a_rolling_restart_under_load_cuts_nobody_off() {
+    let mut site = Site::start(Plan::default());
+    let urls: Vec<String> = site.nodes.iter().map(|node| node.url("/work")).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> =
+        (0..8).map(|number| caller(urls.clone(), number, Arc::clone(&stop))).collect();
+    for node in 0..3 {
+        thread::sleep(Duration::from_millis(300));
+        site.nodes[node].terminate().expect("a signal");
+        let mut status = None;
+        wait_until("the node has stopped", || {
+            status = site.nodes[node].exit().expect("a process");
+            status.is_some()
+        })
+        .expect("a stop");
+        assert!(status.is_some_and(|status| status.success()));
+        site.restart_node(node);
+        site.wait_ready();
+    }
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        let tally = caller.join().expect("a caller");
+        assert_eq!(tally.faults, Vec::<String>::new(), "{tally:?}");
+        assert!(tally.served > 0);
+    }
+}
+
+#[test]
+fn a_leaving_upstream_gets_no_new_work() {
+    let site = Site::start(Plan::default());
+    let urls: Vec<String> = site.nodes.iter().map(|node| node.url("/work")).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> =
+        (0..8).map(|number| caller(urls.clone(), number, Arc::clone(&stop))).collect();
+    thread::sleep(Duration::from_millis(300));
+    site.upstreams[0].set_phase("leaving");
+    let told = Instant::now();
+    let count = || site.upstreams[0].ran().expect("a record").values().sum::<u32>();
+    // The promise is "a few seconds".
+    thread::sleep(Duration::from_secs(3).saturating_sub(told.elapsed()));
+    let after = count();
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(count(), after);
+    stop.store(true, Ordering::Relaxed);
+    for caller in callers {
+        assert_eq!(caller.join().expect("a caller").faults, Vec::<String>::new());
+    }
+}
+
+#[test]
+fn an_upstream_that_falls_silent_gets_no_new_work() {
+    let mut site = Site::start(Plan::default());
+    site.upstreams.remove(0);
+    wait_until("its announcement has lapsed everywhere", || {
+        site.nodes.iter().all(|node| gate_count(node) == 2)
+    })
+    .expect("two gates");
+}
