Explore the orders of events around a ticket, and test the decisions by tables

It finds each of four rules when it is left out: burn before refusal, the window of attempts, and the incarnations of gate and home. The third was missing: a late copy of an attempt ran again on a gate that had been restarted. QUIC streams do not carry over to another process, so no run of real processes shows it; another front end might. Attempts now name the run of the gate's process that they are meant for. Ruled out: remembering attempts across restarts, as nodes keep nothing.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -7,10 +7,10 @@
 
 use crate::budget::Budget;
 use crate::choice::Chooser;
-use crate::gate::Offered;
 use crate::ledger::{Claim, Ledger};
 use crate::prelude::*;
 use crate::request::{Arrival, Conclusion, EntryAction, Plan, Report};
+use crate::roster::Member;
 use crate::route::Router;
 use crate::ticket::StoredAnswer;
 use crate::witness::Observation;
@@ -67,7 +67,7 @@
     flights: IndexMap<RequestId, Flight>,
     waiting: IndexMap<RequestId, TicketId>,
     forwarded: IndexSet<RequestId>,
-    homes: IndexSet<NodeId>,
+    nodes: IndexMap<NodeId, Incarnation>,
     next_attempt: Serial,
     draining: bool,
 }
@@ -94,7 +94,7 @@
             flights: IndexMap::new(),
             waiting: IndexMap::new(),
             forwarded: IndexSet::new(),
-            homes: IndexSet::new(),
+            nodes: IndexMap::new(),
             next_attempt: 1,
             draining: false,
         }
@@ -119,15 +119,16 @@
         }
     }
 
-    /// Takes in what a node offers; nothing when it is leaving.
-    pub fn set_node(&mut self, node: NodeId, zone: &ZoneName, offers: &[Offered], expelled: bool) {
-        self.homes.insert(node);
-        self.chooser.set_node(node, zone, offers, expelled);
+    /// Takes in a node's record; its offers do not count when it is leaving.
+    pub fn set_node(&mut self, member: &Member, expelled: bool) {
+        self.nodes.insert(member.node, member.incarnation);
+        let offers = if member.leaving { &[] } else { member.offers.as_slice() };
+        self.chooser.set_node(member.node, &member.zone, offers, expelled);
     }
 
     /// Forgets a node.
     pub fn remove_node(&mut self, node: NodeId) {
-        self.homes.swap_remove(&node);
+        self.nodes.swap_remove(&node);
         self.chooser.remove_node(node);
     }
 
@@ -224,7 +225,10 @@
                 self.flights.insert(request, flight);
                 Vec::new()
             }
-            Report::Refused(Reason::Duplicate, _) => self.lose(&flight, Reason::Duplicate),
+            // Another copy of the attempt may have run.
+            Report::Refused(reason @ (Reason::Duplicate | Reason::Outdated), _) => {
+                self.retry_lost(flight, reason, now)
+            }
             Report::Refused(reason, _) => self.retry_refused(flight, reason, now),
             Report::Unreachable => self.retry_refused(flight, Reason::Unreachable, now),
             Report::Answered { status, answer, .. } => self.answered(flight, status, answer, now),
@@ -323,7 +327,7 @@
 
     fn forward(&mut self, flight: &Flight, ticket: TicketId) -> Vec<EntryAction> {
         let request = flight.arrival.request;
-        if flight.arrival.forwarded || !self.homes.contains(&ticket.home) {
+        if flight.arrival.forwarded || !self.nodes.contains_key(&ticket.home) {
             return conclude(request, Outcome::Unknown, Reason::HomeLost);
         }
         self.forwarded.insert(request);
@@ -380,7 +384,8 @@
         };
         let (request, ticket) = (flight.arrival.request, flight.ticket);
         self.flights.insert(request, flight);
-        vec![EntryAction::Dispatch { request, attempt, ticket, gate, plan, retry }]
+        let incarnation = self.nodes.get(&gate).copied().unwrap_or_default();
+        vec![EntryAction::Dispatch { request, attempt, ticket, gate, incarnation, plan, retry }]
     }
 
     /// Updates the load and the evidence about the path.
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -21,6 +21,8 @@
 pub struct Offer {
     /// The attempt.
     pub attempt: AttemptId,
+    /// The run of the gate's process that the attempt is meant for.
+    pub incarnation: Incarnation,
     /// The service.
     pub service: ServiceName,
     /// Whether it is long work.
@@ -114,6 +116,7 @@
 #[derive(Debug)]
 pub struct Gate {
     clock: SharedClock,
+    incarnation: Incarnation,
     upstreams: IndexMap<UpstreamId, AnyUpstream>,
     services: IndexMap<ServiceName, ServiceState>,
     offers: IndexMap<AttemptId, (Offer, Instant)>,
@@ -124,10 +127,11 @@
 }
 
 impl Gate {
-    /// Creates a gate without upstreams.
-    pub fn new(clock: SharedClock) -> Self {
+    /// Creates the gate of one run of a node's process, without upstreams.
+    pub fn new(incarnation: Incarnation, clock: SharedClock) -> Self {
         Self {
             clock,
+            incarnation,
             upstreams: IndexMap::new(),
             services: IndexMap::new(),
             offers: IndexMap::new(),
@@ -159,6 +163,9 @@
     /// Decides on an attempt: starts it, queues it or refuses it.
     pub fn offer(&mut self, offer: Offer) -> Vec<GateAction> {
         let now = self.clock.now();
+        if !offer.idempotent && offer.incarnation != self.incarnation {
+            return vec![self.refusal(&offer, Reason::Outdated)];
+        }
         if !offer.idempotent && !self.window.accept(offer.attempt) {
             return vec![self.refusal(&offer, Reason::Duplicate)];
         }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -71,6 +71,8 @@
     HeadersTooLarge = "headers-too-large", 431;
     /// The ticket's home cannot be reached.
     HomeLost = "home-lost", 502;
+    /// The attempt was meant for an earlier run of the gate's process.
+    Outdated = "outdated", 502;
     /// The node or the upstream is leaving.
     Leaving = "leaving", 503;
     /// The gate stayed silent.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -71,6 +71,8 @@
         ticket: Option<TicketId>,
         /// The gate.
         gate: NodeId,
+        /// The run of the gate's process that the attempt is meant for.
+        incarnation: Incarnation,
         /// How the gate must treat it.
         plan: Plan,
         /// Why an earlier attempt ended, when this one repeats it.
--- /dev/null
+++ b/crates/core/tests/entry.rs
@@ -0,0 +1,236 @@
+//! What the entry tells callers, by what happened to the attempts.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lavenderflow_core::clock::{ManualClock, SharedClock};
+use lavenderflow_core::entry::Entry;
+use lavenderflow_core::id::TicketId;
+use lavenderflow_core::load::{Condition, Load};
+use lavenderflow_core::reason::{Outcome, Reason};
+use lavenderflow_core::request::{Arrival, Conclusion, EntryAction, Report};
+use lavenderflow_core::ticket::StoredAnswer;
+use support::{arrival, clock, dispatched, entry, member, offered};
+
+fn world(gates: u64) -> (Entry, Arc<ManualClock>) {
+    let clock = clock();
+    let shared: SharedClock = clock.clone();
+    let mut entry = entry(1, 10, &shared, 3);
+    for node in 2..2 + gates {
+        entry.set_node(&member(node, node, vec![offered(4, Condition::Well, 0.0)]), false);
+    }
+    (entry, clock)
+}
+
+fn whole(status: u16) -> Report {
+    let answer = StoredAnswer { status, headers: vec![], body: "a".into() };
+    Report::Answered { status, load: None, answer: Some(Arc::new(answer)) }
+}
+
+/// Sends a request and answers each attempt with the next report.
+fn play(entry: &mut Entry, arrival: Arrival, reports: &[Report]) -> (usize, Vec<EntryAction>) {
+    let request = arrival.request;
+    let mut actions = entry.begin(arrival);
+    let mut attempts = 0;
+    for report in reports {
+        if dispatched(&actions).is_some() {
+            attempts += 1;
+        }
+        actions = entry.report(request, report.clone());
+    }
+    (attempts, actions)
+}
+
+fn conclusion(actions: &[EntryAction]) -> Option<&Conclusion> {
+    actions.iter().find_map(|action| match action {
+        EntryAction::Conclude { conclusion, .. } => Some(conclusion),
+        _ => None,
+    })
+}
+
+#[test]
+fn outcomes() {
+    let full = || Report::Refused(Reason::QueueFull, Some(Load::default()));
+    let lost = || Report::Lost(Reason::Lost);
+    // Method, reports, attempts, outcome and reason; no outcome when an answer is passed on.
+    let cases: Vec<(&str, Vec<Report>, usize, Option<(Outcome, Reason)>)> = vec![
+        ("GET", vec![whole(200)], 1, None),
+        ("POST", vec![whole(200)], 1, None),
+        ("POST", vec![whole(500)], 1, None),
+        ("GET", vec![whole(500), whole(200)], 2, None),
+        ("GET", vec![lost(), whole(200)], 2, None),
+        ("POST", vec![lost()], 1, Some((Outcome::Unknown, Reason::Lost))),
+        ("POST", vec![full(), whole(200)], 2, None),
+        ("POST", vec![full(), lost()], 2, Some((Outcome::Unknown, Reason::Lost))),
+        ("POST", vec![full(), full(), full()], 3, Some((Outcome::NotRun, Reason::QueueFull))),
+        ("GET", vec![full(), full(), full()], 3, Some((Outcome::NotRun, Reason::QueueFull))),
+        ("POST", vec![Report::Unreachable, whole(200)], 2, None),
+        (
+            "POST",
+            vec![Report::Refused(Reason::Duplicate, None)],
+            1,
+            Some((Outcome::Unknown, Reason::Duplicate)),
+        ),
+        (
+            "POST",
+            vec![Report::Refused(Reason::Outdated, None)],
+            1,
+            Some((Outcome::Unknown, Reason::Outdated)),
+        ),
+        (
+            "POST",
+            vec![Report::Lost(Reason::DeadlinePast)],
+            1,
+            Some((Outcome::Unknown, Reason::DeadlinePast)),
+        ),
+        ("POST", vec![Report::Abandoned], 1, Some((Outcome::Unknown, Reason::CallerGone))),
+    ];
+    for (method, reports, attempts, expected) in cases {
+        let (mut entry, _) = world(5);
+        let (made, actions) = play(&mut entry, arrival(1, method, None), &reports);
+        assert_eq!(made, attempts, "{method} {reports:?}");
+        let told = conclusion(&actions).map(|c| (c.outcome, c.reason));
+        assert_eq!(told, expected, "{method} {reports:?}");
+        let relayed = actions.iter().any(|a| matches!(a, EntryAction::Relay { .. }));
+        assert_eq!(relayed, expected.is_none(), "{method} {reports:?}");
+        assert_eq!(entry.in_flight(), 0, "{method} {reports:?}");
+    }
+}
+
+#[test]
+fn a_refused_ticket_is_burned_and_the_caller_gets_a_fresh_one() {
+    let (mut entry, _) = world(0);
+    let ticket = entry.issue().expect("a ticket");
+    let actions = entry.begin(arrival(1, "POST", Some(ticket)));
+    let told = conclusion(&actions).expect("an end");
+    assert_eq!((told.outcome, told.reason), (Outcome::NotRun, Reason::NoGate));
+    let fresh = told.fresh.expect("a fresh ticket");
+    assert_ne!(fresh, ticket);
+    entry.set_node(&member(2, 2, vec![offered(4, Condition::Well, 0.0)]), false);
+    let actions = entry.begin(arrival(2, "POST", Some(ticket)));
+    let told = conclusion(&actions).expect("an end");
+    assert_eq!((told.outcome, told.reason), (Outcome::NotRun, Reason::TicketRefused));
+    assert!(dispatched(&entry.begin(arrival(3, "POST", Some(fresh)))).is_some());
+}
+
+#[test]
+fn a_ticket_is_burned_also_without_a_route() {
+    let (mut entry, _) = world(3);
+    let ticket = entry.issue().expect("a ticket");
+    entry.set_router(lavenderflow_core::route::Router::default());
+    let actions = entry.begin(arrival(1, "POST", Some(ticket)));
+    assert_eq!(conclusion(&actions).map(|c| c.reason), Some(Reason::NoRoute));
+    entry.set_router(support::router());
+    let actions = entry.begin(arrival(2, "POST", Some(ticket)));
+    assert_eq!(conclusion(&actions).map(|c| c.reason), Some(Reason::TicketRefused));
+}
+
+#[test]
+fn repetitions_wait_for_the_same_answer() {
+    let (mut entry, _) = world(3);
+    let ticket = entry.issue().expect("a ticket");
+    assert!(dispatched(&entry.begin(arrival(1, "POST", Some(ticket)))).is_some());
+    let actions = entry.begin(arrival(2, "POST", Some(ticket)));
+    assert!(matches!(actions.as_slice(), [EntryAction::Wait { request: 2, .. }]));
+    let actions = entry.report(1, whole(201));
+    let told = conclusion(&actions).expect("the second end");
+    assert_eq!(told.answer.as_ref().map(|answer| answer.status), Some(201));
+    assert_eq!(entry.in_flight(), 0);
+}
+
+#[test]
+fn another_request_under_the_same_ticket_is_refused() {
+    let (mut entry, _) = world(3);
+    let ticket = entry.issue().expect("a ticket");
+    entry.begin(arrival(1, "POST", Some(ticket)));
+    let other = Arrival { fingerprint: 8, ..arrival(2, "POST", Some(ticket)) };
+    let told = entry.begin(other);
+    assert_eq!(conclusion(&told).map(|c| c.reason), Some(Reason::TicketMismatch));
+}
+
+#[test]
+fn tickets_of_others_go_to_their_home_or_are_unknown() {
+    let (mut entry, _) = world(3);
+    let known = TicketId { home: 3, incarnation: 3, serial: 1 };
+    let actions = entry.begin(arrival(1, "POST", Some(known)));
+    assert!(matches!(actions.as_slice(), [EntryAction::Forward { home: 3, .. }]));
+    let told = entry.report(1, Report::Lost(Reason::Lost));
+    assert_eq!(conclusion(&told).map(|c| c.outcome), Some(Outcome::Unknown));
+    let gone = TicketId { home: 99, ..known };
+    let told = entry.begin(arrival(2, "POST", Some(gone)));
+    assert_eq!(conclusion(&told).map(|c| c.outcome), Some(Outcome::Unknown));
+    let earlier = TicketId { home: 1, incarnation: 9, serial: 1 };
+    let told = entry.begin(arrival(3, "POST", Some(earlier)));
+    assert_eq!(conclusion(&told).map(|c| c.reason), Some(Reason::TicketExpired));
+}
+
+#[test]
+fn an_old_ticket_expires_and_never_runs() {
+    let (mut entry, clock) = world(3);
+    let ticket = entry.issue().expect("a ticket");
+    clock.advance(Duration::from_secs(700));
+    entry.tick();
+    let told = entry.begin(arrival(1, "POST", Some(ticket)));
+    let told = conclusion(&told).expect("an end");
+    assert_eq!((told.outcome, told.reason), (Outcome::Unknown, Reason::TicketExpired));
+}
+
+#[test]
+fn the_retry_budget_stops_a_storm() {
+    let (mut entry, _) = world(9);
+    let mut attempts = 0;
+    for request in 1..=1000 {
+        let mut actions = entry.begin(arrival(request, "GET", None));
+        while dispatched(&actions).is_some() {
+            attempts += 1;
+            actions = entry.report(request, Report::Refused(Reason::QueueFull, None));
+        }
+    }
+    // A tenth of the requests and what was saved up.
+    assert!(attempts <= 1000 + 100 + 10, "{attempts} attempts");
+}
+
+#[test]
+fn a_body_that_is_on_its_way_is_not_sent_again() {
+    let (mut entry, _) = world(5);
+    let upload = Arrival { whole: false, body_length: None, ..arrival(1, "PUT", None) };
+    let refused = Report::Refused(Reason::QueueFull, None);
+    let (attempts, actions) = play(&mut entry, upload.clone(), &[refused, whole(200)]);
+    assert_eq!((attempts, conclusion(&actions)), (2, None), "nothing had been sent yet");
+    let admitted = Report::Admitted(Load::default());
+    let lost = Report::Lost(Reason::Lost);
+    let second = Arrival { request: 2, ..upload };
+    let (_, actions) = play(&mut entry, second, &[admitted, lost]);
+    assert_eq!(conclusion(&actions).map(|c| c.outcome), Some(Outcome::Unknown));
+}
+
+#[test]
+fn a_draining_entry_refuses_new_requests_and_answers_for_old_ones() {
+    let (mut entry, _) = world(3);
+    let (done, unused) = (entry.issue().expect("a ticket"), entry.issue().expect("a ticket"));
+    play(&mut entry, arrival(1, "POST", Some(done)), &[whole(200)]);
+    entry.drain();
+    let told = entry.begin(arrival(2, "POST", Some(done)));
+    assert_eq!(conclusion(&told).map(|c| c.outcome), Some(Outcome::Ran));
+    for (request, ticket) in [(3, Some(unused)), (4, None)] {
+        let told = entry.begin(arrival(request, "POST", ticket));
+        let told = conclusion(&told).expect("an end");
+        assert_eq!((told.outcome, told.reason), (Outcome::NotRun, Reason::Leaving));
+    }
+}
+
+#[test]
+fn an_organisation_over_its_limit_is_refused() {
+    let (mut entry, _) = world(3);
+    entry.set_limit(&"one".into(), 2);
+    let from =
+        |request| Arrival { organisation: Some("one".into()), ..arrival(request, "GET", None) };
+    assert!(dispatched(&entry.begin(from(1))).is_some());
+    assert!(dispatched(&entry.begin(from(2))).is_some());
+    let told = entry.begin(from(3));
+    assert_eq!(conclusion(&told).map(|c| c.reason), Some(Reason::OrganisationLimit));
+    entry.report(1, whole(200));
+    assert!(dispatched(&entry.begin(from(4))).is_some());
+}
--- /dev/null
+++ b/crates/core/tests/floor.rs
@@ -0,0 +1,137 @@
+//! Ejection never takes the capacity in the choice below its floor.
+
+mod support;
+
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::floor::{Candidate, select};
+use lavenderflow_core::load::{Condition, Load};
+use lavenderflow_core::profile::Profile;
+use lavenderflow_core::reason::Reason;
+use lavenderflow_core::request::Report;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+use support::{arrival, clock, dispatched, entry, member, offered, service};
+
+/// The same cases in every run.
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(20), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config(1000))]
+    #[test]
+    fn selection_keeps_the_floor_and_all_healthy(
+        gates in vec((1_u32..9, any::<bool>(), 0.0_f32..40.0), 1..40),
+        floor in 0.0_f64..1.0,
+    ) {
+        let candidates: Vec<Candidate> = gates
+            .iter()
+            .map(|(slots, suspect, evidence)| Candidate {
+                slots: *slots,
+                suspect: *suspect,
+                evidence: *evidence,
+            })
+            .collect();
+        let chosen = select(&candidates, floor);
+        let total: u32 = candidates.iter().map(|c| c.slots).sum();
+        let pairs = || candidates.iter().zip(&chosen);
+        let kept: u32 = pairs().filter(|(_, is_in)| **is_in).map(|(c, _)| c.slots).sum();
+        prop_assert!(f64::from(kept) >= f64::from(total) * floor);
+        prop_assert!(pairs().all(|(c, is_in)| c.suspect || *is_in));
+        // No suspect is in while one with less evidence is out.
+        let worst_in = pairs().filter(|(c, i)| c.suspect && **i).map(|(c, _)| c.evidence);
+        let best_out = pairs().filter(|(_, i)| !**i).map(|(c, _)| c.evidence);
+        let worst_in = worst_in.fold(0.0, f32::max);
+        prop_assert!(best_out.fold(f32::MAX, f32::min) >= worst_in);
+    }
+}
+
+/// What can happen to the gates of a service.
+#[derive(Clone, Debug)]
+enum Event {
+    Condition(u64, Condition, f32),
+    Expelled(u64, bool),
+    Load(Condition, u64),
+    Unreachable,
+    Lost,
+    Served,
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let condition =
+        || prop_oneof![Just(Condition::Well), Just(Condition::Ejected), Just(Condition::Trial)];
+    prop_oneof![
+        (2_u64..12, condition(), 0.0_f32..30.0).prop_map(|(n, c, e)| Event::Condition(n, c, e)),
+        (2_u64..12, any::<bool>()).prop_map(|(n, e)| Event::Expelled(n, e)),
+        (condition(), 0_u64..5000).prop_map(|(c, ms)| Event::Load(c, ms)),
+        Just(Event::Unreachable),
+        Just(Event::Lost),
+        Just(Event::Served),
+        (0_u64..3000).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config(200))]
+    #[test]
+    fn an_entry_keeps_the_floor_whatever_it_hears(
+        events in vec(event(), 1..120),
+        floor in 0.1_f64..0.95,
+        seed in any::<u64>(),
+    ) {
+        const SLOTS: u32 = 4;
+        let clock = clock();
+        let shared: SharedClock = clock.clone();
+        let mut entry = entry(1, 1, &shared, seed);
+        let mut profile = Profile::default();
+        profile.caution.floor = floor;
+        entry.set_profile(&service(), profile);
+        let mut members: Vec<_> = (2..12)
+            .map(|node| (member(node, node, vec![offered(SLOTS, Condition::Well, 0.0)]), false))
+            .collect();
+        members.iter().for_each(|(member, expelled)| entry.set_node(member, *expelled));
+        for (request, event) in (1..).zip(events) {
+            let report = match event {
+                Event::Condition(node, condition, evidence) => {
+                    let (member, expelled) = &mut members[node as usize - 2];
+                    member.offers = vec![offered(SLOTS, condition, evidence)];
+                    entry.set_node(member, *expelled);
+                    continue;
+                }
+                Event::Expelled(node, is_expelled) => {
+                    let (member, expelled) = &mut members[node as usize - 2];
+                    *expelled = is_expelled;
+                    entry.set_node(member, is_expelled);
+                    continue;
+                }
+                Event::Pass(ms) => {
+                    clock.advance(Duration::from_millis(ms));
+                    entry.tick();
+                    continue;
+                }
+                Event::Load(condition, ms) => {
+                    let pace = Duration::from_millis(ms);
+                    let load = Load { pace, condition, evidence: 20.0, slots: SLOTS, ..Load::default() };
+                    Report::Refused(Reason::QueueFull, Some(load))
+                }
+                Event::Unreachable => Report::Unreachable,
+                Event::Lost => Report::Lost(Reason::Lost),
+                Event::Served => Report::Answered { status: 204, load: None, answer: None },
+            };
+            let mut actions = entry.begin(arrival(request, "GET", None));
+            // The choice was just made for this request.
+            for (_, pool) in entry.chooser().pools() {
+                let total: u32 = pool.gates().map(|(gate, _)| gate.slots).sum();
+                let chosen = pool.gates().filter(|(_, is_in)| *is_in);
+                let kept: u32 = chosen.map(|(gate, _)| gate.slots).sum();
+                prop_assert!(f64::from(kept) >= f64::from(total) * floor);
+            }
+            while dispatched(&actions).is_some() {
+                actions = entry.report(request, report.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/model.rs
@@ -0,0 +1,355 @@
+//! Explores all orders of events around one ticket up to a depth.
+//!
+//! The model: one home, two gates, three copies of one request under one ticket. Each message can
+//! be delivered late, twice or never; the home and the gates can crash and start again; the home
+//! can give up an attempt; a reconfiguration can make the home refuse. The state machines are the
+//! real ones; each path is replayed from the start, and states that look alike are visited once.
+
+mod support;
+
+use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::entry::Entry;
+use lavenderflow_core::gate::{Gate, GateAction, Offer, RunResult};
+use lavenderflow_core::id::{AttemptId, Incarnation, NodeId, RequestId, TicketId};
+use lavenderflow_core::load::{Condition, Load};
+use lavenderflow_core::reason::{Outcome, Reason};
+use lavenderflow_core::request::{Conclusion, EntryAction, Plan, Report};
+use lavenderflow_core::route::Router;
+use lavenderflow_core::ticket::StoredAnswer;
+use support::{arrival, clock, entry, gate, member, offer, offered, router};
+
+const HOME: NodeId = 1;
+const GATES: [NodeId; 2] = [2, 3];
+const COPIES: RequestId = 3;
+/// Deliveries of each message.
+const DELIVERIES: u32 = 2;
+
+/// A rule that a broken variant leaves out, to show that the model finds what it guards against.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Broken {
+    Nothing,
+    /// The home refuses without burning the ticket.
+    Burn,
+    /// Gates accept an attempt again.
+    Window,
+    /// Gates accept attempts for an earlier run of their process.
+    GateIncarnation,
+    /// A home takes tickets of its earlier runs for unused.
+    HomeIncarnation,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Step {
+    /// A copy of the request reaches the home.
+    Copy(RequestId),
+    /// A message is delivered.
+    Deliver(usize),
+    /// A run on an upstream ends and is answered.
+    Answer(usize),
+    /// The home hears nothing more of an attempt.
+    Lose(RequestId),
+    /// The home's process ends and starts again.
+    CrashHome,
+    /// A gate's process ends and starts again.
+    CrashGate(usize),
+    /// The home begins or ceases to refuse.
+    Refuse,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Dispatch { request: RequestId, gate: usize, offer: Offer },
+    Report { home: Incarnation, request: RequestId, report: Report },
+}
+
+struct World {
+    broken: Broken,
+    clock: Arc<lavenderflow_core::clock::ManualClock>,
+    home: Entry,
+    home_incarnation: Incarnation,
+    gates: Vec<Gate>,
+    gate_incarnations: Vec<Incarnation>,
+    ticket: TicketId,
+    messages: Vec<(Message, u32)>,
+    running: Vec<(usize, AttemptId, RequestId, Incarnation)>,
+    pending: Vec<(RequestId, Incarnation)>,
+    begun: HashSet<RequestId>,
+    refusing: bool,
+    crashes: u32,
+    runs: u32,
+    told: Vec<Outcome>,
+}
+
+impl World {
+    fn new(broken: Broken) -> Self {
+        let clock = clock();
+        let gates: Vec<Gate> = GATES.iter().map(|node| gate(node * 10, &clock, 4)).collect();
+        let shared: SharedClock = clock.clone();
+        let mut home = entry(HOME, 100, &shared, 1);
+        let ticket = home.issue().expect("a ticket");
+        let mut world = Self {
+            broken,
+            clock,
+            home,
+            home_incarnation: 100,
+            gates,
+            gate_incarnations: GATES.iter().map(|node| node * 10).collect(),
+            ticket,
+            messages: Vec::new(),
+            running: Vec::new(),
+            pending: Vec::new(),
+            begun: HashSet::new(),
+            refusing: false,
+            crashes: 0,
+            runs: 0,
+            told: Vec::new(),
+        };
+        world.introduce();
+        world
+    }
+
+    fn introduce(&mut self) {
+        for (gate, incarnation) in GATES.iter().zip(&self.gate_incarnations) {
+            let offers = vec![offered(4, Condition::Well, 0.0)];
+            self.home.set_node(&member(*gate, *incarnation, offers), false);
+        }
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        steps.extend((1..=COPIES).filter(|c| !self.begun.contains(c)).map(Step::Copy).take(1));
+        let messages = self.messages.iter().enumerate();
+        let fresh = messages.filter(|(_, (_, count))| *count < DELIVERIES);
+        steps.extend(fresh.map(|(index, _)| Step::Deliver(index)));
+        steps.extend((0..self.running.len()).map(Step::Answer));
+        let pending = self.pending.iter().filter(|p| p.1 == self.home_incarnation);
+        steps.extend(pending.map(|(request, _)| Step::Lose(*request)));
+        if self.crashes < 2 {
+            steps.push(Step::CrashHome);
+            steps.extend((0..GATES.len()).map(Step::CrashGate));
+        }
+        steps.push(Step::Refuse);
+        steps
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Copy(request) => {
+                self.begun.insert(request);
+                self.begin(request);
+            }
+            Step::Deliver(index) => {
+                self.messages[index].1 += 1;
+                let message = self.messages[index].0.clone();
+                self.deliver(message);
+            }
+            Step::Answer(index) => self.answer(index),
+            Step::Lose(request) => self.report(request, Report::Lost(Reason::Lost)),
+            Step::CrashHome => {
+                self.crashes += 1;
+                self.home_incarnation += 1;
+                let incarnation = if self.broken == Broken::HomeIncarnation {
+                    self.ticket.incarnation
+                } else {
+                    self.home_incarnation
+                };
+                let shared: SharedClock = self.clock.clone();
+                self.home = entry(HOME, incarnation, &shared, 1);
+                self.home.issue();
+                self.introduce();
+                self.set_refusing(self.refusing);
+            }
+            Step::CrashGate(index) => {
+                self.crashes += 1;
+                if self.broken != Broken::GateIncarnation {
+                    self.gate_incarnations[index] += 1;
+                }
+                self.gates[index] = gate(self.gate_incarnations[index], &self.clock, 4);
+                self.running.retain(|(gate, ..)| *gate != index);
+                self.introduce();
+            }
+            Step::Refuse => self.set_refusing(!self.refusing),
+        }
+    }
+
+    fn set_refusing(&mut self, refusing: bool) {
+        self.refusing = refusing;
+        self.home.set_router(if refusing { Router::default() } else { router() });
+    }
+
+    fn begin(&mut self, request: RequestId) {
+        if self.broken == Broken::Burn && self.refusing {
+            self.told.push(Outcome::NotRun);
+            return;
+        }
+        let actions = self.home.begin(arrival(request, "POST", Some(self.ticket)));
+        self.execute(actions);
+    }
+
+    fn report(&mut self, request: RequestId, report: Report) {
+        let actions = self.home.report(request, report);
+        self.execute(actions);
+    }
+
+    fn execute(&mut self, actions: Vec<EntryAction>) {
+        for action in actions {
+            match action {
+                EntryAction::Dispatch { request, attempt, gate, incarnation, plan, .. } => {
+                    self.dispatch(request, attempt, gate, incarnation, &plan);
+                }
+                EntryAction::Relay { request, .. } => {
+                    self.pending.retain(|(pending, _)| *pending != request);
+                    self.told.push(Outcome::Ran);
+                }
+                EntryAction::Conclude { request, conclusion } => {
+                    self.pending.retain(|(pending, _)| *pending != request);
+                    let Conclusion { outcome, .. } = conclusion;
+                    self.told.push(outcome);
+                }
+                EntryAction::Wait { request, .. } => {
+                    self.pending.push((request, self.home_incarnation));
+                }
+                EntryAction::Forward { .. } => {}
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptId,
+        gate: NodeId,
+        incarnation: Incarnation,
+        plan: &Plan,
+    ) {
+        let Some(gate) = GATES.iter().position(|node| *node == gate) else { return };
+        if !self.pending.contains(&(request, self.home_incarnation)) {
+            self.pending.push((request, self.home_incarnation));
+        }
+        let offer = offer(attempt, incarnation, plan);
+        self.messages.push((Message::Dispatch { request, gate, offer }, 0));
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Dispatch { request, gate, mut offer } => {
+                // The window belongs to work that may not be repeated.
+                offer.idempotent = self.broken == Broken::Window;
+                let actions = self.gates[gate].offer(offer);
+                self.gate_actions(gate, request, actions);
+            }
+            Message::Report { home, request, report } if home == self.home_incarnation => {
+                self.report(request, report);
+            }
+            Message::Report { .. } => {}
+        }
+    }
+
+    fn gate_actions(&mut self, gate: usize, request: RequestId, actions: Vec<GateAction>) {
+        let home = self.home_incarnation;
+        for action in actions {
+            match action {
+                GateAction::Start { attempt, .. } => {
+                    self.runs += 1;
+                    self.running.push((gate, attempt, request, home));
+                }
+                GateAction::Refuse { reason, load, .. } => {
+                    let report = Report::Refused(reason, Some(load));
+                    self.messages.push((Message::Report { home, request, report }, 0));
+                }
+                GateAction::Publish => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, index: usize) {
+        let (gate, attempt, request, home) = self.running.remove(index);
+        self.gates[gate].finish(attempt, RunResult::Success);
+        let answer = Arc::new(StoredAnswer { status: 200, headers: vec![], body: "1".into() });
+        let load = Some(Load::default());
+        let report = Report::Answered { status: 200, load, answer: Some(answer) };
+        self.messages.push((Message::Report { home, request, report }, 0));
+    }
+
+    fn fault(&self) -> Option<&'static str> {
+        if self.runs > 1 {
+            return Some("ran twice");
+        }
+        let told_not_run = self.told.contains(&Outcome::NotRun);
+        if told_not_run && self.runs > 0 {
+            return Some("told not-run, but it ran");
+        }
+        let told_ran = self.told.contains(&Outcome::Ran);
+        (told_ran && self.runs == 0).then_some("told ran, but it did not run")
+    }
+
+    fn print(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        let state = (
+            format!("{:?}", self.home),
+            format!("{:?}", self.gates),
+            format!("{:?}", self.messages),
+            format!("{:?}{:?}{:?}", self.running, self.pending, self.told),
+            (self.runs, self.crashes, self.refusing, self.home_incarnation),
+        );
+        state.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+struct Found {
+    states: usize,
+    outcomes: HashSet<Outcome>,
+    fault: Option<(Vec<Step>, &'static str)>,
+}
+
+/// Visits all states up to a depth, breadth first.
+fn explore(broken: Broken, depth: usize) -> Found {
+    let mut seen = HashSet::new();
+    let mut found = Found { states: 0, outcomes: HashSet::new(), fault: None };
+    let mut level: Vec<Vec<Step>> = vec![Vec::new()];
+    for _ in 0..=depth {
+        let mut next = Vec::new();
+        for path in level {
+            let mut world = World::new(broken);
+            path.iter().for_each(|step| world.take(*step));
+            if !seen.insert(world.print()) {
+                continue;
+            }
+            found.states += 1;
+            found.outcomes.extend(world.told.iter().copied());
+            if let Some(fault) = world.fault() {
+                found.fault = Some((path, fault));
+                return found;
+            }
+            next.extend(world.steps().into_iter().map(|step| [path.as_slice(), &[step]].concat()));
+        }
+        level = next;
+    }
+    found
+}
+
+#[test]
+fn no_order_of_events_runs_a_ticket_twice_or_makes_a_false_refusal() {
+    const DEPTH: usize = 8;
+    let found = explore(Broken::Nothing, DEPTH);
+    println!("{} states to depth {DEPTH}", found.states);
+    assert_eq!(found.fault, None);
+    for outcome in [Outcome::Ran, Outcome::NotRun, Outcome::Unknown] {
+        assert!(found.outcomes.contains(&outcome), "{outcome:?} was never told");
+    }
+}
+
+#[test]
+fn the_model_finds_each_rule_that_is_left_out() {
+    let rules = [Broken::Burn, Broken::Window, Broken::GateIncarnation, Broken::HomeIncarnation];
+    for broken in rules {
+        let found = explore(broken, 6);
+        let (path, fault) = found.fault.unwrap_or_else(|| panic!("{broken:?} was not found"));
+        println!("{broken:?}: {fault} after {path:?}");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/path.rs
@@ -0,0 +1,47 @@
+//! A request goes through the decisions of entry and gate without a codec or a socket.
+
+mod support;
+
+use std::sync::Arc;
+
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::gate::{GateAction, RunResult};
+use lavenderflow_core::load::Condition;
+use lavenderflow_core::request::{EntryAction, Report};
+use lavenderflow_core::ticket::StoredAnswer;
+use support::{arrival, clock, dispatched, entry, gate, member, offer, offered, service};
+
+#[test]
+fn a_request_is_dispatched_admitted_run_and_relayed() {
+    let clock = clock();
+    let shared: SharedClock = clock.clone();
+    let mut gate = gate(20, &clock, 4);
+    let mut entry = entry(1, 10, &shared, 1);
+    entry.set_node(&member(2, 20, vec![offered(4, Condition::Well, 0.0)]), false);
+
+    let (attempt, node, incarnation, plan) =
+        dispatched(&entry.begin(arrival(1, "POST", None))).expect("a dispatch");
+    assert_eq!((node, incarnation), (2, 20));
+    let actions = gate.offer(offer(attempt, incarnation, &plan));
+    let [GateAction::Start { load, .. }] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(load.busy, 1);
+    assert_eq!(entry.report(1, Report::Admitted(*load)), []);
+
+    gate.progress(attempt);
+    let (load, _) = gate.finish(attempt, RunResult::Success);
+    assert_eq!(load.busy, 0);
+    let answer = Arc::new(StoredAnswer { status: 200, headers: vec![], body: "17".into() });
+    let report = Report::Answered { status: 200, load: Some(load), answer: Some(answer.clone()) };
+    let actions = entry.report(1, report);
+    let [EntryAction::Relay { request: 1, ticket: Some(ticket) }] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+
+    let repeated = entry.begin(arrival(2, "POST", Some(*ticket)));
+    let [EntryAction::Conclude { conclusion, .. }] = repeated.as_slice() else {
+        panic!("{repeated:?}")
+    };
+    assert_eq!(conclusion.answer, Some(answer));
+    assert_eq!(entry.in_flight(), 0);
+    assert_eq!(gate.load(&service()).busy, 0);
+}
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,131 @@
+//! A small world for tests: nodes with entries and gates, and a clock that stands still.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+use lavenderflow_core::clock::{ManualClock, SharedClock};
+use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
+use lavenderflow_core::gate::{Gate, Offer, Offered};
+use lavenderflow_core::id::{AttemptId, Incarnation, NodeId, RequestId, ServiceName, TicketId};
+use lavenderflow_core::load::Condition;
+use lavenderflow_core::profile::Profile;
+use lavenderflow_core::request::{Arrival, EntryAction, Plan};
+use lavenderflow_core::roster::Member;
+use lavenderflow_core::route::{Repeat, Route, Router};
+use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
+
+pub const SERVICE: &str = "numbering";
+
+/// Returns a clock that starts at the same time in the whole process, so that states compare.
+pub fn clock() -> Arc<ManualClock> {
+    static START: OnceLock<Instant> = OnceLock::new();
+    Arc::new(ManualClock::new(*START.get_or_init(Instant::now)))
+}
+
+pub fn service() -> ServiceName {
+    SERVICE.into()
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn offered(slots: u32, condition: Condition, evidence: f32) -> Offered {
+    Offered { service: service(), slots, condition, evidence }
+}
+
+pub fn member(node: NodeId, incarnation: Incarnation, offers: Vec<Offered>) -> Member {
+    Member {
+        node,
+        incarnation,
+        version: 1,
+        name: format!("vm-{node}"),
+        peer: address(1),
+        callers: address(2),
+        zone: "zone-a".into(),
+        leaving: false,
+        offers,
+    }
+}
+
+pub fn router() -> Router {
+    let mut router = Router::default();
+    let route =
+        Route { prefix: "/".to_owned(), service: service(), repeat: Repeat::ByMethod, long: false };
+    router.insert(route);
+    router
+}
+
+pub fn entry(node: NodeId, incarnation: Incarnation, clock: &SharedClock, seed: u64) -> Entry {
+    let identity = Identity { node, incarnation, zone: "zone-a".into() };
+    let limits = TicketLimits { retention: Duration::from_secs(600), answers: 1 << 20 };
+    let mut entry = Entry::new(identity, limits, Arc::clone(clock), seed);
+    entry.set_router(router());
+    entry.set_profile(&service(), Profile::default());
+    entry
+}
+
+pub fn announcement(id: &str, slots: u32) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: service(),
+        address: address(9),
+        slots,
+        phase: AnnouncedPhase::Serving,
+        lease: Duration::from_secs(3600),
+    }
+}
+
+/// Creates a gate with one upstream that has warmed up.
+pub fn gate(incarnation: Incarnation, clock: &Arc<ManualClock>, slots: u32) -> Gate {
+    let mut gate = Gate::new(incarnation, Arc::clone(clock) as SharedClock);
+    gate.configure(&service(), Profile::default());
+    gate.announce(&announcement("upstream", slots));
+    clock.advance(Duration::from_secs(10));
+    gate.tick();
+    gate
+}
+
+pub fn arrival(request: RequestId, method: &str, ticket: Option<TicketId>) -> Arrival {
+    Arrival {
+        request,
+        method: method.to_owned(),
+        target: "/invoices".to_owned(),
+        organisation: None,
+        ticket,
+        body_length: Some(0),
+        whole: true,
+        fingerprint: 7,
+        deadline: None,
+        forwarded: false,
+    }
+}
+
+pub fn offer(attempt: AttemptId, incarnation: Incarnation, plan: &Plan) -> Offer {
+    Offer {
+        attempt,
+        incarnation,
+        service: plan.service.clone(),
+        long: plan.long,
+        idempotent: plan.idempotent,
+        patience: plan.patience,
+        remaining: plan.remaining,
+    }
+}
+
+pub fn attempt(serial: u64) -> AttemptId {
+    AttemptId { node: 1, incarnation: 1, serial }
+}
+
+/// Returns the dispatch among the actions.
+pub fn dispatched(actions: &[EntryAction]) -> Option<(AttemptId, NodeId, Incarnation, Plan)> {
+    actions.iter().find_map(|action| match action {
+        EntryAction::Dispatch { attempt, gate, incarnation, plan, .. } => {
+            Some((*attempt, *gate, *incarnation, plan.clone()))
+        }
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/core/tests/witness.rs
@@ -0,0 +1,85 @@
+//! Detection and wrong ejection, on a clock that stands still and with seeded failures.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use lavenderflow_core::load::Condition;
+use lavenderflow_core::profile::{Forgiveness, Profile};
+use lavenderflow_core::witness::{Observation, Witness};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+fn rules() -> Forgiveness {
+    Profile::default().forgiveness
+}
+
+fn observation(rng: &mut Pcg64Mcg, failures: f64) -> Observation {
+    if rng.random_bool(failures) { Observation::Failure } else { Observation::Success }
+}
+
+/// Returns how many observations it took to eject, at most `limit`.
+fn observations_to_eject(seed: u64, failures: f64, limit: u32) -> Option<u32> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut witness = Witness::default();
+    let now = Instant::now();
+    (1..=limit).find(|_| {
+        witness.observe(observation(&mut rng, failures), now, &rules());
+        witness.condition() == Condition::Ejected
+    })
+}
+
+#[test]
+fn total_failure_is_seen_within_a_second_at_twenty_requests_a_second() {
+    let worst = (0..200).map(|seed| observations_to_eject(seed, 1.0, 100)).max();
+    assert!(worst.flatten().is_some_and(|count| count <= 20), "{worst:?}");
+}
+
+#[test]
+fn partial_failure_is_seen_within_three_seconds_at_twenty_requests_a_second() {
+    const PER_SECOND: u32 = 20;
+    let mut counts: Vec<u32> =
+        (0..400).map(|seed| observations_to_eject(seed, 0.3, 1000).unwrap_or(1000)).collect();
+    counts.sort_unstable();
+    let p95 = counts[counts.len() * 95 / 100];
+    assert!(p95 <= 3 * PER_SECOND, "{p95} observations");
+}
+
+#[test]
+fn honest_errors_never_eject() {
+    // Ten minutes at twenty requests a second for twenty-five endpoints, with 2% honest errors.
+    for seed in 0..25 {
+        assert_eq!(observations_to_eject(seed, 0.02, 12_000), None, "seed {seed}");
+    }
+}
+
+#[test]
+fn ejection_grows_with_each_repetition_and_shrinks_after_health() {
+    let mut witness = Witness::default();
+    let mut now = Instant::now();
+    let mut lengths = Vec::new();
+    for _ in 0..4 {
+        let mut count = 0;
+        while witness.condition() != Condition::Ejected {
+            witness.observe(Observation::Failure, now, &rules());
+            count += 1;
+            assert!(count < 100);
+        }
+        let start = now;
+        while !witness.tick(now) {
+            now += Duration::from_millis(100);
+        }
+        lengths.push((now - start).as_secs());
+    }
+    assert_eq!(lengths, [2, 4, 8, 16]);
+    for _ in 0..5 {
+        witness.observe(Observation::Success, now, &rules());
+    }
+    assert_eq!(witness.condition(), Condition::Well);
+    now += Duration::from_secs(3600);
+    while witness.condition() != Condition::Ejected {
+        witness.observe(Observation::Failure, now, &rules());
+    }
+    now += rules().ejection;
+    assert!(witness.tick(now), "old ejections are forgotten");
+}
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -2,9 +2,9 @@
 
 use lavenderflow_core::catalog::Item;
 use lavenderflow_core::entry::Entry;
-use lavenderflow_core::gate::Offered;
 use lavenderflow_core::pool::GateView;
 use lavenderflow_core::request::EntryAction;
+use lavenderflow_core::roster::Member;
 use lavenderflow_core::route::Router;
 use stakker::{Actor, CX, Fwd, after, call};
 use tokio::sync::{mpsc, oneshot};
@@ -50,16 +50,9 @@
         }
     }
 
-    /// Takes in what a node offers; nothing when it is leaving.
-    pub fn set_node(
-        &mut self,
-        _: CX![],
-        node: NodeId,
-        zone: ZoneName,
-        offers: Vec<Offered>,
-        expelled: bool,
-    ) {
-        self.entry.set_node(node, &zone, &offers, expelled);
+    /// Takes in a node's record.
+    pub fn set_node(&mut self, _: CX![], member: Member, expelled: bool) {
+        self.entry.set_node(&member, expelled);
     }
 
     /// Forgets a node.
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -412,11 +412,9 @@
             let Some(member) = self.roster.members().get(&node) else { continue };
             let is_expelled = expelled.contains(&node);
             if nodes.contains(&node) || is_expelled != self.known.contains(&node) {
-                let offers = if member.leaving { Vec::new() } else { member.offers.clone() };
-                let (entry, zone) = (&self.entry, member.zone.clone());
-                call!([entry], set_node(node, zone, offers, is_expelled));
-                let command = Command::Member(node, member.incarnation, member.peer);
-                self.send(command);
+                self.send(Command::Member(node, member.incarnation, member.peer));
+                let (entry, member) = (&self.entry, member.clone());
+                call!([entry], set_node(member, is_expelled));
             }
         }
         self.known = expelled;
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -95,8 +95,9 @@
             return Reply::without_answer(Outcome::Unknown, Reason::Lost, None);
         };
         let attempted = match action {
-            EntryAction::Dispatch { attempt, gate, plan, ticket, .. } => {
-                let begin = dispatch_frame(&request, attempt, ticket, &plan);
+            EntryAction::Dispatch { attempt, gate, incarnation, plan, ticket, .. } => {
+                let begin =
+                    Begin { incarnation, ..dispatch_frame(&request, attempt, ticket, &plan) };
                 let silence =
                     if plan.idempotent { plan.patience + SILENCE } else { plan.remaining };
                 attempt_at(context, &mut request, gate, begin, plan.remaining, silence).await
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -54,6 +54,7 @@
     let attempt: AttemptId = begin.attempt.ok_or(LinkError::Unexpected)?.into();
     let offer = Offer {
         attempt,
+        incarnation: begin.incarnation,
         service: begin.service.as_str().into(),
         long: begin.long,
         idempotent: begin.idempotent,
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -195,8 +195,8 @@
         let mut stakker = Stakker::new(clock.now());
         let s = &mut stakker;
         let me = fleet.roster.me();
-        let identity =
-            Identity { node: me.node, incarnation: me.incarnation, zone: me.zone.clone() };
+        let incarnation = me.incarnation;
+        let identity = Identity { node: me.node, incarnation, zone: me.zone.clone() };
         let answers = usize::try_from(settings.answers * 1024).unwrap_or(usize::MAX);
         let limits = TicketLimits { retention: settings.tickets, answers };
         let entry = Entry::new(identity, limits, Arc::clone(clock), random());
@@ -206,7 +206,7 @@
         let (handle, count) = (entry.clone(), counters.clone());
         let fleet = actor!(s, FleetActor::init(fleet, handle, count), ret_shutdown!(s));
         let publish = fwd_to!([fleet], publish() as (Vec<lavenderflow_core::gate::Offered>));
-        let gate = Gate::new(Arc::clone(clock));
+        let gate = Gate::new(incarnation, Arc::clone(clock));
         let count = counters.clone();
         let gate = actor!(s, GateActor::init(gate, count, publish), ret_shutdown!(s));
         let handle = gate.clone();
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -31,7 +31,7 @@
     Cut(SocketAddr, Direction),
     CutAll,
     Heal,
-    Delay(Duration),
+    Delay(SocketAddr, Duration),
 }
 
 /// A running proxy in front of one target.
@@ -68,7 +68,7 @@
             flows: IndexMap::new(),
             cuts: IndexSet::new(),
             cut_all: false,
-            delay: Duration::ZERO,
+            delays: IndexMap::new(),
             held: Vec::new(),
         };
         thread::spawn(move || owner.run(&received));
@@ -95,9 +95,9 @@
         let _ = self.commands.send(Command::Heal);
     }
 
-    /// Delays all packets.
-    pub fn delay(&self, delay: Duration) {
-        let _ = self.commands.send(Command::Delay(delay));
+    /// Delays the packets of one peer in both directions.
+    pub fn delay(&self, peer: SocketAddr, delay: Duration) {
+        let _ = self.commands.send(Command::Delay(peer, delay));
     }
 }
 
@@ -115,7 +115,7 @@
     flows: IndexMap<SocketAddr, UdpSocket>,
     cuts: IndexSet<(SocketAddr, Direction)>,
     cut_all: bool,
-    delay: Duration,
+    delays: IndexMap<SocketAddr, Duration>,
     held: Vec<Held>,
 }
 
@@ -139,7 +139,8 @@
                 if self.cut_all || self.cuts.contains(&(peer, direction)) {
                     return;
                 }
-                let due = Instant::now() + self.delay;
+                let delay = self.delays.get(&peer).copied().unwrap_or_default();
+                let due = Instant::now() + delay;
                 self.held.push(Held { due, peer, direction, packet });
             }
             Command::Cut(peer, direction) => {
@@ -150,7 +151,9 @@
                 self.cuts.clear();
                 self.cut_all = false;
             }
-            Command::Delay(delay) => self.delay = delay,
+            Command::Delay(peer, delay) => {
+                self.delays.insert(peer, delay);
+            }
         }
     }
 
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -5,6 +5,7 @@
 //! A request says what it wants in its query: `work_ms` is the time that it takes and `size` the
 //! length of the answer. The answer repeats the request's id so that crossed answers show.
 
+use std::collections::VecDeque;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
@@ -161,6 +162,7 @@
     ran: IndexMap<String, u32>,
     busy: u32,
     most: u32,
+    waiting: VecDeque<(String, Sender<Mode>)>,
     started: Instant,
     count: u32,
 }
@@ -175,6 +177,7 @@
             ran: IndexMap::new(),
             busy: 0,
             most: 0,
+            waiting: VecDeque::new(),
             started: Instant::now(),
             count: 0,
         }
@@ -203,15 +206,13 @@
     fn handle(&mut self, command: Command) {
         match command {
             Command::Begin(id, reply) => {
-                let mode = self.current_mode();
-                if mode != Mode::Sheds {
-                    *self.ran.entry(id).or_default() += 1;
-                }
-                self.busy += 1;
-                self.most = self.most.max(self.busy);
-                let _ = reply.send(mode);
+                self.waiting.push_back((id, reply));
+                self.begin_waiting();
+            }
+            Command::End => {
+                self.busy -= 1;
+                self.begin_waiting();
             }
-            Command::End => self.busy -= 1,
             Command::Mode(mode) => {
                 self.mode = mode;
                 self.started = Instant::now();
@@ -222,6 +223,20 @@
         }
     }
 
+    /// Begins requests while there are free slots; the others wait within the upstream.
+    fn begin_waiting(&mut self) {
+        while self.busy < self.settings.slots {
+            let Some((id, reply)) = self.waiting.pop_front() else { return };
+            let mode = self.current_mode();
+            if mode != Mode::Sheds {
+                *self.ran.entry(id).or_default() += 1;
+            }
+            self.busy += 1;
+            self.most = self.most.max(self.busy);
+            let _ = reply.send(mode);
+        }
+    }
+
     /// Returns the mode for the next request.
     fn current_mode(&mut self) -> Mode {
         self.count = self.count.wrapping_add(1);
