--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -140,6 +140,14 @@
         }
     }
 
+    /// Decides for all services which gates are in the choice, if that is due.
+    pub fn review(&mut self, now: Instant, floor: impl Fn(&ServiceName) -> f64) {
+        let paths = &self.paths;
+        for (service, pool) in &mut self.pools {
+            pool.refresh(now, floor(service), |node| path_evidence(paths, node));
+        }
+    }
+
     /// Returns the services and their pools.
     pub fn pools(&self) -> impl Iterator<Item = (&ServiceName, &Pool)> {
         self.pools.iter()
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -148,6 +148,15 @@
         self.flights.len() + self.waiting.len() + self.forwarded.len()
     }
 
+    /// Decides for all services which gates are in the choice, if that is due.
+    pub fn review(&mut self) {
+        let profiles = &self.profiles;
+        let floor = |service: &ServiceName| {
+            profiles.get(service).map_or_else(Profile::default, Clone::clone).caution.floor
+        };
+        self.chooser.review(self.clock.now(), floor);
+    }
+
     /// Returns the chooser, to look at its gates.
     pub fn chooser(&self) -> &Chooser {
         &self.chooser
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -55,7 +55,8 @@
     let full = || Report::Refused(Reason::QueueFull, Some(Load::default()));
     let lost = || Report::Lost(Reason::Lost);
     // Method, reports, attempts, outcome and reason; no outcome when an answer is passed on.
-    let cases: Vec<(&str, Vec<Report>, usize, Option<(Outcome, Reason)>)> = vec![
+    type Case = (&'static str, Vec<Report>, usize, Option<(Outcome, Reason)>);
+    let cases: Vec<Case> = vec![
         ("GET", vec![whole(200)], 1, None),
         ("POST", vec![whole(200)], 1, None),
         ("POST", vec![whole(500)], 1, None),
--- /dev/null
+++ b/crates/experiment/src/report.rs
@@ -0,0 +1,182 @@
+//! Tables of what the runs of a scenario showed.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use lavenderflow_standins::load::{self, Ended};
+
+use crate::scenario::{Policy, Scenario, What};
+use crate::site::Run;
+
+/// Length of the stretches in which the served share is counted.
+const STRETCH: Duration = Duration::from_millis(500);
+
+/// Share of the requests served per stretch of time, of one run.
+#[derive(Clone, Debug)]
+pub struct Series {
+    /// The policy.
+    pub policy: Policy,
+    /// The seed.
+    pub seed: u64,
+    /// Seconds since the start, and the share served.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Collects the measures of all runs.
+pub struct Report<'a> {
+    scenario: &'a Scenario,
+    values: IndexMap<String, IndexMap<&'static str, Vec<f64>>>,
+    reasons: IndexMap<&'static str, IndexMap<String, u64>>,
+    series: Vec<Series>,
+}
+
+impl<'a> Report<'a> {
+    /// Creates an empty report.
+    pub fn new(scenario: &'a Scenario) -> Self {
+        Self { scenario, values: IndexMap::new(), reasons: IndexMap::new(), series: Vec::new() }
+    }
+
+    /// Adds a run.
+    pub fn add(&mut self, policy: Policy, seed: u64, run: &Run) {
+        for (index, kind) in self.scenario.kinds.iter().enumerate() {
+            let ended: Vec<&Ended> = run.ended.iter().filter(|e| e.kind == index).collect();
+            let served = ended.iter().filter(|e| e.is_served()).count();
+            let failed = ended.iter().filter(|e| is_failure(e)).count();
+            let total = ended.len().max(1) as f64;
+            self.value(policy, &format!("{} requests", kind.name), ended.len() as f64);
+            self.value(policy, &format!("{} served %", kind.name), served as f64 * 100.0 / total);
+            self.value(policy, &format!("{} failed %", kind.name), failed as f64 * 100.0 / total);
+            if let Ok(histogram) = load::latencies(ended.iter().copied()) {
+                for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+                    let ms = histogram.value_at_quantile(quantile) as f64 / 1000.0;
+                    self.value(policy, &format!("{} {name} ms", kind.name), ms);
+                }
+            }
+        }
+        self.add_phases(policy, run);
+        if policy == Policy::Lavenderflow {
+            self.add_detection(policy, run);
+        }
+        let reasons = self.reasons.entry(policy.name()).or_default();
+        for (reason, count) in load::outcomes(&run.ended) {
+            *reasons.entry(reason).or_default() += count;
+        }
+        self.series.push(Series { policy, seed, points: points(self.scenario, &run.ended) });
+    }
+
+    /// Returns the served shares over time.
+    pub fn series(&self) -> &[Series] {
+        &self.series
+    }
+
+    /// Renders medians with the least and the greatest value.
+    pub fn render(&self) -> String {
+        let policies: Vec<&str> = self.reasons.keys().copied().collect();
+        let mut lines = vec![format!("## {}", self.scenario.name), String::new()];
+        lines.push(format!("| measure | {} |", policies.join(" | ")));
+        lines.push(format!("| --- |{}", " --- |".repeat(policies.len())));
+        for (measure, values) in &self.values {
+            let cells = policies.iter().map(|p| values.get(p).map_or("-".to_owned(), |v| cell(v)));
+            lines.push(format!("| {measure} | {} |", cells.collect::<Vec<_>>().join(" | ")));
+        }
+        lines.push(String::new());
+        for (policy, reasons) in &self.reasons {
+            let counts = reasons.iter().map(|(reason, count)| format!("{reason}: {count}"));
+            lines.push(format!("{policy}: {}", counts.collect::<Vec<_>>().join("; ")));
+        }
+        lines.join("\n")
+    }
+
+    fn value(&mut self, policy: Policy, measure: &str, value: f64) {
+        let values = self.values.entry(measure.to_owned()).or_default();
+        values.entry(policy.name()).or_default().push(value);
+    }
+
+    /// Adds the served rate of each phase.
+    fn add_phases(&mut self, policy: Policy, run: &Run) {
+        let mut start = 0.0;
+        for (index, phase) in self.scenario.phases.iter().enumerate() {
+            let end = start + phase.seconds;
+            let due = |e: &&Ended| (start..end).contains(&e.due.as_secs_f64());
+            let served = run.ended.iter().filter(due).filter(|e| e.is_served()).count();
+            let rate = served as f64 / phase.seconds;
+            self.value(policy, &format!("phase {} served/s of {}", index + 1, phase.rate), rate);
+            start = end;
+        }
+    }
+
+    /// Adds the detection time of each upstream that goes ill, and the wrong ejections.
+    fn add_detection(&mut self, policy: Policy, run: &Run) {
+        let ill: Vec<(usize, f64)> = self
+            .scenario
+            .faults
+            .iter()
+            .filter_map(|fault| match &fault.what {
+                What::Upstream(index, mode) if mode != "well" => Some((*index, fault.at)),
+                _ => None,
+            })
+            .collect();
+        for (index, at) in &ill {
+            if let Some(seconds) = detection(run, &run.nodes[*index], *at) {
+                self.value(policy, "detection by all entries s", seconds);
+            } else {
+                self.value(policy, "undetected", 1.0);
+            }
+        }
+        let wrong = run.nodes.iter().enumerate().filter(|(index, node)| {
+            let is_ill = ill.iter().any(|(ill, _)| ill == index);
+            !is_ill && run.looks.iter().any(|look| is_out(&look.chosen, node))
+        });
+        self.value(policy, "wrongly ejected", wrong.count() as f64);
+    }
+}
+
+/// Tells whether a caller was left without a truthful and useful end: not served and not refused.
+fn is_failure(ended: &Ended) -> bool {
+    !ended.is_served() && ended.outcome != "not-run"
+}
+
+fn is_out(chosen: &IndexMap<(String, String), bool>, node: &str) -> bool {
+    chosen.iter().any(|((gate, _), chosen)| gate == node && !chosen)
+}
+
+/// Returns the time from the fault until every entry had the gate out of its choice once.
+fn detection(run: &Run, node: &str, at: f64) -> Option<f64> {
+    let mut first: IndexMap<usize, f64> = IndexMap::new();
+    for look in run.looks.iter().filter(|look| look.at.as_secs_f64() > at) {
+        if is_out(&look.chosen, node) {
+            first.entry(look.entry).or_insert(look.at.as_secs_f64() - at);
+        }
+    }
+    if first.len() < run.nodes.len() {
+        return None;
+    }
+    first.values().copied().reduce(f64::max)
+}
+
+fn points(scenario: &Scenario, ended: &[Ended]) -> Vec<(f64, f64)> {
+    let count = scenario.length().as_millis() / STRETCH.as_millis();
+    let mut counts = vec![(0_u32, 0_u32); usize::try_from(count).unwrap_or_default() + 1];
+    for request in ended {
+        let index = usize::try_from(request.due.as_millis() / STRETCH.as_millis());
+        if let Some(count) = counts.get_mut(index.unwrap_or_default()) {
+            count.0 += 1;
+            count.1 += u32::from(request.is_served());
+        }
+    }
+    let points = counts.iter().enumerate().filter(|(_, (total, _))| *total > 0);
+    points
+        .map(|(index, (total, served))| {
+            let seconds = STRETCH.as_secs_f64() * index as f64;
+            (seconds, f64::from(*served) * 100.0 / f64::from(*total))
+        })
+        .collect()
+}
+
+fn cell(values: &[f64]) -> String {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let median = sorted[sorted.len() / 2];
+    let (least, greatest) = (sorted[0], sorted[sorted.len() - 1]);
+    format!("{median:.2} ({least:.2} to {greatest:.2})")
+}
--- /dev/null
+++ b/crates/experiment/src/site.rs
@@ -0,0 +1,243 @@
+//! Starts the processes of a scenario, offers the load and injects the faults.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use lavenderflow::clock::SystemClock;
+use lavenderflow::command::keys;
+use lavenderflow::operator::{Assignment, Kind as Entry, Operator};
+use lavenderflow::store::Store;
+use lavenderflow_core::id::node_id;
+use lavenderflow_standins::fleet::{NodeProcess, NodeSettings, wait_until};
+use lavenderflow_standins::load::{self, Ended, Kind, Phase, Plan, Route};
+use lavenderflow_standins::proxy::{Direction, UdpProxy};
+use lavenderflow_standins::store::{Mode as StoreMode, StoreStandin};
+use lavenderflow_standins::upstream::{Settings, UpstreamStandin};
+
+use crate::balancer::Balancer;
+use crate::error::Error;
+use crate::scenario::{Fault, Policy, Scenario, Service, What, mode};
+use crate::watch::{Look, Watch};
+
+/// What a run showed.
+pub struct Run {
+    /// How each request ended.
+    pub ended: Vec<Ended>,
+    /// Which gates were in the choice of which entries; empty for baselines.
+    pub looks: Vec<Look>,
+    /// Node id in hexadecimal of each upstream.
+    pub nodes: Vec<String>,
+}
+
+/// A running site.
+pub struct Site {
+    /// The store.
+    pub store: StoreStandin,
+    /// One node per upstream.
+    pub nodes: Vec<NodeProcess>,
+    /// The proxy in front of each node.
+    pub proxies: Vec<UdpProxy>,
+    /// The upstreams.
+    pub upstreams: Vec<UpstreamStandin>,
+    zones: Vec<String>,
+    directory: PathBuf,
+}
+
+/// Returns the binary of the nodes, which is beside this program.
+pub fn binary() -> Result<PathBuf, Error> {
+    Ok(std::env::current_exe()?.with_file_name("lavenderflow"))
+}
+
+/// Runs a scenario once.
+pub fn run(scenario: &Scenario, policy: Policy, seed: u64) -> Result<Run, Error> {
+    let mut site = Site::start(scenario)?;
+    let plan = site.plan(scenario, policy, seed);
+    let start = Instant::now();
+    let admin = site.nodes.iter().map(|node| node.settings.admin).collect();
+    let watch = (policy == Policy::Lavenderflow).then(|| Watch::start(admin, start));
+    let load = thread::spawn(move || load::run(&plan));
+    for fault in &scenario.faults {
+        thread::sleep(Duration::from_secs_f64(fault.at).saturating_sub(start.elapsed()));
+        site.inject(fault)?;
+    }
+    let ended = load.join().unwrap_or_else(|_| Ok(Vec::new()))?;
+    let looks = watch.map(Watch::finish).unwrap_or_default();
+    let nodes = site.nodes.iter().map(|node| format!("{:x}", node_id(&node.settings.name)));
+    Ok(Run { ended, looks, nodes: nodes.collect() })
+}
+
+impl Site {
+    /// Starts the store, the nodes and the upstreams, and waits until all are known.
+    pub fn start(scenario: &Scenario) -> Result<Self, Error> {
+        let store = StoreStandin::start(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let directory = std::env::temp_dir().join(format!(
+            "lavenderflow-experiment-{}-{}",
+            std::process::id(),
+            store.address().port()
+        ));
+        let count = scenario.upstreams();
+        let names: Vec<String> = (0..count).map(|index| format!("vm-{index}")).collect();
+        keys::make(&directory, names.iter().map(String::as_str))?;
+        let zones = (0..count).map(|i| scenario.zones[i % scenario.zones.len()].clone()).collect();
+        let mut site = Self {
+            store,
+            nodes: Vec::new(),
+            proxies: Vec::new(),
+            upstreams: Vec::new(),
+            zones,
+            directory,
+        };
+        site.configure(scenario)?;
+        for (index, name) in names.iter().enumerate() {
+            site.start_node(index, name)?;
+        }
+        site.delay(scenario);
+        for index in 0..count {
+            let service = scenario.service_of(index).ok_or(Error::Unknown(index.to_string()))?;
+            site.start_upstream(index, service)?;
+        }
+        wait_until("all nodes know all gates", || site.nodes.iter().all(|n| gates(n) == count))?;
+        Ok(site)
+    }
+
+    fn configure(&self, scenario: &Scenario) -> Result<(), Error> {
+        let operator = Operator {
+            store: Store::new(self.store.address()),
+            node: None,
+            author: "experiment".to_owned(),
+            patience: Duration::from_secs(5),
+            clock: Arc::new(SystemClock),
+        };
+        let parse = |text: &str| Assignment::parse(text);
+        for service in &scenario.services {
+            let name = service.name.as_str();
+            let fields: Result<Vec<_>, _> = service.profile.iter().map(|f| parse(f)).collect();
+            operator.set(Entry::Profile, name, &fields?)?;
+            operator.set(Entry::Service, name, &[parse(&format!("profile={name}"))?])?;
+            let prefix = parse(&format!("prefix=/{name}"))?;
+            operator.set(Entry::Route, name, &[prefix, parse(&format!("service={name}"))?])?;
+        }
+        Ok(())
+    }
+
+    fn start_node(&mut self, index: usize, name: &str) -> Result<(), Error> {
+        let mut settings =
+            NodeSettings::new(name, &self.zones[index], self.store.address(), &self.directory)?;
+        let proxy = UdpProxy::start(settings.peers)?;
+        settings.advertised = Some(proxy.address());
+        settings.seeds = self.proxies.first().map(UdpProxy::address).into_iter().collect();
+        self.proxies.push(proxy);
+        self.nodes.push(NodeProcess::start(&binary()?, settings)?);
+        Ok(())
+    }
+
+    /// Delays packets between zones.
+    fn delay(&self, scenario: &Scenario) {
+        let delay = Duration::from_secs_f64(scenario.cross_ms / 1000.0);
+        for (to, proxy) in self.proxies.iter().enumerate() {
+            for (from, node) in self.nodes.iter().enumerate() {
+                if self.zones[from] != self.zones[to] {
+                    proxy.delay(node.settings.peers, delay);
+                }
+            }
+        }
+    }
+
+    fn start_upstream(&mut self, index: usize, service: &Service) -> Result<(), Error> {
+        let settings = Settings {
+            id: format!("{}-{index}", service.name),
+            service: service.name.clone(),
+            node: self.nodes[index].settings.admin,
+            slots: service.slots,
+            work: Duration::ZERO,
+        };
+        self.upstreams.push(UpstreamStandin::start(settings)?);
+        Ok(())
+    }
+
+    fn plan(&self, scenario: &Scenario, policy: Policy, seed: u64) -> Plan {
+        let addresses: Vec<Vec<SocketAddr>> = scenario
+            .kinds
+            .iter()
+            .map(|kind| self.targets(scenario, policy, &kind.service))
+            .collect();
+        let kinds = scenario.kinds.iter().zip(&addresses).map(|(kind, addresses)| Kind {
+            name: kind.name.clone(),
+            method: kind.method.clone(),
+            urls: addresses
+                .iter()
+                .map(|a| format!("http://{a}/{}?work_ms={}", kind.service, kind.work_ms))
+                .collect(),
+            body: kind.body,
+            weight: kind.weight,
+            timeout: Duration::from_millis(kind.timeout_ms),
+            retries: u32::from(policy != Policy::Lavenderflow && kind.method == "GET"),
+        });
+        let kinds = kinds.collect();
+        let route = (policy != Policy::Lavenderflow)
+            .then(|| Arc::new(Balancer::start(policy, addresses, seed)) as Arc<dyn Route>);
+        let phases = scenario.phases.iter().map(|phase| Phase {
+            length: Duration::from_secs_f64(phase.seconds),
+            rate: phase.rate,
+        });
+        Plan { phases: phases.collect(), kinds, seed, callers: scenario.callers, route }
+    }
+
+    /// Returns where callers of a service go: to any node, or to its upstreams.
+    fn targets(&self, scenario: &Scenario, policy: Policy, service: &str) -> Vec<SocketAddr> {
+        if policy == Policy::Lavenderflow {
+            return self.nodes.iter().map(|node| node.settings.callers).collect();
+        }
+        let upstreams = self.upstreams.iter().enumerate();
+        let of_service =
+            upstreams.filter(|(i, _)| scenario.service_of(*i).is_some_and(|s| s.name == service));
+        of_service.map(|(_, upstream)| upstream.address()).collect()
+    }
+
+    fn inject(&mut self, fault: &Fault) -> Result<(), Error> {
+        match &fault.what {
+            What::Upstream(index, text) => self.upstreams[*index].set_mode(mode(text)?),
+            What::Kill(index) => self.nodes[*index].kill()?,
+            What::Freeze(index) => self.nodes[*index].freeze()?,
+            What::Thaw(index) => self.nodes[*index].thaw()?,
+            What::Stop(index) => self.nodes[*index].terminate()?,
+            What::Cut(from, to) => self.cut(from, to),
+            What::Heal(zone) => {
+                let proxies = self.proxies.iter().zip(&self.zones);
+                proxies.filter(|(_, z)| *z == zone).for_each(|(proxy, _)| proxy.heal());
+            }
+            What::Store(true) => self.store.set_mode(StoreMode::Up),
+            What::Store(false) => self.store.set_mode(StoreMode::Down),
+        }
+        Ok(())
+    }
+
+    /// Drops packets from one zone's nodes to another's.
+    fn cut(&self, from: &str, to: &str) {
+        for (sender, node) in self.nodes.iter().enumerate().filter(|(i, _)| self.zones[*i] == from)
+        {
+            let receivers = (0..self.nodes.len()).filter(|i| self.zones[*i] == to);
+            for receiver in receivers {
+                self.proxies[receiver].cut(node.settings.peers, Direction::In);
+                self.proxies[sender].cut(self.nodes[receiver].settings.peers, Direction::Out);
+            }
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Returns how many gates with slots a node knows.
+pub fn gates(node: &NodeProcess) -> usize {
+    let Some(status) = node.status() else { return 0 };
+    let services = status["services"].as_array().cloned().unwrap_or_default();
+    services.iter().filter_map(|s| s["gates"].as_array()).map(Vec::len).sum()
+}
--- /dev/null
+++ b/crates/experiment/src/watch.rs
@@ -0,0 +1,63 @@
+//! Watches which gates are in the choice of which entries during a run.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{self, Sender};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+use lavenderflow::operator::Operator;
+
+/// Interval of looks.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What one look at one entry showed.
+#[derive(Clone, Debug)]
+pub struct Look {
+    /// Time since the start of the load.
+    pub at: Duration,
+    /// Which entry.
+    pub entry: usize,
+    /// For each gate's node id and service, whether it was in the choice.
+    pub chosen: IndexMap<(String, String), bool>,
+}
+
+/// A thread that looks at all entries until it is stopped.
+pub struct Watch {
+    stop: Sender<()>,
+    thread: JoinHandle<Vec<Look>>,
+}
+
+impl Watch {
+    /// Starts to look at entries by their addresses for operators.
+    pub fn start(entries: Vec<SocketAddr>, start: Instant) -> Self {
+        let (stop, stopped) = mpsc::channel();
+        let thread = thread::spawn(move || {
+            let mut looks = Vec::new();
+            while stopped.recv_timeout(LOOK) == Err(mpsc::RecvTimeoutError::Timeout) {
+                for (entry, address) in entries.iter().enumerate() {
+                    looks.extend(look(entry, *address, start));
+                }
+            }
+            looks
+        });
+        Self { stop, thread }
+    }
+
+    /// Stops and returns what was seen.
+    pub fn finish(self) -> Vec<Look> {
+        let _ = self.stop.send(());
+        self.thread.join().unwrap_or_default()
+    }
+}
+
+fn look(entry: usize, address: SocketAddr, start: Instant) -> Option<Look> {
+    let status = Operator::status(address).ok()?;
+    let mut chosen = IndexMap::new();
+    for service in status.services {
+        for gate in service.gates {
+            chosen.insert((gate.node, service.name.clone()), gate.chosen);
+        }
+    }
+    Some(Look { at: start.elapsed(), entry, chosen })
+}
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -95,6 +95,7 @@
         gate: Actor<GateActor>,
         reply: oneshot::Sender<Status>,
     ) {
+        self.entry.review();
         status.requests = self.entry.in_flight();
         status.tickets = self.entry.ledger().len();
         status.services = self.services();
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -14,8 +14,6 @@
 
 /// Stack of a caller thread.
 const STACK_BYTES: usize = 128 * 1024;
-/// Longest time for a call.
-const TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A stretch of constant demand.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +24,15 @@
     pub rate: f64,
 }
 
+/// Where requests go. It is asked before each call and told how the call ended.
+pub trait Route: Send + Sync {
+    /// Chooses one of `count` targets of a kind.
+    fn pick(&self, kind: usize, count: usize) -> usize;
+
+    /// Takes in whether a call to a target succeeded.
+    fn report(&self, kind: usize, target: usize, succeeded: bool);
+}
+
 /// One kind of request.
 #[derive(Clone, Debug)]
 pub struct Kind {
@@ -33,8 +40,12 @@
     pub name: String,
     /// HTTP method.
     pub method: String,
-    /// URLs to choose from at random; `{id}` is replaced by the request's id.
+    /// URLs to choose from.
     pub urls: Vec<String>,
+    /// Longest time that the caller waits.
+    pub timeout: Duration,
+    /// Further tries after a failure, at other targets.
+    pub retries: u32,
     /// Length of the request body in bytes.
     pub body: usize,
     /// Weight in the mix.
@@ -42,7 +53,7 @@
 }
 
 /// A load to offer.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Plan {
     /// Demand over time.
     pub phases: Vec<Phase>,
@@ -52,6 +63,8 @@
     pub seed: u64,
     /// Most callers at once.
     pub callers: usize,
+    /// Where requests go; to a random target when there is none.
+    pub route: Option<Arc<dyn Route>>,
 }
 
 /// How one request ended.
@@ -83,10 +96,16 @@
 struct Job {
     id: String,
     kind: usize,
-    url: String,
+    target: usize,
     due: Instant,
 }
 
+struct Callers {
+    kinds: Vec<Kind>,
+    route: Option<Arc<dyn Route>>,
+    start: Instant,
+}
+
 /// Offers a load and returns how each request ended.
 ///
 /// # Errors
@@ -97,11 +116,13 @@
     let (results, ended) = mpsc::channel();
     let queue = Arc::new(Mutex::new(queue));
     let start = Instant::now();
-    let kinds = Arc::new(plan.kinds.clone());
+    let callers = Callers { kinds: plan.kinds.clone(), route: plan.route.clone(), start };
+    let callers = Arc::new(callers);
     for _ in 0..plan.callers {
-        let (queue, results, kinds) = (Arc::clone(&queue), results.clone(), Arc::clone(&kinds));
+        let (queue, results) = (Arc::clone(&queue), results.clone());
+        let callers = Arc::clone(&callers);
         let builder = thread::Builder::new().stack_size(STACK_BYTES);
-        builder.spawn(move || call_all(&queue, &results, &kinds, start))?;
+        builder.spawn(move || callers.run(&queue, &results))?;
     }
     drop(results);
     offer(plan, start, &jobs);
@@ -125,11 +146,10 @@
                 break;
             }
             let kind = draw(&plan.kinds, rng.random_range(0..total.max(1)));
-            let urls = &plan.kinds[kind].urls;
+            let target = rng.random_range(0..plan.kinds[kind].urls.len());
             let id = format!("{:016x}", rng.random::<u64>());
-            let url = urls[rng.random_range(0..urls.len())].replace("{id}", &id);
             thread::sleep(due.saturating_duration_since(Instant::now()));
-            if jobs.send(Job { id, kind, url, due }).is_err() {
+            if jobs.send(Job { id, kind, target, due }).is_err() {
                 return;
             }
         }
@@ -146,44 +166,91 @@
     0
 }
 
-fn call_all(queue: &Mutex<Receiver<Job>>, results: &Sender<Ended>, kinds: &[Kind], start: Instant) {
-    let config = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_global(Some(TIMEOUT))
-        .allow_non_standard_methods(true);
-    let agent: ureq::Agent = config.build().into();
-    loop {
-        let job = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
-        let Ok(job) = job else { return };
-        let kind = &kinds[job.kind];
-        let (status, outcome, reason) = call(&agent, &job, kind);
-        let ended = Ended {
-            id: job.id,
-            kind: job.kind,
-            due: job.due - start,
-            latency: job.due.elapsed(),
-            status,
-            outcome,
-            reason,
+impl Callers {
+    fn run(&self, queue: &Mutex<Receiver<Job>>, results: &Sender<Ended>) {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .allow_non_standard_methods(true);
+        let agent: ureq::Agent = config.build().into();
+        loop {
+            let job = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
+            let Ok(job) = job else { return };
+            let kind = &self.kinds[job.kind];
+            let mut target = job.target;
+            let mut seen = self.call(&agent, &job, &mut target);
+            for _ in 0..kind.retries {
+                if seen.status.is_some_and(|status| status < 500) {
+                    break;
+                }
+                target = (target + 1) % kind.urls.len();
+                seen = self.call(&agent, &job, &mut target);
+            }
+            let ended = Ended {
+                id: job.id,
+                kind: job.kind,
+                due: job.due - self.start,
+                latency: job.due.elapsed(),
+                status: seen.status,
+                outcome: seen.outcome,
+                reason: seen.reason,
+            };
+            if results.send(ended).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn call(&self, agent: &ureq::Agent, job: &Job, target: &mut usize) -> Seen {
+        let kind = &self.kinds[job.kind];
+        if let Some(route) = &self.route {
+            *target = route.pick(job.kind, kind.urls.len());
+        }
+        // A caller that waited for a free thread has less patience left.
+        let left = kind.timeout.saturating_sub(job.due.elapsed());
+        let seen = if left.is_zero() {
+            Seen::failure("late")
+        } else {
+            call(agent, &job.id, kind, &kind.urls[*target], left)
         };
-        if results.send(ended).is_err() {
-            return;
+        if let Some(route) = &self.route {
+            let succeeded = seen.status.is_some_and(|status| status < 500);
+            route.report(job.kind, *target, succeeded);
         }
+        seen
+    }
+}
+
+struct Seen {
+    status: Option<u16>,
+    outcome: String,
+    reason: String,
+}
+
+impl Seen {
+    fn failure(reason: &str) -> Self {
+        Self { status: None, outcome: String::new(), reason: reason.to_owned() }
     }
 }
 
-fn call(agent: &ureq::Agent, job: &Job, kind: &Kind) -> (Option<u16>, String, String) {
+fn call(agent: &ureq::Agent, id: &str, kind: &Kind, url: &str, left: Duration) -> Seen {
     let builder = ureq::http::Request::builder()
         .method(kind.method.as_str())
-        .uri(&job.url)
-        .header("lavenderflow-request-id", &job.id);
-    let failed = || (None, String::new(), "connection".to_owned());
+        .uri(url)
+        .header("lavenderflow-request-id", id);
     let sent = if kind.body == 0 {
-        builder.body(()).map(|request| agent.run(request))
+        builder.body(()).map(|request| {
+            agent.run(agent.configure_request(request).timeout_global(Some(left)).build())
+        })
     } else {
-        builder.body(vec![b'x'; kind.body]).map(|request| agent.run(request))
+        builder.body(vec![b'x'; kind.body]).map(|request| {
+            agent.run(agent.configure_request(request).timeout_global(Some(left)).build())
+        })
+    };
+    let mut response = match sent {
+        Ok(Ok(response)) => response,
+        Ok(Err(ureq::Error::Timeout(_))) => return Seen::failure("timeout"),
+        Ok(Err(_)) | Err(_) => return Seen::failure("connection"),
     };
-    let Ok(Ok(mut response)) = sent else { return failed() };
     let field = |name: &str| {
         let value = response.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
@@ -191,8 +258,8 @@
     let (outcome, reason) = (field("lavenderflow-outcome"), field("lavenderflow-reason"));
     let status = response.status().as_u16();
     match response.body_mut().with_config().limit(u64::MAX).read_to_vec() {
-        Ok(_) => (Some(status), outcome, reason),
-        Err(_) => failed(),
+        Ok(_) => Seen { status: Some(status), outcome, reason },
+        Err(_) => Seen::failure("cut"),
     }
 }
 
@@ -204,7 +271,8 @@
 pub fn latencies<'a>(ended: impl IntoIterator<Item = &'a Ended>) -> Result<Histogram<u64>, Error> {
     let mut histogram = Histogram::new(3)?;
     for request in ended.into_iter().filter(|request| request.is_served()) {
-        histogram.saturating_record(u64::try_from(request.latency.as_micros()).unwrap_or(u64::MAX));
+        // The histogram grows with its values; only one beyond 64 bits cannot be recorded.
+        let _ = histogram.record(u64::try_from(request.latency.as_micros()).unwrap_or(u64::MAX));
     }
     Ok(histogram)
 }
