Serve callers and operators with hyper, because tiny_http leaves connections unserved

Ruled out: the pool of worker threads, lost QUIC packets (the requests never reached the entry). A wake-up connection from the node to itself would only bound the delay, at the cost of polling. Callers are let in once the configuration is complete.

--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -23,6 +23,8 @@
 const COLLECT: Duration = Duration::from_millis(20);
 /// Interval at which the seeds are greeted, in pings.
 const GREET_PINGS: u32 = 10;
+/// Pings after which callers are let in though neither peers nor the store have answered.
+const READY_PINGS: u32 = 20;
 /// Nodes per zone that watch the store.
 const DELEGATES: usize = 2;
 /// Nodes that a refused caller is told to try.
@@ -43,6 +45,8 @@
     pub watcher: Watcher,
     /// Where refused callers are told to go.
     pub next: watch::Sender<String>,
+    /// Told once the node can serve callers.
+    pub ready: oneshot::Sender<()>,
 }
 
 /// Owns the membership and the configuration.
@@ -56,6 +60,7 @@
     network: Network,
     watcher: Watcher,
     next: watch::Sender<String>,
+    ready: Option<oneshot::Sender<()>>,
     entry: Actor<EntryActor>,
     gate: Option<Actor<GateActor>>,
     counters: Actor<CountersActor>,
@@ -84,6 +89,7 @@
             network: setup.network,
             watcher: setup.watcher,
             next: setup.next,
+            ready: Some(setup.ready),
             entry,
             gate: None,
             counters,
@@ -206,6 +212,9 @@
         for node in self.roster.subjects() {
             self.ping(node);
         }
+        if self.rounds > READY_PINGS {
+            self.set_ready();
+        }
         if self.rounds % GREET_PINGS == 1 {
             self.greet();
             for node in self.roster.bury() {
@@ -314,6 +323,10 @@
         if news {
             self.configure();
         }
+        // The peer holds no more than this node, so nothing is missing.
+        if self.catalog.documents().summary() == exchange.summaries[1] {
+            self.set_ready();
+        }
         if news || !nodes.is_empty() {
             self.changed(cx, &nodes);
         }
@@ -349,6 +362,16 @@
             self.configure();
             self.changed(cx, &[]);
         }
+        if is_all {
+            self.set_ready();
+        }
+    }
+
+    /// Lets callers in: the configuration is complete, or nobody can be asked for it.
+    fn set_ready(&mut self) {
+        if let Some(ready) = self.ready.take() {
+            let _ = ready.send(());
+        }
     }
 
     fn apply(&mut self, document: Document, source: Option<NodeId>) -> bool {
--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -4,3 +4,5 @@
 pub mod answer;
 pub mod callers;
 pub mod header;
+pub mod listen;
+pub mod server;
--- a/crates/lavenderflow/src/http/answer.rs
+++ b/crates/lavenderflow/src/http/answer.rs
@@ -1,96 +1,85 @@
-//! Writes answers to callers.
+//! Answers to callers.
 
-use std::io::{self, Write};
-use std::str::FromStr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use tiny_http::{Header, Request, Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Response, StatusCode};
 
 use super::header;
-use crate::net::body::AnswerParts;
+use crate::net::body::{AnswerParts, CutError};
 use crate::net::drive::{Reply, ReplyBody};
+use crate::work::Piece;
 
-/// What is not a chunk's size: it makes a caller see that the answer broke off.
-const INVALID_CHUNK: &[u8] = b"cut\r\n";
-
-/// Writes a reply. A body that breaks off is an error for the caller, never a short success.
-///
-/// # Errors
+/// The body of an answer to a caller.
 ///
-/// The caller is gone.
-pub fn write(request: Request, reply: Reply, extra: &[(String, String)]) -> io::Result<()> {
-    let mut headers = extra.to_vec();
-    headers.push((header::OUTCOME.to_owned(), reply.outcome.name().to_owned()));
-    headers.push((header::REASON.to_owned(), reply.reason.name().to_owned()));
-    if let Some(ticket) = reply.ticket {
-        headers.push((header::TICKET.to_owned(), ticket.to_string()));
-    }
-    // An upstream does not speak for the proxy.
-    let own = [header::OUTCOME, header::REASON, header::TICKET, header::REQUEST_ID];
-    headers.extend(reply.headers.into_iter().filter(|(name, _)| {
-        !header::is_hop_by_hop(name) && !own.iter().any(|own| own.eq_ignore_ascii_case(name))
-    }));
-    match reply.body {
-        ReplyBody::Whole(body) => write_whole(request, reply.status, &headers, body),
-        ReplyBody::Parts(first, parts) => {
-            write_parts(request.into_writer(), reply.status, &headers, &first, parts)
-        }
-    }
+/// A body that breaks off is an error, upon which the connection is closed in the middle of the
+/// answer, so it is never a short success.
+#[derive(Debug)]
+pub struct AnswerBody {
+    first: Option<Bytes>,
+    parts: Option<AnswerParts>,
+    // A graceful stop waits for the whole answer.
+    _piece: Piece,
 }
 
-fn write_whole(
-    request: Request,
-    status: u16,
-    headers: &[(String, String)],
-    body: Bytes,
-) -> io::Result<()> {
-    let length = body.len();
-    let fields = headers
-        .iter()
-        .filter_map(|(name, value)| Header::from_str(&format!("{name}: {value}")).ok());
-    let response = Response::new(
-        StatusCode(status),
-        fields.collect(),
-        io::Cursor::new(body),
-        Some(length),
-        None,
-    );
-    request.respond(response.with_chunked_threshold(usize::MAX))
-}
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let Some(parts) = &mut self.parts else { return Poll::Ready(None) };
+        parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+    }
 
-fn write_parts(
-    mut writer: impl Write,
-    status: u16,
-    headers: &[(String, String)],
-    first: &Bytes,
-    mut parts: AnswerParts,
-) -> io::Result<()> {
-    let reason = StatusCode(status).default_reason_phrase();
-    let mut head = format!("HTTP/1.1 {status} {reason}\r\ntransfer-encoding: chunked\r\n");
-    for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
+    fn is_end_stream(&self) -> bool {
+        self.parts.is_none() && self.first.as_ref().is_none_or(Bytes::is_empty)
     }
-    head.push_str("\r\n");
-    writer.write_all(head.as_bytes())?;
-    write_chunk(&mut writer, first)?;
-    while let Some(part) = parts.blocking_recv() {
-        let Ok(data) = part else {
-            writer.write_all(INVALID_CHUNK)?;
-            return writer.flush();
-        };
-        write_chunk(&mut writer, &data)?;
+
+    fn size_hint(&self) -> SizeHint {
+        match (&self.first, &self.parts) {
+            (first, None) => SizeHint::with_exact(first.as_ref().map_or(0, |f| f.len() as u64)),
+            _ => SizeHint::default(),
+        }
     }
-    writer.write_all(b"0\r\n\r\n")?;
-    writer.flush()
 }
 
-fn write_chunk(writer: &mut impl Write, data: &Bytes) -> io::Result<()> {
-    // An empty chunk would end the body.
-    if data.is_empty() {
-        return Ok(());
+/// Forms the answer to a caller; `extra` fields are the node's own.
+pub fn form(reply: Reply, extra: &[(&str, String)], piece: Piece) -> Response<AnswerBody> {
+    let (first, parts) = match reply.body {
+        ReplyBody::Whole(body) => (body, None),
+        ReplyBody::Parts(first, parts) => (first, Some(parts)),
+    };
+    let body = AnswerBody { first: Some(first), parts, _piece: piece };
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    // An upstream does not speak for the proxy.
+    let own = [header::OUTCOME, header::REASON, header::TICKET, header::REQUEST_ID];
+    let passed = reply.headers.iter().filter(|(name, _)| {
+        !header::is_hop_by_hop(name) && !own.iter().any(|own| own.eq_ignore_ascii_case(name))
+    });
+    for (name, value) in passed {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        }
+    }
+    let mut fields = extra.to_vec();
+    fields.push((header::OUTCOME, reply.outcome.name().to_owned()));
+    fields.push((header::REASON, reply.reason.name().to_owned()));
+    fields.extend(reply.ticket.map(|ticket| (header::TICKET, ticket.to_string())));
+    for (name, value) in fields {
+        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(&value)) {
+            headers.insert(name, value);
+        }
     }
-    write!(writer, "{:x}\r\n", data.len())?;
-    writer.write_all(data)?;
-    writer.write_all(b"\r\n")?;
-    writer.flush()
+    response
 }
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -1,49 +1,49 @@
-//! Serves callers over HTTP. Each request has a thread that owns its connection meanwhile.
+//! Serves callers over HTTP.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io::{self, Read};
-use std::net::SocketAddr;
-use std::thread;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Response, Version};
 use lavenderflow_core::id::TicketError;
 use lavenderflow_core::request::Arrival;
 use rand::random;
-use tiny_http::{HTTPVersion, Server};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
 
-use super::{answer, header};
-use crate::error::NodeError;
+use super::answer::{self, AnswerBody};
+use super::header;
+use super::server::{self, Stopper};
 use crate::message::EntryMessage;
 use crate::net::body::BodyPart;
-use crate::net::drive::{Reply, Request};
-use crate::net::endpoint::{Command, Network};
+use crate::net::drive::{self, Reply, Request};
+use crate::net::endpoint::Context as NetContext;
 use crate::prelude::*;
-use crate::work::Work;
-use crate::workers::Workers;
 
 /// Bodies up to this size are read whole before the request is served, in bytes.
 const WHOLE_BYTES: usize = 64 * 1024;
 /// Largest header section, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Time for which the body of a refused request is read, so that the caller sees the answer.
+const DRAIN: Duration = Duration::from_secs(10);
 /// Paths that the node itself serves.
 const OWN_PREFIX: &str = "/.lavenderflow/";
 /// Path at which callers get tickets.
 const TICKETS: &str = "/.lavenderflow/tickets";
 
-/// What all workers share.
+/// What all requests share.
 #[derive(Clone, Debug)]
 pub struct Context {
     /// Name of this node.
     pub name: String,
-    /// To the actors.
-    pub mailbox: Mailbox,
-    /// To the network task.
-    pub network: Network,
-    /// Counts what a graceful stop waits for.
-    pub work: Work,
+    /// To the actors, the connections and the upstreams.
+    pub net: NetContext,
     /// Where refused callers can go.
     pub next: watch::Receiver<String>,
+    /// Most requests at once.
+    pub most: usize,
 }
 
 /// Why a request is not served.
@@ -51,8 +51,8 @@
 enum CallerError {
     #[error("the header section has {0} bytes")]
     HeadersTooLarge(usize),
-    #[error("HTTP version {0} cannot show an answer that breaks off")]
-    Version(HTTPVersion),
+    #[error("HTTP version {0:?} cannot show an answer that breaks off")]
+    Version(Version),
     #[error("ticket: {0}")]
     Ticket(#[from] TicketError),
     #[error("the deadline is not a whole number of milliseconds")]
@@ -60,7 +60,7 @@
     #[error("the length of the body is not clear")]
     Length,
     #[error("body: {0}")]
-    Body(#[from] io::Error),
+    Body(#[from] hyper::Error),
 }
 
 impl CallerError {
@@ -73,47 +73,24 @@
     }
 }
 
-/// Binds the address and serves callers on threads of their own.
-///
-/// # Errors
-///
-/// The address cannot be bound or no thread can be started.
-pub fn start(address: SocketAddr, workers: usize, context: Context) -> Result<(), NodeError> {
-    let server = Server::http(address)
-        .map_err(|fault| NodeError::Listen { address, fault: fault.to_string() })?;
-    let shared = context.clone();
-    let mut workers = Workers::new("caller", workers, move |request| serve(&shared, request));
-    let accept = move || {
-        while let Ok(request) = server.recv() {
-            if let Err(request) = workers.submit(request) {
-                let reply = Reply::without_answer(Outcome::NotRun, Reason::WorkersBusy, None);
-                count(&context, &reply);
-                let _ = answer::write(request, reply, &extra(&context, "", Outcome::NotRun));
-            }
-        }
-    };
-    thread::Builder::new().name("callers".to_owned()).spawn(accept).map_err(NodeError::Thread)?;
-    Ok(())
+/// Serves callers on a bound address.
+pub fn start(listener: TcpListener, context: Context) -> Stopper {
+    server::start(listener, move |request| serve(context.clone(), request))
 }
 
-fn serve(context: &Context, mut request: tiny_http::Request) {
-    let _piece = context.work.begin();
-    let headers = headers(&request);
+async fn serve(context: Context, request: hyper::Request<Incoming>) -> Response<AnswerBody> {
+    let piece = context.net.work.begin();
+    let headers = header::from_map(request.headers());
     let id = header::find(&headers, header::REQUEST_ID).map(str::to_owned);
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
-    let reply = if request.url().starts_with(OWN_PREFIX) {
-        serve_own(context, request.url())
+    let reply = if context.net.work.unfinished() > context.most {
+        Reply::without_answer(Outcome::NotRun, Reason::WorkersBusy, None)
+    } else if request.uri().path().starts_with(OWN_PREFIX) {
+        serve_own(&context, request.uri().path()).await
     } else {
-        match read(&mut request, with_id(headers, &id)) {
-            Ok(parsed) => forward(context, &mut request, parsed, &id),
-            Err(fault) => {
-                log::info!("event=bad-request request={id} fault={fault:?}");
-                context.mailbox.send_blocking(Message::Count(Counter::Fault(Fault::Caller)));
-                Reply::without_answer(Outcome::NotRun, fault.reason(), None)
-            }
-        }
+        serve_routed(&context, request, headers, &id).await
     };
-    count(context, &reply);
+    count(&context, &reply).await;
     log::debug!(
         "event=answered request={id} node={} outcome={} reason={} status={}",
         context.name,
@@ -121,33 +98,50 @@
         reply.reason.name(),
         reply.status
     );
-    let extra = extra(context, &id, reply.outcome);
-    if let Err(fault) = answer::write(request, reply, &extra) {
-        log::info!("event=caller-gone request={id} fault={:?}", fault.kind());
+    let extra = extra(&context, id, &reply);
+    answer::form(reply, &extra, piece)
+}
+
+async fn serve_routed(
+    context: &Context,
+    request: hyper::Request<Incoming>,
+    headers: Vec<(String, String)>,
+    id: &str,
+) -> Reply {
+    match read(request, with_id(headers, id)).await {
+        Ok(parsed) => forward(context, parsed, id).await,
+        Err(fault) => {
+            log::info!("event=bad-request request={id} fault={fault:?}");
+            send(context, Message::Count(Counter::Fault(Fault::Caller))).await;
+            Reply::without_answer(Outcome::NotRun, fault.reason(), None)
+        }
     }
 }
 
-fn count(context: &Context, reply: &Reply) {
-    context.mailbox.send_blocking(Message::Count(Counter::Outcome(reply.outcome)));
+async fn send(context: &Context, message: Message) {
+    context.net.mailbox.send(message).await;
+}
+
+async fn count(context: &Context, reply: &Reply) {
+    send(context, Message::Count(Counter::Outcome(reply.outcome))).await;
     if reply.reason != Reason::Answered {
-        context.mailbox.send_blocking(Message::Count(Counter::Refused(reply.reason)));
+        send(context, Message::Count(Counter::Refused(reply.reason))).await;
     }
 }
 
-fn extra(context: &Context, id: &str, outcome: Outcome) -> Vec<(String, String)> {
-    let mut fields = vec![(header::REQUEST_ID.to_owned(), id.to_owned())];
-    if outcome == Outcome::NotRun {
-        fields.push((header::NEXT.to_owned(), context.next.borrow().clone()));
-        fields.push(("retry-after".to_owned(), "1".to_owned()));
+/// Returns the fields that the node adds to an answer.
+fn extra(context: &Context, id: String, reply: &Reply) -> Vec<(&'static str, String)> {
+    let mut fields = vec![(header::REQUEST_ID, id)];
+    if reply.outcome == Outcome::NotRun {
+        fields.push((header::NEXT, context.next.borrow().clone()));
+        fields.push(("retry-after", "1".to_owned()));
+    }
+    if reply.reason == Reason::Leaving {
+        fields.push(("connection", "close".to_owned()));
     }
     fields
 }
 
-fn headers(request: &tiny_http::Request) -> Vec<(String, String)> {
-    let fields = request.headers().iter();
-    fields.map(|f| (f.field.as_str().as_str().to_owned(), f.value.as_str().to_owned())).collect()
-}
-
 /// Replaces the request's id, which upstreams and logs share.
 fn with_id(mut headers: Vec<(String, String)>, id: &str) -> Vec<(String, String)> {
     headers.retain(|(name, _)| !name.eq_ignore_ascii_case(header::REQUEST_ID));
@@ -156,13 +150,13 @@
 }
 
 /// Serves the node's own paths: tickets.
-fn serve_own(context: &Context, path: &str) -> Reply {
+async fn serve_own(context: &Context, path: &str) -> Reply {
     if path != TICKETS {
         return Reply::without_answer(Outcome::NotRun, Reason::NoRoute, None);
     }
     let (reply, ticket) = oneshot::channel();
-    context.mailbox.send_blocking(Message::Entry(EntryMessage::Issue(reply)));
-    match ticket.blocking_recv().ok().flatten() {
+    send(context, Message::Entry(EntryMessage::Issue(reply))).await;
+    match ticket.await.ok().flatten() {
         Some(ticket) => Reply::without_answer(Outcome::Ran, Reason::Answered, Some(ticket)),
         None => Reply::without_answer(Outcome::NotRun, Reason::Leaving, None),
     }
@@ -173,38 +167,34 @@
     arrival: Arrival,
     headers: Vec<(String, String)>,
     body: Bytes,
+    rest: Option<Incoming>,
 }
 
-fn read(
-    request: &mut tiny_http::Request,
+async fn read(
+    request: hyper::Request<Incoming>,
     headers: Vec<(String, String)>,
 ) -> Result<Parsed, CallerError> {
     let size: usize = headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
-    if size + request.url().len() > MAX_HEADER_BYTES {
+    let target = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    if size + target.len() > MAX_HEADER_BYTES {
         return Err(CallerError::HeadersTooLarge(size));
     }
-    if *request.http_version() < HTTPVersion(1, 1) {
-        return Err(CallerError::Version(request.http_version().clone()));
+    if request.version() < Version::HTTP_11 {
+        return Err(CallerError::Version(request.version()));
     }
-    check_length(&headers)?;
+    let declared = body_length(&headers)?;
     let ticket = header::find(&headers, header::TICKET).map(str::parse).transpose()?;
     let deadline = match header::find(&headers, header::DEADLINE) {
         Some(text) => Some(text.parse().map_err(|_| CallerError::Deadline)?),
         None => None,
     };
-    let declared = request.body_length();
-    // A large body stays with the caller until a gate has admitted the request.
-    let is_large = declared.is_some_and(|length| length > WHOLE_BYTES);
-    let body = if is_large { Bytes::new() } else { read_part(request.as_reader(), WHOLE_BYTES)? };
-    if let Some(declared) = declared.filter(|length| !is_large && *length != body.len()) {
-        log::debug!("event=short-body declared={declared} received={}", body.len());
-        return Err(CallerError::Body(io::ErrorKind::UnexpectedEof.into()));
-    }
-    // Without a declared length, a full first part means that more may follow.
-    let whole = !is_large && (declared.is_some() || body.len() < WHOLE_BYTES);
     let method = request.method().to_string();
-    let target = request.url().to_owned();
-    let length = if whole { Some(body.len() as u64) } else { declared.map(|l| l as u64) };
+    let mut rest = request.into_body();
+    // A large body stays with the caller until a gate has admitted the request.
+    let is_large = declared.is_some_and(|length| length > WHOLE_BYTES as u64);
+    let (body, whole) =
+        if is_large { (Bytes::new(), false) } else { read_first(&mut rest).await? };
+    let length = if whole { Some(body.len() as u64) } else { declared };
     let arrival = Arrival {
         request: random(),
         organisation: header::find(&headers, header::ORGANISATION).map(Into::into),
@@ -217,26 +207,26 @@
         method,
         target,
     };
-    Ok(Parsed { arrival, headers, body })
+    Ok(Parsed { arrival, headers, body, rest: (!whole).then_some(rest) })
 }
 
-/// Refuses what a caller and an upstream could read differently: the HTTP library takes a body
-/// whose length it cannot parse for an empty one.
-fn check_length(headers: &[(String, String)]) -> Result<(), CallerError> {
+/// Returns the declared length of the body, and refuses what a caller and an upstream could read
+/// differently.
+fn body_length(headers: &[(String, String)]) -> Result<Option<u64>, CallerError> {
     let values = |wanted: &str| {
         let fields = headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case(wanted));
         fields.map(|(_, value)| value.as_str()).collect::<Vec<&str>>()
     };
-    let lengths = values("content-length");
-    let codings = values("transfer-encoding");
+    let (lengths, codings) = (values("content-length"), values("transfer-encoding"));
     let is_number = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-    let is_clear = match (lengths.as_slice(), codings.as_slice()) {
-        ([], []) => true,
-        ([length], []) => is_number(length) && length.parse::<u64>().is_ok(),
-        ([], [coding]) => coding.eq_ignore_ascii_case("chunked"),
-        _ => false,
-    };
-    if is_clear { Ok(()) } else { Err(CallerError::Length) }
+    match (lengths.as_slice(), codings.as_slice()) {
+        ([], []) => Ok(Some(0)),
+        ([length], []) if is_number(length) => {
+            length.parse().map(Some).map_err(|_| CallerError::Length)
+        }
+        ([], [coding]) if coding.eq_ignore_ascii_case("chunked") => Ok(None),
+        _ => Err(CallerError::Length),
+    }
 }
 
 /// Binds a ticket to a request: repetitions must not differ in what they ask for.
@@ -246,60 +236,55 @@
     hasher.finish()
 }
 
-/// Reads up to `size` bytes; fewer only at the end.
-fn read_part(reader: &mut dyn Read, size: usize) -> io::Result<Bytes> {
-    let mut part = Vec::new();
-    reader.take(size as u64).read_to_end(&mut part)?;
-    Ok(part.into())
+/// Reads up to about [`WHOLE_BYTES`] and tells whether the body ended.
+async fn read_first(body: &mut Incoming) -> Result<(Bytes, bool), CallerError> {
+    let mut first = BytesMut::new();
+    while first.len() <= WHOLE_BYTES {
+        let Some(frame) = body.frame().await else { return Ok((first.freeze(), true)) };
+        if let Ok(data) = frame?.into_data() {
+            first.extend_from_slice(&data);
+        }
+    }
+    Ok((first.freeze(), false))
 }
 
-/// Hands a request to the network task, feeds it the rest of the body and waits for the reply.
-fn forward(context: &Context, request: &mut tiny_http::Request, parsed: Parsed, id: &str) -> Reply {
-    let Parsed { arrival, headers, body } = parsed;
-    let (rest, asked) = oneshot::channel();
-    let rest = (!arrival.whole).then_some(rest);
-    let expected = arrival.body_length;
-    let whole = arrival.whole;
-    let (reply, answer) = oneshot::channel();
-    let read = body.len() as u64;
-    let driven = Request { arrival, id: id.to_owned(), headers, body, rest };
-    let lost = || Reply::without_answer(Outcome::Unknown, Reason::Lost, None);
-    if context.network.blocking_send(Command::Drive(driven, reply)).is_err() {
-        return Reply::without_answer(Outcome::NotRun, Reason::Leaving, None);
-    }
-    // The sender is dropped when the request ends before a gate has admitted it.
-    if !whole && let Ok(parts) = asked.blocking_recv() {
-        send_body(request.as_reader(), &parts, expected, read);
-    }
-    answer.blocking_recv().unwrap_or_else(|_| lost())
+/// Serves a request, with a task that passes on the rest of its body.
+async fn forward(context: &Context, parsed: Parsed, id: &str) -> Reply {
+    let Parsed { arrival, headers, body, rest: unread } = parsed;
+    let rest = unread.map(|unread| {
+        let (rest, asked) = oneshot::channel();
+        tokio::spawn(send_body(unread, asked));
+        rest
+    });
+    let request = Request { arrival, id: id.to_owned(), headers, body, rest };
+    drive::drive(&context.net, request).await
 }
 
-/// Passes the rest of a body on; without its end when the caller breaks off.
-fn send_body(
-    reader: &mut dyn Read,
-    parts: &mpsc::Sender<BodyPart>,
-    expected: Option<u64>,
-    mut total: u64,
-) {
-    loop {
-        let mut buffer = vec![0; WHOLE_BYTES];
-        let count = match reader.read(&mut buffer) {
-            Ok(count) => count,
-            Err(fault) => {
-                log::info!("event=caller-gone fault={:?}", fault.kind());
+/// Passes the rest of a body on, without its end when the caller breaks off. When nobody wants
+/// it, reads it for a while, so that the caller gets to see the answer.
+async fn send_body(mut body: Incoming, asked: oneshot::Receiver<mpsc::Sender<BodyPart>>) {
+    if let Ok(parts) = asked.await {
+        loop {
+            let part = match body.frame().await {
+                None => BodyPart::End,
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => BodyPart::Data(data),
+                    Err(_) => continue,
+                },
+                Some(Err(fault)) => {
+                    log::info!("event=caller-gone fault={fault:?}");
+                    return;
+                }
+            };
+            let is_end = matches!(part, BodyPart::End);
+            if parts.send(part).await.is_err() {
+                break;
+            }
+            if is_end {
                 return;
             }
-        };
-        if count == 0 {
-            break;
-        }
-        total += count as u64;
-        buffer.truncate(count);
-        if parts.blocking_send(BodyPart::Data(buffer.into())).is_err() {
-            return;
         }
     }
-    if expected.is_none_or(|length| length == total) {
-        let _ = parts.blocking_send(BodyPart::End);
-    }
+    let drain = async { while let Some(Ok(_)) = body.frame().await {} };
+    let _ = timeout(DRAIN, drain).await;
 }
--- /dev/null
+++ b/crates/lavenderflow/src/http/server.rs
@@ -0,0 +1,124 @@
+//! Serves HTTP/1.1 connections, each by a task of its own.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+use crate::error::NodeError;
+use crate::prelude::*;
+
+/// Longest time for a caller to send the head of a request, or to send the next one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
+/// Most bytes that are buffered per connection and direction.
+const BUFFER_BYTES: usize = 64 * 1024;
+/// Time to wait before the next connection is accepted after a failure.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time for answers to be written out during a stop.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Stops a server.
+#[derive(Debug)]
+pub struct Stopper {
+    stop: watch::Sender<bool>,
+    ended: mpsc::Receiver<Infallible>,
+}
+
+impl Stopper {
+    /// Lets each connection write out its answer, and waits for the last one to end.
+    pub async fn stop(mut self) {
+        self.stop.send_replace(true);
+        // Each connection holds a sender, so this ends with the last of them.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.ended.recv()).await;
+    }
+}
+
+/// Binds an address.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|fault| NodeError::Listen { address, fault: fault.to_string() })
+}
+
+/// Accepts connections and answers their requests until it is stopped.
+pub fn start<H, F, B>(listener: TcpListener, handle: H) -> Stopper
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
+{
+    let (stop, stopped) = watch::channel(false);
+    let (alive, ended) = mpsc::channel(1);
+    tokio::spawn(accept(listener, handle, stopped, alive));
+    Stopper { stop, ended }
+}
+
+async fn accept<H, F, B>(
+    listener: TcpListener,
+    handle: H,
+    mut stopped: watch::Receiver<bool>,
+    alive: mpsc::Sender<Infallible>,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.changed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(serve(stream, handle.clone(), stopped.clone(), alive.clone()));
+            }
+            Err(fault) => {
+                log::warn!("event=accept-failed fault={fault:?}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve<H, F, B>(
+    stream: TcpStream,
+    handle: H,
+    mut stopped: watch::Receiver<bool>,
+    alive: mpsc::Sender<Infallible>,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
+{
+    let _alive = alive;
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let answer = handle(request);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stopped.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(fault) = ended {
+        log::debug!("event=connection-failed fault={fault:?}");
+    }
+}
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -8,7 +8,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::connector::Connector;
-use super::drive::{self, Reply, Request};
 use super::link::{LinkError, Sink, Source};
 use super::{ping, serve};
 use crate::error::NodeError;
@@ -22,8 +21,6 @@
 /// A command to the network task.
 #[derive(Debug)]
 pub enum Command {
-    /// Serve a caller's request; the answer goes to the sender.
-    Drive(Request, oneshot::Sender<Reply>),
     /// Ping a node with an exchange.
     Ping(NodeId, Exchange, Position),
     /// Introduce this node at an address.
@@ -92,7 +89,7 @@
 pub async fn run(
     setup: Setup,
     mut commands: mpsc::Receiver<Command>,
-    bound: oneshot::Sender<Result<(), NodeError>>,
+    bound: oneshot::Sender<Result<Context, NodeError>>,
 ) {
     let (server, client) = setup.keys;
     let endpoint = match Endpoint::server(server, setup.address) {
@@ -103,7 +100,6 @@
             return;
         }
     };
-    let _ = bound.send(Ok(()));
     let mut endpoint = endpoint;
     endpoint.set_default_client_config(client);
     let context = Context {
@@ -115,6 +111,7 @@
         work: setup.work,
         ping: setup.ping,
     };
+    let _ = bound.send(Ok(context.clone()));
     tokio::spawn(accept(context.clone(), endpoint.clone()));
     while let Some(command) = commands.recv().await {
         if let Command::Close(done) = command {
@@ -129,12 +126,6 @@
 
 async fn execute(context: &Context, command: Command) {
     match command {
-        Command::Drive(request, reply) => {
-            let context = context.clone();
-            tokio::spawn(async move {
-                let _ = reply.send(drive::drive(&context, request).await);
-            });
-        }
         Command::Ping(node, exchange, position) => {
             tokio::spawn(ping::ping(context.clone(), node, exchange, position));
         }
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -26,7 +26,7 @@
 use crate::clock::SystemClock;
 use crate::counter;
 use crate::error::NodeError;
-use crate::http::{admin, callers};
+use crate::http::{callers, listen};
 use crate::net::endpoint::{self, Command, Network};
 use crate::net::key;
 use crate::prelude::*;
@@ -54,37 +54,31 @@
     let clock: SharedClock = Arc::new(SystemClock);
     let (mailbox, messages) = Mailbox::new();
     let (network, commands) = endpoint::channel();
-    let work = Work::default();
     let (next, next_nodes) = watch::channel(String::new());
+    let (ready, is_ready) = oneshot::channel();
+    let (stop, is_stopped) = oneshot::channel();
     let statsd = counter::statsd(settings.statsd.first().copied())?;
-    start_network(settings, &clock, &mailbox, commands, &work)?;
-    let caller_context = callers::Context {
-        name: settings.name.clone(),
-        mailbox: mailbox.clone(),
-        network: network.clone(),
-        work: work.clone(),
-        next: next_nodes,
-    };
-    let workers = usize::try_from(settings.workers).unwrap_or(usize::MAX);
-    admin::start(settings.admin, mailbox.clone())?;
+    let work = Work::default();
+    let net = start_network(settings, &clock, &mailbox, commands, &work)?;
+    let most = usize::try_from(settings.workers).unwrap_or(usize::MAX);
+    let context = callers::Context { name: settings.name.clone(), net, next: next_nodes, most };
+    let (callers, admin) = (settings.callers, settings.admin);
+    start_http(listen::Setup { callers, admin, context, ready: is_ready, stop: is_stopped })?;
     start_signals(mailbox.clone())?;
     let store = Store::new(settings.store);
     let zone = settings.zone.as_str().into();
-    let watcher = Watcher::start(store, zone, Arc::clone(&clock), mailbox)?;
     let fleet = fleet::Setup {
         roster: Roster::new(Arc::clone(&clock), member(settings)),
         seeds: settings.seeds.clone(),
         ping: settings.ping,
         network: network.clone(),
-        watcher,
+        watcher: Watcher::start(store, zone, Arc::clone(&clock), mailbox)?,
         next,
+        ready,
     };
-    let mut main = Main::new(settings, &clock, fleet, statsd, work);
-    callers::start(settings.callers, workers, caller_context)?;
-    let Member { name, callers, peer, .. } = member(settings);
-    log::info!("event=serving node={name} callers={callers} peer={peer}");
-    main.serve(messages)?;
-    close(&network);
+    log::info!("event=started node={} peers={}", settings.name, settings.peers);
+    Main::new(settings, &clock, fleet, statsd, work).serve(messages)?;
+    close(stop, &network);
     Ok(())
 }
 
@@ -114,7 +108,7 @@
     mailbox: &Mailbox,
     commands: mpsc::Receiver<Command>,
     work: &Work,
-) -> Result<(), NodeError> {
+) -> Result<endpoint::Context, NodeError> {
     let keys = key::load(&settings.authority, &settings.certificate, &settings.key)?;
     let (calls, queue) = mpsc::channel(CALL_QUEUE);
     spawn("calls", call_upstreams(queue, Arc::clone(clock)))?;
@@ -131,9 +125,19 @@
     let (bound, is_bound) = oneshot::channel();
     let runtime = runtime()?;
     spawn("network", move || runtime.block_on(endpoint::run(setup, commands, bound)))?;
-    is_bound
-        .blocking_recv()
-        .unwrap_or_else(|_| Err(NodeError::Thread(io::ErrorKind::UnexpectedEof.into())))
+    is_bound.blocking_recv().unwrap_or_else(|_| Err(ended_early()))
+}
+
+/// Starts the HTTP thread.
+fn start_http(setup: listen::Setup) -> Result<(), NodeError> {
+    let (bound, is_bound) = oneshot::channel();
+    let runtime = runtime()?;
+    spawn("http", move || runtime.block_on(listen::run(setup, bound)))?;
+    is_bound.blocking_recv().unwrap_or_else(|_| Err(ended_early()))
+}
+
+fn ended_early() -> NodeError {
+    NodeError::Thread(io::ErrorKind::UnexpectedEof.into())
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), NodeError> {
@@ -166,7 +170,12 @@
     })
 }
 
-fn close(network: &Network) {
+/// Waits until answers are written out, then closes the connections to other nodes.
+fn close(stop: oneshot::Sender<oneshot::Sender<()>>, network: &Network) {
+    let (done, is_done) = oneshot::channel();
+    if stop.send(done).is_ok() {
+        let _ = is_done.blocking_recv();
+    }
     let (done, is_done) = oneshot::channel();
     if network.blocking_send(Command::Close(done)).is_ok() {
         let _ = is_done.blocking_recv();
