Bring configuration into force item by item and take records in by batches

Cause: measured slopes. One arrival among 2,400 nodes made the rings anew in 5.9 ms, so a new node that learns the whole fleet would spend about 7 s; each change of the configuration cloned all routes; the gate's tick with 54 upstreams took 102 us, 50 times a second. Now the rings are made anew once per exchange, only changed items are passed on, and what a gate offers is added up in one pass. Ruled out: fewer rings, since each is an observer of every node.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::prelude::*;
-use crate::route::{Route, Router};
+use crate::route::Route;
 use crate::table::{Table, Versioned};
 
 /// Names one entry of the configuration, such as `profiles/default`.
@@ -42,10 +42,10 @@
 }
 
 /// What became of a document.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Taken {
-    /// It is in force now.
-    Applied,
+    /// It is in force now, instead of an older item if there was one.
+    Applied(Box<Item>, Option<Box<Item>>),
     /// The same or a newer revision is in force.
     Known,
     /// It is malformed; what was in force stays.
@@ -59,7 +59,6 @@
     items: IndexMap<Key, Item>,
     rejected: IndexMap<Key, (Revision, String)>,
     profiles: IndexMap<ProfileName, Profile>,
-    router: Router,
 }
 
 impl Catalog {
@@ -84,8 +83,11 @@
             return Taken::Known;
         }
         self.rejected.swap_remove(&key);
-        self.replace(key, item);
-        Taken::Applied
+        if let Item::Profile(profile) = &item {
+            self.profiles.insert(profile.name.clone(), profile.clone());
+        }
+        let replaced = self.items.insert(key, item.clone());
+        Taken::Applied(Box::new(item), replaced.map(Box::new))
     }
 
     /// Returns the documents, to pass them on.
@@ -93,11 +95,6 @@
         &self.documents
     }
 
-    /// Returns the routes.
-    pub fn router(&self) -> &Router {
-        &self.router
-    }
-
     /// Returns the profile that a service follows, or the default profile.
     pub fn profile(&self, service: &str) -> Profile {
         let name = match self.items.get(format!("services/{service}").as_str()) {
@@ -107,27 +104,8 @@
         self.profiles.get(&name).cloned().unwrap_or_default()
     }
 
-    /// Returns the checked entries.
-    pub fn items(&self) -> impl Iterator<Item = (&Key, &Item)> {
-        self.items.iter()
-    }
-
     /// Returns the malformed documents: key, revision and fault.
     pub fn rejected(&self) -> impl Iterator<Item = (&Key, Revision, &str)> {
         self.rejected.iter().map(|(key, (revision, fault))| (key, *revision, fault.as_str()))
     }
-
-    fn replace(&mut self, key: Key, item: Item) {
-        if let Some(Item::Route(old)) = self.items.get(&key) {
-            self.router.remove(&old.prefix);
-        }
-        match &item {
-            Item::Profile(profile) => {
-                self.profiles.insert(profile.name.clone(), profile.clone());
-            }
-            Item::Route(route) => self.router.insert(route.clone()),
-            Item::Service(..) | Item::Organisation(..) => {}
-        }
-        self.items.insert(key, item);
-    }
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -11,7 +11,7 @@
 use crate::prelude::*;
 use crate::request::{Arrival, Conclusion, EntryAction, Plan, Report};
 use crate::roster::Member;
-use crate::route::Router;
+use crate::route::{Route, Router};
 use crate::ticket::StoredAnswer;
 use crate::witness::Observation;
 
@@ -105,6 +105,14 @@
         self.router = router;
     }
 
+    /// Adds a route, instead of an older one if there is.
+    pub fn set_route(&mut self, route: Route, replaced: Option<&Route>) {
+        if let Some(old) = replaced {
+            self.router.remove(&old.prefix);
+        }
+        self.router.insert(route);
+    }
+
     /// Sets the profile of a service.
     pub fn set_profile(&mut self, service: &ServiceName, profile: Profile) {
         self.profiles.insert(service.clone(), profile);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -271,21 +271,9 @@
     /// Returns the load of a service.
     pub fn load(&self, service: &ServiceName) -> Load {
         let now = self.clock.now();
-        let mut load =
-            Load { condition: Condition::Ejected, evidence: f32::MAX, ..Load::default() };
-        let mut seen = false;
-        for upstream in self.upstreams.values().filter(|u| u.common().service == *service) {
-            seen = true;
-            let common = upstream.common();
-            load.busy += common.short + common.long;
-            load.slots += upstream.limit(now);
-            load.pace = load.pace.max(common.witness.pace());
-            load.condition = best(load.condition, common.witness.condition());
-            load.evidence = load.evidence.min(common.witness.evidence());
-        }
-        if !seen {
-            return Load::default();
-        }
+        let upstreams = self.upstreams.values().filter(|u| u.common().service == *service);
+        let load = upstreams.fold(None, |load, upstream| Some(add(load, upstream, now)));
+        let Some(mut load) = load else { return Load::default() };
         let queues = self.services.get(service);
         let queued = queues.map_or(0, |state| state.short.len() + state.long.len());
         load.queued = u32::try_from(queued).unwrap_or(u32::MAX);
@@ -295,13 +283,15 @@
     /// Returns what this gate offers.
     pub fn offered(&self) -> Vec<Offered> {
         let now = self.clock.now();
-        let mut slots: IndexMap<&ServiceName, u32> = IndexMap::new();
+        let mut offers: IndexMap<&ServiceName, (u32, Load)> = IndexMap::new();
         for upstream in self.upstreams.values().filter(|u| u.limit(now) > 0) {
             let common = upstream.common();
-            *slots.entry(&common.service).or_default() += common.slots;
+            let old = offers.get(&common.service).copied();
+            let slots = old.map_or(0, |(slots, _)| slots) + common.slots;
+            let load = add(old.map(|(_, load)| load), upstream, now);
+            offers.insert(&common.service, (slots, load));
         }
-        let offers = slots.into_iter().map(|(service, slots)| {
-            let load = self.load(service);
+        let offers = offers.into_iter().map(|(service, (slots, load))| {
             let evidence = if load.condition == Condition::Well { 0.0 } else { load.evidence };
             Offered { service: service.clone(), slots, condition: load.condition, evidence }
         });
@@ -469,6 +459,19 @@
     ((f64::from(limit) * share) as u32).max(1)
 }
 
+/// Adds an upstream to the load of its service.
+fn add(load: Option<Load>, upstream: &AnyUpstream, now: Instant) -> Load {
+    let common = upstream.common();
+    let nothing = Load { condition: Condition::Ejected, evidence: f32::MAX, ..Load::default() };
+    let mut load = load.unwrap_or(nothing);
+    load.busy += common.short + common.long;
+    load.slots += upstream.limit(now);
+    load.pace = load.pace.max(common.witness.pace());
+    load.condition = best(load.condition, common.witness.condition());
+    load.evidence = load.evidence.min(common.witness.evidence());
+    load
+}
+
 fn spent(waiting: &Waiting) -> Reason {
     if waiting.deadline { Reason::DeadlinePast } else { Reason::PatienceSpent }
 }
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -124,36 +124,44 @@
         self.members.merge(self.me.node, self.me.clone(), None);
     }
 
-    /// Takes in a record; returns whether it was news.
-    pub fn merge(&mut self, member: Member, source: NodeId) -> bool {
-        if member.node == self.me.node {
-            return self.answer_for_self(&member);
+    /// Takes in records and doubts from a peer; returns the nodes of which there was news.
+    pub fn take(
+        &mut self,
+        members: Vec<Member>,
+        doubts: Vec<Doubt>,
+        source: NodeId,
+    ) -> Vec<NodeId> {
+        let count = self.members.len();
+        let mut news = Vec::new();
+        for member in members {
+            let node = member.node;
+            if self.merge(member, source) {
+                news.push(node);
+            }
         }
-        if self.buried.get(&member.node).is_some_and(|(version, _)| member.version <= *version) {
-            return false;
+        for doubt in doubts {
+            let key = (doubt.observer, doubt.subject);
+            let is_known = self.members.get(&doubt.subject).is_some();
+            if is_known && self.doubts.merge(key, doubt, Some(source)) {
+                news.push(key.1);
+            }
         }
-        let node = member.node;
-        let arrived = self.members.get(&node).is_none();
-        let news = self.members.merge(node, member, Some(source));
-        if news && arrived {
+        // The rings are made anew once per exchange: a new node learns of the whole fleet in few.
+        if self.members.len() != count {
             self.arrange();
-        }
-        if news {
+        } else if !news.is_empty() {
             self.review();
         }
         news
     }
 
-    /// Takes in a doubt; returns whether it was news.
-    pub fn merge_doubt(&mut self, doubt: Doubt, source: NodeId) -> bool {
-        if self.members.get(&doubt.subject).is_none() {
-            return false;
-        }
-        let news = self.doubts.merge((doubt.observer, doubt.subject), doubt, Some(source));
-        if news {
-            self.review();
+    fn merge(&mut self, member: Member, source: NodeId) -> bool {
+        if member.node == self.me.node {
+            return self.answer_for_self(&member);
         }
-        news
+        let buried = self.buried.get(&member.node);
+        let is_buried = buried.is_some_and(|(version, _)| member.version <= *version);
+        !is_buried && self.members.merge(member.node, member, Some(source))
     }
 
     /// Notes that a ping was answered; returns whether a doubt was withdrawn.
--- a/crates/experiment/src/capacity.rs
+++ b/crates/experiment/src/capacity.rs
@@ -1,15 +1,250 @@
-//! Slopes for docs/CAPACITY.md: what nodes spend on control as the fleet grows.
+//! Slopes for docs/CAPACITY.md: what a node holds, and what it spends on control as the fleet
+//! grows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use argh::FromArgs;
+use lavenderflow::clock::SystemClock;
+use lavenderflow::operator::{Assignment, Kind, Operator};
+use lavenderflow::store::Store;
+use lavenderflow_core::catalog::{Catalog, Document, Item};
+use lavenderflow_core::choice::Chooser;
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::gate::Offered;
+use lavenderflow_core::load::Condition;
+use lavenderflow_core::roster::{Member, Roster};
+use lavenderflow_schema::convert::ConvertError;
+use lavenderflow_schema::convert::configuration;
+use lavenderflow_standins::fleet::wait_until;
+use lavenderflow_standins::proxy::UdpProxy;
 
 use crate::error::Error;
+use crate::scenario::{Scenario, Service};
+use crate::site::Site;
+
+/// The planned size.
+const NODES: u64 = 2400;
+const SERVICES: u64 = 6400;
+const OFFERS_PER_NODE: u64 = 54;
+const ROUTES: u64 = 70_000;
+const ORGANISATIONS: u64 = 780_000;
+/// Shares of the planned size that are measured, in percent.
+const SHARES: [u64; 3] = [10, 50, 100];
+/// Length of each stretch that is measured with processes.
+const STRETCH: Duration = Duration::from_secs(10);
+/// Changes that are made to measure the cost of one.
+const CHANGES: u32 = 20;
 
-/// measure what nodes spend on control
+/// measure what a node holds, and what it spends on control
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
-pub struct Arguments {}
+pub struct Arguments {
+    /// numbers of nodes to run as processes, separated by commas (default 10,25,50)
+    #[argh(option, default = "String::from(\"10,25,50\")")]
+    nodes: String,
+}
+
+/// Measures and prints tables.
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    memory();
+    println!(
+        "\n| nodes | idle: core % | idle: bytes/s | memory MB | per change: bytes | per change: core ms | per change: store calls | change everywhere ms |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for count in arguments.nodes.split(',').filter_map(|text| text.trim().parse().ok()) {
+        fleet(count)?;
+    }
+    Ok(())
+}
+
+/// Prints the memory of each kind of record at shares of the planned size.
+fn memory() {
+    println!("| records | share % | count | bytes each |\n| --- | --- | --- | --- |");
+    for share in SHARES {
+        let nodes = NODES * share / 100;
+        row("members in the roster", share, nodes, || roster(nodes));
+        row("members in the chooser", share, nodes, || chooser(nodes));
+        let routes = ROUTES * share / 100;
+        row("routes in the catalog", share, routes, || catalog(routes, route));
+        let services = SERVICES * share / 100;
+        row("services in the catalog", share, services, || catalog(services, service));
+        let organisations = ORGANISATIONS * share / 100;
+        row("organisations in the catalog", share, organisations, || {
+            catalog(organisations, organisation)
+        });
+    }
+}
+
+fn row<T>(name: &str, share: u64, count: u64, make: impl FnOnce() -> T) {
+    let before = crate::ALLOCATED.current_usage();
+    let made = make();
+    let used = crate::ALLOCATED.current_usage() - before;
+    println!("| {name} | {share} | {count} | {} |", used as u64 / count.max(1));
+    drop(made);
+}
+
+fn member(node: u64) -> Member {
+    let offers = (0..OFFERS_PER_NODE).map(|index| Offered {
+        service: format!("service-{}", (node * OFFERS_PER_NODE + index) % SERVICES).into(),
+        slots: 4,
+        condition: Condition::Well,
+        evidence: 0.0,
+    });
+    let address = SocketAddr::from(([10, 0, 0, 1], 8080));
+    Member {
+        node,
+        incarnation: node,
+        version: 1,
+        name: format!("vm-{node}"),
+        peer: address,
+        callers: address,
+        zone: format!("zone-{}", node % 13).into(),
+        leaving: false,
+        offers: offers.collect(),
+    }
+}
+
+fn roster(count: u64) -> Roster {
+    let clock: SharedClock = Arc::new(SystemClock);
+    let mut roster = Roster::new(clock, member(0));
+    roster.take((1..count).map(member).collect(), Vec::new(), 1);
+    roster
+}
+
+fn chooser(count: u64) -> Chooser {
+    let mut chooser = Chooser::new("zone-1".into());
+    for member in (0..count).map(member) {
+        chooser.set_node(member.node, &member.zone, &member.offers, false);
+    }
+    chooser
+}
+
+fn catalog(count: u64, text: impl Fn(u64) -> (String, String)) -> Catalog {
+    let mut catalog = Catalog::default();
+    for index in 0..count {
+        let (key, text) = text(index);
+        let document = Document { key: key.into(), revision: 1, text: text.as_bytes().into() };
+        let checked: Result<Item, ConvertError> = configuration::check(&document);
+        catalog.apply(document, checked, None);
+    }
+    catalog
+}
+
+fn route(index: u64) -> (String, String) {
+    let text = format!(
+        r#"{{"revision":1,"author":"capacity","route":{{"name":"r{index}","prefix":"/p/{index}","service":"service-{}","idempotent":"auto","long":false}}}}"#,
+        index % SERVICES
+    );
+    (format!("routes/r{index}"), text)
+}
+
+fn service(index: u64) -> (String, String) {
+    let text = format!(
+        r#"{{"revision":1,"author":"capacity","service":{{"name":"s{index}","profile":"default"}}}}"#
+    );
+    (format!("services/s{index}"), text)
+}
+
+fn organisation(index: u64) -> (String, String) {
+    let text = format!(
+        r#"{{"revision":1,"author":"capacity","organisation":{{"name":"o{index}","concurrency":100}}}}"#
+    );
+    (format!("organisations/o{index}"), text)
+}
+
+/// What all nodes together have spent.
+struct Spent {
+    processor: Duration,
+    bytes: u64,
+    calls: u64,
+}
+
+fn spent(site: &Site) -> Result<Spent, Error> {
+    let processor = site.nodes.iter().filter_map(|node| node.processor_time()).sum();
+    let bytes: Result<u64, _> = site.proxies.iter().map(UdpProxy::bytes).sum();
+    Ok(Spent { processor, bytes: bytes?, calls: site.store.calls()? })
+}
+
+/// Runs a fleet of processes, idle and under changes of the configuration.
+fn fleet(count: usize) -> Result<(), Error> {
+    let zones = (0..5).map(|zone| format!("zone-{zone}")).collect();
+    let service =
+        Service { name: "work".to_owned(), upstreams: count, slots: 4, profile: Vec::new() };
+    let site = Site::start(&Scenario {
+        name: "capacity".to_owned(),
+        zones,
+        cross_ms: 0.0,
+        services: vec![service],
+        phases: Vec::new(),
+        kinds: Vec::new(),
+        faults: Vec::new(),
+        callers: 0,
+    })?;
+    // The fleet has settled after a few rounds of gossip.
+    thread::sleep(Duration::from_secs(5));
+    let before = spent(&site)?;
+    thread::sleep(STRETCH);
+    let idle = spent(&site)?;
+    let per_second = |value: f64| value / STRETCH.as_secs_f64() / count as f64;
+    let idle_core = per_second((idle.processor - before.processor).as_secs_f64()) * 100.0;
+    let idle_bytes = per_second((idle.bytes - before.bytes) as f64);
+    let everywhere = change(&site)?;
+    let end = Instant::now() + STRETCH;
+    let before_changes = spent(&site)?;
+    let started = Instant::now();
+    changes(&site)?;
+    thread::sleep(end.saturating_duration_since(Instant::now()));
+    let after = spent(&site)?;
+    let seconds = started.elapsed().as_secs_f64();
+    let per_change = |value: f64| value / f64::from(CHANGES) / count as f64;
+    let bytes = (after.bytes - before_changes.bytes) as f64;
+    let bytes = per_change(bytes - idle_bytes * seconds * count as f64);
+    let processor = (after.processor - before_changes.processor).as_secs_f64();
+    let processor = per_change(processor - idle_core / 100.0 * seconds * count as f64) * 1000.0;
+    let calls = (after.calls - before_changes.calls) as f64 / f64::from(CHANGES);
+    let memory: u64 = site.nodes.iter().filter_map(|node| node.memory()).sum();
+    let memory = memory as f64 / 1024.0 / 1024.0 / count as f64;
+    println!(
+        "| {count} | {idle_core:.2} | {idle_bytes:.0} | {memory:.1} | {bytes:.0} | {processor:.2} | {calls:.1} | {} |",
+        everywhere.as_millis()
+    );
+    Ok(())
+}
+
+fn operator(site: &Site) -> Operator {
+    Operator {
+        store: Store::new(site.store.address()),
+        node: None,
+        author: "capacity".to_owned(),
+        patience: Duration::from_secs(5),
+        clock: Arc::new(SystemClock),
+    }
+}
+
+/// Makes one change and returns the time until every node has it.
+fn change(site: &Site) -> Result<Duration, Error> {
+    let field = [Assignment::parse("patience.queue_ms=400")?];
+    let change = operator(site).set(Kind::Profile, "work", &field)?;
+    let started = Instant::now();
+    wait_until("the change is everywhere", || {
+        site.nodes.iter().all(|node| {
+            let status = node.status();
+            let revision = status.as_ref().and_then(|s| s["revisions"]["profiles/work"].as_u64());
+            revision == Some(change.revision())
+        })
+    })?;
+    Ok(started.elapsed())
+}
 
-/// Measures and prints a table.
-pub fn run(_: &Arguments) -> Result<(), Error> {
+fn changes(site: &Site) -> Result<(), Error> {
+    let operator = operator(site);
+    for number in 0..CHANGES {
+        let field = [Assignment::parse(&format!("patience.queue_ms={}", 300 + number))?];
+        operator.set(Kind::Profile, "work", &field)?;
+        thread::sleep(STRETCH / CHANGES / 2);
+    }
     Ok(())
 }
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -19,9 +19,14 @@
 use argh::FromArgs;
 
 use error::Error;
+use peak_alloc::PeakAlloc;
 use report::Report;
 use scenario::{Policy, Scenario};
 
+/// Counts the memory that this process holds.
+#[global_allocator]
+static ALLOCATED: PeakAlloc = PeakAlloc;
+
 /// Runs scenarios and measures them.
 #[derive(FromArgs)]
 struct Arguments {
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -1,11 +1,10 @@
 //! Owns the entry's decisions and the channels to the requests in flight.
 
-use lavenderflow_core::catalog::Item;
 use lavenderflow_core::entry::Entry;
 use lavenderflow_core::pool::GateView;
 use lavenderflow_core::request::EntryAction;
 use lavenderflow_core::roster::Member;
-use lavenderflow_core::route::Router;
+use lavenderflow_core::route::Route;
 use stakker::{Actor, CX, Fwd, after, call};
 use tokio::sync::{mpsc, oneshot};
 
@@ -60,9 +59,9 @@
         self.entry.remove_node(node);
     }
 
-    /// Takes in the routes.
-    pub fn set_router(&mut self, _: CX![], router: Router) {
-        self.entry.set_router(router);
+    /// Takes in a route, instead of an older one if there is.
+    pub fn set_route(&mut self, _: CX![], route: Route, replaced: Option<Route>) {
+        self.entry.set_route(route, replaced.as_ref());
     }
 
     /// Takes in a service's profile.
@@ -71,10 +70,8 @@
     }
 
     /// Takes in an organisation's limit.
-    pub fn set_limit(&mut self, _: CX![], item: Item) {
-        if let Item::Organisation(organisation, limit) = item {
-            self.entry.set_limit(&organisation, limit);
-        }
+    pub fn set_limit(&mut self, _: CX![], organisation: OrganisationName, limit: u32) {
+        self.entry.set_limit(&organisation, limit);
     }
 
     /// Takes no new requests from now on.
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -300,29 +300,15 @@
     }
 
     /// Takes in an exchange.
-    fn take(&mut self, cx: CX![], exchange: Exchange) {
+    fn take(&mut self, cx: CX![], mut exchange: Exchange) {
         let source = exchange.sender;
-        let mut nodes = Vec::new();
-        for member in exchange.members.clone() {
-            let node = member.node;
-            if self.roster.merge(member, source) {
-                nodes.push(node);
-            }
-        }
-        for doubt in exchange.doubts.clone() {
-            let subject = doubt.subject;
-            if self.roster.merge_doubt(doubt, source) {
-                nodes.push(subject);
-            }
-        }
+        let members = std::mem::take(&mut exchange.members);
+        let nodes = self.roster.take(members, std::mem::take(&mut exchange.doubts), source);
         let mut news = false;
-        for document in exchange.documents.clone() {
+        for document in std::mem::take(&mut exchange.documents) {
             news |= self.apply(document, Some(source));
         }
         self.gossip.compare(&self.roster, &self.catalog, &exchange);
-        if news {
-            self.configure();
-        }
         // The peer holds no more than this node, so nothing is missing.
         if self.catalog.documents().summary() == exchange.summaries[1] {
             self.set_ready();
@@ -359,7 +345,6 @@
             self.watcher.restore(document);
         }
         if news {
-            self.configure();
             self.changed(cx, &[]);
         }
         if is_all {
@@ -378,8 +363,9 @@
         let checked = configuration::check(&document);
         let (key, revision) = (document.key.clone(), document.revision);
         match self.catalog.apply(document, checked, source) {
-            Taken::Applied => {
+            Taken::Applied(item, replaced) => {
                 log::info!("event=configuration key={key} revision={revision}");
+                self.enforce(*item, replaced.map(|item| *item));
                 true
             }
             Taken::Known => false,
@@ -392,39 +378,48 @@
         }
     }
 
-    /// Brings the configuration into force at the entry and the gate.
-    fn configure(&mut self) {
-        let entry = self.entry.clone();
-        let router = self.catalog.router().clone();
-        call!([entry], set_router(router));
-        for (_, item) in self.catalog.items() {
-            if let Item::Organisation(..) = item {
-                let item = item.clone();
-                call!([entry], set_limit(item));
+    /// Brings an item into force at the entry and the gate.
+    fn enforce(&mut self, item: Item, replaced: Option<Item>) {
+        let entry = &self.entry;
+        match (item, replaced) {
+            (Item::Route(route), Some(Item::Route(old))) => {
+                call!([entry], set_route(route, Some(old)));
+            }
+            (Item::Route(route), _) => call!([entry], set_route(route, None)),
+            (Item::Organisation(name, limit), _) => call!([entry], set_limit(name, limit)),
+            (Item::Profile(_) | Item::Service(..), _) => {
+                let services: Vec<ServiceName> = self.profiles.keys().cloned().collect();
+                self.set_profiles(&services);
             }
         }
-        self.set_profiles();
     }
 
-    /// Passes on the profiles of all known services that have changed.
-    fn set_profiles(&mut self) {
-        let members = self.roster.members().iter();
-        let offered = members.flat_map(|(_, member)| member.offers.iter().map(|o| &o.service));
-        let services: IndexSet<ServiceName> = offered.cloned().collect();
+    /// Passes on the profiles of services where they have changed.
+    fn set_profiles(&mut self, services: &[ServiceName]) {
         for service in services {
-            let profile = self.catalog.profile(&service);
-            if self.profiles.get(&service) == Some(&profile) {
+            let profile = self.catalog.profile(service);
+            if self.profiles.get(service) == Some(&profile) {
                 continue;
             }
             self.profiles.insert(service.clone(), profile.clone());
             let (entry, name, own) = (&self.entry, service.clone(), profile.clone());
             call!([entry], set_profile(name, own));
             if let Some(gate) = &self.gate {
-                call!([gate], set_profile(service, profile));
+                let name = service.clone();
+                call!([gate], set_profile(name, profile));
             }
         }
     }
 
+    /// Passes on the profiles of services that a node is the first to offer.
+    fn meet_services(&mut self, node: NodeId) {
+        let Some(member) = self.roster.members().get(&node) else { return };
+        let offers = member.offers.iter().map(|offer| offer.service.clone());
+        let unmet: Vec<ServiceName> =
+            offers.filter(|service| !self.profiles.contains_key(service)).collect();
+        self.set_profiles(&unmet);
+    }
+
     /// Tells the entry and the network task about changed nodes and passes the news on.
     fn changed(&mut self, cx: CX![], nodes: &[NodeId]) {
         // Expelling a node can change others, so all whose standing changed are passed on.
@@ -441,7 +436,7 @@
             }
         }
         self.known = expelled;
-        self.set_profiles();
+        nodes.iter().for_each(|node| self.meet_services(*node));
         self.set_next();
         let subjects = self.roster.subjects();
         self.gossip
@@ -450,11 +445,11 @@
     }
 
     fn set_next(&self) {
-        let own = self.roster.me().node;
-        let members = self.roster.members().iter().map(|(_, member)| member);
-        let others = members.filter(|member| {
-            member.node != own && !member.leaving && !self.roster.is_expelled(member.node)
-        });
+        // The subjects are other nodes for each node, so that refused callers spread out.
+        let subjects = self.roster.subjects();
+        let members = subjects.iter().filter_map(|node| self.roster.members().get(node));
+        let others =
+            members.filter(|member| !member.leaving && !self.roster.is_expelled(member.node));
         let urls: Vec<String> =
             others.take(NEXT_NODES).map(|member| format!("http://{}", member.callers)).collect();
         self.next.send_replace(urls.join(", "));
--- a/crates/standins/src/error.rs
+++ b/crates/standins/src/error.rs
@@ -9,9 +9,6 @@
     /// A socket, file or process failed.
     #[error("input or output: {0}")]
     Io(#[from] io::Error),
-    /// The HTTP server cannot be bound.
-    #[error("cannot listen: {0}")]
-    Listen(String),
     /// A request failed.
     #[error("request: {0}")]
     Http(#[from] ureq::Error),
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -50,11 +50,32 @@
         self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
     }
 
+    /// Finds a field of the query.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.target.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
     /// Finds a number in the query.
     pub fn number(&self, name: &str) -> Option<u64> {
-        let (_, query) = self.target.split_once('?')?;
-        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.into_iter().find(|(key, _)| *key == name)?.1.parse().ok()
+        self.field(name)?.parse().ok()
+    }
+
+    /// Reads a body that is a text of declared length.
+    ///
+    /// # Errors
+    ///
+    /// The body is no text or broke off.
+    pub fn read_text(
+        &self,
+        reader: &mut BufReader<TcpStream>,
+        peer: SocketAddr,
+    ) -> Result<String, Error> {
+        let length = self.header("content-length").map_or(Ok(0), str::parse);
+        let mut body = vec![0; length.map_err(|_| Error::Malformed(peer))?];
+        reader.read_exact(&mut body)?;
+        String::from_utf8(body).map_err(|_| Error::Malformed(peer))
     }
 
     /// Reads the body and returns its length and the sum of its bytes.
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -31,6 +31,7 @@
     Cut(SocketAddr, Direction),
     CutAll,
     Heal,
+    Bytes(Sender<u64>),
     Delay(SocketAddr, Duration),
 }
 
@@ -70,6 +71,7 @@
             cut_all: false,
             delays: IndexMap::new(),
             held: Vec::new(),
+            bytes: 0,
         };
         thread::spawn(move || owner.run(&received));
         Ok(Self { address, commands })
@@ -90,6 +92,17 @@
         let _ = self.commands.send(Command::CutAll);
     }
 
+    /// Returns how many bytes have been passed on in both directions.
+    ///
+    /// # Errors
+    ///
+    /// The proxy has stopped.
+    pub fn bytes(&self) -> Result<u64, Error> {
+        let (reply, answer) = mpsc::channel();
+        self.commands.send(Command::Bytes(reply)).map_err(|_| Error::Stopped)?;
+        answer.recv().map_err(|_| Error::Stopped)
+    }
+
     /// Drops nothing any more.
     pub fn heal(&self) {
         let _ = self.commands.send(Command::Heal);
@@ -117,6 +130,7 @@
     cut_all: bool,
     delays: IndexMap<SocketAddr, Duration>,
     held: Vec<Held>,
+    bytes: u64,
 }
 
 impl Owner {
@@ -139,6 +153,7 @@
                 if self.cut_all || self.cuts.contains(&(peer, direction)) {
                     return;
                 }
+                self.bytes += packet.len() as u64;
                 let delay = self.delays.get(&peer).copied().unwrap_or_default();
                 let due = Instant::now() + delay;
                 self.held.push(Held { due, peer, direction, packet });
@@ -151,6 +166,7 @@
                 self.cuts.clear();
                 self.cut_all = false;
             }
+            Command::Bytes(reply) => drop(reply.send(self.bytes)),
             Command::Delay(peer, delay) => {
                 self.delays.insert(peer, delay);
             }
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -2,16 +2,17 @@
 //!
 //! One thread owns the values; HTTP threads ask it by messages.
 
-use std::net::SocketAddr;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
 use serde_json::json;
-use tiny_http::{Header, Method, Request, Response, Server};
 
 use crate::error::Error;
+use crate::http::Head;
 
 /// Longest sleep of the owner.
 const MAX_SLEEP: Duration = Duration::from_secs(3600);
@@ -74,15 +75,15 @@
     ///
     /// The address cannot be bound.
     pub fn start(address: SocketAddr) -> Result<Self, Error> {
-        let server = Server::http(address).map_err(|fault| Error::Listen(fault.to_string()))?;
-        let address = server.server_addr().to_ip().ok_or(Error::Stopped)?;
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
         let (commands, received) = mpsc::channel();
         thread::spawn(move || Owner::new().run(&received));
         let sender = commands.clone();
         thread::spawn(move || {
-            while let Ok(request) = server.recv() {
+            for stream in listener.incoming().map_while(Result::ok) {
                 let sender = sender.clone();
-                thread::spawn(move || serve(request, &sender));
+                thread::spawn(move || drop(serve(stream, &sender)));
             }
         });
         Ok(Self { address, commands })
@@ -239,47 +240,40 @@
     }
 }
 
-fn serve(mut request: Request, commands: &Sender<Command>) {
-    let Some(call) = parse(&mut request) else {
-        let _ = request.respond(Response::empty(400));
-        return;
-    };
-    let (reply, answer) = mpsc::channel();
-    let sent = commands.send(Command::Call(call, reply));
-    let Some(answer) = sent.ok().and_then(|()| answer.recv().ok()) else { return };
-    thread::sleep(answer.delay);
-    let revision = answer.revision.to_string();
-    let response = Response::from_string(answer.body).with_status_code(answer.status);
-    let header = Header::from_bytes(&b"store-revision"[..], revision.as_bytes());
-    let _ = match header {
-        Ok(header) => request.respond(response.with_header(header)),
-        Err(()) => request.respond(response),
-    };
+fn serve(stream: TcpStream, commands: &Sender<Command>) -> Result<(), Error> {
+    let peer = stream.peer_addr()?;
+    stream.set_nodelay(true)?;
+    let mut writer = stream.try_clone()?;
+    let mut reader = BufReader::new(stream);
+    while let Some(head) = Head::read(&mut reader, peer)? {
+        let value = head.read_text(&mut reader, peer)?;
+        let call = parse(&head, value).ok_or(Error::Malformed(peer))?;
+        let (reply, answer) = mpsc::channel();
+        commands.send(Command::Call(call, reply)).map_err(|_| Error::Stopped)?;
+        let answer = answer.recv().map_err(|_| Error::Stopped)?;
+        thread::sleep(answer.delay);
+        let Answer { status, revision, body, .. } = answer;
+        let length = body.len();
+        let text = format!(
+            "HTTP/1.1 {status} status\r\ncontent-length: {length}\r\n\
+             store-revision: {revision}\r\n\r\n{body}"
+        );
+        writer.write_all(text.as_bytes())?;
+    }
+    Ok(())
 }
 
-fn parse(request: &mut Request) -> Option<Call> {
-    let url = request.url().to_owned();
-    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-    let field = |name: &str| {
-        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
-    };
+fn parse(head: &Head, value: String) -> Option<Call> {
+    let path = head.target.split('?').next()?;
     let key = path.strip_prefix("/v1/kv")?.trim_start_matches('/').to_owned();
-    match request.method() {
-        Method::Put => {
-            let mut value = String::new();
-            request.as_reader().read_to_string(&mut value).ok()?;
-            Some(Call::Put(key, value, field("if")?.parse().ok()?))
-        }
-        Method::Get if key.is_empty() => {
-            let wait = field("wait_ms")?.parse().ok()?;
-            Some(Call::List {
-                prefix: field("prefix")?,
-                after: field("after")?.parse().ok()?,
-                until: Instant::now() + Duration::from_millis(wait),
-            })
-        }
-        Method::Get => Some(Call::Get(key)),
+    match head.method.as_str() {
+        "PUT" => Some(Call::Put(key, value, head.number("if")?)),
+        "GET" if key.is_empty() => Some(Call::List {
+            prefix: head.field("prefix")?.to_owned(),
+            after: head.number("after")?,
+            until: Instant::now() + Duration::from_millis(head.number("wait_ms")?),
+        }),
+        "GET" => Some(Call::Get(key)),
         _ => None,
     }
 }
