Judge slow answers at the gate and give stuck requests up

The entry's own rule for slow gates is gone, as it found nothing more. Trials take 2% of idempotent requests instead of 5%. The experiment's own looks used up the ports of the machine (11,839 in TIME-WAIT), so that announcements failed.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -109,6 +109,7 @@
             idempotent: false,
             patience: Duration::from_secs(1),
             remaining: Duration::from_secs(2),
+            usual: Duration::ZERO,
         };
         black_box(gate.offer(offer));
         gate.finish(attempt, RunResult::Success)
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -11,7 +11,7 @@
 /// Cost of another zone: two ways between availability zones.
 const CROSSING: Duration = Duration::from_millis(3);
 /// Share of idempotent requests that test a gate which is out of the choice.
-const TRIAL_SHARE: f64 = 0.05;
+const TRIAL_SHARE: f64 = 0.02;
 
 /// Chooses among the gates of each service, by two random choices on the expected time.
 #[derive(Debug)]
@@ -86,6 +86,11 @@
         best.or_else(|| best_of(pool, all, excluded, now))
     }
 
+    /// Returns the median time of short work at a service's gates; zero when not known.
+    pub fn usual(&self, service: &ServiceName) -> Duration {
+        self.pools.get(service).map_or(Duration::ZERO, Pool::usual)
+    }
+
     /// Counts a dispatch that no load report includes yet.
     pub fn dispatched(&mut self, service: &ServiceName, node: NodeId) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -398,6 +398,7 @@
             idempotent: flight.idempotent,
             patience: flight.profile.patience.queue,
             remaining: flight.deadline - now,
+            usual: self.chooser.usual(&flight.service),
         };
         let (request, ticket) = (flight.arrival.request, flight.ticket);
         self.flights.insert(request, flight);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -13,6 +13,10 @@
 
 /// Short work that runs longer than this multiple of the usual time counts as stuck.
 const STUCK_FACTOR: u32 = 10;
+/// Answers are slow when they take this many times the usual time.
+const SLOW_FACTOR: u32 = 5;
+/// Answers are slow only when they take this much longer than usual.
+const SLOW_MARGIN: Duration = Duration::from_millis(20);
 /// Short work counts as stuck after this part of its deadline at the earliest.
 const STUCK_DIVISOR: u32 = 4;
 
@@ -33,6 +37,8 @@
     pub patience: Duration,
     /// Time left until the deadline.
     pub remaining: Duration,
+    /// Median time of short work at the service's gates; zero when not known.
+    pub usual: Duration,
 }
 
 /// How a run on an upstream ended.
@@ -79,6 +85,12 @@
         /// Load of the service.
         load: Load,
     },
+    /// Tell the entry not to wait for the attempt, which is stuck and may be repeated elsewhere.
+    /// It holds its slot until it ends.
+    Abandon {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Tell the other nodes what this gate offers now.
     Publish,
 }
@@ -226,7 +238,7 @@
         let mut changed = false;
         if let Some(upstream) = self.upstreams.get_mut(&running.upstream) {
             release(upstream, running.long);
-            changed = learn(upstream, &running, result, now, &profile);
+            changed = learn(upstream, &running, result, offer.usual, now, &profile);
         }
         let mut actions = self.fill(&offer.service);
         if changed {
@@ -243,9 +255,9 @@
         for upstream in self.upstreams.values_mut() {
             upstream.common_mut().witness.tick(now);
         }
-        self.review_running(now);
+        let mut actions = self.review_running(now);
         self.upstreams.retain(|_, upstream| !upstream.is_gone());
-        let mut actions = self.expire(now);
+        actions.extend(self.expire(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
             actions.extend(self.fill(&service));
@@ -400,7 +412,8 @@
     }
 
     /// Counts old work as long and stuck work as failed.
-    fn review_running(&mut self, now: Instant) {
+    fn review_running(&mut self, now: Instant) -> Vec<GateAction> {
+        let mut actions = Vec::new();
         for (attempt, running) in &mut self.running {
             let Some((offer, _)) = self.offers.get(attempt) else {
                 continue;
@@ -423,8 +436,12 @@
             if !offer.long && !running.progress && !running.stuck && age > late {
                 running.stuck = true;
                 common.witness.observe(Observation::Failure, now, &state.profile.forgiveness);
+                if offer.idempotent {
+                    actions.push(GateAction::Abandon { attempt: *attempt });
+                }
             }
         }
+        actions
     }
 
     fn expire(&mut self, now: Instant) -> Vec<GateAction> {
@@ -459,6 +476,13 @@
     ((f64::from(limit) * share) as u32).max(1)
 }
 
+/// Tells whether an answer, and the answers before it on average, took far longer than usual at
+/// the other gates. The average keeps a few requests that are slow everywhere from counting.
+fn is_slow(elapsed: Duration, pace: Duration, usual: Duration) -> bool {
+    let limit = (usual * SLOW_FACTOR).max(usual + SLOW_MARGIN);
+    !usual.is_zero() && elapsed.min(pace) > limit
+}
+
 /// Adds an upstream to the load of its service.
 fn add(load: Option<Load>, upstream: &AnyUpstream, now: Instant) -> Load {
     let common = upstream.common();
@@ -494,6 +518,7 @@
     upstream: &mut AnyUpstream,
     running: &Running,
     result: RunResult,
+    usual: Duration,
     now: Instant,
     profile: &Profile,
 ) -> bool {
@@ -507,6 +532,9 @@
         witness.sample(elapsed);
     }
     let observation = match result {
+        RunResult::Success if !running.long && is_slow(elapsed, witness.pace(), usual) => {
+            Observation::Failure
+        }
         RunResult::Success => Observation::Success,
         RunResult::ServerError
         | RunResult::ConnectFailed
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -3,18 +3,12 @@
 use crate::floor::{self, Candidate};
 use crate::prelude::*;
 
-/// Interval at which slow gates are looked for.
+/// Interval at which the choice is made anew without news.
 const REFRESH: Duration = Duration::from_millis(100);
-/// A gate is slow when its short work takes this many times the median of the service.
-const SLOW_FACTOR: u32 = 5;
-/// A gate is slow only when its short work takes this much longer than the median.
-const SLOW_MARGIN: Duration = Duration::from_millis(20);
-/// Gates with known times from which on a slow one can be told.
+/// Gates with known times from which on their median says what is usual.
 const MIN_PACES: usize = 4;
 /// Evidence against a node that most of its observers cannot reach.
 const EXPELLED: f32 = 50.0;
-/// Evidence against a slow gate.
-const SLOW: f32 = 14.0;
 /// Age at which a load report no longer says how busy a gate is.
 const STALE: Duration = Duration::from_millis(250);
 /// Time of short work that is assumed before the first report.
@@ -73,6 +67,7 @@
     chosen: Vec<usize>,
     near: Vec<usize>,
     trials: Vec<usize>,
+    usual: Duration,
     refreshed: Option<Instant>,
 }
 
@@ -139,9 +134,9 @@
             return;
         }
         self.refreshed = Some(now);
-        let slow = self.slow_limit();
+        self.usual = self.median_pace();
         let gates = self.gates.values();
-        let candidates: Vec<Candidate> = gates.map(|gate| candidate(gate, slow, &path)).collect();
+        let candidates: Vec<Candidate> = gates.map(|gate| candidate(gate, &path)).collect();
         let chosen = floor::select(&candidates, floor);
         self.chosen = (0..chosen.len()).filter(|i| chosen[*i]).collect();
         self.near = self.chosen.iter().copied().filter(|i| self.gates[*i].near).collect();
@@ -174,36 +169,29 @@
         Some(gate.node)
     }
 
-    /// Returns the time above which short work counts as slow.
-    fn slow_limit(&self) -> Option<Duration> {
+    /// Returns the median time of short work at the gates; zero when too few are known.
+    pub fn usual(&self) -> Duration {
+        self.usual
+    }
+
+    fn median_pace(&self) -> Duration {
         let paces = self.gates.values().map(|gate| gate.load.pace);
         let mut paces: Vec<Duration> = paces.filter(|pace| !pace.is_zero()).collect();
         if paces.len() < MIN_PACES {
-            return None;
+            return Duration::ZERO;
         }
         paces.sort_unstable();
-        let median = paces[paces.len() / 2];
-        Some((median * SLOW_FACTOR).max(median + SLOW_MARGIN))
+        paces[paces.len() / 2]
     }
 }
 
-fn candidate(
-    gate: &GateView,
-    slow: Option<Duration>,
-    path: impl Fn(NodeId) -> PathEvidence,
-) -> Candidate {
+fn candidate(gate: &GateView, path: impl Fn(NodeId) -> PathEvidence) -> Candidate {
     let (path_condition, path_evidence) = path(gate.node);
-    let is_slow = slow.is_some_and(|limit| gate.load.pace > limit);
     let ill = gate.load.condition != Condition::Well;
     let unreachable = path_condition != Condition::Well;
     let mut evidence = 0.0;
     evidence += if ill { gate.load.evidence } else { 0.0 };
     evidence += if unreachable { path_evidence } else { 0.0 };
-    evidence += if is_slow { SLOW } else { 0.0 };
     evidence += if gate.expelled { EXPELLED } else { 0.0 };
-    Candidate {
-        slots: gate.slots,
-        suspect: ill || unreachable || is_slow || gate.expelled,
-        evidence,
-    }
+    Candidate { slots: gate.slots, suspect: ill || unreachable || gate.expelled, evidence }
 }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -105,6 +105,8 @@
     Unreachable = "unreachable", 503;
     /// The upstream failed after it may have started.
     UpstreamFailed = "upstream-failed", 502;
+    /// The upstream has not answered for many times the usual time.
+    Stuck = "stuck", 504;
     /// All workers of the node are busy.
     WorkersBusy = "workers-busy", 503;
 }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -43,6 +43,8 @@
     pub patience: Duration,
     /// Time left until the deadline.
     pub remaining: Duration,
+    /// Median time of short work at the service's gates; zero when not known.
+    pub usual: Duration,
 }
 
 /// The end of a request without an answer from a gate at hand.
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -25,6 +25,7 @@
         idempotent: true,
         patience: Duration::from_millis(500),
         remaining: Duration::from_secs(2),
+        usual: Duration::ZERO,
     }
 }
 
@@ -266,6 +267,45 @@
     assert_eq!(gate.load(&service()).condition, Condition::Ejected);
 }
 
+#[test]
+fn stuck_work_that_may_be_repeated_is_given_up_once() {
+    let clock = clock();
+    let mut gate = gate(INCARNATION, &clock, 4);
+    teach(&mut gate, &clock, 1);
+    gate.offer(short(100));
+    gate.offer(Offer { idempotent: false, ..short(101) });
+    clock.advance(Duration::from_millis(510));
+    let actions = gate.tick();
+    assert!(actions.contains(&GateAction::Abandon { attempt: attempt(100) }));
+    assert!(!actions.contains(&GateAction::Abandon { attempt: attempt(101) }));
+    assert_eq!(gate.load(&service()).busy, 2, "the slots stay taken");
+    assert!(!gate.tick().contains(&GateAction::Abandon { attempt: attempt(100) }));
+}
+
+/// Runs requests of which every `nth` takes `slow`; returns the condition after 200.
+fn condition_after(usual: Duration, nth: u64, slow: Duration) -> Condition {
+    let clock = clock();
+    let mut gate = gate(INCARNATION, &clock, 4);
+    teach(&mut gate, &clock, 1);
+    for serial in 100..300 {
+        gate.offer(Offer { usual, ..short(serial) });
+        let is_slow = serial % nth == 0;
+        clock.advance(if is_slow { slow } else { Duration::from_millis(10) });
+        gate.finish(attempt(serial), RunResult::Success);
+    }
+    gate.load(&service()).condition
+}
+
+#[test]
+fn an_upstream_far_slower_than_the_others_is_ejected() {
+    let (usual, slow) = (Duration::from_millis(10), Duration::from_millis(100));
+    assert_eq!(condition_after(usual, 1, slow), Condition::Ejected);
+    // Slow requests among others are no illness, nor is a time that is usual everywhere.
+    assert_eq!(condition_after(usual, 5, slow), Condition::Well);
+    assert_eq!(condition_after(slow, 1, slow), Condition::Well);
+    assert_eq!(condition_after(Duration::ZERO, 1, slow), Condition::Well);
+}
+
 #[test]
 fn cancelled_and_shed_work_is_no_evidence() {
     let clock = clock();
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -261,7 +261,7 @@
                     let report = Report::Refused(reason, Some(load));
                     self.messages.push((Message::Report { home, request, report }, 0));
                 }
-                GateAction::Publish => {}
+                GateAction::Abandon { .. } | GateAction::Publish => {}
             }
         }
     }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -113,6 +113,7 @@
         idempotent: plan.idempotent,
         patience: plan.patience,
         remaining: plan.remaining,
+        usual: plan.usual,
     }
 }
 
--- a/crates/experiment/src/watch.rs
+++ b/crates/experiment/src/watch.rs
@@ -6,10 +6,13 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use lavenderflow::operator::Operator;
+use lavenderflow::status::Status;
+use ureq::Agent;
 
 /// Interval of looks.
 const LOOK: Duration = Duration::from_millis(100);
+/// Longest time for one look.
+const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What one look at one entry showed.
 #[derive(Clone, Debug)]
@@ -34,9 +37,14 @@
         let (stop, stopped) = mpsc::channel();
         let thread = thread::spawn(move || {
             let mut looks = Vec::new();
+            // Connections are kept: closed ones would use up the ports of this machine.
+            let config = Agent::config_builder()
+                .max_idle_connections(entries.len())
+                .timeout_global(Some(TIMEOUT));
+            let agent: Agent = config.build().into();
             while stopped.recv_timeout(LOOK) == Err(mpsc::RecvTimeoutError::Timeout) {
                 for (entry, address) in entries.iter().enumerate() {
-                    looks.extend(look(entry, *address, start));
+                    looks.extend(look(&agent, entry, *address, start));
                 }
             }
             looks
@@ -51,8 +59,9 @@
     }
 }
 
-fn look(entry: usize, address: SocketAddr, start: Instant) -> Option<Look> {
-    let status = Operator::status(address).ok()?;
+fn look(agent: &Agent, entry: usize, address: SocketAddr, start: Instant) -> Option<Look> {
+    let mut response = agent.get(format!("http://{address}/v1/status")).call().ok()?;
+    let status: Status = response.body_mut().with_config().limit(u64::MAX).read_json().ok()?;
     let mut chosen = IndexMap::new();
     for service in status.services {
         for gate in service.gates {
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 
 use super::counters::CountersActor;
-use crate::message::{Decision, GateMessage};
+use crate::message::{Decision, GateMessage, Waiter};
 use crate::prelude::*;
 use crate::status::{Status, UpstreamStatus, condition_name};
 
@@ -17,7 +17,8 @@
     gate: Gate,
     counters: Actor<CountersActor>,
     publish: Fwd<Vec<Offered>>,
-    waiting: IndexMap<AttemptId, oneshot::Sender<Decision>>,
+    waiting: IndexMap<AttemptId, Waiter>,
+    running: IndexMap<AttemptId, oneshot::Sender<()>>,
     offered: Vec<Offered>,
 }
 
@@ -30,14 +31,21 @@
         publish: Fwd<Vec<Offered>>,
     ) -> Option<Self> {
         after!(TICK, [cx], tick());
-        Some(Self { gate, counters, publish, waiting: IndexMap::new(), offered: Vec::new() })
+        Some(Self {
+            gate,
+            counters,
+            publish,
+            waiting: IndexMap::new(),
+            running: IndexMap::new(),
+            offered: Vec::new(),
+        })
     }
 
     /// Handles a message.
     pub fn handle(&mut self, _: CX![], message: GateMessage) {
         let actions = match message {
-            GateMessage::Offer(offer, reply) => {
-                self.waiting.insert(offer.attempt, reply);
+            GateMessage::Offer(offer, waiter) => {
+                self.waiting.insert(offer.attempt, waiter);
                 self.gate.offer(offer)
             }
             GateMessage::Progress(attempt) => {
@@ -45,6 +53,7 @@
                 return;
             }
             GateMessage::Finish(attempt, result, reply) => {
+                self.running.swap_remove(&attempt);
                 let (load, actions) = self.gate.finish(attempt, result);
                 let _ = reply.send(load);
                 actions
@@ -104,15 +113,26 @@
                     self.count(Counter::Gate(reason));
                     self.decide(attempt, Decision::Refuse(reason, load));
                 }
+                GateAction::Abandon { attempt } => {
+                    self.count(Counter::Gate(Reason::Stuck));
+                    let abandon = self.running.swap_remove(&attempt);
+                    // The run may have ended meanwhile; then its answer is on the way.
+                    let _ = abandon.map(|abandon| abandon.send(()));
+                }
                 GateAction::Publish => self.publish(),
             }
         }
     }
 
     fn decide(&mut self, attempt: AttemptId, decision: Decision) {
-        let sent = self.waiting.swap_remove(&attempt).map(|reply| reply.send(decision));
-        // Nobody waits for the start any more, so the slot is free again and nothing ran.
-        if let Some(Err(Decision::Start { .. })) | None = sent {
+        let is_start = matches!(decision, Decision::Start { .. });
+        let waiter = self.waiting.swap_remove(&attempt);
+        let sent = waiter.is_some_and(|Waiter { reply, abandon }| {
+            self.running.insert(attempt, abandon);
+            reply.send(decision).is_ok()
+        });
+        // When nobody waits for the start any more, the slot is free again and nothing ran.
+        if is_start && !sent {
             let (_, actions) = self.gate.finish(attempt, RunResult::Cancelled);
             self.execute(actions);
         }
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -40,11 +40,20 @@
     Refuse(Reason, Load),
 }
 
+/// Where the gate answers to an attempt.
+#[derive(Debug)]
+pub struct Waiter {
+    /// Takes the decision.
+    pub reply: oneshot::Sender<Decision>,
+    /// Told when the attempt is stuck and its entry must not wait for it.
+    pub abandon: oneshot::Sender<()>,
+}
+
 /// A message to the gate.
 #[derive(Debug)]
 pub enum GateMessage {
-    /// An attempt wants a slot; the decision goes to the sender.
-    Offer(Offer, oneshot::Sender<Decision>),
+    /// An attempt wants a slot.
+    Offer(Offer, Waiter),
     /// The first byte of the answer has come.
     Progress(AttemptId),
     /// A run has ended; the load after it goes to the sender.
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -405,6 +405,7 @@
         service: plan.service.to_string(),
         remaining_us: micros(plan.remaining),
         patience_us: micros(plan.patience),
+        usual_us: micros(plan.usual),
         long: plan.long,
         idempotent: plan.idempotent,
         ..common_frame(request)
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -14,7 +14,7 @@
 use super::drive::{self, ReplyBody, Request};
 use super::endpoint::Context;
 use super::link::{LinkError, Sink, Source};
-use crate::message::{Decision, GateMessage};
+use crate::message::{Decision, GateMessage, Waiter};
 use crate::prelude::*;
 use crate::upstream::{Call, CallEvent};
 
@@ -60,9 +60,11 @@
         idempotent: begin.idempotent,
         patience: Duration::from_micros(begin.patience_us),
         remaining: Duration::from_micros(begin.remaining_us),
+        usual: Duration::from_micros(begin.usual_us),
     };
     let (reply, decision) = oneshot::channel();
-    send_gate(context, GateMessage::Offer(offer, reply)).await;
+    let (abandon, abandoned) = oneshot::channel();
+    send_gate(context, GateMessage::Offer(offer, Waiter { reply, abandon })).await;
     let decision = tokio::select! {
         decision = decision => decision.ok(),
         () = sink.closed() => None,
@@ -87,7 +89,7 @@
                 finish(context, attempt, RunResult::Cancelled).await;
                 return Err(LinkError::Closed);
             }
-            Running { context, attempt, id, sink }.relay(received).await
+            Running { context, attempt, id, sink }.relay(received, abandoned).await
         }
         Some(Decision::Refuse(reason, load)) => refuse(sink, reason, Some(load)).await,
         None => {
@@ -161,7 +163,11 @@
 
 impl Running<'_> {
     /// Passes the answer on and frees the slot when the run has ended.
-    async fn relay(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+    async fn relay(
+        mut self,
+        mut events: mpsc::Receiver<CallEvent>,
+        mut abandoned: oneshot::Receiver<()>,
+    ) -> Result<(), LinkError> {
         let mut answer: Option<Answer> = None;
         let mut first = BytesMut::new();
         let mut total = 0;
@@ -169,6 +175,7 @@
             let event = tokio::select! {
                 event = events.recv() => event,
                 () = self.sink.closed() => None,
+                Ok(()) = &mut abandoned => return self.abandon(events).await,
             };
             match event {
                 Some(CallEvent::Head { status, headers }) => {
@@ -203,6 +210,23 @@
         }
     }
 
+    /// Lets the entry go elsewhere; the slot stays taken until the upstream is done.
+    async fn abandon(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+        let reason = Reason::Stuck.name().to_owned();
+        let cut = wire::Cut { reason, load: None, not_run: false };
+        let sent = self.sink.send(Body::Cut(cut)).await;
+        let result = loop {
+            match events.recv().await {
+                Some(CallEvent::Head { .. } | CallEvent::Data(_)) => {}
+                Some(CallEvent::End) => break RunResult::Success,
+                Some(CallEvent::Failed { result, .. }) => break result,
+                None => break RunResult::Cancelled,
+            }
+        };
+        finish(self.context, self.attempt, result).await;
+        sent
+    }
+
     fn head(&self, status: u16, headers: Vec<(String, String)>) -> Answer {
         let headers = headers.into_iter().map(|(name, value)| Header { name, value }).collect();
         Answer { request_id: self.id.clone(), status: status.into(), headers, ..Answer::default() }
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -165,6 +165,7 @@
     waiting: VecDeque<(String, Sender<Mode>)>,
     started: Instant,
     count: u32,
+    agent: ureq::Agent,
 }
 
 impl Owner {
@@ -180,6 +181,7 @@
             waiting: VecDeque::new(),
             started: Instant::now(),
             count: 0,
+            agent: ureq::Agent::config_builder().timeout_global(Some(ANNOUNCE * 2)).build().into(),
         }
     }
 
@@ -265,8 +267,9 @@
         });
         let url = format!("http://{}/v1/upstreams", self.settings.node);
         // A node that is down is announced to again soon.
-        let call = ureq::post(url).config().timeout_global(Some(ANNOUNCE * 2)).build();
-        let _ = call.send(body.to_string());
+        let answer = self.agent.post(url).send(body.to_string());
+        // The body must be read for the connection to be kept.
+        let _ = answer.map(|mut answer| answer.body_mut().read_to_vec());
     }
 }
 
