--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,15 +1,19 @@
 //! The entry: decides where a request goes and answers for its outcome.
 
+mod claim;
+mod ending;
+
 use std::sync::Arc;
 
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use self::ending::{conclude, lost_reason};
 use crate::budget::Budget;
 use crate::choice::Chooser;
 use crate::ledger::{Claim, Ledger};
 use crate::prelude::*;
-use crate::request::{Arrival, Conclusion, EntryAction, Plan, Report};
+use crate::request::{Arrival, EntryAction, Plan, Report};
 use crate::roster::Member;
 use crate::route::{Route, Router};
 use crate::ticket::StoredAnswer;
@@ -291,81 +295,6 @@
         (busy >= *limit).then_some(Reason::OrganisationLimit)
     }
 
-    /// Refuses a request before it was dispatched; its ticket is burned first.
-    fn refuse_arrival(
-        &mut self,
-        flight: &Flight,
-        ticket: Option<TicketId>,
-        reason: Reason,
-    ) -> Vec<EntryAction> {
-        let request = flight.arrival.request;
-        let Some(ticket) = ticket else {
-            return self.conclude_not_run(request, reason, !flight.idempotent);
-        };
-        match self.ledger.burn(ticket, flight.arrival.fingerprint, request, reason) {
-            Claim::Refused(_) => self.conclude_not_run(request, reason, true),
-            claim => self.answer_claim(flight, ticket, claim),
-        }
-    }
-
-    fn answer_claim(
-        &mut self,
-        flight: &Flight,
-        ticket: TicketId,
-        claim: Claim,
-    ) -> Vec<EntryAction> {
-        let request = flight.arrival.request;
-        match claim {
-            // Only `admit` claims tickets to run them.
-            Claim::Run => Vec::new(),
-            Claim::Wait => {
-                self.waiting.insert(request, ticket);
-                let remaining = flight.deadline.saturating_duration_since(self.clock.now());
-                vec![EntryAction::Wait { request, remaining }]
-            }
-            Claim::Replay(answer) => {
-                let conclusion = Conclusion {
-                    outcome: Outcome::Ran,
-                    reason: Reason::Answered,
-                    answer: Some(answer),
-                    fresh: None,
-                };
-                vec![EntryAction::Conclude { request, conclusion }]
-            }
-            Claim::Over(Outcome::Ran) => conclude(request, Outcome::Ran, Reason::AnswerGone),
-            Claim::Over(outcome) => conclude(request, outcome, Reason::Lost),
-            Claim::Refused(_) => self.conclude_not_run(request, Reason::TicketRefused, true),
-            Claim::Mismatch => self.conclude_not_run(request, Reason::TicketMismatch, true),
-            // The number can be issued later, so this is no proof that it never runs.
-            Claim::Invalid => conclude(request, Outcome::Unknown, Reason::TicketInvalid),
-            Claim::Expired => conclude(request, Outcome::Unknown, Reason::TicketExpired),
-        }
-    }
-
-    fn forward(&mut self, flight: &Flight, ticket: TicketId) -> Vec<EntryAction> {
-        let request = flight.arrival.request;
-        if flight.arrival.forwarded || !self.nodes.contains_key(&ticket.home) {
-            return conclude(request, Outcome::Unknown, Reason::HomeLost);
-        }
-        self.forwarded.insert(request);
-        let remaining = flight.deadline.saturating_duration_since(self.clock.now());
-        vec![EntryAction::Forward { request, home: ticket.home, ticket, remaining }]
-    }
-
-    fn report_forwarded(&mut self, request: RequestId, report: &Report) -> Vec<EntryAction> {
-        match report {
-            Report::Answered { answer: Some(_), .. } => {
-                vec![EntryAction::Relay { request, ticket: None }]
-            }
-            Report::Answered { answer: None, .. } => {
-                self.forwarded.insert(request);
-                vec![EntryAction::Relay { request, ticket: None }]
-            }
-            Report::Completed(_) | Report::Cut => Vec::new(),
-            _ => conclude(request, Outcome::Unknown, Reason::HomeLost),
-        }
-    }
-
     fn dispatch(&mut self, mut flight: Flight, retry: Option<Reason>) -> Vec<EntryAction> {
         let now = self.clock.now();
         if now >= flight.deadline {
@@ -482,87 +411,4 @@
         actions.extend(self.finish(&flight, Outcome::Ran, answer));
         actions
     }
-
-    /// Ends a request on proof that it did not run; its ticket is burned first.
-    fn refuse(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
-        self.release(flight);
-        let waiters = flight.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
-        let wants_ticket = !flight.idempotent;
-        let mut actions = self.conclude_not_run(flight.arrival.request, reason, wants_ticket);
-        for request in waiters.into_iter().flatten() {
-            if self.waiting.swap_remove(&request).is_some() {
-                actions.extend(self.conclude_not_run(request, reason, wants_ticket));
-            }
-        }
-        actions
-    }
-
-    /// Ends a request that may have run.
-    fn lose(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
-        let request = flight.arrival.request;
-        let mut actions = conclude(request, Outcome::Unknown, reason);
-        actions.extend(self.finish(flight, Outcome::Unknown, None));
-        actions
-    }
-
-    /// Frees what a request held and answers the repetitions that waited for it.
-    fn finish(
-        &mut self,
-        flight: &Flight,
-        outcome: Outcome,
-        answer: Option<Arc<StoredAnswer>>,
-    ) -> Vec<EntryAction> {
-        self.release(flight);
-        let Some(ticket) = flight.ticket else {
-            return Vec::new();
-        };
-        let waiters = self.ledger.settle(ticket, outcome, answer.clone());
-        let reason = match (outcome, &answer) {
-            (Outcome::Ran, Some(_)) => Reason::Answered,
-            (Outcome::Ran, None) => Reason::AnswerGone,
-            _ => Reason::Lost,
-        };
-        let conclusion = Conclusion { outcome, reason, answer, fresh: None };
-        waiters
-            .into_iter()
-            .filter(|request| self.waiting.swap_remove(request).is_some())
-            .map(|request| EntryAction::Conclude { request, conclusion: conclusion.clone() })
-            .collect()
-    }
-
-    fn release(&mut self, flight: &Flight) {
-        let Some(organisation) = &flight.arrival.organisation else {
-            return;
-        };
-        if let Some(busy) = self.busy.get_mut(organisation) {
-            *busy -= 1;
-            if *busy == 0 {
-                self.busy.swap_remove(organisation);
-            }
-        }
-    }
-
-    fn conclude_not_run(
-        &mut self,
-        request: RequestId,
-        reason: Reason,
-        wants_ticket: bool,
-    ) -> Vec<EntryAction> {
-        let fresh = if wants_ticket { self.issue() } else { None };
-        let conclusion = Conclusion { outcome: Outcome::NotRun, reason, answer: None, fresh };
-        vec![EntryAction::Conclude { request, conclusion }]
-    }
-}
-
-fn conclude(request: RequestId, outcome: Outcome, reason: Reason) -> Vec<EntryAction> {
-    let conclusion = Conclusion { outcome, reason, answer: None, fresh: None };
-    vec![EntryAction::Conclude { request, conclusion }]
-}
-
-fn lost_reason(report: &Report) -> Reason {
-    match report {
-        Report::Lost(reason) => *reason,
-        Report::Abandoned => Reason::CallerGone,
-        _ => Reason::Lost,
-    }
 }
--- /dev/null
+++ b/crates/core/src/entry/claim.rs
@@ -0,0 +1,88 @@
+//! Requests with tickets: claims, forwarding to homes, and refusals before any dispatch.
+
+use super::ending::conclude;
+use super::{Entry, Flight};
+use crate::ledger::Claim;
+use crate::prelude::*;
+use crate::request::{Conclusion, EntryAction, Report};
+
+impl Entry {
+    /// Refuses a request before it was dispatched; its ticket is burned first.
+    pub(super) fn refuse_arrival(
+        &mut self,
+        flight: &Flight,
+        ticket: Option<TicketId>,
+        reason: Reason,
+    ) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        let Some(ticket) = ticket else {
+            return self.conclude_not_run(request, reason, !flight.idempotent);
+        };
+        match self.ledger.burn(ticket, flight.arrival.fingerprint, request, reason) {
+            Claim::Refused(_) => self.conclude_not_run(request, reason, true),
+            claim => self.answer_claim(flight, ticket, claim),
+        }
+    }
+
+    pub(super) fn answer_claim(
+        &mut self,
+        flight: &Flight,
+        ticket: TicketId,
+        claim: Claim,
+    ) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        match claim {
+            // Only `admit` claims tickets to run them.
+            Claim::Run => Vec::new(),
+            Claim::Wait => {
+                self.waiting.insert(request, ticket);
+                let remaining = flight.deadline.saturating_duration_since(self.clock.now());
+                vec![EntryAction::Wait { request, remaining }]
+            }
+            Claim::Replay(answer) => {
+                let conclusion = Conclusion {
+                    outcome: Outcome::Ran,
+                    reason: Reason::Answered,
+                    answer: Some(answer),
+                    fresh: None,
+                };
+                vec![EntryAction::Conclude { request, conclusion }]
+            }
+            Claim::Over(Outcome::Ran) => conclude(request, Outcome::Ran, Reason::AnswerGone),
+            Claim::Over(outcome) => conclude(request, outcome, Reason::Lost),
+            Claim::Refused(_) => self.conclude_not_run(request, Reason::TicketRefused, true),
+            Claim::Mismatch => self.conclude_not_run(request, Reason::TicketMismatch, true),
+            // The number can be issued later, so this is no proof that it never runs.
+            Claim::Invalid => conclude(request, Outcome::Unknown, Reason::TicketInvalid),
+            Claim::Expired => conclude(request, Outcome::Unknown, Reason::TicketExpired),
+        }
+    }
+
+    pub(super) fn forward(&mut self, flight: &Flight, ticket: TicketId) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        if flight.arrival.forwarded || !self.nodes.contains_key(&ticket.home) {
+            return conclude(request, Outcome::Unknown, Reason::HomeLost);
+        }
+        self.forwarded.insert(request);
+        let remaining = flight.deadline.saturating_duration_since(self.clock.now());
+        vec![EntryAction::Forward { request, home: ticket.home, ticket, remaining }]
+    }
+
+    pub(super) fn report_forwarded(
+        &mut self,
+        request: RequestId,
+        report: &Report,
+    ) -> Vec<EntryAction> {
+        match report {
+            Report::Answered { answer: Some(_), .. } => {
+                vec![EntryAction::Relay { request, ticket: None }]
+            }
+            Report::Answered { answer: None, .. } => {
+                self.forwarded.insert(request);
+                vec![EntryAction::Relay { request, ticket: None }]
+            }
+            Report::Completed(_) | Report::Cut => Vec::new(),
+            _ => conclude(request, Outcome::Unknown, Reason::HomeLost),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/ending.rs
@@ -0,0 +1,95 @@
+//! Ends of requests: what is freed, what the ticket records, and who else is answered.
+
+use std::sync::Arc;
+
+use super::{Entry, Flight};
+use crate::prelude::*;
+use crate::request::{Conclusion, EntryAction, Report};
+use crate::ticket::StoredAnswer;
+
+impl Entry {
+    /// Ends a request on proof that it did not run; its ticket is burned first.
+    pub(super) fn refuse(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
+        self.release(flight);
+        let waiters = flight.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
+        let wants_ticket = !flight.idempotent;
+        let mut actions = self.conclude_not_run(flight.arrival.request, reason, wants_ticket);
+        for request in waiters.into_iter().flatten() {
+            if self.waiting.swap_remove(&request).is_some() {
+                actions.extend(self.conclude_not_run(request, reason, wants_ticket));
+            }
+        }
+        actions
+    }
+
+    /// Ends a request that may have run.
+    pub(super) fn lose(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
+        let request = flight.arrival.request;
+        let mut actions = conclude(request, Outcome::Unknown, reason);
+        actions.extend(self.finish(flight, Outcome::Unknown, None));
+        actions
+    }
+
+    /// Frees what a request held and answers the repetitions that waited for it.
+    pub(super) fn finish(
+        &mut self,
+        flight: &Flight,
+        outcome: Outcome,
+        answer: Option<Arc<StoredAnswer>>,
+    ) -> Vec<EntryAction> {
+        self.release(flight);
+        let Some(ticket) = flight.ticket else {
+            return Vec::new();
+        };
+        let waiters = self.ledger.settle(ticket, outcome, answer.clone());
+        let reason = match (outcome, &answer) {
+            (Outcome::Ran, Some(_)) => Reason::Answered,
+            (Outcome::Ran, None) => Reason::AnswerGone,
+            _ => Reason::Lost,
+        };
+        let conclusion = Conclusion { outcome, reason, answer, fresh: None };
+        waiters
+            .into_iter()
+            .filter(|request| self.waiting.swap_remove(request).is_some())
+            .map(|request| EntryAction::Conclude { request, conclusion: conclusion.clone() })
+            .collect()
+    }
+
+    pub(super) fn release(&mut self, flight: &Flight) {
+        let Some(organisation) = &flight.arrival.organisation else {
+            return;
+        };
+        if let Some(busy) = self.busy.get_mut(organisation) {
+            *busy -= 1;
+            if *busy == 0 {
+                self.busy.swap_remove(organisation);
+            }
+        }
+    }
+
+    pub(super) fn conclude_not_run(
+        &mut self,
+        request: RequestId,
+        reason: Reason,
+        wants_ticket: bool,
+    ) -> Vec<EntryAction> {
+        let fresh = if wants_ticket { self.issue() } else { None };
+        let conclusion = Conclusion { outcome: Outcome::NotRun, reason, answer: None, fresh };
+        vec![EntryAction::Conclude { request, conclusion }]
+    }
+}
+
+/// Ends a request that holds nothing.
+pub(super) fn conclude(request: RequestId, outcome: Outcome, reason: Reason) -> Vec<EntryAction> {
+    let conclusion = Conclusion { outcome, reason, answer: None, fresh: None };
+    vec![EntryAction::Conclude { request, conclusion }]
+}
+
+/// Returns why a request that waited for another's answer goes without.
+pub(super) fn lost_reason(report: &Report) -> Reason {
+    match report {
+        Report::Lost(reason) => *reason,
+        Report::Abandoned => Reason::CallerGone,
+        _ => Reason::Lost,
+    }
+}
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -3,110 +3,13 @@
 //! All work for an upstream passes its one gate, and a slot is reserved before the work is sent,
 //! so the count of work in flight is exact.
 
-use std::net::SocketAddr;
+mod review;
 
+pub use crate::admission::{GateAction, Offer, Offered, RunResult};
 use crate::prelude::*;
 use crate::queue::{Queue, Waiting};
 use crate::upstream::{Announcement, AnyUpstream};
 use crate::window::Window;
-use crate::witness::Observation;
-
-/// Short work that runs longer than this multiple of the usual time counts as stuck.
-const STUCK_FACTOR: u32 = 10;
-/// Answers are slow when they take this many times the usual time.
-const SLOW_FACTOR: u32 = 5;
-/// Answers are slow only when they take this much longer than usual.
-const SLOW_MARGIN: Duration = Duration::from_millis(20);
-/// Short work counts as stuck after this part of its deadline at the earliest.
-const STUCK_DIVISOR: u32 = 4;
-
-/// A request for a slot.
-#[derive(Clone, Debug)]
-pub struct Offer {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The run of the gate's process that the attempt is meant for.
-    pub incarnation: Incarnation,
-    /// The service.
-    pub service: ServiceName,
-    /// Whether it is long work.
-    pub long: bool,
-    /// Whether it may be repeated.
-    pub idempotent: bool,
-    /// Longest time in the queue.
-    pub patience: Duration,
-    /// Time left until the deadline.
-    pub remaining: Duration,
-    /// Median time of short work at the service's gates; zero when not known.
-    pub usual: Duration,
-}
-
-/// How a run on an upstream ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RunResult {
-    /// A whole answer that is not a server error.
-    Success,
-    /// A whole answer with a server error.
-    ServerError,
-    /// No connection could be opened: the request did not run.
-    ConnectFailed,
-    /// The upstream refused the request because of its load: it did not run.
-    Shed,
-    /// The answer broke off or did not come.
-    Broken,
-    /// The deadline passed during the run.
-    TimedOut,
-    /// The caller or the entry gave up, or the request body broke off.
-    Cancelled,
-}
-
-/// What the gate wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum GateAction {
-    /// Run the attempt on this upstream before the deadline.
-    Start {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The upstream.
-        upstream: UpstreamId,
-        /// Where the upstream serves HTTP.
-        address: SocketAddr,
-        /// When the run must have ended.
-        deadline: Instant,
-        /// Load of the service.
-        load: Load,
-    },
-    /// Tell the entry that the attempt did not run and will not run.
-    Refuse {
-        /// The attempt.
-        attempt: AttemptId,
-        /// Why.
-        reason: Reason,
-        /// Load of the service.
-        load: Load,
-    },
-    /// Tell the entry not to wait for the attempt, which is stuck and may be repeated elsewhere.
-    /// It holds its slot until it ends.
-    Abandon {
-        /// The attempt.
-        attempt: AttemptId,
-    },
-    /// Tell the other nodes what this gate offers now.
-    Publish,
-}
-
-/// What a gate offers of one service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Offered {
-    /// The service.
-    pub service: ServiceName,
-    /// Slots of all upstreams.
-    pub slots: u32,
-    /// Whether the upstreams are in use.
-    pub condition: Condition,
-    /// Weight of the evidence against the best upstream.
-    pub evidence: f32,
-}
 
 #[derive(Debug)]
 struct Running {
@@ -239,7 +142,7 @@
         let mut changed = false;
         if let Some(upstream) = self.upstreams.get_mut(&running.upstream) {
             release(upstream, running.long);
-            changed = learn(upstream, &running, result, offer.usual, now, &profile);
+            changed = review::learn(upstream, &running, result, offer.usual, now, &profile);
         }
         let mut actions = self.fill(&offer.service);
         if changed {
@@ -418,52 +321,6 @@
         best.map(|(id, _)| id.clone())
     }
 
-    /// Counts old work as long and stuck work as failed.
-    fn review_running(&mut self, now: Instant) -> Vec<GateAction> {
-        for (attempt, running) in &mut self.running {
-            let Some((offer, _)) = self.offers.get(attempt) else {
-                continue;
-            };
-            let Some(state) = self.services.get(&offer.service) else {
-                continue;
-            };
-            let Some(upstream) = self.upstreams.get_mut(&running.upstream) else {
-                continue;
-            };
-            let common = upstream.common_mut();
-            let age = now.saturating_duration_since(running.started);
-            if !running.long && age > state.profile.caution.long_after {
-                running.long = true;
-                common.short -= 1;
-                common.long += 1;
-            }
-            let usual = common.witness.pace() * STUCK_FACTOR;
-            let late = usual.max(state.profile.patience.deadline / STUCK_DIVISOR);
-            if !offer.long && !running.progress && !running.stuck && age > late {
-                running.stuck = true;
-                common.witness.observe(Observation::Failure, now, &state.profile.forgiveness);
-            }
-        }
-        self.abandon_stuck()
-    }
-
-    /// Gives up stuck requests that may be repeated, once their upstream is ejected. On a healthy
-    /// one they may just take long.
-    fn abandon_stuck(&mut self) -> Vec<GateAction> {
-        let mut actions = Vec::new();
-        for (attempt, running) in &mut self.running {
-            let upstream = self.upstreams.get(&running.upstream);
-            let is_ejected =
-                upstream.is_some_and(|u| u.common().witness.condition() == Condition::Ejected);
-            let idempotent = self.offers.get(attempt).is_some_and(|(offer, _)| offer.idempotent);
-            if is_ejected && idempotent && running.stuck && !running.abandoned {
-                running.abandoned = true;
-                actions.push(GateAction::Abandon { attempt: *attempt });
-            }
-        }
-        actions
-    }
-
     fn expire(&mut self, now: Instant) -> Vec<GateAction> {
         let queues = self.services.values_mut();
         let expired: Vec<Waiting> =
@@ -496,13 +353,6 @@
     ((f64::from(limit) * share) as u32).max(1)
 }
 
-/// Tells whether an answer, and the answers before it on average, took far longer than usual at
-/// the other gates. The average keeps a few requests that are slow everywhere from counting.
-fn is_slow(elapsed: Duration, pace: Duration, usual: Duration) -> bool {
-    let limit = (usual * SLOW_FACTOR).max(usual + SLOW_MARGIN);
-    !usual.is_zero() && elapsed.min(pace) > limit
-}
-
 /// Adds an upstream to the load of its service.
 fn add(load: Option<Load>, upstream: &AnyUpstream, now: Instant) -> Load {
     let common = upstream.common();
@@ -533,35 +383,3 @@
     let count = if long { &mut common.long } else { &mut common.short };
     *count = count.saturating_sub(1);
 }
-
-fn learn(
-    upstream: &mut AnyUpstream,
-    running: &Running,
-    result: RunResult,
-    usual: Duration,
-    now: Instant,
-    profile: &Profile,
-) -> bool {
-    let rules = &profile.forgiveness;
-    let elapsed = now.saturating_duration_since(running.started);
-    if result == RunResult::Shed {
-        upstream.shed(now);
-    }
-    let witness = &mut upstream.common_mut().witness;
-    if result == RunResult::Success && !running.long {
-        witness.sample(elapsed);
-    }
-    let observation = match result {
-        RunResult::Success if !running.long && is_slow(elapsed, witness.pace(), usual) => {
-            Observation::Failure
-        }
-        RunResult::Success => Observation::Success,
-        RunResult::ServerError
-        | RunResult::ConnectFailed
-        | RunResult::Broken
-        | RunResult::TimedOut => Observation::Failure,
-        RunResult::Shed | RunResult::Cancelled => return false,
-    };
-    // Stuck work has been counted as failed already.
-    !running.stuck && witness.observe(observation, now, rules)
-}
--- /dev/null
+++ b/crates/core/src/gate/review.rs
@@ -0,0 +1,103 @@
+//! What a gate learns from work that runs and from work that has ended.
+
+use super::{Gate, GateAction, RunResult, Running};
+use crate::prelude::*;
+use crate::upstream::AnyUpstream;
+use crate::witness::Observation;
+
+/// Short work that runs longer than this multiple of the usual time counts as stuck.
+const STUCK_FACTOR: u32 = 10;
+/// Answers are slow when they take this many times the usual time.
+const SLOW_FACTOR: u32 = 5;
+/// Answers are slow only when they take this much longer than usual.
+const SLOW_MARGIN: Duration = Duration::from_millis(20);
+/// Short work counts as stuck after this part of its deadline at the earliest.
+const STUCK_DIVISOR: u32 = 4;
+
+impl Gate {
+    /// Counts old work as long and stuck work as failed.
+    pub(super) fn review_running(&mut self, now: Instant) -> Vec<GateAction> {
+        for (attempt, running) in &mut self.running {
+            let Some((offer, _)) = self.offers.get(attempt) else {
+                continue;
+            };
+            let Some(state) = self.services.get(&offer.service) else {
+                continue;
+            };
+            let Some(upstream) = self.upstreams.get_mut(&running.upstream) else {
+                continue;
+            };
+            let common = upstream.common_mut();
+            let age = now.saturating_duration_since(running.started);
+            if !running.long && age > state.profile.caution.long_after {
+                running.long = true;
+                common.short -= 1;
+                common.long += 1;
+            }
+            let usual = common.witness.pace() * STUCK_FACTOR;
+            let late = usual.max(state.profile.patience.deadline / STUCK_DIVISOR);
+            if !offer.long && !running.progress && !running.stuck && age > late {
+                running.stuck = true;
+                common.witness.observe(Observation::Failure, now, &state.profile.forgiveness);
+            }
+        }
+        self.abandon_stuck()
+    }
+
+    /// Gives up stuck requests that may be repeated, once their upstream is ejected. On a healthy
+    /// one they may just take long.
+    fn abandon_stuck(&mut self) -> Vec<GateAction> {
+        let mut actions = Vec::new();
+        for (attempt, running) in &mut self.running {
+            let upstream = self.upstreams.get(&running.upstream);
+            let is_ejected =
+                upstream.is_some_and(|u| u.common().witness.condition() == Condition::Ejected);
+            let idempotent = self.offers.get(attempt).is_some_and(|(offer, _)| offer.idempotent);
+            if is_ejected && idempotent && running.stuck && !running.abandoned {
+                running.abandoned = true;
+                actions.push(GateAction::Abandon { attempt: *attempt });
+            }
+        }
+        actions
+    }
+}
+
+/// Learns from a run that has ended; returns whether the condition of the upstream changed.
+pub(super) fn learn(
+    upstream: &mut AnyUpstream,
+    running: &Running,
+    result: RunResult,
+    usual: Duration,
+    now: Instant,
+    profile: &Profile,
+) -> bool {
+    let rules = &profile.forgiveness;
+    let elapsed = now.saturating_duration_since(running.started);
+    if result == RunResult::Shed {
+        upstream.shed(now);
+    }
+    let witness = &mut upstream.common_mut().witness;
+    if result == RunResult::Success && !running.long {
+        witness.sample(elapsed);
+    }
+    let observation = match result {
+        RunResult::Success if !running.long && is_slow(elapsed, witness.pace(), usual) => {
+            Observation::Failure
+        }
+        RunResult::Success => Observation::Success,
+        RunResult::ServerError
+        | RunResult::ConnectFailed
+        | RunResult::Broken
+        | RunResult::TimedOut => Observation::Failure,
+        RunResult::Shed | RunResult::Cancelled => return false,
+    };
+    // Stuck work has been counted as failed already.
+    !running.stuck && witness.observe(observation, now, rules)
+}
+
+/// Tells whether an answer, and the answers before it on average, took far longer than usual at
+/// the other gates. The average keeps a few requests that are slow everywhere from counting.
+fn is_slow(elapsed: Duration, pace: Duration, usual: Duration) -> bool {
+    let limit = (usual * SLOW_FACTOR).max(usual + SLOW_MARGIN);
+    !usual.is_zero() && elapsed.min(pace) > limit
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! and actions come out as values. The clock and the random generator are passed in; there are no
 //! sockets, threads or codecs here.
 
+mod admission;
 pub mod budget;
 pub mod catalog;
 pub mod change;
--- /dev/null
+++ b/crates/core/tests/change.rs
@@ -0,0 +1,47 @@
+//! Changes of the configuration: lost answers and races.
+
+use lavenderflow_core::change::{Change, Current, KEPT_CHANGES, Settled};
+
+fn current(revision: u64, changes: &[&str], author: &str) -> Current {
+    let changes = changes.iter().map(ToString::to_string).collect();
+    Current { revision, changes, author: author.to_owned() }
+}
+
+#[test]
+fn reading_back_settles_a_lost_answer() {
+    let base = current(3, &["c", "b"], "ann");
+    let cases = [
+        ("it took effect", current(4, &["mine", "c"], "me"), "accepted"),
+        ("it took effect and another followed", current(5, &["x", "mine"], "bob"), "accepted"),
+        ("nothing happened", base.clone(), "pending"),
+        ("another came first", current(4, &["x", "c"], "bob"), "conflict"),
+        ("the store was put back", current(2, &["b"], "ann"), "conflict"),
+    ];
+    for (name, read, expected) in cases {
+        let settled = match Change::propose("mine", 3, 3).settle(&base, read) {
+            Settled::Accepted(change) => {
+                assert_eq!(change.revision(), 4);
+                "accepted"
+            }
+            Settled::Pending(_) => "pending",
+            Settled::Conflict(_) => "conflict",
+        };
+        assert_eq!(settled, expected, "{name}");
+    }
+}
+
+#[test]
+fn a_change_goes_above_the_store_and_what_is_in_force() {
+    assert_eq!(Change::propose("a", 3, 9).revision(), 10);
+    assert_eq!(Change::propose("a", 9, 3).revision(), 10);
+    assert_eq!(Change::propose("a", 0, 0).revision(), 1);
+}
+
+#[test]
+fn the_history_is_bounded_and_newest_first() {
+    let ids: Vec<String> = (0..40).map(|number| number.to_string()).collect();
+    let base = Current { revision: 40, changes: ids, author: String::new() };
+    let history = Change::propose("new", 40, 40).history(&base);
+    assert_eq!(history.len(), KEPT_CHANGES);
+    assert_eq!(history[0], "new");
+}
--- /dev/null
+++ b/crates/core/tests/gossip.rs
@@ -0,0 +1,140 @@
+//! Nodes come to hold the same members and documents, whatever exchanges are lost, and nothing
+//! goes back to an older state.
+
+mod support;
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use lavenderflow_core::catalog::{Catalog, Document, Item, Key};
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::gossip::{Exchange, Gossip};
+use lavenderflow_core::id::Revision;
+use lavenderflow_core::roster::Roster;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use support::{clock, member};
+
+struct Node {
+    roster: Roster,
+    catalog: Catalog,
+    gossip: Gossip,
+}
+
+impl Node {
+    fn new(id: u64, clock: &SharedClock) -> Self {
+        let roster = Roster::new(Arc::clone(clock), member(id, id, vec![]));
+        Self { roster, catalog: Catalog::default(), gossip: Gossip::default() }
+    }
+
+    fn apply(&mut self, document: Document, source: Option<u64>) {
+        let item: Result<Item, std::fmt::Error> = Ok(Item::Organisation("one".into(), 1));
+        self.catalog.apply(document, item, source);
+    }
+
+    fn take(&mut self, mut exchange: Exchange) {
+        let source = exchange.sender;
+        self.roster.take(
+            std::mem::take(&mut exchange.members),
+            std::mem::take(&mut exchange.doubts),
+            source,
+        );
+        for document in std::mem::take(&mut exchange.documents) {
+            self.apply(document, Some(source));
+        }
+        self.gossip.compare(&self.roster, &self.catalog, &exchange);
+    }
+
+    fn revisions(&self) -> IndexMap<Key, Revision> {
+        let documents = self.catalog.documents().iter();
+        let mut revisions: IndexMap<Key, Revision> =
+            documents.map(|(key, document)| (key.clone(), document.revision)).collect();
+        revisions.sort_keys();
+        revisions
+    }
+}
+
+/// Swaps exchanges between two nodes; either may be lost.
+fn swap(nodes: &mut [Node], from: usize, to: usize, lost: (bool, bool)) {
+    let (from_id, to_id) = (nodes[from].roster.me().node, nodes[to].roster.me().node);
+    let node = &mut nodes[from];
+    let (request, position) = node.gossip.compose(&node.roster, &node.catalog, to_id);
+    if lost.0 {
+        return;
+    }
+    nodes[to].take(request);
+    let node = &mut nodes[to];
+    let (answer, reached) = node.gossip.compose(&node.roster, &node.catalog, from_id);
+    node.gossip.delivered(from_id, reached);
+    if !lost.1 {
+        nodes[from].gossip.delivered(to_id, position);
+        nodes[from].take(answer);
+    }
+}
+
+fn document(key: u8, revision: u64) -> Document {
+    let text = format!("{key} {revision}");
+    Document { key: format!("organisations/{key}").into(), revision, text: text.as_bytes().into() }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(30),
+        ..ProptestConfig::default()
+    })]
+    #[test]
+    fn nodes_converge_and_never_go_back(
+        changes in vec((0_usize..5, 0_u8..6, 1_u64..9), 1..30),
+        swaps in vec((0_usize..5, 0_usize..5, any::<bool>(), any::<bool>()), 0..80),
+    ) {
+        let clock: SharedClock = clock();
+        let mut nodes: Vec<Node> = (1..=5).map(|id| Node::new(id, &clock)).collect();
+        let mut changes = changes.into_iter();
+        for (from, to, first, second) in swaps {
+            if let Some((node, key, revision)) = changes.next() {
+                nodes[node].apply(document(key, revision), None);
+            }
+            let before: Vec<_> = nodes.iter().map(Node::revisions).collect();
+            if from != to {
+                swap(&mut nodes, from, to, (first, second));
+            }
+            for (node, before) in nodes.iter().zip(before) {
+                let after = node.revisions();
+                prop_assert!(before.iter().all(|(key, revision)| after[key] >= *revision));
+            }
+        }
+        for _ in 0..12 {
+            for node in 0..5 {
+                swap(&mut nodes, node, (node + 1) % 5, (false, false));
+            }
+        }
+        for node in &nodes {
+            prop_assert_eq!(node.revisions(), nodes[0].revisions());
+            prop_assert_eq!(node.roster.members().len(), 5);
+            prop_assert_eq!(node.roster.members().summary(), nodes[0].roster.members().summary());
+        }
+    }
+}
+
+#[test]
+fn a_new_node_learns_everything_and_then_exchanges_are_small() {
+    let clock: SharedClock = clock();
+    let mut nodes: Vec<Node> = (1..=2).map(|id| Node::new(id, &clock)).collect();
+    for key in 0..200 {
+        nodes[0].apply(document(key, 1), None);
+    }
+    for _ in 0..6 {
+        swap(&mut nodes, 1, 0, (false, false));
+    }
+    assert_eq!(nodes[1].revisions().len(), 200);
+    let node = &mut nodes[1];
+    let (exchange, _) = node.gossip.compose(&node.roster, &node.catalog, 1);
+    assert!(exchange.members.is_empty() && exchange.documents.is_empty());
+    assert!(exchange.member_digests.is_empty());
+    nodes[0].apply(document(7, 2), None);
+    let node = &mut nodes[0];
+    let (exchange, _) = node.gossip.compose(&node.roster, &node.catalog, 2);
+    assert_eq!(exchange.documents, [document(7, 2)]);
+}
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -1,12 +1,14 @@
 //! Owns the membership, the configuration and the gossip that spreads both.
 
+mod configure;
+mod status;
+
 use std::net::SocketAddr;
 
-use lavenderflow_core::catalog::{Catalog, Document, Item, Taken};
+use lavenderflow_core::catalog::Catalog;
 use lavenderflow_core::gate::Offered;
 use lavenderflow_core::gossip::{Exchange, Gossip, Position};
 use lavenderflow_core::roster::Roster;
-use lavenderflow_schema::convert::configuration;
 use stakker::{Actor, CX, after, call};
 use tokio::sync::{oneshot, watch};
 
@@ -16,7 +18,6 @@
 use crate::message::FleetMessage;
 use crate::net::endpoint::{Command, Network};
 use crate::prelude::*;
-use crate::status::{MemberStatus, RejectedStatus, Status};
 use crate::watcher::{WatchCommand, Watcher};
 
 /// Time for which changes are collected before they are passed on.
@@ -152,59 +153,6 @@
         self.changed(cx, &[own]);
     }
 
-    /// Begins a status and passes it on to the entry.
-    pub fn status(
-        &mut self,
-        _: CX![],
-        state: &'static str,
-        gate: Actor<GateActor>,
-        reply: oneshot::Sender<Status>,
-    ) {
-        let mut revisions: IndexMap<String, Revision> = self
-            .catalog
-            .documents()
-            .iter()
-            .map(|(key, document)| (key.to_string(), document.revision))
-            .collect();
-        revisions.sort_keys();
-        let rejected = self.catalog.rejected().map(|(key, revision, fault)| RejectedStatus {
-            key: key.to_string(),
-            revision,
-            fault: fault.to_owned(),
-        });
-        let status = Status {
-            node: self.roster.me().name.clone(),
-            zone: self.roster.me().zone.to_string(),
-            state: state.to_owned(),
-            members: self.members(),
-            revisions,
-            rejected: rejected.collect(),
-            ..Status::default()
-        };
-        let entry = &self.entry;
-        call!([entry], status(status, gate, reply));
-    }
-
-    fn members(&self) -> Vec<MemberStatus> {
-        let members = self.roster.members().iter().map(|(node, member)| {
-            let state = match (self.roster.is_expelled(*node), member.leaving) {
-                (true, _) => "expelled",
-                (false, true) => "leaving",
-                (false, false) => "alive",
-            };
-            MemberStatus {
-                id: format!("{node:x}"),
-                name: member.name.clone(),
-                zone: member.zone.to_string(),
-                callers: member.callers.to_string(),
-                state: state.to_owned(),
-            }
-        });
-        let mut members: Vec<MemberStatus> = members.collect();
-        members.sort_by(|a, b| a.name.cmp(&b.name));
-        members
-    }
-
     /// Pings the subjects and looks after what changes slowly.
     fn round(&mut self, cx: CX![]) {
         after!(self.ping, [cx], round());
@@ -321,105 +269,6 @@
         }
     }
 
-    /// Takes in what the store holds. What is newer here is put back there.
-    fn stored(&mut self, cx: CX![], documents: Vec<Document>, is_all: bool) {
-        let mut outdated = Vec::new();
-        let mut seen = IndexSet::new();
-        let mut news = false;
-        for document in documents {
-            seen.insert(document.key.clone());
-            let known = self.catalog.documents().get(&document.key);
-            let newer = known.filter(|known| known.revision > document.revision);
-            // A malformed value is an operator's mistake to see, not an old copy to replace.
-            match newer.filter(|_| configuration::check(&document).is_ok()) {
-                Some(known) => outdated.push(known.clone()),
-                None => news |= self.apply(document, None),
-            }
-        }
-        if is_all {
-            let missing = self.catalog.documents().iter().filter(|(key, _)| !seen.contains(*key));
-            outdated.extend(missing.map(|(_, document)| document.clone()));
-        }
-        for document in outdated {
-            log::warn!("event=store-outdated key={} revision={}", document.key, document.revision);
-            self.watcher.restore(document);
-        }
-        if news {
-            self.changed(cx, &[]);
-        }
-        if is_all {
-            self.set_ready();
-        }
-    }
-
-    /// Lets callers in: the configuration is complete, or nobody can be asked for it.
-    fn set_ready(&mut self) {
-        if let Some(ready) = self.ready.take() {
-            let _ = ready.send(());
-        }
-    }
-
-    fn apply(&mut self, document: Document, source: Option<NodeId>) -> bool {
-        let checked = configuration::check(&document);
-        let (key, revision) = (document.key.clone(), document.revision);
-        match self.catalog.apply(document, checked, source) {
-            Taken::Applied(item, replaced) => {
-                log::info!("event=configuration key={key} revision={revision}");
-                self.enforce(*item, replaced.map(|item| *item));
-                true
-            }
-            Taken::Known => false,
-            Taken::Rejected => {
-                log::warn!("event=configuration-rejected key={key} revision={revision}");
-                let counters = &self.counters;
-                call!([counters], add(Counter::Fault(Fault::Configuration)));
-                false
-            }
-        }
-    }
-
-    /// Brings an item into force at the entry and the gate.
-    fn enforce(&mut self, item: Item, replaced: Option<Item>) {
-        let entry = &self.entry;
-        match (item, replaced) {
-            (Item::Route(route), Some(Item::Route(old))) => {
-                call!([entry], set_route(route, Some(old)));
-            }
-            (Item::Route(route), _) => call!([entry], set_route(route, None)),
-            (Item::Organisation(name, limit), _) => call!([entry], set_limit(name, limit)),
-            (Item::Profile(_) | Item::Service(..), _) => {
-                let services: Vec<ServiceName> = self.profiles.keys().cloned().collect();
-                self.set_profiles(&services);
-            }
-        }
-    }
-
-    /// Passes on the profiles of services where they have changed.
-    fn set_profiles(&mut self, services: &[ServiceName]) {
-        for service in services {
-            let profile = self.catalog.profile(service);
-            if self.profiles.get(service) == Some(&profile) {
-                continue;
-            }
-            self.profiles.insert(service.clone(), profile.clone());
-            let (entry, name, own) = (&self.entry, service.clone(), profile.clone());
-            call!([entry], set_profile(name, own));
-            if let Some(gate) = &self.gate {
-                let name = service.clone();
-                call!([gate], set_profile(name, profile));
-            }
-        }
-    }
-
-    /// Passes on the profiles of services that a node is the first to offer.
-    fn meet_services(&mut self, node: NodeId) {
-        let Some(member) = self.roster.members().get(&node) else { return };
-        let offers = member.offers.iter().map(|offer| offer.service.clone());
-        let unmet: Vec<ServiceName> =
-            offers.filter(|service| !self.profiles.contains_key(service)).collect();
-        self.set_profiles(&unmet);
-    }
-
     /// Tells the entry and the network task about changed nodes and passes the news on.
     fn changed(&mut self, cx: CX![], nodes: &[NodeId]) {
         // Expelling a node can change others, so all whose standing changed are passed on.
--- /dev/null
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -0,0 +1,109 @@
+//! Brings the configuration into force.
+
+use lavenderflow_core::catalog::{Document, Item, Taken};
+use lavenderflow_schema::convert::configuration;
+use stakker::{CX, call};
+
+use super::FleetActor;
+use crate::prelude::*;
+
+impl FleetActor {
+    /// Takes in what the store holds. What is newer here is put back there.
+    pub(super) fn stored(&mut self, cx: CX![], documents: Vec<Document>, is_all: bool) {
+        let mut outdated = Vec::new();
+        let mut seen = IndexSet::new();
+        let mut news = false;
+        for document in documents {
+            seen.insert(document.key.clone());
+            let known = self.catalog.documents().get(&document.key);
+            let newer = known.filter(|known| known.revision > document.revision);
+            // A malformed value is an operator's mistake to see, not an old copy to replace.
+            match newer.filter(|_| configuration::check(&document).is_ok()) {
+                Some(known) => outdated.push(known.clone()),
+                None => news |= self.apply(document, None),
+            }
+        }
+        if is_all {
+            let missing = self.catalog.documents().iter().filter(|(key, _)| !seen.contains(*key));
+            outdated.extend(missing.map(|(_, document)| document.clone()));
+        }
+        for document in outdated {
+            log::warn!("event=store-outdated key={} revision={}", document.key, document.revision);
+            self.watcher.restore(document);
+        }
+        if news {
+            self.changed(cx, &[]);
+        }
+        if is_all {
+            self.set_ready();
+        }
+    }
+
+    /// Lets callers in: the configuration is complete, or nobody can be asked for it.
+    pub(super) fn set_ready(&mut self) {
+        if let Some(ready) = self.ready.take() {
+            let _ = ready.send(());
+        }
+    }
+
+    pub(super) fn apply(&mut self, document: Document, source: Option<NodeId>) -> bool {
+        let checked = configuration::check(&document);
+        let (key, revision) = (document.key.clone(), document.revision);
+        match self.catalog.apply(document, checked, source) {
+            Taken::Applied(item, replaced) => {
+                log::info!("event=configuration key={key} revision={revision}");
+                self.enforce(*item, replaced.map(|item| *item));
+                true
+            }
+            Taken::Known => false,
+            Taken::Rejected => {
+                log::warn!("event=configuration-rejected key={key} revision={revision}");
+                let counters = &self.counters;
+                call!([counters], add(Counter::Fault(Fault::Configuration)));
+                false
+            }
+        }
+    }
+
+    /// Brings an item into force at the entry and the gate.
+    pub(super) fn enforce(&mut self, item: Item, replaced: Option<Item>) {
+        let entry = &self.entry;
+        match (item, replaced) {
+            (Item::Route(route), Some(Item::Route(old))) => {
+                call!([entry], set_route(route, Some(old)));
+            }
+            (Item::Route(route), _) => call!([entry], set_route(route, None)),
+            (Item::Organisation(name, limit), _) => call!([entry], set_limit(name, limit)),
+            (Item::Profile(_) | Item::Service(..), _) => {
+                let services: Vec<ServiceName> = self.profiles.keys().cloned().collect();
+                self.set_profiles(&services);
+            }
+        }
+    }
+
+    /// Passes on the profiles of services where they have changed.
+    pub(super) fn set_profiles(&mut self, services: &[ServiceName]) {
+        for service in services {
+            let profile = self.catalog.profile(service);
+            if self.profiles.get(service) == Some(&profile) {
+                continue;
+            }
+            self.profiles.insert(service.clone(), profile.clone());
+            let (entry, name, own) = (&self.entry, service.clone(), profile.clone());
+            call!([entry], set_profile(name, own));
+            if let Some(gate) = &self.gate {
+                let name = service.clone();
+                call!([gate], set_profile(name, profile));
+            }
+        }
+    }
+
+    /// Passes on the profiles of services that a node is the first to offer.
+    pub(super) fn meet_services(&mut self, node: NodeId) {
+        let Some(member) = self.roster.members().get(&node) else { return };
+        let offers = member.offers.iter().map(|offer| offer.service.clone());
+        let unmet: Vec<ServiceName> =
+            offers.filter(|service| !self.profiles.contains_key(service)).collect();
+        self.set_profiles(&unmet);
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/actor/fleet/status.rs
@@ -0,0 +1,64 @@
+//! The fleet's part of a status.
+
+use stakker::{Actor, CX, call};
+use tokio::sync::oneshot;
+
+use super::FleetActor;
+use crate::actor::gate::GateActor;
+use crate::prelude::*;
+use crate::status::{MemberStatus, RejectedStatus, Status};
+
+impl FleetActor {
+    /// Begins a status and passes it on to the entry.
+    pub fn status(
+        &mut self,
+        _: CX![],
+        state: &'static str,
+        gate: Actor<GateActor>,
+        reply: oneshot::Sender<Status>,
+    ) {
+        let mut revisions: IndexMap<String, Revision> = self
+            .catalog
+            .documents()
+            .iter()
+            .map(|(key, document)| (key.to_string(), document.revision))
+            .collect();
+        revisions.sort_keys();
+        let rejected = self.catalog.rejected().map(|(key, revision, fault)| RejectedStatus {
+            key: key.to_string(),
+            revision,
+            fault: fault.to_owned(),
+        });
+        let status = Status {
+            node: self.roster.me().name.clone(),
+            zone: self.roster.me().zone.to_string(),
+            state: state.to_owned(),
+            members: self.members(),
+            revisions,
+            rejected: rejected.collect(),
+            ..Status::default()
+        };
+        let entry = &self.entry;
+        call!([entry], status(status, gate, reply));
+    }
+
+    fn members(&self) -> Vec<MemberStatus> {
+        let members = self.roster.members().iter().map(|(node, member)| {
+            let state = match (self.roster.is_expelled(*node), member.leaving) {
+                (true, _) => "expelled",
+                (false, true) => "leaving",
+                (false, false) => "alive",
+            };
+            MemberStatus {
+                id: format!("{node:x}"),
+                name: member.name.clone(),
+                zone: member.zone.to_string(),
+                callers: member.callers.to_string(),
+                state: state.to_owned(),
+            }
+        });
+        let mut members: Vec<MemberStatus> = members.collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+}
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -1,26 +1,23 @@
 //! Carries a request through the actions that the entry decides on.
 
-use std::sync::Arc;
+mod attempt;
+mod frame;
 
 use bytes::Bytes;
-use lavenderflow_core::request::{Arrival, Conclusion, EntryAction, Plan, Report};
-use lavenderflow_core::ticket::StoredAnswer;
-use lavenderflow_schema::convert::request::micros;
+use lavenderflow_core::request::{Arrival, Conclusion, EntryAction, Report};
+use lavenderflow_schema::wire::Begin;
 use lavenderflow_schema::wire::frame::Body;
-use lavenderflow_schema::wire::{self, Answer, Begin, Header, Purpose};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::body::{AnswerParts, BodyPart, BodyRequest, CHANNEL_PARTS, CutError};
-use super::connector::PeerError;
+use self::attempt::{Held, attempt_at};
+use self::frame::{dispatch_frame, forward_frame};
+use super::body::{AnswerParts, BodyRequest, CHANNEL_PARTS, CutError};
 use super::endpoint::Context;
-use super::link::{self, LinkError, Sink, Source};
-use super::serve;
+use super::link::Source;
 use crate::message::EntryMessage;
 use crate::prelude::*;
 
-/// Time beyond the deadline for the gate's own report that it has passed.
-const GRACE: Duration = Duration::from_millis(200);
 /// Time after which a gate that is silent counts as lost; it acknowledges attempts that wait.
 const SILENCE: Duration = Duration::from_millis(300);
 /// Actions for one request that can wait.
@@ -139,167 +136,6 @@
     }
 }
 
-/// An answer that came, until the entry decides what to do with it.
-struct Held {
-    answer: Answer,
-    source: Option<Source>,
-    deadline: Duration,
-}
-
-/// What came of an attempt.
-struct Attempted {
-    report: Report,
-    held: Option<Held>,
-}
-
-impl From<Report> for Attempted {
-    fn from(report: Report) -> Self {
-        Self { report, held: None }
-    }
-}
-
-async fn attempt_at(
-    context: &Context,
-    request: &mut Request,
-    node: NodeId,
-    begin: Begin,
-    remaining: Duration,
-    silence: Duration,
-) -> Attempted {
-    let (mut sink, source) = match open(context, node).await {
-        Ok(link) => link,
-        Err(fault) => {
-            log::debug!("event=unreachable request={} gate={node:x} fault={fault:?}", request.id);
-            return Report::Unreachable.into();
-        }
-    };
-    if let Err(fault) = sink.send(Body::Begin(begin)).await {
-        log::debug!("event=lost request={} gate={node:x} fault={fault:?}", request.id);
-        return Report::Lost(Reason::Lost).into();
-    }
-    let id = request.arrival.request;
-    let mut exchange = AttemptLink { context, id, sink: Some(sink), source, remaining };
-    let limit = remaining + GRACE;
-    match timeout(limit, exchange.run(request, silence.min(limit))).await {
-        Ok(Ok(attempted)) => attempted,
-        Ok(Err(fault)) => {
-            log::debug!("event=lost request={} gate={node:x} fault={fault:?}", request.id);
-            Report::Lost(Reason::Lost).into()
-        }
-        Err(_) => Report::Lost(Reason::DeadlinePast).into(),
-    }
-}
-
-async fn open(context: &Context, node: NodeId) -> Result<(Sink, Source), PeerError> {
-    if node == context.node {
-        let (near, (sink, mut source)) = link::local();
-        let context = context.clone();
-        tokio::spawn(async move {
-            if let Ok(Some(Body::Begin(begin))) = source.receive().await {
-                let _piece = context.work.begin();
-                let _ = serve::serve_gate(&context, begin, sink, source).await;
-            }
-        });
-        return Ok(near);
-    }
-    let connection = context.connector.node(node).await?;
-    let (sink, source) = connection.open_bi().await?;
-    Ok((Sink::Quic(sink), Source::Quic(source)))
-}
-
-struct AttemptLink<'a> {
-    context: &'a Context,
-    id: RequestId,
-    sink: Option<Sink>,
-    source: Source,
-    remaining: Duration,
-}
-
-impl AttemptLink<'_> {
-    /// Receives frames until the attempt has ended or the head of the answer is here.
-    async fn run(
-        &mut self,
-        request: &mut Request,
-        silence: Duration,
-    ) -> Result<Attempted, LinkError> {
-        let first = timeout(silence, self.source.receive()).await;
-        let mut frame = first.unwrap_or(Err(LinkError::Closed))?;
-        loop {
-            match frame.take() {
-                Some(Body::Verdict(verdict)) if verdict.queued => {}
-                Some(Body::Verdict(verdict)) if verdict.admitted => {
-                    let load = verdict.load.unwrap_or_default().into();
-                    report(self.context, self.id, Report::Admitted(load)).await;
-                    self.send_rest(request);
-                }
-                Some(Body::Verdict(verdict)) => return Ok(refused(&verdict).into()),
-                Some(Body::Answer(answer)) => return Ok(self.answered(answer)),
-                Some(Body::Cut(cut)) => {
-                    let reason = Reason::from_name(&cut.reason).unwrap_or(Reason::UpstreamFailed);
-                    return Ok(Report::Lost(reason).into());
-                }
-                Some(_) => return Err(LinkError::Unexpected),
-                None => return Err(LinkError::Closed),
-            }
-            frame = self.source.receive().await?;
-        }
-    }
-
-    /// Starts to pass on the rest of the body; its owner waits for this.
-    fn send_rest(&mut self, request: &mut Request) {
-        if let (Some(rest), Some(sink)) = (request.rest.take(), self.sink.take()) {
-            let (sender, parts) = mpsc::channel(CHANNEL_PARTS);
-            if rest.send(sender).is_ok() {
-                tokio::spawn(send_body(sink, parts));
-            }
-        }
-    }
-
-    fn answered(&mut self, answer: Answer) -> Attempted {
-        let load = answer.load.map(Into::into);
-        // A running request can be given up by a stop of the source, a finished one needs nothing.
-        let status = u16::try_from(answer.status).unwrap_or(502);
-        let stored = answer.whole.then(|| Arc::new(stored(&answer, status)));
-        let closed = mpsc::channel(1).1;
-        let source = std::mem::replace(&mut self.source, Source::Local(closed));
-        let source = (!answer.whole).then_some(source);
-        Attempted {
-            report: Report::Answered { status, load, answer: stored },
-            held: Some(Held { answer, source, deadline: self.remaining }),
-        }
-    }
-}
-
-fn refused(verdict: &wire::Verdict) -> Report {
-    let load = verdict.load.map(Into::into);
-    match Reason::from_name(&verdict.reason) {
-        Some(reason) => Report::Refused(reason, load),
-        // A reason of a later version is still a proof of not having run.
-        None => Report::Refused(Reason::Shed, load),
-    }
-}
-
-async fn send_body(mut sink: Sink, mut parts: mpsc::Receiver<BodyPart>) {
-    let mut length = 0;
-    while let Some(part) = parts.recv().await {
-        let (body, is_end) = match part {
-            BodyPart::Data(data) => {
-                length += data.len() as u64;
-                (Body::Chunk(wire::Chunk { data }), false)
-            }
-            BodyPart::End => (Body::End(wire::End { length, load: None }), true),
-        };
-        if sink.send(body).await.is_err() {
-            return;
-        }
-        if is_end {
-            sink.finish().await;
-            return;
-        }
-    }
-    sink.reset();
-}
-
 /// Passes on the answer that came.
 fn relay(context: &Context, id: RequestId, held: Option<Held>, ticket: Option<TicketId>) -> Reply {
     let Some(Held { answer, source, deadline }) = held else {
@@ -382,59 +218,3 @@
     }
     Reply::without_answer(conclusion.outcome, conclusion.reason, conclusion.fresh)
 }
-
-fn stored(answer: &Answer, status: u16) -> StoredAnswer {
-    let headers = answer.headers.iter();
-    StoredAnswer {
-        status,
-        headers: headers.map(|field| (field.name.clone(), field.value.clone())).collect(),
-        body: answer.body.clone(),
-    }
-}
-
-fn dispatch_frame(
-    request: &Request,
-    attempt: AttemptId,
-    ticket: Option<TicketId>,
-    plan: &Plan,
-) -> Begin {
-    Begin {
-        purpose: Purpose::Dispatch.into(),
-        attempt: Some(attempt.into()),
-        ticket: ticket.map(Into::into),
-        service: plan.service.to_string(),
-        remaining_us: micros(plan.remaining),
-        patience_us: micros(plan.patience),
-        usual_us: micros(plan.usual),
-        long: plan.long,
-        idempotent: plan.idempotent,
-        ..common_frame(request)
-    }
-}
-
-fn forward_frame(request: &Request, ticket: TicketId, remaining: Duration) -> Begin {
-    Begin {
-        purpose: Purpose::Forward.into(),
-        ticket: Some(ticket.into()),
-        remaining_us: micros(remaining),
-        organisation: request.arrival.organisation.as_deref().unwrap_or_default().to_owned(),
-        ..common_frame(request)
-    }
-}
-
-fn common_frame(request: &Request) -> Begin {
-    let headers = request.headers.iter();
-    Begin {
-        request_id: request.id.clone(),
-        method: request.arrival.method.clone(),
-        target: request.arrival.target.clone(),
-        headers: headers
-            .map(|(name, value)| Header { name: name.clone(), value: value.clone() })
-            .collect(),
-        body: request.body.clone(),
-        body_follows: !request.arrival.whole,
-        body_length: request.arrival.body_length,
-        fingerprint: request.arrival.fingerprint,
-        ..Begin::default()
-    }
-}
--- /dev/null
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -0,0 +1,192 @@
+//! One attempt at a gate or at a ticket's home.
+
+use std::sync::Arc;
+
+use lavenderflow_core::request::Report;
+use lavenderflow_core::ticket::StoredAnswer;
+use lavenderflow_schema::wire::frame::Body;
+use lavenderflow_schema::wire::{self, Answer, Begin};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::{Request, report};
+use crate::net::body::{BodyPart, CHANNEL_PARTS};
+use crate::net::connector::PeerError;
+use crate::net::endpoint::Context;
+use crate::net::link::{self, LinkError, Sink, Source};
+use crate::net::serve;
+use crate::prelude::*;
+
+/// Time beyond the deadline for the gate's own report that it has passed.
+const GRACE: Duration = Duration::from_millis(200);
+
+/// An answer that came, until the entry decides what to do with it.
+pub(super) struct Held {
+    pub(super) answer: Answer,
+    pub(super) source: Option<Source>,
+    pub(super) deadline: Duration,
+}
+
+/// What came of an attempt.
+pub(super) struct Attempted {
+    pub(super) report: Report,
+    pub(super) held: Option<Held>,
+}
+
+impl From<Report> for Attempted {
+    fn from(report: Report) -> Self {
+        Self { report, held: None }
+    }
+}
+
+/// Makes one attempt: sends the request to a node and waits for the head of the answer.
+pub(super) async fn attempt_at(
+    context: &Context,
+    request: &mut Request,
+    node: NodeId,
+    begin: Begin,
+    remaining: Duration,
+    silence: Duration,
+) -> Attempted {
+    let (mut sink, source) = match open(context, node).await {
+        Ok(link) => link,
+        Err(fault) => {
+            log::debug!("event=unreachable request={} gate={node:x} fault={fault:?}", request.id);
+            return Report::Unreachable.into();
+        }
+    };
+    if let Err(fault) = sink.send(Body::Begin(begin)).await {
+        log::debug!("event=lost request={} gate={node:x} fault={fault:?}", request.id);
+        return Report::Lost(Reason::Lost).into();
+    }
+    let id = request.arrival.request;
+    let mut exchange = AttemptLink { context, id, sink: Some(sink), source, remaining };
+    let limit = remaining + GRACE;
+    match timeout(limit, exchange.run(request, silence.min(limit))).await {
+        Ok(Ok(attempted)) => attempted,
+        Ok(Err(fault)) => {
+            log::debug!("event=lost request={} gate={node:x} fault={fault:?}", request.id);
+            Report::Lost(Reason::Lost).into()
+        }
+        Err(_) => Report::Lost(Reason::DeadlinePast).into(),
+    }
+}
+
+async fn open(context: &Context, node: NodeId) -> Result<(Sink, Source), PeerError> {
+    if node == context.node {
+        let (near, (sink, mut source)) = link::local();
+        let context = context.clone();
+        tokio::spawn(async move {
+            if let Ok(Some(Body::Begin(begin))) = source.receive().await {
+                let _piece = context.work.begin();
+                let _ = serve::serve_gate(&context, begin, sink, source).await;
+            }
+        });
+        return Ok(near);
+    }
+    let connection = context.connector.node(node).await?;
+    let (sink, source) = connection.open_bi().await?;
+    Ok((Sink::Quic(sink), Source::Quic(source)))
+}
+
+struct AttemptLink<'a> {
+    context: &'a Context,
+    id: RequestId,
+    sink: Option<Sink>,
+    source: Source,
+    remaining: Duration,
+}
+
+impl AttemptLink<'_> {
+    /// Receives frames until the attempt has ended or the head of the answer is here.
+    async fn run(
+        &mut self,
+        request: &mut Request,
+        silence: Duration,
+    ) -> Result<Attempted, LinkError> {
+        let first = timeout(silence, self.source.receive()).await;
+        let mut frame = first.unwrap_or(Err(LinkError::Closed))?;
+        loop {
+            match frame.take() {
+                Some(Body::Verdict(verdict)) if verdict.queued => {}
+                Some(Body::Verdict(verdict)) if verdict.admitted => {
+                    let load = verdict.load.unwrap_or_default().into();
+                    report(self.context, self.id, Report::Admitted(load)).await;
+                    self.send_rest(request);
+                }
+                Some(Body::Verdict(verdict)) => return Ok(refused(&verdict).into()),
+                Some(Body::Answer(answer)) => return Ok(self.answered(answer)),
+                Some(Body::Cut(cut)) => {
+                    let reason = Reason::from_name(&cut.reason).unwrap_or(Reason::UpstreamFailed);
+                    return Ok(Report::Lost(reason).into());
+                }
+                Some(_) => return Err(LinkError::Unexpected),
+                None => return Err(LinkError::Closed),
+            }
+            frame = self.source.receive().await?;
+        }
+    }
+
+    /// Starts to pass on the rest of the body; its owner waits for this.
+    fn send_rest(&mut self, request: &mut Request) {
+        if let (Some(rest), Some(sink)) = (request.rest.take(), self.sink.take()) {
+            let (sender, parts) = mpsc::channel(CHANNEL_PARTS);
+            if rest.send(sender).is_ok() {
+                tokio::spawn(send_body(sink, parts));
+            }
+        }
+    }
+
+    fn answered(&mut self, answer: Answer) -> Attempted {
+        let load = answer.load.map(Into::into);
+        // A running request can be given up by a stop of the source, a finished one needs nothing.
+        let status = u16::try_from(answer.status).unwrap_or(502);
+        let stored = answer.whole.then(|| Arc::new(stored(&answer, status)));
+        let closed = mpsc::channel(1).1;
+        let source = std::mem::replace(&mut self.source, Source::Local(closed));
+        let source = (!answer.whole).then_some(source);
+        Attempted {
+            report: Report::Answered { status, load, answer: stored },
+            held: Some(Held { answer, source, deadline: self.remaining }),
+        }
+    }
+}
+
+fn refused(verdict: &wire::Verdict) -> Report {
+    let load = verdict.load.map(Into::into);
+    match Reason::from_name(&verdict.reason) {
+        Some(reason) => Report::Refused(reason, load),
+        // A reason of a later version is still a proof of not having run.
+        None => Report::Refused(Reason::Shed, load),
+    }
+}
+
+async fn send_body(mut sink: Sink, mut parts: mpsc::Receiver<BodyPart>) {
+    let mut length = 0;
+    while let Some(part) = parts.recv().await {
+        let (body, is_end) = match part {
+            BodyPart::Data(data) => {
+                length += data.len() as u64;
+                (Body::Chunk(wire::Chunk { data }), false)
+            }
+            BodyPart::End => (Body::End(wire::End { length, load: None }), true),
+        };
+        if sink.send(body).await.is_err() {
+            return;
+        }
+        if is_end {
+            sink.finish().await;
+            return;
+        }
+    }
+    sink.reset();
+}
+
+fn stored(answer: &Answer, status: u16) -> StoredAnswer {
+    let headers = answer.headers.iter();
+    StoredAnswer {
+        status,
+        headers: headers.map(|field| (field.name.clone(), field.value.clone())).collect(),
+        body: answer.body.clone(),
+    }
+}
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -151,6 +151,12 @@
             Self::Request(_) => (RunResult::Cancelled, Some(Reason::BadRequest)),
             Self::Body | Self::Unwanted => (RunResult::Cancelled, None),
             Self::Length(_) | Self::Read(_) => (RunResult::Broken, None),
+            // This machine has no free port: no sign of the upstream's health.
+            Self::Call(ureq::Error::Io(fault))
+                if fault.kind() == io::ErrorKind::AddrNotAvailable =>
+            {
+                (RunResult::Cancelled, Some(Reason::ConnectFailed))
+            }
             Self::Call(error) if is_connect_failure(error) => {
                 (RunResult::ConnectFailed, Some(Reason::ConnectFailed))
             }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -104,6 +104,8 @@
     kinds: Vec<Kind>,
     route: Option<Arc<dyn Route>>,
     start: Instant,
+    // All callers share connections: closed ones would use up the ports of the machine.
+    agent: ureq::Agent,
 }
 
 /// Offers a load and returns how each request ended.
@@ -116,7 +118,13 @@
     let (results, ended) = mpsc::channel();
     let queue = Arc::new(Mutex::new(queue));
     let start = Instant::now();
-    let callers = Callers { kinds: plan.kinds.clone(), route: plan.route.clone(), start };
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .allow_non_standard_methods(true)
+        .max_idle_connections(plan.callers * 4)
+        .max_idle_connections_per_host(plan.callers);
+    let (kinds, route) = (plan.kinds.clone(), plan.route.clone());
+    let callers = Callers { kinds, route, start, agent: config.build().into() };
     let callers = Arc::new(callers);
     for _ in 0..plan.callers {
         let (queue, results) = (Arc::clone(&queue), results.clone());
@@ -168,22 +176,19 @@
 
 impl Callers {
     fn run(&self, queue: &Mutex<Receiver<Job>>, results: &Sender<Ended>) {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .allow_non_standard_methods(true);
-        let agent: ureq::Agent = config.build().into();
+        let agent = &self.agent;
         loop {
             let job = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
             let Ok(job) = job else { return };
             let kind = &self.kinds[job.kind];
             let mut target = job.target;
-            let mut seen = self.call(&agent, &job, &mut target);
+            let mut seen = self.call(agent, &job, &mut target);
             for _ in 0..kind.retries {
                 if seen.status.is_some_and(|status| status < 500) {
                     break;
                 }
                 target = (target + 1) % kind.urls.len();
-                seen = self.call(&agent, &job, &mut target);
+                seen = self.call(agent, &job, &mut target);
             }
             let ended = Ended {
                 id: job.id,
