Keep the slot of a request that nobody waits for until its upstream answers

Cause: when an entry gave a request up, the gate freed its slot at once, while the upstream still ran it, so the gate could give the upstream more than its slots.

--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -191,7 +191,7 @@
         loop {
             let event = tokio::select! {
                 event = events.recv() => event,
-                () = self.sink.closed() => None,
+                () = self.sink.closed() => return self.outlive(events).await,
                 Ok(()) = &mut abandoned => return self.abandon(events).await,
             };
             match event {
@@ -228,20 +228,24 @@
     }
 
     /// Lets the entry go elsewhere; the slot stays taken until the upstream is done.
-    async fn abandon(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+    async fn abandon(mut self, events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
         let reason = Reason::Stuck.name().to_owned();
         let cut = wire::Cut { reason, load: None, not_run: false };
-        let sent = self.sink.send(Body::Cut(cut)).await;
-        let result = loop {
-            match events.recv().await {
-                Some(CallEvent::Head { .. } | CallEvent::Data(_)) => {}
-                Some(CallEvent::End) => break RunResult::Success,
-                Some(CallEvent::Failed { result, .. }) => break result,
-                None => break RunResult::Cancelled,
-            }
+        self.sink.send(Body::Cut(cut)).await?;
+        self.outlive(events).await
+    }
+
+    /// Waits until the upstream answers, though nobody wants the answer any more: until then the
+    /// request holds its slot there, and freeing it here would overload the upstream.
+    async fn outlive(self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+        let result = match events.recv().await {
+            Some(CallEvent::End) => RunResult::Success,
+            Some(CallEvent::Failed { result, .. }) => result,
+            // Dropping the events closes the connection to the upstream.
+            Some(CallEvent::Head { .. } | CallEvent::Data(_)) | None => RunResult::Cancelled,
         };
         finish(self.context, self.attempt, result).await;
-        sent
+        Err(LinkError::Closed)
     }
 
     fn head(&self, status: u16, headers: Vec<(String, String)>) -> Answer {
