--- a/crates/lavenderflow/src/net/connector.rs
+++ b/crates/lavenderflow/src/net/connector.rs
@@ -4,12 +4,16 @@
 
 use quinn::{ConnectError, Connection, ConnectionError, Endpoint, VarInt};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
 
 use super::key::SERVER_NAME;
-use crate::prelude::*;
+use crate::prelude::{Counter, Duration, Fault, Incarnation, IndexMap, Mailbox, Message, NodeId};
 
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time that a request waits for a connection. The attempt goes on after it: giving it up
+/// would waste the handshake, of which many run at once when traffic starts.
+const CONNECT_WAIT: Duration = Duration::from_millis(500);
 /// Requests for connections that can wait.
 const CAPACITY: usize = 1024;
 /// Error code of a connection to an earlier run of a node's process.
@@ -64,7 +68,8 @@
     ///
     /// The node cannot be reached; nothing was sent to it.
     pub async fn node(&self, node: NodeId) -> Opened {
-        self.ask(|reply| Request::Node(node, reply)).await
+        let opened = timeout(CONNECT_WAIT, self.ask(|reply| Request::Node(node, reply))).await;
+        opened.unwrap_or(Err(PeerError::Timeout))
     }
 
     /// Opens a connection to an address of which the node is not known.
@@ -99,7 +104,7 @@
     connection: Option<Connection>,
     // Requests fail at once while a node that could not be reached is tried again.
     failed: Option<PeerError>,
-    connecting: bool,
+    connecting: Option<Instant>,
     waiting: Vec<oneshot::Sender<Opened>>,
 }
 
@@ -135,11 +140,15 @@
             return;
         }
         peer.connection = None;
+        let now = Instant::now();
+        let is_late = peer.connecting.is_some_and(|since| now >= since + CONNECT_WAIT);
         match &peer.failed {
             Some(fault) => drop(reply.send(Err(fault.clone()))),
+            None if is_late => drop(reply.send(Err(PeerError::Timeout))),
             None => peer.waiting.push(reply),
         }
-        if !std::mem::replace(&mut peer.connecting, true) {
+        if peer.connecting.is_none() {
+            peer.connecting = Some(now);
             let (endpoint, address) = (self.endpoint.clone(), peer.address);
             let sender = self.sender.clone();
             tokio::spawn(async move {
@@ -162,7 +171,7 @@
             self.mailbox.send(Message::Count(Counter::Fault(Fault::Connect))).await;
         }
         let Some(peer) = self.peers.get_mut(&node) else { return };
-        peer.connecting = false;
+        peer.connecting = None;
         peer.connection = opened.as_ref().ok().cloned();
         peer.failed = opened.as_ref().err().cloned();
         for reply in peer.waiting.drain(..) {
@@ -176,7 +185,7 @@
             incarnation,
             connection: None,
             failed: None,
-            connecting: false,
+            connecting: None,
             waiting: Vec::new(),
         });
         if (peer.incarnation, peer.address) != (incarnation, address) {
@@ -199,7 +208,7 @@
 
 async fn connect(endpoint: Endpoint, address: SocketAddr) -> Opened {
     let connecting = endpoint.connect(address, SERVER_NAME)?;
-    match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+    match timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(connected) => Ok(connected?),
         Err(_) => Err(PeerError::Timeout),
     }
