--- a/crates/lavenderflow/tests/once.rs
+++ b/crates/lavenderflow/tests/once.rs
@@ -121,10 +121,13 @@
 
 #[test]
 fn a_frozen_and_thawed_node() {
-    run(plan(), |site| {
-        site.nodes[2].freeze().expect("a stop");
+    // Work that takes long enough to be running on each upstream when its node freezes.
+    let work = Duration::from_millis(100);
+    run(Plan { work, ..plan() }, |site| {
+        // A node of the zone that the other homes prefer.
+        site.nodes[1].freeze().expect("a stop");
         thread::sleep(Duration::from_secs(4));
-        site.nodes[2].thaw().expect("a continuation");
+        site.nodes[1].thaw().expect("a continuation");
     });
 }
 
