--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -48,6 +48,7 @@
         callers: address,
         zone: format!("zone-{}", node % 13).into(),
         leaving: false,
+        detached: false,
         offers: (0..OFFERS_PER_NODE)
             .map(|i| offered((node * OFFERS_PER_NODE + i) % 6400))
             .collect(),
@@ -92,6 +93,9 @@
             slots: 4,
             phase: AnnouncedPhase::Serving,
             lease: Duration::from_secs(3600),
+            warm_up: None,
+            born: 0,
+            sequence: 0,
         });
     }
     clock.advance(Duration::from_secs(10));
@@ -116,6 +120,8 @@
             patience: Duration::from_secs(1),
             remaining: Duration::from_secs(2),
             usual: Duration::ZERO,
+            rank: 0,
+            prompt: None,
         };
         black_box(gate.offer(offer));
         gate.finish(attempt, RunResult::Success)
@@ -184,7 +190,7 @@
         prefix: format!("/p/{index}"),
         service: service(index % 6400),
         repeat: Repeat::ByMethod,
-        long: false,
+        ..Route::default()
     };
     let document = |index: u64, revision: u64| Document {
         key: format!("routes/r{index}").into(),
@@ -213,8 +219,10 @@
             prefix: format!("/p/{index}"),
             service: service(index % 6400),
             repeat: Repeat::ByMethod,
-            long: false,
+            ..Route::default()
         });
     }
-    bencher.bench_local(|| router.find(black_box("/p/4711/invoices/7?year=2026")).is_some());
+    bencher.bench_local(|| {
+        router.find("callers.example", black_box("/p/4711/invoices/7?year=2026")).is_some()
+    });
 }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -23,6 +23,10 @@
     pub remaining: Duration,
     /// Median time of short work at the service's gates; zero when not known.
     pub usual: Duration,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
+    /// Time left until an answer is late, when the route says so.
+    pub prompt: Option<Duration>,
 }
 
 /// How a run on an upstream ended.
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -21,18 +21,31 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: f64,
+    most: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: FIRST_TOKENS }
+        Self { tokens: FIRST_TOKENS, most: MAX_TOKENS }
     }
 }
 
 impl Budget {
+    /// Creates a full budget that never saves up more than `burst` repeats, so that over any time
+    /// the repeats are at most `burst` and the share of the requests.
+    pub fn with_burst(burst: f64) -> Self {
+        Self { tokens: burst, most: burst }
+    }
+
+    /// Changes how many repeats can be saved up.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.most = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Counts a first attempt; `share` of it can be spent on repeats.
     pub fn deposit(&mut self, share: f64) {
-        self.tokens = (self.tokens + share).min(MAX_TOKENS);
+        self.tokens = (self.tokens + share).min(self.most);
     }
 
     /// Takes one repeat, or returns false when the budget is spent.
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -28,6 +28,24 @@
     }
 }
 
+/// What callers may send.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Limits {
+    /// Largest header section in bytes; the node's own limit when there is none.
+    pub header_bytes: Option<usize>,
+    /// Largest body in bytes.
+    pub body_bytes: Option<u64>,
+}
+
+/// All routes and limits, which come into force together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Deployment {
+    /// Routes.
+    pub routes: Vec<Route>,
+    /// What callers may send.
+    pub limits: Limits,
+}
+
 /// A checked entry.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
@@ -39,6 +57,8 @@
     Route(Route),
     /// An organisation and its limit of requests in flight at one entry; 0 sets no limit.
     Organisation(OrganisationName, u32),
+    /// All routes at once.
+    Deployment(Deployment),
 }
 
 /// What became of a document.
@@ -59,9 +79,15 @@
     items: IndexMap<Key, Item>,
     rejected: IndexMap<Key, (Revision, String)>,
     profiles: IndexMap<ProfileName, Profile>,
+    fallback: Profile,
 }
 
 impl Catalog {
+    /// Creates an empty catalog; services without a stored profile follow `fallback`.
+    pub fn new(fallback: Profile) -> Self {
+        Self { fallback, ..Self::default() }
+    }
+
     /// Takes in a document with the result of its check.
     ///
     /// A revision only rises: older documents change nothing.
@@ -95,13 +121,13 @@
         &self.documents
     }
 
-    /// Returns the profile that a service follows, or the default profile.
+    /// Returns the profile that a service follows, or the fallback.
     pub fn profile(&self, service: &str) -> Profile {
         let name = match self.items.get(format!("services/{service}").as_str()) {
             Some(Item::Service(_, profile)) => profile.clone(),
             _ => ProfileName::from("default"),
         };
-        self.profiles.get(&name).cloned().unwrap_or_default()
+        self.profiles.get(&name).unwrap_or(&self.fallback).clone()
     }
 
     /// Returns the malformed documents: key, revision and fault.
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use self::ending::{conclude, lost_reason};
@@ -19,6 +19,13 @@
 use crate::ticket::StoredAnswer;
 use crate::witness::Observation;
 
+/// Most gates that one request asks for a slot; each costs a round trip within the region.
+const MAX_GATES: u32 = 6;
+/// Gates that are asked for a free slot before a request waits in a queue.
+const PROBED_GATES: usize = 3;
+/// Part of its remaining time that a request on a route with a timeout may wait for a slot.
+const QUEUE_DIVISOR: u32 = 2;
+
 #[derive(Debug)]
 struct Flight {
     arrival: Arrival,
@@ -33,6 +40,37 @@
     consumed: bool,
     streaming: bool,
     tried: Vec<NodeId>,
+    limits: AttemptLimits,
+    // Attempts that got a slot, or may have got one.
+    sent: u32,
+    // Whether an attempt may have run, so that "not run" would be untrue.
+    uncertain: bool,
+    rank: u32,
+    prompt: Option<Instant>,
+}
+
+/// How often a request may be tried.
+#[derive(Clone, Copy, Debug)]
+struct AttemptLimits {
+    /// Most gates that are asked.
+    gates: u32,
+    /// Most upstreams that the request is sent to.
+    upstreams: u32,
+    /// Whether a gate's refusal costs nothing of the budget, since no upstream has seen it.
+    free_refusals: bool,
+}
+
+impl AttemptLimits {
+    /// Returns the limits of a route, or those of its service's profile.
+    fn new(route: Option<&Route>, profile: &Profile) -> Self {
+        match route.and_then(|route| route.attempts) {
+            Some(upstreams) => Self { gates: MAX_GATES, upstreams, free_refusals: true },
+            None => {
+                let most = profile.forgiveness.attempts;
+                Self { gates: most, upstreams: most, free_refusals: false }
+            }
+        }
+    }
 }
 
 /// Identity of an entry.
@@ -67,6 +105,7 @@
     profiles: IndexMap<ServiceName, Profile>,
     limits: IndexMap<OrganisationName, u32>,
     budgets: IndexMap<ServiceName, Budget>,
+    burst: Option<f64>,
     busy: IndexMap<OrganisationName, u32>,
     flights: IndexMap<RequestId, Flight>,
     waiting: IndexMap<RequestId, TicketId>,
@@ -74,6 +113,7 @@
     nodes: IndexMap<NodeId, Incarnation>,
     next_attempt: Serial,
     draining: bool,
+    unconfigured: bool,
 }
 
 impl Entry {
@@ -94,6 +134,7 @@
             profiles: IndexMap::new(),
             limits: IndexMap::new(),
             budgets: IndexMap::new(),
+            burst: None,
             busy: IndexMap::new(),
             flights: IndexMap::new(),
             waiting: IndexMap::new(),
@@ -101,18 +142,33 @@
             nodes: IndexMap::new(),
             next_attempt: 1,
             draining: false,
+            unconfigured: false,
         }
     }
 
+    /// Refuses requests until routes are set, instead of finding no route for them.
+    pub fn await_routes(&mut self) {
+        self.unconfigured = true;
+    }
+
     /// Sets the routes.
     pub fn set_router(&mut self, router: Router) {
         self.router = router;
+        self.unconfigured = false;
+    }
+
+    /// Lets each service make only so many repeats in a row beside the profile's share.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = Some(burst);
+        for budget in self.budgets.values_mut() {
+            budget.set_burst(burst);
+        }
     }
 
     /// Adds a route, instead of an older one if there is.
     pub fn set_route(&mut self, route: Route, replaced: Option<&Route>) {
         if let Some(old) = replaced {
-            self.router.remove(&old.prefix);
+            self.router.remove(old);
         }
         self.router.insert(route);
     }
@@ -193,21 +249,27 @@
 
     /// Decides on a new request.
     pub fn begin(&mut self, arrival: Arrival) -> Vec<EntryAction> {
-        let route = self.router.find(&arrival.target);
+        let route = self.router.find(&arrival.host, &arrival.target).cloned();
+        let route = route.as_ref();
         let is_routed = route.is_some();
         // Without a route the request does not run, but its ticket must still be burned.
-        let service = route.map_or_else(|| ServiceName::from(""), |route| route.service.clone());
+        let service = route.map_or_else(|| ServiceName::from(""), |route| self.service(route));
         let idempotent = route.is_none_or(|r| r.repeat.allows(&arrival.method))
             && (is_routed || arrival.ticket.is_none());
         let route_long = route.is_some_and(|route| route.long);
         let profile = self.profile(&service);
         let declared = arrival.body_length.is_some_and(|length| length > profile.caution.long_body);
         let long = route_long || declared || !arrival.whole;
-        let most = if long { profile.patience.long } else { profile.patience.deadline };
+        let patience = if long { profile.patience.long } else { profile.patience.deadline };
+        let most = route.and_then(|route| route.timeout).unwrap_or(patience);
         let remaining = arrival.deadline.map_or(most, |deadline| deadline.min(most));
+        let now = self.clock.now();
         let flight = Flight {
-            deadline: self.clock.now() + remaining,
+            deadline: now + remaining,
             ticket: arrival.ticket.filter(|_| !idempotent),
+            limits: AttemptLimits::new(route, &profile),
+            rank: route.map_or(0, |route| route.rank),
+            prompt: route.and_then(|route| route.target).map(|target| now + target),
             arrival,
             service,
             profile,
@@ -218,10 +280,13 @@
             consumed: false,
             streaming: false,
             tried: Vec::new(),
+            sent: 0,
+            uncertain: false,
         };
+        let missing = if self.unconfigured { Reason::NotConfigured } else { Reason::NoRoute };
         match flight.ticket {
             Some(ticket) if ticket.home != self.identity.node => self.forward(&flight, ticket),
-            ticket if !is_routed => self.refuse_arrival(&flight, ticket, Reason::NoRoute),
+            ticket if !is_routed => self.refuse_arrival(&flight, ticket, missing),
             ticket => self.admit(flight, ticket),
         }
     }
@@ -241,6 +306,7 @@
         self.learn(&mut flight, &report, now);
         match report {
             Report::Admitted(_) => {
+                flight.sent += 1;
                 // From now on the caller's body is on its way to this gate.
                 flight.consumed = !flight.arrival.whole;
                 self.flights.insert(request, flight);
@@ -260,6 +326,13 @@
         }
     }
 
+    fn service(&mut self, route: &Route) -> ServiceName {
+        if route.parts.is_empty() {
+            return route.service.clone();
+        }
+        route.choose(self.rng.random())
+    }
+
     /// Decides on a request whose ticket this entry is the home of, or that has none.
     fn admit(&mut self, mut flight: Flight, ticket: Option<TicketId>) -> Vec<EntryAction> {
         let request = flight.arrival.request;
@@ -278,13 +351,17 @@
         if let Some(organisation) = &flight.arrival.organisation {
             *self.busy.entry(organisation.clone()).or_default() += 1;
         }
-        self.budgets
-            .entry(flight.service.clone())
-            .or_default()
-            .deposit(flight.profile.forgiveness.retries);
+        let share = flight.profile.forgiveness.retries;
+        self.budget(&flight.service).deposit(share);
         self.dispatch(flight, None)
     }
 
+    fn budget(&mut self, service: &ServiceName) -> &mut Budget {
+        let burst = self.burst;
+        let new = || burst.map_or_else(Budget::default, Budget::with_burst);
+        self.budgets.entry(service.clone()).or_insert_with(new)
+    }
+
     fn refuses(&self, flight: &Flight) -> Option<Reason> {
         if self.draining {
             return Some(Reason::Leaving);
@@ -325,9 +402,11 @@
             service: flight.service.clone(),
             long: flight.long,
             idempotent: flight.idempotent,
-            patience: flight.profile.patience.queue,
+            patience: queue_time(&flight, now),
             remaining: flight.deadline - now,
             usual: self.chooser.usual(&flight.service),
+            rank: flight.rank,
+            prompt: flight.prompt.map(|prompt| prompt.saturating_duration_since(now)),
         };
         let (request, ticket) = (flight.arrival.request, flight.ticket);
         self.flights.insert(request, flight);
@@ -361,19 +440,22 @@
     }
 
     fn may_retry(&mut self, flight: &Flight, now: Instant, costs: bool) -> bool {
-        let attempts = u32::try_from(flight.tried.len()).unwrap_or(u32::MAX);
+        let gates = u32::try_from(flight.tried.len()).unwrap_or(u32::MAX);
         !flight.consumed
             && !flight.streaming
-            && attempts < flight.profile.forgiveness.attempts
+            && gates < flight.limits.gates
+            && flight.sent < flight.limits.upstreams
             && now < flight.deadline
-            && (!costs || self.budgets.entry(flight.service.clone()).or_default().withdraw())
+            && (!costs || self.budget(&flight.service).withdraw())
     }
 
     /// Goes on after proof that the attempt did not run.
     fn retry_refused(&mut self, flight: Flight, reason: Reason, now: Instant) -> Vec<EntryAction> {
         // A gate that is gone is no sign of load, so going elsewhere cannot feed a retry storm.
         let gone = matches!(reason, Reason::Leaving | Reason::NoUpstream | Reason::Unreachable);
-        if self.may_retry(&flight, now, !gone) {
+        let seen_by_upstream = matches!(reason, Reason::Shed);
+        let is_free = gone || (flight.limits.free_refusals && !seen_by_upstream);
+        if self.may_retry(&flight, now, !is_free) {
             self.dispatch(flight, Some(reason))
         } else {
             self.refuse(&flight, reason)
@@ -381,7 +463,8 @@
     }
 
     /// Goes on after an attempt that may have run.
-    fn retry_lost(&mut self, flight: Flight, reason: Reason, now: Instant) -> Vec<EntryAction> {
+    fn retry_lost(&mut self, mut flight: Flight, reason: Reason, now: Instant) -> Vec<EntryAction> {
+        flight.uncertain = true;
         if flight.idempotent && self.may_retry(&flight, now, true) {
             self.dispatch(flight, Some(reason))
         } else {
@@ -397,6 +480,7 @@
         now: Instant,
     ) -> Vec<EntryAction> {
         let failed = status >= 500 && answer.is_some();
+        flight.uncertain = true;
         if failed && flight.idempotent && self.may_retry(&flight, now, true) {
             return self.dispatch(flight, Some(Reason::UpstreamFailed));
         }
@@ -412,3 +496,15 @@
         actions
     }
 }
+
+/// Returns how long a request may wait in a gate's queue: not at all while it asks for a free
+/// slot.
+fn queue_time(flight: &Flight, now: Instant) -> Duration {
+    if !flight.limits.free_refusals {
+        return flight.profile.patience.queue;
+    }
+    if flight.tried.len() <= PROBED_GATES {
+        return Duration::ZERO;
+    }
+    (flight.deadline - now) / QUEUE_DIVISOR
+}
--- a/crates/core/src/entry/claim.rs
+++ b/crates/core/src/entry/claim.rs
@@ -45,6 +45,7 @@
                     reason: Reason::Answered,
                     answer: Some(answer),
                     fresh: None,
+                    retry: None,
                 };
                 vec![EntryAction::Conclude { request, conclusion }]
             }
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -2,14 +2,24 @@
 
 use std::sync::Arc;
 
+use rand::Rng;
+
 use super::{Entry, Flight};
 use crate::prelude::*;
 use crate::request::{Conclusion, EntryAction, Report};
 use crate::ticket::StoredAnswer;
 
+/// Time after which a gate that was missing may be back.
+const COMEBACK: Duration = Duration::from_millis(300);
+/// Time after which a queue that was full may have room.
+const COMEBACK_LOADED: Duration = Duration::from_millis(500);
+
 impl Entry {
-    /// Ends a request on proof that it did not run; its ticket is burned first.
+    /// Ends a request on proof that its last attempt did not run; its ticket is burned first.
     pub(super) fn refuse(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
+        if flight.uncertain {
+            return self.lose(flight, reason);
+        }
         self.release(flight);
         let waiters = flight.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
         let wants_ticket = !flight.idempotent;
@@ -47,7 +57,7 @@
             (Outcome::Ran, None) => Reason::AnswerGone,
             _ => Reason::Lost,
         };
-        let conclusion = Conclusion { outcome, reason, answer, fresh: None };
+        let conclusion = Conclusion { outcome, reason, answer, fresh: None, retry: None };
         waiters
             .into_iter()
             .filter(|request| self.waiting.swap_remove(request).is_some())
@@ -67,6 +77,15 @@
         }
     }
 
+    /// Returns when a refused caller may come back, spread so that callers do not come together.
+    fn comeback(&mut self, reason: Reason) -> Duration {
+        let base = match reason {
+            Reason::QueueFull | Reason::PatienceSpent | Reason::Shed => COMEBACK_LOADED,
+            _ => COMEBACK,
+        };
+        base.mul_f64(self.rng.random_range(0.5..1.5))
+    }
+
     pub(super) fn conclude_not_run(
         &mut self,
         request: RequestId,
@@ -74,14 +93,16 @@
         wants_ticket: bool,
     ) -> Vec<EntryAction> {
         let fresh = if wants_ticket { self.issue() } else { None };
-        let conclusion = Conclusion { outcome: Outcome::NotRun, reason, answer: None, fresh };
+        let retry = Some(self.comeback(reason));
+        let outcome = Outcome::NotRun;
+        let conclusion = Conclusion { outcome, reason, answer: None, fresh, retry };
         vec![EntryAction::Conclude { request, conclusion }]
     }
 }
 
 /// Ends a request that holds nothing.
 pub(super) fn conclude(request: RequestId, outcome: Outcome, reason: Reason) -> Vec<EntryAction> {
-    let conclusion = Conclusion { outcome, reason, answer: None, fresh: None };
+    let conclusion = Conclusion { outcome, reason, answer: None, fresh: None, retry: None };
     vec![EntryAction::Conclude { request, conclusion }]
 }
 
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -8,12 +8,16 @@
 pub use crate::admission::{GateAction, Offer, Offered, RunResult};
 use crate::prelude::*;
 use crate::queue::{Queue, Waiting};
-use crate::upstream::{Announcement, AnyUpstream};
+use crate::upstream::{AnnouncedPhase, Announcement, AnyUpstream};
 use crate::window::Window;
 
+/// Upstreams that are remembered after they said that they are gone.
+const MAX_RESIGNED: usize = 64;
+
 #[derive(Debug)]
 struct Running {
     upstream: UpstreamId,
+    born: u64,
     started: Instant,
     long: bool,
     progress: bool,
@@ -37,6 +41,8 @@
     services: IndexMap<ServiceName, ServiceState>,
     offers: IndexMap<AttemptId, (Offer, Instant)>,
     running: IndexMap<AttemptId, Running>,
+    // Upstreams that said they are gone, with their lifetimes.
+    resigned: IndexMap<UpstreamId, u64>,
     window: Window,
     draining: bool,
     published: Vec<Offered>,
@@ -52,6 +58,7 @@
             services: IndexMap::new(),
             offers: IndexMap::new(),
             running: IndexMap::new(),
+            resigned: IndexMap::new(),
             window: Window::default(),
             draining: false,
             published: Vec::new(),
@@ -63,12 +70,21 @@
         self.services.entry(service.clone()).or_default().profile = profile;
     }
 
-    /// Takes in an announcement.
+    /// Takes in an announcement, unless it is older than what is known.
     pub fn announce(&mut self, announcement: &Announcement) -> Vec<GateAction> {
         let now = self.clock.now();
+        if self.is_outdated(announcement) {
+            return Vec::new();
+        }
+        if announcement.phase == AnnouncedPhase::Gone {
+            self.resign(announcement, now);
+            return self.tick();
+        }
         self.services.entry(announcement.service.clone()).or_default();
+        self.succeed(announcement);
         let known = self.upstreams.swap_remove(&announcement.id);
-        let upstream = match known.filter(|u| u.common().service == announcement.service) {
+        let known = known.filter(|u| u.common().service == announcement.service);
+        let upstream = match known.filter(|u| !u.is_succeeded_by(announcement)) {
             Some(upstream) => upstream.renew(announcement, now),
             None => AnyUpstream::new(announcement, now),
         };
@@ -76,6 +92,48 @@
         self.tick()
     }
 
+    fn is_outdated(&self, announcement: &Announcement) -> bool {
+        let known = self.upstreams.get(&announcement.id);
+        let resigned = self.resigned.get(&announcement.id);
+        known.is_some_and(|upstream| upstream.is_outdated(announcement))
+            || resigned.is_some_and(|born| announcement.born <= *born)
+            // A late announcement of an upstream whose address has a successor.
+            || self.upstreams.values().any(|upstream| {
+                let common = upstream.common();
+                common.address == announcement.address && announcement.born < common.born
+            })
+    }
+
+    /// Takes note that an upstream is gone, so that its late announcements do not bring it back.
+    fn resign(&mut self, announcement: &Announcement, now: Instant) {
+        let known = self.upstreams.swap_remove(&announcement.id);
+        let born = known.as_ref().map_or(announcement.born, |upstream| upstream.common().born);
+        if born != 0 {
+            if self.resigned.len() >= MAX_RESIGNED {
+                self.resigned.shift_remove_index(0);
+            }
+            self.resigned.insert(announcement.id.clone(), born);
+        }
+        if let Some(upstream) = known {
+            let upstream = upstream.renew(announcement, now);
+            self.upstreams.insert(announcement.id.clone(), upstream);
+        }
+    }
+
+    /// Ends the upstreams whose address a later lifetime has taken over.
+    fn succeed(&mut self, announcement: &Announcement) {
+        let upstreams = std::mem::take(&mut self.upstreams);
+        let is_over = |id: &UpstreamId, upstream: &AnyUpstream| {
+            *id != announcement.id
+                && upstream.common().address == announcement.address
+                && upstream.is_succeeded_by(announcement)
+        };
+        let upstreams = upstreams.into_iter();
+        self.upstreams = upstreams
+            .map(|(id, u)| if is_over(&id, &u) { (id, u.end()) } else { (id, u) })
+            .collect();
+    }
+
     /// Decides on an attempt: starts it, queues it or refuses it.
     pub fn offer(&mut self, offer: Offer) -> Vec<GateAction> {
         let now = self.clock.now();
@@ -140,7 +198,8 @@
         };
         let profile = self.profile(&offer.service);
         let mut changed = false;
-        if let Some(upstream) = self.upstreams.get_mut(&running.upstream) {
+        let upstream = self.upstreams.get_mut(&running.upstream);
+        if let Some(upstream) = upstream.filter(|u| u.common().born == running.born) {
             release(upstream, running.long);
             changed = review::learn(upstream, &running, result, offer.usual, now, &profile);
         }
@@ -291,6 +350,7 @@
         let address = common.address;
         let running = Running {
             upstream: id.clone(),
+            born: common.born,
             started: now,
             long,
             progress: false,
--- a/crates/core/src/gate/review.rs
+++ b/crates/core/src/gate/review.rs
@@ -28,6 +28,9 @@
                 continue;
             };
             let common = upstream.common_mut();
+            if common.born != running.born {
+                continue;
+            }
             let age = now.saturating_duration_since(running.started);
             if !running.long && age > state.profile.caution.long_after {
                 running.long = true;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -65,6 +65,8 @@
     DeadlinePast = "deadline-past", 504;
     /// The gate had seen the attempt before.
     Duplicate = "duplicate", 502;
+    /// An answer came that belongs to another request or that no upstream gave.
+    ForeignAnswer = "foreign-answer", 502;
     /// The header section is too large.
     HeadersTooLarge = "headers-too-large", 431;
     /// The ticket's home cannot be reached.
@@ -79,6 +81,8 @@
     NoGate = "no-gate", 503;
     /// No route matches.
     NoRoute = "no-route", 404;
+    /// No configuration is known yet.
+    NotConfigured = "not-configured", 503;
     /// The gate has no upstream of the service.
     NoUpstream = "no-upstream", 503;
     /// The organisation has too many requests in flight.
@@ -89,6 +93,8 @@
     QueueFull = "queue-full", 503;
     /// The upstream sheds load and did not run the request.
     Shed = "shed", 503;
+    /// The body is larger than callers may send.
+    BodyTooLarge = "body-too-large", 413;
     /// The ticket is too old to know what became of it.
     TicketExpired = "ticket-expired", 410;
     /// The ticket was never issued or is malformed.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -6,7 +6,7 @@
 use crate::ticket::StoredAnswer;
 
 /// A request as the entry sees it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Arrival {
     /// Identifies the request within this entry.
     pub request: RequestId,
@@ -14,6 +14,8 @@
     pub method: String,
     /// Path and query.
     pub target: String,
+    /// The host that the caller names.
+    pub host: String,
     /// The organisation that the caller names.
     pub organisation: Option<OrganisationName>,
     /// The ticket that the caller sent.
@@ -45,6 +47,10 @@
     pub remaining: Duration,
     /// Median time of short work at the service's gates; zero when not known.
     pub usual: Duration,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
+    /// Time left until an answer is late, when the route says so.
+    pub prompt: Option<Duration>,
 }
 
 /// The end of a request without an answer from a gate at hand.
@@ -58,6 +64,8 @@
     pub answer: Option<Arc<StoredAnswer>>,
     /// A ticket for another try.
     pub fresh: Option<TicketId>,
+    /// When another try may succeed, after a refusal.
+    pub retry: Option<Duration>,
 }
 
 /// What the entry wants done.
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -40,6 +40,8 @@
     pub zone: ZoneName,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Whether it fails to reach the store, so that others watch for its zone.
+    pub detached: bool,
     /// What its gate offers.
     pub offers: Vec<Offered>,
 }
@@ -216,14 +218,15 @@
     /// Tells whether this node is among the first `count` live ones of its zone, in an order that
     /// all nodes agree on.
     pub fn is_delegate(&self, count: usize) -> bool {
-        let rank = |node: NodeId| hash(&("delegate", node));
-        let mine = rank(self.me.node);
+        // Nodes without a way to the store come last, but when there are no others they go on trying.
+        let rank = |member: &Member| (member.detached, hash(&("delegate", member.node)));
+        let mine = rank(&self.me);
         let peers = self.members.iter().map(|(_, member)| member);
         let ahead = peers.filter(|member| {
             member.zone == self.me.zone
                 && !member.leaving
                 && !self.is_expelled(member.node)
-                && rank(member.node) < mine
+                && rank(member) < mine
         });
         ahead.count() < count
     }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -37,10 +37,20 @@
     }
 }
 
+/// A service's share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share is this number over the sum of all parts.
+    pub weight: u32,
+}
+
 /// Sends requests whose path starts with a prefix to a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Route {
-    /// The prefix; it ends at a slash of the path or at its end.
+    /// The prefix; it ends at a slash of the path or at its end. One that ends with a slash needs
+    /// that slash in the path.
     pub prefix: String,
     /// The service.
     pub service: ServiceName,
@@ -48,60 +58,136 @@
     pub repeat: Repeat,
     /// Whether all requests count as long work.
     pub long: bool,
+    /// The host that requests must name; any host when there is none.
+    pub host: Option<String>,
+    /// Services that share the requests by weight, instead of `service`.
+    pub parts: Vec<Part>,
+    /// Longest time that a caller is kept waiting; the profile's when there is none.
+    pub timeout: Option<Duration>,
+    /// Most upstreams that one request may be sent to; the profile's when there is none.
+    pub attempts: Option<u32>,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
+    /// Time within which an answer is worth most.
+    pub target: Option<Duration>,
+}
+
+impl Route {
+    /// Chooses the service for one request; `point` is evenly spread over 0 to 1.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::route::{Part, Route};
+    ///
+    /// let part = |name: &str, weight| Part { service: name.into(), weight };
+    /// let route = Route { parts: vec![part("a", 90), part("b", 10)], ..Route::default() };
+    /// assert_eq!(&*route.choose(0.5), "a");
+    /// assert_eq!(&*route.choose(0.95), "b");
+    /// ```
+    pub fn choose(&self, point: f64) -> ServiceName {
+        let total: u32 = self.parts.iter().map(|part| part.weight).sum();
+        let mut left = point * f64::from(total);
+        for part in &self.parts {
+            left -= f64::from(part.weight);
+            if left < 0.0 {
+                return part.service.clone();
+            }
+        }
+        self.parts.last().map_or_else(|| self.service.clone(), |part| part.service.clone())
+    }
+
+    /// Tells whether a path, which starts with the prefix, is at or below it.
+    fn covers(&self, path: &str) -> bool {
+        !self.prefix.ends_with('/') || path.starts_with(&self.prefix)
+    }
 }
 
-/// All routes; the longest matching prefix wins.
+type Paths = IndexMap<String, Vec<Route>>;
+
+/// All routes; the longest matching prefix wins, among the routes of the request's host before
+/// those of any host.
 #[derive(Clone, Debug, Default)]
 pub struct Router {
-    routes: IndexMap<String, Route>,
+    any: Paths,
+    hosts: IndexMap<String, Paths>,
 }
 
 impl Router {
-    /// Adds or replaces the route of a prefix.
+    /// Adds or replaces the route of a host and prefix.
     pub fn insert(&mut self, route: Route) {
-        self.routes.insert(normalize(&route.prefix).to_owned(), route);
+        let paths = match &route.host {
+            Some(host) => self.hosts.entry(host.to_ascii_lowercase()).or_default(),
+            None => &mut self.any,
+        };
+        // A prefix with and one without its last slash are two routes.
+        let routes = paths.entry(normalize(&route.prefix).to_owned()).or_default();
+        routes.retain(|other| other.prefix != route.prefix);
+        routes.push(route);
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
 
-    /// Removes the route of a prefix.
-    pub fn remove(&mut self, prefix: &str) {
-        self.routes.swap_remove(normalize(prefix));
+    /// Removes a route that was inserted.
+    pub fn remove(&mut self, route: &Route) {
+        let paths = match &route.host {
+            Some(host) => self.hosts.get_mut(&host.to_ascii_lowercase()),
+            None => Some(&mut self.any),
+        };
+        let Some(paths) = paths else { return };
+        let path = normalize(&route.prefix);
+        if let Some(routes) = paths.get_mut(path) {
+            routes.retain(|other| other.prefix != route.prefix);
+            if routes.is_empty() {
+                paths.swap_remove(path);
+            }
+        }
     }
 
-    /// Finds the route for a path, which may have a query.
+    /// Finds the route for a host, with or without a port, and a path, which may have a query.
     ///
     /// The cost grows with the number of slashes in the path, not with the number of routes.
     ///
     /// # Examples
     ///
     /// ```
-    /// use lavenderflow_core::route::{Repeat, Route, Router};
+    /// use lavenderflow_core::route::{Route, Router};
     ///
     /// let mut router = Router::default();
-    /// let service = "bookings".into();
-    /// router.insert(Route { prefix: "/book".into(), service, repeat: Repeat::No, long: false });
-    /// assert!(router.find("/book/7?day=sat").is_some());
-    /// assert!(router.find("/bookings").is_none());
+    /// let route = Route { prefix: "/book".into(), service: "bookings".into(), ..Route::default() };
+    /// router.insert(route);
+    /// assert!(router.find("a.example", "/book/7?day=sat").is_some());
+    /// assert!(router.find("a.example", "/bookings").is_none());
     /// ```
-    pub fn find(&self, target: &str) -> Option<&Route> {
+    pub fn find(&self, host: &str, target: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
         let path = target.split('?').next().unwrap_or_default();
-        let mut prefix = normalize(path);
-        loop {
-            if let Some(route) = self.routes.get(prefix) {
-                return Some(route);
-            }
-            let (shorter, _) = prefix.rsplit_once('/')?;
-            prefix = shorter;
-        }
+        let own = self.hosts.get(&name).and_then(|paths| find_path(paths, path));
+        own.or_else(|| find_path(&self.any, path))
     }
 
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
-        self.routes.len()
+        let paths = self.hosts.values().chain([&self.any]);
+        paths.flat_map(|paths| paths.values()).map(Vec::len).sum()
     }
 
     /// Tells whether there is no route.
     pub fn is_empty(&self) -> bool {
-        self.routes.is_empty()
+        self.len() == 0
+    }
+}
+
+fn find_path<'a>(paths: &'a Paths, path: &str) -> Option<&'a Route> {
+    let mut prefix = normalize(path);
+    loop {
+        let routes = paths.get(prefix).into_iter().flatten();
+        if let Some(route) =
+            routes.filter(|route| route.covers(path)).max_by_key(|r| r.prefix.len())
+        {
+            return Some(route);
+        }
+        let (shorter, _) = prefix.rsplit_once('/')?;
+        prefix = shorter;
     }
 }
 
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -26,6 +26,8 @@
     Serving,
     /// It finishes its work and takes none.
     Leaving,
+    /// It is not one of its service's upstreams any more.
+    Gone,
 }
 
 /// What an upstream tells the node on its VM.
@@ -43,6 +45,12 @@
     pub phase: AnnouncedPhase,
     /// How long the announcement is valid.
     pub lease: Duration,
+    /// How much longer it is slow after its start; none when it does not say.
+    pub warm_up: Option<Duration>,
+    /// Orders the lifetimes of upstreams, by the time of their start; 0 when not told.
+    pub born: u64,
+    /// Orders the announcements of one lifetime; 0 when not told.
+    pub sequence: u64,
 }
 
 /// It announced itself and takes no work yet.
@@ -53,6 +61,8 @@
 #[derive(Debug)]
 pub struct Warming {
     since: Instant,
+    // When it is warm, if it said so.
+    until: Option<Instant>,
 }
 
 /// It takes work up to its slots.
@@ -78,6 +88,11 @@
     pub long: u32,
     /// Judge of its health.
     pub witness: Witness,
+    /// Its lifetime.
+    pub born: u64,
+    sequence: u64,
+    // Whether it said itself that it leaves, so that only a new lifetime comes back.
+    resigned: bool,
     lease: Lease<Held>,
     shed_limit: Option<u32>,
     raised: Instant,
@@ -100,6 +115,9 @@
             short: 0,
             long: 0,
             witness: Witness::default(),
+            born: announcement.born,
+            sequence: announcement.sequence,
+            resigned: false,
             lease: Lease::grant(now, announcement.lease),
             shed_limit: None,
             raised: now,
@@ -108,17 +126,23 @@
     }
 
     /// Starts to give it work.
-    pub fn warm(self, now: Instant) -> Upstream<Warming> {
-        Upstream { common: self.common, state: Warming { since: now } }
+    pub fn warm(self, warm_up: Option<Duration>, now: Instant) -> Upstream<Warming> {
+        let until = warm_up.map(|time| now + time);
+        Upstream { common: self.common, state: Warming { since: now, until } }
     }
 }
 
 impl Upstream<Warming> {
     fn open_slots(&self, now: Instant) -> u32 {
+        let slots = self.common.slots;
+        if let Some(until) = self.state.until {
+            // A cold upstream takes about twice as long, so half of its slots are its capacity.
+            return if now >= until { slots } else { slots.div_ceil(2) };
+        }
         let steps =
             now.saturating_duration_since(self.state.since).as_millis() / WARM_STEP.as_millis();
         let steps = u32::try_from(steps).unwrap_or(u32::MAX).min(16);
-        (1 << steps).min(self.common.slots)
+        (1 << steps).min(slots)
     }
 
     /// Ends the warm-up.
@@ -150,7 +174,7 @@
 impl AnyUpstream {
     /// Takes in a new upstream.
     pub fn new(announcement: &Announcement, now: Instant) -> Self {
-        Self::Announced(Upstream::new(announcement, now)).advance(announcement.phase, now)
+        Self::Announced(Upstream::new(announcement, now)).advance(announcement, now)
     }
 
     /// Takes in a repeated announcement.
@@ -158,9 +182,34 @@
     pub fn renew(mut self, announcement: &Announcement, now: Instant) -> Self {
         let common = self.common_mut();
         common.lease = Lease::grant(now, announcement.lease);
-        common.slots = announcement.slots;
-        common.address = announcement.address;
-        self.advance(announcement.phase, now)
+        common.sequence = announcement.sequence;
+        if announcement.phase != AnnouncedPhase::Gone {
+            common.slots = announcement.slots;
+            common.address = announcement.address;
+        }
+        self.advance(announcement, now)
+    }
+
+    /// Tells whether an announcement of this upstream was sent before one that was taken in, or
+    /// by an earlier lifetime.
+    pub fn is_outdated(&self, announcement: &Announcement) -> bool {
+        let common = self.common();
+        let is_told = announcement.born != 0;
+        let is_same = announcement.born == common.born;
+        let is_late = announcement.sequence <= common.sequence;
+        is_told && (announcement.born < common.born || (is_same && is_late))
+    }
+
+    /// Ends a lifetime that a later one has followed.
+    #[must_use]
+    pub fn end(mut self) -> Self {
+        self.common_mut().resigned = true;
+        self.leave()
+    }
+
+    /// Tells whether an announcement is of a later lifetime than this one.
+    pub fn is_succeeded_by(&self, announcement: &Announcement) -> bool {
+        announcement.born > self.common().born
     }
 
     /// Lets time pass: ends the warm-up, the shedding limit and a lapsed announcement.
@@ -175,12 +224,7 @@
         if !common.lease.is_valid(now) {
             return self.leave();
         }
-        match self {
-            Self::Warming(upstream) if upstream.open_slots(now) >= upstream.common.slots => {
-                Self::Serving(upstream.serve())
-            }
-            other => other,
-        }
+        self.settle(now)
     }
 
     /// Lowers the limit because the upstream shed a request.
@@ -237,20 +281,37 @@
         }
     }
 
-    fn advance(self, phase: AnnouncedPhase, now: Instant) -> Self {
+    fn advance(mut self, announcement: &Announcement, now: Instant) -> Self {
+        let phase = announcement.phase;
+        if matches!(phase, AnnouncedPhase::Leaving | AnnouncedPhase::Gone) {
+            // Where lifetimes are not told, an upstream may change its mind.
+            self.common_mut().resigned = self.common().born != 0;
+        }
         match (self, phase) {
             (Self::Announced(upstream), AnnouncedPhase::Serving) => {
-                Self::Warming(upstream.warm(now))
+                Self::Warming(upstream.warm(announcement.warm_up, now)).settle(now)
             }
-            (upstream, AnnouncedPhase::Leaving) => upstream.leave(),
+            (upstream, AnnouncedPhase::Leaving | AnnouncedPhase::Gone) => upstream.leave(),
             // An upstream whose announcement lapsed and that speaks again starts anew.
-            (Self::Leaving(upstream), AnnouncedPhase::Serving) => {
-                Self::Warming(Upstream { common: upstream.common, state: Warming { since: now } })
+            (Self::Leaving(upstream), AnnouncedPhase::Serving) if !upstream.common.resigned => {
+                let until = announcement.warm_up.map(|time| now + time);
+                let state = Warming { since: now, until };
+                Self::Warming(Upstream { common: upstream.common, state }).settle(now)
             }
             (upstream, _) => upstream,
         }
     }
 
+    /// Ends a warm-up that is over.
+    fn settle(self, now: Instant) -> Self {
+        match self {
+            Self::Warming(upstream) if upstream.open_slots(now) >= upstream.common.slots => {
+                Self::Serving(upstream.serve())
+            }
+            other => other,
+        }
+    }
+
     fn leave(self) -> Self {
         Self::Leaving(match self {
             Self::Announced(upstream) => upstream.leave(),
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -26,6 +26,8 @@
         patience: Duration::from_millis(500),
         remaining: Duration::from_secs(2),
         usual: Duration::ZERO,
+        rank: 0,
+        prompt: None,
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -47,14 +47,19 @@
         callers: address(2),
         zone: "zone-a".into(),
         leaving: false,
+        detached: false,
         offers,
     }
 }
 
 pub fn router() -> Router {
     let mut router = Router::default();
-    let route =
-        Route { prefix: "/".to_owned(), service: service(), repeat: Repeat::ByMethod, long: false };
+    let route = Route {
+        prefix: "/".to_owned(),
+        service: service(),
+        repeat: Repeat::ByMethod,
+        ..Route::default()
+    };
     router.insert(route);
     router
 }
@@ -76,6 +81,9 @@
         slots,
         phase: AnnouncedPhase::Serving,
         lease: Duration::from_secs(3600),
+        warm_up: None,
+        born: 0,
+        sequence: 0,
     }
 }
 
@@ -94,6 +102,7 @@
         request,
         method: method.to_owned(),
         target: "/invoices".to_owned(),
+        host: "callers.example".to_owned(),
         organisation: None,
         ticket,
         body_length: Some(0),
@@ -114,6 +123,8 @@
         patience: plan.patience,
         remaining: plan.remaining,
         usual: plan.usual,
+        rank: plan.rank,
+        prompt: plan.prompt,
     }
 }
 
--- a/crates/experiment/src/capacity.rs
+++ b/crates/experiment/src/capacity.rs
@@ -103,6 +103,7 @@
         callers: address,
         zone: format!("zone-{}", node % 13).into(),
         leaving: false,
+        detached: false,
         offers: offers.collect(),
     }
 }
--- a/crates/lavenderflow/src/actor/counters.rs
+++ b/crates/lavenderflow/src/actor/counters.rs
@@ -24,6 +24,17 @@
         self.counters.add(counter);
     }
 
+    /// Adds the time that a stage took.
+    pub fn measure(&mut self, _: CX![], stage: Stage, time: Duration) {
+        self.counters.measure(stage, time);
+    }
+
+    /// Renders the metrics page.
+    pub fn metrics(&mut self, _: CX![], reply: oneshot::Sender<String>) {
+        // The operator may not have waited.
+        let _ = reply.send(self.counters.render());
+    }
+
     /// Completes a status with the counters and sends it.
     pub fn status(&mut self, _: CX![], mut status: Status, reply: oneshot::Sender<Status>) {
         status.counters = self.counters.snapshot();
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -4,7 +4,7 @@
 use lavenderflow_core::pool::GateView;
 use lavenderflow_core::request::EntryAction;
 use lavenderflow_core::roster::Member;
-use lavenderflow_core::route::Route;
+use lavenderflow_core::route::{Route, Router};
 use stakker::{Actor, CX, Fwd, after, call};
 use tokio::sync::{mpsc, oneshot};
 
@@ -64,6 +64,16 @@
         self.entry.set_route(route, replaced.as_ref());
     }
 
+    /// Takes in all routes.
+    pub fn set_router(&mut self, _: CX![], router: Router) {
+        self.entry.set_router(router);
+    }
+
+    /// Takes in how many repeats in a row a service may make.
+    pub fn set_burst(&mut self, _: CX![], burst: f64) {
+        self.entry.set_burst(burst);
+    }
+
     /// Takes in a service's profile.
     pub fn set_profile(&mut self, _: CX![], service: ServiceName, profile: Profile) {
         self.entry.set_profile(&service, profile);
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -5,26 +5,30 @@
 
 use std::net::SocketAddr;
 
-use lavenderflow_core::catalog::Catalog;
+use lavenderflow_core::catalog::{Catalog, Limits};
 use lavenderflow_core::gate::Offered;
 use lavenderflow_core::gossip::{Exchange, Gossip, Position};
 use lavenderflow_core::roster::Roster;
-use stakker::{Actor, CX, after, call};
+use rand::seq::IteratorRandom;
+use stakker::{Actor, CX, Fwd, after, call};
 use tokio::sync::{oneshot, watch};
 
 use super::counters::CountersActor;
 use super::entry::EntryActor;
 use super::gate::GateActor;
-use super::lifecycle::LifecycleActor;
 use crate::message::FleetMessage;
 use crate::net::endpoint::{Command, Network};
 use crate::prelude::*;
-use crate::watcher::{WatchCommand, Watcher};
+use crate::store::{Introducer, Standing, Watcher};
 
 /// Time for which changes are collected before they are passed on.
 const COLLECT: Duration = Duration::from_millis(20);
 /// Interval at which the seeds are greeted, in pings.
 const GREET_PINGS: u32 = 10;
+/// Size of the fleet that is assumed until more nodes are known.
+const MIN_FLEET: usize = 16;
+/// Nodes that are greeted at a time.
+const GREETED: usize = 3;
 /// Pings after which callers are let in though neither peers nor the store have answered.
 const READY_PINGS: u32 = 20;
 /// Nodes per zone that watch the store.
@@ -43,10 +47,21 @@
     pub ping: Duration,
     /// To the network task.
     pub network: Network,
-    /// To the watcher of the store.
-    pub watcher: Watcher,
+    /// Keeps this node's entry in the store.
+    pub introducer: Introducer,
+    /// To the watchers of the store.
+    pub watchers: Vec<Watcher>,
+    /// Profile of services without a stored one.
+    pub profile: Profile,
     /// Where refused callers are told to go.
     pub next: watch::Sender<String>,
+    /// What callers may send.
+    pub limits: watch::Sender<Limits>,
+    /// Whether callers wait for a deployment instead of for single routes.
+    pub deploys: bool,
+    /// Repeats per service that the fleet may make beside the profiles' share; 0 leaves the
+    /// budget to each node.
+    pub burst: u64,
     /// Told once the node can serve callers.
     pub ready: oneshot::Sender<()>,
 }
@@ -60,12 +75,18 @@
     introduced: IndexSet<SocketAddr>,
     ping: Duration,
     network: Network,
-    watcher: Watcher,
+    introducer: Introducer,
+    watchers: Vec<Watcher>,
+    detached: IndexSet<&'static str>,
     next: watch::Sender<String>,
+    limits: watch::Sender<Limits>,
+    deploys: bool,
+    burst: u64,
+    size: usize,
     ready: Option<oneshot::Sender<()>>,
     entry: Actor<EntryActor>,
     gate: Option<Actor<GateActor>>,
-    lifecycle: Option<Actor<LifecycleActor>>,
+    serve: Option<Fwd<()>>,
     counters: Actor<CountersActor>,
     profiles: IndexMap<ServiceName, Profile>,
     busy: IndexSet<NodeId>,
@@ -84,18 +105,24 @@
     ) -> Option<Self> {
         let mut fleet = Self {
             roster: setup.roster,
-            catalog: Catalog::default(),
+            catalog: Catalog::new(setup.profile),
             gossip: Gossip::default(),
             seeds: setup.seeds,
             introduced: IndexSet::new(),
             ping: setup.ping,
             network: setup.network,
-            watcher: setup.watcher,
+            introducer: setup.introducer,
+            watchers: setup.watchers,
+            detached: IndexSet::new(),
             next: setup.next,
+            limits: setup.limits,
+            deploys: setup.deploys,
+            burst: setup.burst,
+            size: 0,
             ready: Some(setup.ready),
             entry,
             gate: None,
-            lifecycle: None,
+            serve: None,
             counters,
             profiles: IndexMap::new(),
             busy: IndexSet::new(),
@@ -112,9 +139,12 @@
         self.gate = Some(gate);
     }
 
-    /// Takes in the life cycle, which was started later.
-    pub fn set_lifecycle(&mut self, _: CX![], lifecycle: Actor<LifecycleActor>) {
-        self.lifecycle = Some(lifecycle);
+    /// Takes in whom to tell, beside the HTTP task, that callers are let in.
+    pub fn set_serve(&mut self, _: CX![], serve: Fwd<()>) {
+        if self.ready.is_none() {
+            serve.fwd(());
+        }
+        self.serve = Some(serve);
     }
 
     /// Handles a message.
@@ -134,7 +164,8 @@
                     self.take(cx, exchange);
                 }
             }
-            FleetMessage::Stored(documents, is_all) => self.stored(cx, documents, is_all),
+            FleetMessage::Stored { documents, is_all } => self.stored(cx, documents, is_all),
+            FleetMessage::Attached { prefix, attached } => self.attached(cx, prefix, attached),
             FleetMessage::Introduced(addresses) => {
                 let own = self.roster.me().peer;
                 self.introduced = addresses.into_iter().filter(|peer| *peer != own).collect();
@@ -168,10 +199,11 @@
         for node in self.roster.subjects() {
             self.ping(node);
         }
-        if self.rounds > READY_PINGS {
+        if self.rounds > READY_PINGS && !self.deploys {
             self.set_ready();
         }
-        if self.rounds % GREET_PINGS == 1 {
+        let is_alone = self.roster.members().len() < 2;
+        if is_alone || self.rounds % GREET_PINGS == 1 {
             self.greet();
             for node in self.roster.bury() {
                 self.known.swap_remove(&node);
@@ -180,25 +212,31 @@
                 self.send(Command::Forget(node));
             }
         }
-        let is_delegate = self.roster.is_delegate(DELEGATES);
-        let peer = self.roster.me().peer;
-        self.watcher.send(WatchCommand { is_delegate, introduce: self.zone_peers(peer) });
+        self.set_standing();
+    }
+
+    /// Tells the threads that speak to the store what is expected of them.
+    fn set_standing(&mut self) {
+        let delegate = self.roster.is_delegate(DELEGATES);
+        self.watchers.iter_mut().for_each(|watcher| watcher.set_delegate(delegate));
+        let joined = self.roster.members().len() > 1;
+        self.introducer.set_standing(Standing { joined, delegate });
     }
 
-    /// Returns the peer addresses to introduce for this node's zone.
-    fn zone_peers(&self, own: SocketAddr) -> Vec<SocketAddr> {
-        let zone = &self.roster.me().zone;
-        let members = self.roster.members().iter().map(|(_, member)| member);
-        let others = members.filter(|member| {
-            member.zone == *zone && !member.leaving && !self.roster.is_expelled(member.node)
-        });
-        let mut peers: Vec<SocketAddr> = others.map(|member| member.peer).collect();
-        peers.sort_unstable();
-        peers.truncate(NEXT_NODES);
-        if peers.is_empty() {
-            peers.push(own);
+    /// Lets another node watch for the zone while this one does not reach the store.
+    fn attached(&mut self, cx: CX![], prefix: &'static str, attached: bool) {
+        if attached {
+            self.detached.swap_remove(prefix);
+        } else {
+            self.detached.insert(prefix);
+        }
+        let is_detached = !self.detached.is_empty();
+        if self.roster.me().detached != is_detached {
+            log::info!("event=store-path attached={attached} prefix={prefix}");
+            self.roster.renew(|me| me.detached = is_detached);
+            let own = self.roster.me().node;
+            self.changed(cx, &[own]);
         }
-        peers
     }
 
     fn ping(&mut self, node: NodeId) {
@@ -240,7 +278,8 @@
         let seeds = self.seeds.iter().chain(&self.introduced);
         let seeds: IndexSet<SocketAddr> =
             seeds.filter(|seed| !known.contains(*seed)).copied().collect();
-        for seed in seeds {
+        // Gossip brings the others.
+        for seed in seeds.into_iter().choose_multiple(&mut rand::rng(), GREETED) {
             let mut exchange = Exchange {
                 sender: self.roster.me().node,
                 incarnation: self.roster.me().incarnation,
@@ -266,7 +305,7 @@
         }
         self.gossip.compare(&self.roster, &self.catalog, &exchange);
         // The peer holds no more than this node, so nothing is missing.
-        if self.catalog.documents().summary() == exchange.summaries[1] {
+        if !self.deploys && self.catalog.documents().summary() == exchange.summaries[1] {
             self.set_ready();
         }
         if news || !nodes.is_empty() {
@@ -293,6 +332,8 @@
             }
         }
         self.known = expelled;
+        self.set_standing();
+        self.share_burst();
         nodes.iter().for_each(|node| self.meet_services(*node));
         self.set_next();
         let subjects = self.roster.subjects();
@@ -301,6 +342,19 @@
         self.flush_soon(cx);
     }
 
+    /// Gives this node its part of the repeats that the fleet may make.
+    ///
+    /// The largest size that was seen counts: nodes that are out of reach may still repeat.
+    fn share_burst(&mut self) {
+        let size = self.roster.members().len().max(MIN_FLEET);
+        if self.burst == 0 || size <= self.size {
+            return;
+        }
+        self.size = size;
+        let (entry, burst) = (&self.entry, self.burst as f64 / size as f64);
+        call!([entry], set_burst(burst));
+    }
+
     fn set_next(&self) {
         // The subjects are other nodes for each node, so that refused callers spread out.
         let subjects = self.roster.subjects();
--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -1,6 +1,7 @@
 //! Brings the configuration into force.
 
-use lavenderflow_core::catalog::{Document, Item, Taken};
+use lavenderflow_core::catalog::{Deployment, Document, Item, Taken};
+use lavenderflow_core::route::Router;
 use lavenderflow_schema::convert::configuration;
 use stakker::{CX, call};
 
@@ -29,12 +30,12 @@
         }
         for document in outdated {
             log::warn!("event=store-outdated key={} revision={}", document.key, document.revision);
-            self.watcher.restore(document);
+            self.watchers.iter().for_each(|watcher| watcher.restore(document.clone()));
         }
         if news {
             self.changed(cx, &[]);
         }
-        if is_all {
+        if is_all && !self.deploys {
             self.set_ready();
         }
     }
@@ -43,8 +44,8 @@
     pub(super) fn set_ready(&mut self) {
         if let Some(ready) = self.ready.take() {
             let _ = ready.send(());
-            if let Some(lifecycle) = &self.lifecycle {
-                call!([lifecycle], serve());
+            if let Some(serve) = &self.serve {
+                serve.fwd(());
             }
         }
     }
@@ -76,6 +77,7 @@
                 call!([entry], set_route(route, Some(old)));
             }
             (Item::Route(route), _) => call!([entry], set_route(route, None)),
+            (Item::Deployment(deployment), _) => self.deploy(deployment),
             (Item::Organisation(name, limit), _) => call!([entry], set_limit(name, limit)),
             (Item::Profile(_) | Item::Service(..), _) => {
                 let services: Vec<ServiceName> = self.profiles.keys().cloned().collect();
@@ -84,6 +86,18 @@
         }
     }
 
+    /// Replaces all routes and limits.
+    fn deploy(&mut self, deployment: Deployment) {
+        let mut router = Router::default();
+        for route in deployment.routes {
+            router.insert(route);
+        }
+        self.limits.send_replace(deployment.limits);
+        let entry = &self.entry;
+        call!([entry], set_router(router));
+        self.set_ready();
+    }
+
     /// Passes on the profiles of services where they have changed.
     pub(super) fn set_profiles(&mut self, services: &[ServiceName]) {
         for service in services {
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -63,7 +63,12 @@
                 self.gate.cancel(attempt);
                 return;
             }
-            GateMessage::Announce(announcement) => self.gate.announce(&announcement),
+            GateMessage::Announce(announcement, done) => {
+                let actions = self.gate.announce(&announcement);
+                // The upstream may not have waited.
+                let _ = done.send(());
+                actions
+            }
         };
         self.execute(actions);
     }
@@ -106,8 +111,8 @@
     fn execute(&mut self, actions: Vec<GateAction>) {
         for action in actions {
             match action {
-                GateAction::Start { attempt, address, deadline, load, .. } => {
-                    self.decide(attempt, Decision::Start { address, deadline, load });
+                GateAction::Start { attempt, upstream, address, deadline, load } => {
+                    self.decide(attempt, Decision::Start { upstream, address, deadline, load });
                 }
                 GateAction::Refuse { attempt, reason, load } => {
                     self.count(Counter::Gate(reason));
--- a/crates/lavenderflow/src/actor/lifecycle.rs
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -2,7 +2,7 @@
 
 use lavenderflow_core::node::{AnyNode, Node};
 use stakker::{Actor, CX, StopCause, after, call, fwd_to};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::entry::EntryActor;
 use super::fleet::FleetActor;
@@ -25,12 +25,24 @@
     pub fleet: Actor<FleetActor>,
 }
 
+/// How a stop goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// Time for which new requests are still taken.
+    pub notice: Duration,
+    /// Time to go on after the last request.
+    pub linger: Duration,
+    /// Longest time until the end.
+    pub limit: Duration,
+}
+
 /// Owns the life cycle.
 pub struct LifecycleActor {
     node: AnyNode,
     parts: Parts,
     work: Work,
-    linger: Duration,
+    stop: Stop,
+    is_ready: watch::Sender<bool>,
     idle: Option<Instant>,
     requests: usize,
     running: usize,
@@ -38,17 +50,37 @@
 
 impl LifecycleActor {
     /// Starts the actor; a stop waits until `work` is finished.
-    pub fn init(_: CX![], parts: Parts, work: Work, linger: Duration) -> Option<Self> {
-        let node = AnyNode::Starting(Node::new());
-        Some(Self { node, parts, work, linger, idle: None, requests: 0, running: 0 })
+    ///
+    /// `is_ready` tells whether the node takes new requests.
+    pub fn init(
+        _: CX![],
+        parts: Parts,
+        work: Work,
+        stop: Stop,
+        is_ready: watch::Sender<bool>,
+    ) -> Option<Self> {
+        Some(Self {
+            node: AnyNode::Starting(Node::new()),
+            parts,
+            work,
+            stop,
+            is_ready,
+            idle: None,
+            requests: 0,
+            running: 0,
+        })
     }
 
     /// Notes that callers are let in.
-    pub fn serve(&mut self, _: CX![]) {
+    pub fn serve(&mut self, _: CX![], (): ()) {
         self.advance(|node| match node {
             AnyNode::Starting(node) => AnyNode::Serving(node.serve()),
             other => other,
         });
+        let is_serving = matches!(self.node, AnyNode::Serving(_));
+        if self.is_ready.send_replace(is_serving) != is_serving {
+            log::info!("event=ready is_ready={is_serving}");
+        }
     }
 
     /// Begins a graceful stop, once.
@@ -63,14 +95,35 @@
             AnyNode::Serving(node) => AnyNode::Draining(node.drain(now)),
             AnyNode::Draining(node) => AnyNode::Draining(node),
         });
-        let Parts { entry, gate, fleet } = &self.parts;
+        self.is_ready.send_replace(false);
+        let Parts { gate, fleet, .. } = &self.parts;
         call!([fleet], leave());
-        call!([entry], drain());
         call!([gate], drain());
+        if self.stop.notice.is_zero() {
+            self.close(cx);
+        } else {
+            after!(self.stop.notice, [cx], close());
+        }
+        after!(self.stop.limit, [cx], give_up());
+    }
+
+    /// Takes no new requests from now on.
+    fn close(&mut self, cx: CX![]) {
+        let entry = &self.parts.entry;
+        call!([entry], drain());
         self.ask(cx);
         after!(CHECK, [cx], check());
     }
 
+    /// Stops the node though work is left.
+    fn give_up(&mut self, cx: CX![]) {
+        let (requests, running, unfinished) = (self.requests, self.running, self.work.unfinished());
+        log::warn!(
+            "event=stopped-early requests={requests} running={running} unfinished={unfinished}"
+        );
+        cx.shutdown(StopCause::Stopped);
+    }
+
     /// Begins a status with the state and passes it on to the fleet.
     pub fn status(&mut self, _: CX![], reply: oneshot::Sender<Status>) {
         let state = self.node.name();
@@ -105,7 +158,7 @@
         let is_idle = self.requests == 0 && self.running == 0 && self.work.unfinished() == 0;
         let idle = self.idle.filter(|_| is_idle);
         self.idle = idle.or_else(|| is_idle.then(|| cx.now()));
-        if idle.is_some_and(|since| cx.now() >= since + self.linger) {
+        if idle.is_some_and(|since| cx.now() >= since + self.stop.linger) {
             log::info!("event=stopped");
             cx.shutdown(StopCause::Stopped);
             return;
--- a/crates/lavenderflow/src/command.rs
+++ b/crates/lavenderflow/src/command.rs
@@ -3,11 +3,13 @@
 pub mod configure;
 pub mod keys;
 pub mod node;
+pub mod platform;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use lavenderflow_platform::placement::PlacementError;
 use lavenderflow_schema::setting::SettingsError;
 use lavenderflow_schema::settings::{CheckArgs, NodeArgs};
 
@@ -33,6 +35,7 @@
     Keys(KeysArgs),
     Node(NodeArgs),
     Organisation(OrganisationArgs),
+    Platform(PlatformArgs),
     Profile(ProfileArgs),
     Route(RouteArgs),
     Service(ServiceArgs),
@@ -51,6 +54,15 @@
     json: bool,
 }
 
+/// run a node on the platform, by the settings file that the platform wrote
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct PlatformArgs {
+    /// check the settings file and stop
+    #[argh(switch)]
+    check: bool,
+}
+
 /// stop a node gracefully
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "drain")]
@@ -66,6 +78,9 @@
     /// Settings cannot be used.
     #[error(transparent)]
     Settings(#[from] SettingsError),
+    /// The platform's settings cannot be used.
+    #[error(transparent)]
+    Placement(#[from] PlacementError),
     /// A node cannot run.
     #[error(transparent)]
     Node(#[from] NodeError),
@@ -84,7 +99,7 @@
     /// Returns the exit code.
     pub fn code(&self) -> u8 {
         match self {
-            Self::Settings(_) | Self::Key(_) => 2,
+            Self::Settings(_) | Self::Placement(_) | Self::Key(_) => 2,
             Self::Operator(error) => match error {
                 OperatorError::Conflict { .. } => 3,
                 OperatorError::Store(_) | OperatorError::Unsettled { .. } => 4,
@@ -99,7 +114,7 @@
 /// Runs the command of this process.
 pub fn main() -> ExitCode {
     let command: Command = argh::from_env();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    start_log(&command.action);
     match run(command.action) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -109,6 +124,17 @@
     }
 }
 
+/// Nodes log on standard output. Operators' commands print their results there, so they log
+/// elsewhere.
+fn start_log(action: &Action) {
+    let target = match action {
+        Action::Node(_) | Action::Platform(_) => env_logger::Target::Stdout,
+        _ => env_logger::Target::Stderr,
+    };
+    let environment = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(environment).target(target).init();
+}
+
 fn run(action: Action) -> Result<(), CommandError> {
     match action {
         Action::Check(args) => node::check(&args),
@@ -117,6 +143,7 @@
         Action::Drain(args) => Ok(Operator::drain(args.node)?),
         Action::Status(args) => status(&args),
         Action::Organisation(args) => args.run(),
+        Action::Platform(args) => platform::run(&args),
         Action::Profile(args) => args.run(),
         Action::Route(args) => args.run(),
         Action::Service(args) => args.run(),
--- a/crates/lavenderflow/src/command/node.rs
+++ b/crates/lavenderflow/src/command/node.rs
@@ -7,11 +7,12 @@
 
 use super::CommandError;
 use crate::net::key;
+use crate::site::Site;
 
 /// Runs a node until it is stopped.
 pub fn run(args: &NodeArgs) -> Result<(), CommandError> {
     let settings = read(|name| args.value(name))?;
-    Ok(crate::node::run(&settings)?)
+    Ok(crate::node::run(&settings, &Site::native())?)
 }
 
 /// Checks settings and keys and starts nothing.
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -2,7 +2,8 @@
 
 use std::net::UdpSocket;
 
-use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
+use hdrhistogram::Histogram;
 
 use crate::error::NodeError;
 use crate::prelude::*;
@@ -101,6 +102,31 @@
     }
 }
 
+/// A stage of a request whose time is measured.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Stage {
+    /// From the head of a request to its answer, at the entry.
+    Request,
+    /// The wait for a slot, at the gate.
+    Queue,
+    /// The run on the upstream, at the gate.
+    Run,
+}
+
+impl Stage {
+    /// All stages.
+    pub const ALL: [Self; 3] = [Self::Request, Self::Queue, Self::Run];
+
+    /// Returns the name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Queue => "queue",
+            Self::Run => "run",
+        }
+    }
+}
+
 /// Opens the client that sends counters; they are dropped when no address is given.
 ///
 /// # Errors
@@ -117,17 +143,25 @@
     Ok(StatsdClient::from_sink(PREFIX, sink))
 }
 
-/// Counts for the status page and sends each count to statsd.
+/// Longest time that a histogram tells apart, in microseconds.
+const MAX_MICROS: u64 = 3_600_000_000;
+/// Digits that histograms keep.
+const DIGITS: u8 = 2;
+/// Quantiles on the metrics page.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// Counts for the status and metrics pages and sends each count to statsd.
 #[derive(Debug)]
 pub struct Counters {
     client: StatsdClient,
     counts: IndexMap<Counter, u64>,
+    latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
 }
 
 impl Counters {
     /// Creates counters that stand at zero.
     pub fn new(client: StatsdClient) -> Self {
-        Self { client, counts: IndexMap::new() }
+        Self { client, counts: IndexMap::new(), latencies: IndexMap::new() }
     }
 
     /// Adds one to a counter.
@@ -138,6 +172,26 @@
         }
     }
 
+    /// Adds the time that a stage took.
+    pub fn measure(&mut self, stage: Stage, time: Duration) {
+        if let Err(fault) = self.client.time(&format!("latency.{}", stage.name()), time) {
+            log::debug!("event=metric-lost fault={fault:?}");
+        }
+        let micros = u64::try_from(time.as_micros()).unwrap_or(MAX_MICROS).clamp(1, MAX_MICROS);
+        if let Some((histogram, sum)) = self.latencies.get_mut(&stage) {
+            histogram.saturating_record(micros);
+            *sum += time;
+            return;
+        }
+        match Histogram::new_with_bounds(1, MAX_MICROS, DIGITS) {
+            Ok(mut histogram) => {
+                histogram.saturating_record(micros);
+                self.latencies.insert(stage, (histogram, time));
+            }
+            Err(fault) => log::error!("event=metric-lost fault={fault:?}"),
+        }
+    }
+
     /// Returns all counters that are not zero, sorted by name.
     pub fn snapshot(&self) -> IndexMap<String, u64> {
         let mut counts: IndexMap<String, u64> =
@@ -145,4 +199,27 @@
         counts.sort_keys();
         counts
     }
+
+    /// Renders counters and latencies in the text format of metrics pages.
+    pub fn render(&self) -> String {
+        let mut lines = vec![format!("# TYPE {PREFIX}_events_total counter")];
+        for (name, count) in self.snapshot() {
+            lines.push(format!("{PREFIX}_events_total{{event=\"{name}\"}} {count}"));
+        }
+        let name = format!("{PREFIX}_latency_seconds");
+        lines.push(format!("# TYPE {name} summary"));
+        for (stage, (histogram, sum)) in &self.latencies {
+            let stage = stage.name();
+            for quantile in QUANTILES {
+                let micros = histogram.value_at_quantile(quantile);
+                let value = Duration::from_micros(micros).as_secs_f64();
+                lines.push(format!("{name}{{stage=\"{stage}\",quantile=\"{quantile}\"}} {value}"));
+            }
+            let (sum, count) = (sum.as_secs_f64(), histogram.len());
+            lines.push(format!("{name}_sum{{stage=\"{stage}\"}} {sum}"));
+            lines.push(format!("{name}_count{{stage=\"{stage}\"}} {count}"));
+        }
+        lines.push(String::new());
+        lines.join("\n")
+    }
 }
--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -1,8 +1,12 @@
 //! HTTP towards callers, operators and upstreams on the same VM.
 
 pub mod admin;
+pub mod announcements;
 pub mod answer;
 pub mod callers;
 pub mod header;
 pub mod listen;
+pub mod metrics;
+pub mod native;
+pub mod ready;
 pub mod server;
--- a/crates/lavenderflow/src/http/admin.rs
+++ b/crates/lavenderflow/src/http/admin.rs
@@ -1,33 +1,28 @@
 //! Serves operators, and the announcements of upstreams on the same VM.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use lavenderflow_schema::convert::ConvertError;
-use lavenderflow_schema::convert::configuration;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
+use super::announcements::{self, AnnouncementError};
+use super::native::NativeDialect;
 use super::server::{self, Stopper};
-use crate::message::{FleetMessage, GateMessage};
+use crate::message::FleetMessage;
 use crate::prelude::*;
 use crate::status::Status;
 
-/// Largest announcement, in bytes.
-const MAX_BODY: usize = 64 * 1024;
-
 /// Why a request is refused.
 #[derive(Debug, thiserror::Error)]
 enum AdminError {
     #[error("there is nothing at this path")]
     NotFound,
-    #[error("the body is larger than {MAX_BODY} bytes")]
-    TooLarge,
-    #[error("the body broke off")]
-    Body,
     #[error(transparent)]
-    Announcement(#[from] ConvertError),
+    Announcement(#[from] AnnouncementError),
     #[error("the node is stopping")]
     Stopping,
     #[error("status: {0}")]
@@ -38,8 +33,7 @@
     fn status(&self) -> StatusCode {
         match self {
             Self::NotFound => StatusCode::NOT_FOUND,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Body | Self::Announcement(_) => StatusCode::BAD_REQUEST,
+            Self::Announcement(fault) => fault.status(),
             Self::Stopping | Self::Json(_) => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -64,7 +58,14 @@
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/v1/status") => Ok(serde_json::to_string(&status(mailbox).await?)?),
         (&Method::GET, "/v1/documents") => documents(mailbox).await,
-        (&Method::POST, "/v1/upstreams") => announce(mailbox, request).await,
+        (&Method::POST, "/v1/upstreams") => {
+            let mailbox = mailbox.clone();
+            let dialect = Arc::new(NativeDialect);
+            let context = announcements::Context { mailbox, dialect, upstream: None };
+            announcements::take(&context, request).await?;
+            Ok(String::new())
+        }
+        (&Method::GET, "/metrics") => metrics(mailbox).await,
         (&Method::POST, "/v1/drain") => {
             mailbox.send(Message::Drain).await;
             Ok("draining\n".to_owned())
@@ -79,6 +80,12 @@
     status.await.map_err(|_| AdminError::Stopping)
 }
 
+async fn metrics(mailbox: &Mailbox) -> Result<String, AdminError> {
+    let (reply, page) = oneshot::channel();
+    mailbox.send(Message::Metrics(reply)).await;
+    page.await.map_err(|_| AdminError::Stopping)
+}
+
 /// Returns the texts in force by key, one JSON object.
 async fn documents(mailbox: &Mailbox) -> Result<String, AdminError> {
     let (reply, documents) = oneshot::channel();
@@ -90,25 +97,3 @@
         .collect();
     Ok(serde_json::to_string(&texts)?)
 }
-
-async fn announce(mailbox: &Mailbox, request: Request<Incoming>) -> Result<String, AdminError> {
-    let body = Limited::new(request.into_body(), MAX_BODY).collect().await;
-    let text = body.map_err(|fault| {
-        if fault.is::<LengthLimitError>() { AdminError::TooLarge } else { AdminError::Body }
-    });
-    let announced = match text {
-        Ok(text) => configuration::announcement(&text.to_bytes()).map_err(AdminError::from),
-        Err(fault) => Err(fault),
-    };
-    match announced {
-        Ok(announcement) => {
-            mailbox.send(Message::Gate(GateMessage::Announce(announcement))).await;
-            Ok(String::new())
-        }
-        Err(fault) => {
-            log::warn!("event=announcement-rejected fault={fault:?}");
-            mailbox.send(Message::Count(Counter::Fault(Fault::Announcement))).await;
-            Err(fault)
-        }
-    }
-}
--- /dev/null
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -0,0 +1,117 @@
+//! Takes announcements of the upstream on this VM.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use lavenderflow_core::upstream::AnnouncedPhase;
+use lavenderflow_schema::convert::ConvertError;
+use lavenderflow_schema::dialect::Dialect;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use super::server::{self, Stopper};
+use crate::message::GateMessage;
+use crate::prelude::*;
+
+/// Largest announcement, in bytes.
+const MAX_BODY: usize = 64 * 1024;
+
+/// Why an announcement is not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum AnnouncementError {
+    /// It is too large.
+    #[error("the body is larger than {MAX_BODY} bytes")]
+    TooLarge,
+    /// It broke off.
+    #[error("the body broke off")]
+    Body,
+    /// It is malformed.
+    #[error(transparent)]
+    Malformed(#[from] ConvertError),
+    /// Its upstream is not the one on this VM.
+    #[error("{0} is not the address of the upstream on this VM")]
+    Elsewhere(SocketAddr),
+    /// The node is stopping.
+    #[error("the node is stopping")]
+    Stopping,
+}
+
+impl AnnouncementError {
+    /// Returns the HTTP status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Body | Self::Malformed(_) | Self::Elsewhere(_) => StatusCode::BAD_REQUEST,
+            Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// What all announcements share.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// To the gate.
+    pub mailbox: Mailbox,
+    /// How upstreams spell them.
+    pub dialect: Arc<dyn Dialect>,
+    /// Where the only upstream of this VM serves HTTP; none when there can be several.
+    pub upstream: Option<SocketAddr>,
+}
+
+/// Serves upstreams on a bound address.
+pub fn start(listener: TcpListener, context: Context) -> Stopper {
+    server::start(listener, move |request| answer(context.clone(), request))
+}
+
+async fn answer(context: Context, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match take(&context, request).await {
+        Ok(()) => (StatusCode::OK, "{}".to_owned()),
+        Err(fault) => (fault.status(), format!("{fault}\n")),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Takes an announcement in; returns once the gate goes by it.
+///
+/// # Errors
+///
+/// The announcement is malformed, or the node is stopping.
+pub async fn take(context: &Context, request: Request<Incoming>) -> Result<(), AnnouncementError> {
+    let path = request.uri().path().to_owned();
+    let body = Limited::new(request.into_body(), MAX_BODY).collect().await;
+    let text = body.map_err(|fault| {
+        if fault.is::<LengthLimitError>() {
+            AnnouncementError::TooLarge
+        } else {
+            AnnouncementError::Body
+        }
+    });
+    let taken = match text {
+        Ok(text) => announce(context, &path, &text.to_bytes()).await,
+        Err(fault) => Err(fault),
+    };
+    if let Err(fault) = &taken {
+        log::warn!("event=announcement-rejected path={path} fault={fault}");
+        context.mailbox.send(Message::Count(Counter::Fault(Fault::Announcement))).await;
+    }
+    taken
+}
+
+async fn announce(context: &Context, path: &str, text: &[u8]) -> Result<(), AnnouncementError> {
+    let announcement = context.dialect.announcement(path, text)?;
+    let is_here = announcement.phase == AnnouncedPhase::Gone
+        || context.upstream.is_none_or(|address| address == announcement.address);
+    if !is_here {
+        return Err(AnnouncementError::Elsewhere(announcement.address));
+    }
+    let (done, is_done) = oneshot::channel();
+    let message = GateMessage::Announce(announcement, done);
+    context.mailbox.send(Message::Gate(message)).await;
+    is_done.await.map_err(|_| AnnouncementError::Stopping)
+}
--- a/crates/lavenderflow/src/http/answer.rs
+++ b/crates/lavenderflow/src/http/answer.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
+use lavenderflow_schema::dialect::{Dialect, Ending};
 
 use super::header;
 use crate::net::body::{AnswerParts, CutError};
@@ -52,33 +53,32 @@
     }
 }
 
-/// Forms the answer to a caller; `extra` fields are the node's own.
-pub fn form(reply: Reply, extra: &[(&str, String)], piece: Piece) -> Response<AnswerBody> {
+/// Forms the answer to a caller.
+pub fn form(
+    reply: Reply,
+    ending: &Ending,
+    dialect: &dyn Dialect,
+    piece: Piece,
+) -> Response<AnswerBody> {
     let (first, parts) = match reply.body {
         ReplyBody::Whole(body) => (body, None),
         ReplyBody::Parts(first, parts) => (first, Some(parts)),
     };
+    let status =
+        if reply.relayed { reply.status } else { dialect.status(reply.outcome, reply.reason) };
     let body = AnswerBody { first: Some(first), parts, _piece: piece };
     let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut fields = reply.headers;
+    fields.retain(|(name, _)| !header::is_hop_by_hop(name));
+    dialect.answer(&mut fields, ending);
     let headers = response.headers_mut();
-    // An upstream does not speak for the proxy.
-    let own = [header::OUTCOME, header::REASON, header::TICKET, header::REQUEST_ID];
-    let passed = reply.headers.iter().filter(|(name, _)| {
-        !header::is_hop_by_hop(name) && !own.iter().any(|own| own.eq_ignore_ascii_case(name))
-    });
-    for (name, value) in passed {
-        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(value)) {
-            headers.append(name, value);
-        }
-    }
-    let mut fields = extra.to_vec();
-    fields.push((header::OUTCOME, reply.outcome.name().to_owned()));
-    fields.push((header::REASON, reply.reason.name().to_owned()));
-    fields.extend(reply.ticket.map(|ticket| (header::TICKET, ticket.to_string())));
     for (name, value) in fields {
-        if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), HeaderValue::from_str(&value)) {
-            headers.insert(name, value);
+        match (name.parse::<HeaderName>(), HeaderValue::from_bytes(value.as_bytes())) {
+            (Ok(name), Ok(value)) => {
+                headers.append(name, value);
+            }
+            _ => log::warn!("event=field-dropped request={} field={name:?}", ending.id),
         }
     }
     response
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -6,8 +6,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, Version};
-use lavenderflow_core::id::TicketError;
+use lavenderflow_core::catalog::Limits;
 use lavenderflow_core::request::Arrival;
+use lavenderflow_schema::dialect::{CallerFields, Ending, FieldError, Fields};
 use rand::random;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -18,8 +19,8 @@
 use super::server::{self, Stopper};
 use crate::message::EntryMessage;
 use crate::net::body::BodyPart;
+use crate::net::context::Context as NetContext;
 use crate::net::drive::{self, Reply, Request};
-use crate::net::endpoint::Context as NetContext;
 use crate::prelude::*;
 
 /// Bodies up to this size are read whole before the request is served, in bytes.
@@ -42,6 +43,8 @@
     pub net: NetContext,
     /// Where refused callers can go.
     pub next: watch::Receiver<String>,
+    /// What callers may send.
+    pub limits: watch::Receiver<Limits>,
     /// Most requests at once.
     pub most: usize,
 }
@@ -53,10 +56,12 @@
     HeadersTooLarge(usize),
     #[error("HTTP version {0:?} cannot show an answer that breaks off")]
     Version(Version),
-    #[error("ticket: {0}")]
-    Ticket(#[from] TicketError),
-    #[error("the deadline is not a whole number of milliseconds")]
-    Deadline,
+    #[error("the request names no host, or more than one")]
+    Host,
+    #[error("the body has {0} bytes")]
+    BodyTooLarge(u64),
+    #[error(transparent)]
+    Fields(#[from] FieldError),
     #[error("the length of the body is not clear")]
     Length,
     #[error("body: {0}")]
@@ -67,8 +72,13 @@
     fn reason(&self) -> Reason {
         match self {
             Self::HeadersTooLarge(_) => Reason::HeadersTooLarge,
-            Self::Ticket(_) => Reason::TicketInvalid,
-            Self::Version(_) | Self::Deadline | Self::Length | Self::Body(_) => Reason::BadRequest,
+            Self::BodyTooLarge(_) => Reason::BodyTooLarge,
+            Self::Fields(FieldError::Ticket(_)) => Reason::TicketInvalid,
+            Self::Version(_)
+            | Self::Fields(FieldError::Deadline)
+            | Self::Host
+            | Self::Length
+            | Self::Body(_) => Reason::BadRequest,
         }
     }
 }
@@ -80,35 +90,56 @@
 
 async fn serve(context: Context, request: hyper::Request<Incoming>) -> Response<AnswerBody> {
     let piece = context.net.work.begin();
+    let arrived = context.net.clock.now();
     let headers = header::from_map(request.headers());
-    let id = header::find(&headers, header::REQUEST_ID).map(str::to_owned);
+    let fields = context.net.dialect.read(&headers);
+    let id = fields.as_ref().ok().and_then(|fields| fields.id.clone());
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
+    let line = format!("{} {}", request.method(), request.uri().path());
     let reply = if context.net.work.unfinished() > context.most {
         Reply::without_answer(Outcome::NotRun, Reason::WorkersBusy, None)
     } else if request.uri().path().starts_with(OWN_PREFIX) {
         serve_own(&context, request.uri().path()).await
     } else {
-        serve_routed(&context, request, headers, &id).await
+        serve_routed(&context, request, headers, fields, &id).await
     };
     count(&context, &reply).await;
-    log::debug!(
-        "event=answered request={id} node={} outcome={} reason={} status={}",
+    let elapsed = context.net.clock.now().saturating_duration_since(arrived);
+    send(&context, Message::Latency(Stage::Request, elapsed)).await;
+    log::info!(
+        "event=answered request={id} node={} outcome={} reason={} upstream_status={} ms={} {line}",
         context.name,
         reply.outcome.name(),
         reply.reason.name(),
-        reply.status
+        reply.status,
+        elapsed.as_millis()
     );
-    let extra = extra(&context, id, &reply);
-    answer::form(reply, &extra, piece)
+    let ending = Ending {
+        id,
+        outcome: reply.outcome,
+        reason: reply.reason,
+        ticket: reply.ticket,
+        next: context.next.borrow().clone(),
+        retry: reply.retry,
+        relayed: reply.relayed,
+    };
+    answer::form(reply, &ending, context.net.dialect.as_ref(), piece)
 }
 
 async fn serve_routed(
     context: &Context,
     request: hyper::Request<Incoming>,
-    headers: Vec<(String, String)>,
+    mut headers: Fields,
+    fields: Result<CallerFields, FieldError>,
     id: &str,
 ) -> Reply {
-    match read(request, with_id(headers, id)).await {
+    context.net.dialect.forward(&mut headers, id);
+    let limits = *context.limits.borrow();
+    let parsed = match fields {
+        Ok(fields) => read(request, headers, fields, limits).await,
+        Err(fault) => Err(fault.into()),
+    };
+    match parsed {
         Ok(parsed) => forward(context, parsed, id).await,
         Err(fault) => {
             log::info!("event=bad-request request={id} fault={fault:?}");
@@ -129,26 +160,6 @@
     }
 }
 
-/// Returns the fields that the node adds to an answer.
-fn extra(context: &Context, id: String, reply: &Reply) -> Vec<(&'static str, String)> {
-    let mut fields = vec![(header::REQUEST_ID, id)];
-    if reply.outcome == Outcome::NotRun {
-        fields.push((header::NEXT, context.next.borrow().clone()));
-        fields.push(("retry-after", "1".to_owned()));
-    }
-    if reply.reason == Reason::Leaving {
-        fields.push(("connection", "close".to_owned()));
-    }
-    fields
-}
-
-/// Replaces the request's id, which upstreams and logs share.
-fn with_id(mut headers: Vec<(String, String)>, id: &str) -> Vec<(String, String)> {
-    headers.retain(|(name, _)| !name.eq_ignore_ascii_case(header::REQUEST_ID));
-    headers.push((header::REQUEST_ID.to_owned(), id.to_owned()));
-    headers
-}
-
 /// Serves the node's own paths: tickets.
 async fn serve_own(context: &Context, path: &str) -> Reply {
     if path != TICKETS {
@@ -165,29 +176,34 @@
 /// A request whose head, and whose body if it is small, have been read.
 struct Parsed {
     arrival: Arrival,
-    headers: Vec<(String, String)>,
+    headers: Fields,
     body: Bytes,
     rest: Option<Incoming>,
 }
 
 async fn read(
     request: hyper::Request<Incoming>,
-    headers: Vec<(String, String)>,
+    headers: Fields,
+    fields: CallerFields,
+    limits: Limits,
 ) -> Result<Parsed, CallerError> {
     let size: usize = headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
     let target = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    if size + target.len() > MAX_HEADER_BYTES {
+    if size + target.len() > limits.header_bytes.unwrap_or(MAX_HEADER_BYTES) {
         return Err(CallerError::HeadersTooLarge(size));
     }
     if request.version() < Version::HTTP_11 {
         return Err(CallerError::Version(request.version()));
     }
-    let declared = body_length(&headers)?;
-    let ticket = header::find(&headers, header::TICKET).map(str::parse).transpose()?;
-    let deadline = match header::find(&headers, header::DEADLINE) {
-        Some(text) => Some(text.parse().map_err(|_| CallerError::Deadline)?),
-        None => None,
+    let mut hosts = headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("host"));
+    let (Some((_, host)), None) = (hosts.next(), hosts.next()) else {
+        return Err(CallerError::Host);
     };
+    let host = host.clone();
+    let declared = body_length(&headers)?;
+    if let Some(length) = declared.filter(|length| limits.body_bytes.is_some_and(|m| *length > m)) {
+        return Err(CallerError::BodyTooLarge(length));
+    }
     let method = request.method().to_string();
     let mut rest = request.into_body();
     // A large body stays with the caller until a gate has admitted the request.
@@ -197,15 +213,16 @@
     let length = if whole { Some(body.len() as u64) } else { declared };
     let arrival = Arrival {
         request: random(),
-        organisation: header::find(&headers, header::ORGANISATION).map(Into::into),
-        ticket,
+        organisation: fields.organisation,
+        ticket: fields.ticket,
         body_length: length,
         whole,
         fingerprint: fingerprint(&method, &target, length, &body),
-        deadline: deadline.map(Duration::from_millis),
+        deadline: fields.deadline,
         forwarded: false,
         method,
         target,
+        host,
     };
     Ok(Parsed { arrival, headers, body, rest: (!whole).then_some(rest) })
 }
--- a/crates/lavenderflow/src/http/header.rs
+++ b/crates/lavenderflow/src/http/header.rs
@@ -1,6 +1,9 @@
 //! Header fields.
 
-use ureq::http::HeaderMap;
+use hyper::HeaderMap;
+
+use lavenderflow_schema::dialect::Fields;
+pub use lavenderflow_schema::dialect::find;
 
 /// Identifies a request in logs and answers.
 pub const REQUEST_ID: &str = "lavenderflow-request-id";
@@ -47,18 +50,14 @@
         || name.eq_ignore_ascii_case(DEADLINE)
 }
 
-/// Finds the value of a field.
-pub fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
-}
-
-/// Returns the declared length of a body.
-pub fn content_length(headers: &[(String, String)]) -> Option<u64> {
-    find(headers, "content-length")?.parse().ok()
-}
-
 /// Copies fields out of a map; those whose values are not text are left out.
-pub fn from_map(map: &HeaderMap) -> Vec<(String, String)> {
-    let fields = map.iter().filter_map(|(name, value)| Some((name, value.to_str().ok()?)));
-    fields.map(|(name, value)| (name.to_string(), value.to_owned())).collect()
+pub fn from_map(map: &HeaderMap) -> Fields {
+    let mut fields = Fields::with_capacity(map.len());
+    for (name, value) in map {
+        match std::str::from_utf8(value.as_bytes()) {
+            Ok(value) => fields.push((name.to_string(), value.to_owned())),
+            Err(_) => log::warn!("event=field-not-text field={name}"),
+        }
+    }
+    fields
 }
--- a/crates/lavenderflow/src/http/listen.rs
+++ b/crates/lavenderflow/src/http/listen.rs
@@ -1,44 +1,65 @@
-//! The HTTP task: serves operators at once, and callers once the node is ready.
+//! The HTTP task: serves operators and upstreams at once, and callers once the node is ready.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use tokio::sync::oneshot;
+use lavenderflow_schema::dialect::Dialect;
+use tokio::sync::{oneshot, watch};
 
-use super::{admin, callers, server};
+use super::server::{self, Stopper};
+use super::{admin, announcements, callers, metrics, ready};
 use crate::error::NodeError;
 
+/// Addresses of the HTTP task.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators and announcements.
+    pub admin: SocketAddr,
+    /// For the question whether the node takes new requests.
+    pub ready: Option<SocketAddr>,
+    /// For announcements in the platform's own form.
+    pub announcements: Option<SocketAddr>,
+    /// For the metrics page.
+    pub metrics: Option<SocketAddr>,
+    /// Where the only upstream of this VM serves HTTP; none when there can be several.
+    pub upstream: Option<SocketAddr>,
+}
+
 /// What the HTTP task is started with.
 #[derive(Debug)]
 pub struct Setup {
-    /// Address for callers.
-    pub callers: SocketAddr,
-    /// Address for operators and announcements.
-    pub admin: SocketAddr,
+    /// Where to listen.
+    pub addresses: Addresses,
     /// What all callers' requests share.
     pub context: callers::Context,
+    /// Whether callers are let in before the node is ready, to be told when to come back.
+    pub eager: bool,
     /// Comes when the node can serve callers.
     pub ready: oneshot::Receiver<()>,
+    /// Whether the node takes new requests.
+    pub is_ready: watch::Receiver<bool>,
     /// Comes when the node stops; the sender hears when all answers are written out.
     pub stop: oneshot::Receiver<oneshot::Sender<()>>,
 }
 
-/// Binds both addresses and serves them until the node stops.
+/// Binds the addresses and serves them until the node stops.
 pub async fn run(setup: Setup, bound: oneshot::Sender<Result<(), NodeError>>) {
-    // Callers are refused connections until the node can serve them, so that they go elsewhere;
-    // binding their address now only shows whether that will be possible.
-    let checked = server::bind(setup.callers).await.map(drop);
-    let listener = match (checked, server::bind(setup.admin).await) {
-        (Ok(()), Ok(listener)) => listener,
-        (Err(fault), _) | (_, Err(fault)) => {
+    let addresses = setup.addresses;
+    let others = match start_others(&setup).await {
+        Ok(others) => others,
+        Err(fault) => {
+            // The node hears of it unless it ended meanwhile.
             let _ = bound.send(Err(fault));
             return;
         }
     };
     let _ = bound.send(Ok(()));
-    let admin = admin::start(listener, setup.context.net.mailbox.clone());
-    let Setup { callers, context, ready, stop, .. } = setup;
+    let Setup { context, eager, ready, stop, .. } = setup;
+    let callers = addresses.callers;
     let serving = async {
-        if ready.await.is_err() {
+        if !eager && ready.await.is_err() {
             return None;
         }
         match server::bind(callers).await {
@@ -61,8 +82,30 @@
     if let Some(callers) = callers {
         callers.stop().await;
     }
-    drop(admin);
+    drop(others);
     if let Ok(done) = done {
         let _ = done.send(());
     }
 }
+
+/// Serves all but callers.
+async fn start_others(setup: &Setup) -> Result<Vec<Stopper>, NodeError> {
+    let Addresses { callers, admin, ready, announcements, metrics, upstream } = setup.addresses;
+    // Callers are refused connections until the node can serve them, so that they go elsewhere;
+    // binding their address now only shows whether that will be possible.
+    server::bind(callers).await.map(drop)?;
+    let net = &setup.context.net;
+    let mut others = vec![admin::start(server::bind(admin).await?, net.mailbox.clone())];
+    if let Some(address) = ready {
+        others.push(ready::start(server::bind(address).await?, setup.is_ready.clone()));
+    }
+    if let Some(address) = announcements {
+        let dialect: Arc<dyn Dialect> = Arc::clone(&net.dialect);
+        let context = announcements::Context { mailbox: net.mailbox.clone(), dialect, upstream };
+        others.push(announcements::start(server::bind(address).await?, context));
+    }
+    if let Some(address) = metrics {
+        others.push(metrics::start(server::bind(address).await?, net.mailbox.clone()));
+    }
+    Ok(others)
+}
--- /dev/null
+++ b/crates/lavenderflow/src/http/metrics.rs
@@ -0,0 +1,28 @@
+//! Serves the metrics page.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+use super::server::{self, Stopper};
+use crate::prelude::*;
+
+/// Serves the page on a bound address, whatever its path.
+pub fn start(listener: TcpListener, mailbox: Mailbox) -> Stopper {
+    server::start(listener, move |request| answer(request, mailbox.clone()))
+}
+
+async fn answer(_: Request<Incoming>, mailbox: Mailbox) -> Response<Full<Bytes>> {
+    let (reply, page) = oneshot::channel();
+    mailbox.send(Message::Metrics(reply)).await;
+    let page = page.await;
+    let is_stopping = page.is_err();
+    let mut response = Response::new(Full::new(Bytes::from(page.unwrap_or_default())));
+    if is_stopping {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -29,6 +29,8 @@
 pub enum Decision {
     /// Run it on this upstream.
     Start {
+        /// Id of the upstream.
+        upstream: UpstreamId,
         /// Where the upstream serves HTTP.
         address: std::net::SocketAddr,
         /// When the run must have ended.
@@ -60,8 +62,8 @@
     Finish(AttemptId, RunResult, oneshot::Sender<Load>),
     /// The entry gave up an attempt that waits.
     Cancel(AttemptId),
-    /// An upstream announced itself.
-    Announce(Announcement),
+    /// An upstream announced itself; the sender hears when the gate goes by it.
+    Announce(Announcement, oneshot::Sender<()>),
 }
 
 /// A message to the fleet actor.
@@ -73,8 +75,20 @@
     Pinged(NodeId, Position, Option<Exchange>),
     /// A seed answered, or did not.
     Greeted(Option<Exchange>),
-    /// The store holds these documents; all of them when the flag is set.
-    Stored(Vec<Document>, bool),
+    /// The store holds these documents.
+    Stored {
+        /// The documents.
+        documents: Vec<Document>,
+        /// Whether these are all, so that others are missing there.
+        is_all: bool,
+    },
+    /// A watcher lost or regained the store.
+    Attached {
+        /// What it watches.
+        prefix: &'static str,
+        /// Whether it reaches the store.
+        attached: bool,
+    },
     /// Peer addresses that the store introduced.
     Introduced(Vec<std::net::SocketAddr>),
     /// An operator asks for the documents in force.
@@ -92,8 +106,14 @@
     Fleet(FleetMessage),
     /// To the counters.
     Count(Counter),
+    /// To the latencies.
+    Latency(Stage, Duration),
+    /// An operator asks for the metrics page.
+    Metrics(oneshot::Sender<String>),
     /// An operator asks for the status.
     Status(oneshot::Sender<Status>),
+    /// The settings may have changed.
+    Reload,
     /// The node must stop gracefully.
     Drain,
 }
--- a/crates/lavenderflow/src/net.rs
+++ b/crates/lavenderflow/src/net.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod connector;
+pub mod context;
 pub mod drive;
 pub mod endpoint;
 pub mod key;
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -13,7 +13,7 @@
 use self::attempt::{Held, attempt_at};
 use self::frame::{dispatch_frame, forward_frame};
 use super::body::{AnswerParts, BodyRequest, CHANNEL_PARTS, CutError};
-use super::endpoint::Context;
+use super::context::Context;
 use super::link::Source;
 use crate::message::EntryMessage;
 use crate::prelude::*;
@@ -62,6 +62,10 @@
     pub reason: Reason,
     /// The ticket under which it ran, or a new one after a refusal.
     pub ticket: Option<TicketId>,
+    /// When the caller may come back, after a refusal.
+    pub retry: Option<Duration>,
+    /// Whether an upstream gave the answer.
+    pub relayed: bool,
 }
 
 impl Reply {
@@ -74,6 +78,8 @@
             outcome,
             reason,
             ticket,
+            retry: None,
+            relayed: false,
         }
     }
 }
@@ -84,11 +90,13 @@
     let (sender, mut actions) = mpsc::channel(ACTIONS);
     let begin = EntryMessage::Begin(request.arrival.clone(), sender);
     context.mailbox.send(Message::Entry(begin)).await;
+    let mut guard = Guard { context, request: id, is_over: false };
     let mut held: Option<Held> = None;
     let mut wait = None;
     loop {
         let Some(action) = next_action(context, id, &mut actions, wait.take()).await else {
             // The actors are gone: the node has stopped in the middle of the request.
+            guard.is_over = true;
             return Reply::without_answer(Outcome::Unknown, Reason::Lost, None);
         };
         let attempted = match action {
@@ -102,8 +110,14 @@
                 let begin = forward_frame(&request, ticket, remaining);
                 attempt_at(context, &mut request, home, begin, remaining, remaining).await
             }
-            EntryAction::Relay { ticket, .. } => return relay(context, id, held, ticket),
-            EntryAction::Conclude { conclusion, .. } => return conclude(conclusion, held),
+            EntryAction::Relay { ticket, .. } => {
+                guard.is_over = true;
+                return relay(context, id, held, ticket);
+            }
+            EntryAction::Conclude { conclusion, .. } => {
+                guard.is_over = true;
+                return conclude(conclusion, held);
+            }
             EntryAction::Wait { remaining, .. } => {
                 wait = Some(remaining);
                 continue;
@@ -157,6 +171,8 @@
         outcome: Outcome::from_name(&answer.outcome).unwrap_or(Outcome::Ran),
         reason: Reason::from_name(&answer.reason).unwrap_or(Reason::Answered),
         ticket: answer.fresh.map(Into::into).or(ticket),
+        retry: None,
+        relayed: answer.reason.is_empty() || answer.reason == Reason::Answered.name(),
         headers: answer.headers.into_iter().map(|field| (field.name, field.value)).collect(),
     }
 }
@@ -195,6 +211,7 @@
 }
 
 fn conclude(conclusion: Conclusion, held: Option<Held>) -> Reply {
+    let answered = Reply::without_answer(Outcome::Ran, Reason::Answered, None);
     if let Some(stored) = conclusion.answer {
         return Reply {
             status: stored.status,
@@ -203,6 +220,8 @@
             outcome: conclusion.outcome,
             reason: conclusion.reason,
             ticket: conclusion.fresh,
+            relayed: true,
+            ..answered
         };
     }
     // A repeated request that found no second gate still has its first answer.
@@ -211,10 +230,32 @@
             status: u16::try_from(answer.status).unwrap_or(502),
             body: ReplyBody::Whole(answer.body),
             headers: answer.headers.into_iter().map(|f| (f.name, f.value)).collect(),
-            outcome: Outcome::Ran,
-            reason: Reason::Answered,
-            ticket: None,
+            relayed: true,
+            ..answered
         };
     }
-    Reply::without_answer(conclusion.outcome, conclusion.reason, conclusion.fresh)
+    Reply {
+        retry: conclusion.retry,
+        ..Reply::without_answer(conclusion.outcome, conclusion.reason, conclusion.fresh)
+    }
+}
+
+/// Tells the entry that a caller left, unless its request ended before.
+struct Guard<'a> {
+    context: &'a Context,
+    request: RequestId,
+    is_over: bool,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        let (mailbox, request) = (self.context.mailbox.clone(), self.request);
+        tokio::spawn(async move {
+            let report = EntryMessage::Report(request, Report::Abandoned);
+            mailbox.send(Message::Entry(report)).await;
+        });
+    }
 }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -12,13 +12,12 @@
 use super::{Request, report};
 use crate::net::body::{BodyPart, CHANNEL_PARTS};
 use crate::net::connector::PeerError;
-use crate::net::endpoint::Context;
+use crate::net::context::Context;
 use crate::net::link::{self, LinkError, Sink, Source};
-use crate::net::serve;
 use crate::prelude::*;
 
 /// Time beyond the deadline for the gate's own report that it has passed.
-const GRACE: Duration = Duration::from_millis(200);
+const GRACE: Duration = Duration::from_millis(60);
 
 /// An answer that came, until the entry decides what to do with it.
 pub(super) struct Held {
@@ -74,14 +73,8 @@
 
 async fn open(context: &Context, node: NodeId) -> Result<(Sink, Source), PeerError> {
     if node == context.node {
-        let (near, (sink, mut source)) = link::local();
-        let context = context.clone();
-        tokio::spawn(async move {
-            if let Ok(Some(Body::Begin(begin))) = source.receive().await {
-                let _piece = context.work.begin();
-                let _ = serve::serve_gate(&context, begin, sink, source).await;
-            }
-        });
+        let (near, far) = link::local();
+        context.local.send(far).await.map_err(|_| PeerError::Stopping)?;
         return Ok(near);
     }
     let connection = context.connector.node(node).await?;
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -21,6 +21,8 @@
         remaining_us: micros(plan.remaining),
         patience_us: micros(plan.patience),
         usual_us: micros(plan.usual),
+        rank: plan.rank,
+        prompt_us: plan.prompt.map(micros),
         long: plan.long,
         idempotent: plan.idempotent,
         ..common_frame(request)
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -1,18 +1,21 @@
 //! The QUIC endpoint and what all tasks on the network thread share.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use lavenderflow_core::gossip::{Exchange, Position};
+use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::wire::frame::Body;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
 use tokio::sync::{mpsc, oneshot};
 
 use super::connector::Connector;
+use super::context::{self, Context, LocalLink};
 use super::link::{LinkError, Sink, Source};
 use super::{ping, serve};
 use crate::error::NodeError;
 use crate::prelude::*;
-use crate::upstream::Call;
+use crate::upstream;
 use crate::work::Work;
 
 /// Commands that can wait for the network task.
@@ -41,25 +44,6 @@
     mpsc::channel(CAPACITY)
 }
 
-/// What the tasks on the network thread share.
-#[derive(Clone, Debug)]
-pub struct Context {
-    /// This node.
-    pub node: NodeId,
-    /// The clock.
-    pub clock: SharedClock,
-    /// To the actors.
-    pub mailbox: Mailbox,
-    /// To the connections.
-    pub connector: Connector,
-    /// To the threads that call upstreams.
-    pub calls: mpsc::Sender<Call>,
-    /// Counts what a graceful stop waits for.
-    pub work: Work,
-    /// Interval of pings.
-    pub ping: Duration,
-}
-
 /// What the network task is started with.
 #[derive(Debug)]
 pub struct Setup {
@@ -73,8 +57,8 @@
     pub clock: SharedClock,
     /// To the actors.
     pub mailbox: Mailbox,
-    /// To the threads that call upstreams.
-    pub calls: mpsc::Sender<Call>,
+    /// How callers and upstreams spell what they say.
+    pub dialect: Arc<dyn Dialect>,
     /// Counts what a graceful stop waits for.
     pub work: Work,
     /// Interval of pings.
@@ -102,17 +86,21 @@
     };
     let mut endpoint = endpoint;
     endpoint.set_default_client_config(client);
+    let (local, local_links) = context::local_links();
     let context = Context {
         node: setup.node,
+        calls: upstream::start(Arc::clone(&setup.clock), Arc::clone(&setup.dialect)),
         clock: setup.clock,
+        local,
+        dialect: setup.dialect,
         mailbox: setup.mailbox.clone(),
         connector: Connector::start(endpoint.clone(), setup.mailbox),
-        calls: setup.calls,
         work: setup.work,
         ping: setup.ping,
     };
     let _ = bound.send(Ok(context.clone()));
     tokio::spawn(accept(context.clone(), endpoint.clone()));
+    tokio::spawn(accept_local(context.clone(), local_links));
     while let Some(command) = commands.recv().await {
         if let Command::Close(done) = command {
             endpoint.close(VarInt::from_u32(0), b"stopped");
@@ -146,6 +134,18 @@
     }
 }
 
+async fn accept_local(context: Context, mut links: mpsc::Receiver<LocalLink>) {
+    while let Some((sink, source)) = links.recv().await {
+        tokio::spawn(serve_link(context.clone(), sink, source));
+    }
+}
+
+async fn serve_link(context: Context, sink: Sink, source: Source) {
+    if let Err(fault) = serve_stream(&context, sink, source).await {
+        count_fault(&context, &fault).await;
+    }
+}
+
 async fn handshake(context: Context, incoming: Incoming) {
     let address = incoming.remote_address();
     match incoming.await {
@@ -159,13 +159,7 @@
 
 async fn serve_connection(context: Context, connection: Connection) {
     while let Ok((sink, source)) = connection.accept_bi().await {
-        let context = context.clone();
-        tokio::spawn(async move {
-            let (sink, source) = (Sink::Quic(sink), Source::Quic(source));
-            if let Err(fault) = serve_stream(&context, sink, source).await {
-                count_fault(&context, &fault).await;
-            }
-        });
+        tokio::spawn(serve_link(context.clone(), Sink::Quic(sink), Source::Quic(source)));
     }
 }
 
--- a/crates/lavenderflow/src/net/key.rs
+++ b/crates/lavenderflow/src/net/key.rs
@@ -5,10 +5,12 @@
 
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
-use rustls::RootCertStore;
+use rustls::client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier};
+use rustls::crypto::CryptoProvider;
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
+use rustls::{DigitallySignedStruct, RootCertStore, SignatureScheme};
 
 use crate::error::KeyError;
 use crate::prelude::*;
@@ -30,6 +32,72 @@
 /// First estimate of the round trip, for zones of one region.
 const FIRST_ROUND_TRIP: Duration = Duration::from_millis(10);
 
+/// Makes keys for a fleet whose nodes know one another by their place in the network.
+///
+/// Traffic is encrypted, but neither side proves who it is.
+///
+/// # Errors
+///
+/// The keys cannot be made.
+pub fn self_signed() -> Result<(ServerConfig, ClientConfig), KeyError> {
+    let made = rcgen::generate_simple_self_signed(vec![SERVER_NAME.to_owned()])?;
+    let key = PrivateKeyDer::Pkcs8(made.signing_key.serialize_der().into());
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let tls = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_no_client_auth()
+        .with_single_cert(vec![made.cert.der().clone()], key)?;
+    let server = server_config(tls)?;
+    let verifier = Arc::new(AnyCertificate(Arc::clone(&provider)));
+    let tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .dangerous()
+        .with_custom_certificate_verifier(verifier)
+        .with_no_client_auth();
+    Ok((server, client_config(tls)?))
+}
+
+/// Takes any certificate whose key signs the handshake.
+#[derive(Debug)]
+struct AnyCertificate(Arc<CryptoProvider>);
+
+impl ServerCertVerifier for AnyCertificate {
+    fn verify_server_cert(
+        &self,
+        _: &CertificateDer<'_>,
+        _: &[CertificateDer<'_>],
+        _: &ServerName<'_>,
+        _: &[u8],
+        _: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls12_signature(message, certificate, signed, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signed: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        rustls::crypto::verify_tls13_signature(message, certificate, signed, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
+
 /// Loads the keys for both sides of connections between nodes.
 ///
 /// # Errors
@@ -64,10 +132,14 @@
 ) -> Result<ServerConfig, KeyError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let verifier = WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider));
-    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+    let tls = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_client_cert_verifier(verifier.build()?)
         .with_single_cert(chain, key)?;
+    server_config(tls)
+}
+
+fn server_config(mut tls: rustls::ServerConfig) -> Result<ServerConfig, KeyError> {
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
     config.transport_config(Arc::new(transport()));
@@ -80,10 +152,14 @@
     key: PrivateKeyDer<'static>,
 ) -> Result<ClientConfig, KeyError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+    let tls = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
+    client_config(tls)
+}
+
+fn client_config(mut tls: rustls::ClientConfig) -> Result<ClientConfig, KeyError> {
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
     config.transport_config(Arc::new(transport()));
--- a/crates/lavenderflow/src/net/ping.rs
+++ b/crates/lavenderflow/src/net/ping.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::connector::PeerError;
-use super::endpoint::Context;
+use super::context::Context;
 use super::link::{LinkError, Sink, Source};
 use crate::message::FleetMessage;
 use crate::prelude::*;
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -12,8 +12,8 @@
 use tokio::time::timeout;
 
 use super::body::{BodyPart, CHANNEL_PARTS};
+use super::context::Context;
 use super::drive::{self, ReplyBody, Request};
-use super::endpoint::Context;
 use super::link::{LinkError, Sink, Source};
 use crate::message::{Decision, GateMessage, Waiter};
 use crate::prelude::*;
@@ -64,12 +64,14 @@
         patience: Duration::from_micros(begin.patience_us),
         remaining: Duration::from_micros(begin.remaining_us),
         usual: Duration::from_micros(begin.usual_us),
+        rank: begin.rank,
+        prompt: begin.prompt_us.map(Duration::from_micros),
     };
     let (reply, decision) = oneshot::channel();
     let (abandon, abandoned) = oneshot::channel();
     send_gate(context, GateMessage::Offer(offer, Waiter { reply, abandon })).await;
     match wait_for_slot(&mut sink, decision).await {
-        Some(Decision::Start { address, deadline, load }) => {
+        Some(Decision::Start { upstream, address, deadline, load }) => {
             let load = Some(load.into());
             let admitted = wire::Verdict { admitted: true, load, ..wire::Verdict::default() };
             if sink.send(Body::Verdict(admitted)).await.is_err() {
@@ -83,12 +85,13 @@
                 tokio::spawn(receive_body(source, sender));
                 rest
             });
-            let call = Call { rest, ..call(begin, address, deadline, events) };
+            let idempotent = begin.idempotent;
+            let call = Call { rest, upstream, ..call(begin, address, deadline, events) };
             if context.calls.send(call).await.is_err() {
                 finish(context, attempt, RunResult::Cancelled).await;
                 return Err(LinkError::Closed);
             }
-            Running { context, attempt, id, sink }.relay(received, abandoned).await
+            Running { context, attempt, id, sink, idempotent }.relay(received, abandoned).await
         }
         Some(Decision::Refuse(reason, load)) => refuse(sink, reason, Some(load)).await,
         None => {
@@ -144,6 +147,8 @@
     let whole = Some(begin.body.len() as u64);
     Call {
         address,
+        upstream: "".into(),
+        id: begin.request_id,
         deadline,
         idempotent: begin.idempotent,
         method: begin.method,
@@ -176,6 +181,7 @@
     attempt: AttemptId,
     id: String,
     sink: Sink,
+    idempotent: bool,
 }
 
 impl Running<'_> {
@@ -235,9 +241,16 @@
         self.outlive(events).await
     }
 
-    /// Waits until the upstream answers, though nobody wants the answer any more: until then the
-    /// request holds its slot there, and freeing it here would overload the upstream.
+    /// Ends work whose answer nobody wants. Where upstreams stop when their connection closes, work
+    /// that may be repeated is cancelled. Otherwise this waits until the upstream answers: until
+    /// then the request holds its slot there, and freeing it here would overload the upstream.
     async fn outlive(self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+        if self.idempotent && self.context.dialect.stops_when_closed() {
+            drop(events);
+            log::info!("event=cancelled request={}", self.id);
+            finish(self.context, self.attempt, RunResult::Cancelled).await;
+            return Err(LinkError::Closed);
+        }
         let result = match events.recv().await {
             Some(CallEvent::End) => RunResult::Success,
             Some(CallEvent::Failed { result, .. }) => result,
@@ -374,6 +387,7 @@
             forwarded: true,
             method: begin.method,
             target: begin.target,
+            host: String::new(),
         },
         id: begin.request_id,
         headers: begin.headers.into_iter().map(|field| (field.name, field.value)).collect(),
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use lavenderflow_core::catalog::Limits;
 use lavenderflow_core::clock::SharedClock;
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
 use lavenderflow_core::gate::Gate;
@@ -11,7 +12,7 @@
 use lavenderflow_core::roster::{Member, Roster};
 use lavenderflow_schema::settings::NodeSettings;
 use rand::random;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::{ActorOwn, Stakker, actor, call, fwd_to, ret_nop, ret_shutdown};
 use tokio::runtime::Runtime;
@@ -22,66 +23,100 @@
 use crate::actor::entry::EntryActor;
 use crate::actor::fleet::{self, FleetActor};
 use crate::actor::gate::GateActor;
-use crate::actor::lifecycle::{LifecycleActor, Parts};
+use crate::actor::lifecycle::{LifecycleActor, Parts, Stop};
 use crate::clock::SystemClock;
 use crate::counter;
 use crate::error::NodeError;
+use crate::http::listen::Addresses;
 use crate::http::{callers, listen};
+use crate::net::context::Context;
 use crate::net::endpoint::{self, Command, Network};
 use crate::net::key;
 use crate::prelude::*;
-use crate::store::Store;
-use crate::upstream::{Call, CallEvent, Caller};
-use crate::watcher::Watcher;
+use crate::site::{Site, Trust};
+use crate::store::{Introducer, IntroducerSetup, Store, Watcher, WatcherSetup};
 use crate::work::Work;
-use crate::workers::Workers;
 
 /// Longest sleep of the main loop.
 const MAX_SLEEP: Duration = Duration::from_secs(60);
 /// Messages that are handled before the actors run.
 const BATCH: usize = 256;
-/// Most calls to upstreams at once.
-const MAX_CALLS: usize = 4096;
-/// Calls that can wait for a thread.
-const CALL_QUEUE: usize = 256;
 
 /// Runs a node until it is stopped.
 ///
 /// # Errors
 ///
 /// The node cannot start.
-pub fn run(settings: &NodeSettings) -> Result<(), NodeError> {
+pub fn run(settings: &NodeSettings, site: &Site) -> Result<(), NodeError> {
     let clock: SharedClock = Arc::new(SystemClock);
     let (mailbox, messages) = Mailbox::new();
     let (network, commands) = endpoint::channel();
     let (next, next_nodes) = watch::channel(String::new());
-    let (ready, is_ready) = oneshot::channel();
+    let (limits, limits_in_force) = watch::channel(Limits::default());
+    let (is_ready, ready_state) = watch::channel(false);
+    let (ready, becomes_ready) = oneshot::channel();
     let (stop, is_stopped) = oneshot::channel();
     let statsd = counter::statsd(settings.statsd.first().copied())?;
     let work = Work::default();
-    let net = start_network(settings, &clock, &mailbox, commands, &work)?;
+    let net = start_network(settings, site, &clock, &mailbox, commands, &work)?;
     let most = usize::try_from(settings.workers).unwrap_or(usize::MAX);
-    let context = callers::Context { name: settings.name.clone(), net, next: next_nodes, most };
-    let (callers, admin) = (settings.callers, settings.admin);
-    start_http(listen::Setup { callers, admin, context, ready: is_ready, stop: is_stopped })?;
+    let name = settings.name.clone();
+    start_http(listen::Setup {
+        addresses: addresses(settings, site),
+        context: callers::Context { name, net, next: next_nodes, limits: limits_in_force, most },
+        eager: site.deploys,
+        ready: becomes_ready,
+        is_ready: ready_state,
+        stop: is_stopped,
+    })?;
     start_signals(mailbox.clone())?;
     let store = Store::new(settings.store);
-    let zone = settings.zone.as_str().into();
+    let member = member(settings);
+    let (name, peer) = (settings.name.clone(), member.peer);
+    let introduction =
+        IntroducerSetup { store: store.clone(), name, peer, mailbox: mailbox.clone() };
+    let introducer = Introducer::start(introduction)?;
+    let watchers = site.sources.iter().map(|source| {
+        let (store, mailbox, clock) = (store.clone(), mailbox.clone(), Arc::clone(&clock));
+        Watcher::start(WatcherSetup { store, source: *source, mailbox, clock })
+    });
     let fleet = fleet::Setup {
-        roster: Roster::new(Arc::clone(&clock), member(settings)),
+        roster: Roster::new(Arc::clone(&clock), member),
         seeds: settings.seeds.clone(),
         ping: settings.ping,
         network: network.clone(),
-        watcher: Watcher::start(store, zone, Arc::clone(&clock), mailbox)?,
+        introducer,
+        watchers: watchers.collect::<Result<_, _>>()?,
+        profile: site.profile.clone(),
         next,
+        limits,
+        deploys: site.deploys,
+        burst: settings.burst,
         ready,
     };
-    log::info!("event=started node={} peers={}", settings.name, settings.peers);
-    Main::new(settings, &clock, fleet, statsd, work).serve(messages)?;
+    log::info!(
+        "event=started node={} peers={} version={}",
+        settings.name,
+        settings.peers,
+        env!("CARGO_PKG_VERSION")
+    );
+    Main::new(settings, &clock, fleet, statsd, work, is_ready).serve(messages)?;
     close(stop, &network);
+    log::info!("event=ended node={}", settings.name);
     Ok(())
 }
 
+fn addresses(settings: &NodeSettings, site: &Site) -> Addresses {
+    Addresses {
+        callers: settings.callers,
+        admin: settings.admin,
+        ready: site.ready,
+        announcements: site.announcements,
+        metrics: settings.metrics.first().copied(),
+        upstream: site.upstream,
+    }
+}
+
 fn member(settings: &NodeSettings) -> Member {
     Member {
         node: node_id(&settings.name),
@@ -92,6 +127,7 @@
         callers: settings.callers,
         zone: settings.zone.as_str().into(),
         leaving: false,
+        detached: false,
         offers: Vec::new(),
     }
 }
@@ -101,24 +137,26 @@
     builder.enable_all().build().map_err(NodeError::Runtime)
 }
 
-/// Starts the network thread and the threads that call upstreams.
+/// Starts the network thread.
 fn start_network(
     settings: &NodeSettings,
+    site: &Site,
     clock: &SharedClock,
     mailbox: &Mailbox,
     commands: mpsc::Receiver<Command>,
     work: &Work,
-) -> Result<endpoint::Context, NodeError> {
-    let keys = key::load(&settings.authority, &settings.certificate, &settings.key)?;
-    let (calls, queue) = mpsc::channel(CALL_QUEUE);
-    spawn("calls", call_upstreams(queue, Arc::clone(clock)))?;
+) -> Result<Context, NodeError> {
+    let keys = match site.trust {
+        Trust::Keys => key::load(&settings.authority, &settings.certificate, &settings.key)?,
+        Trust::Network => key::self_signed()?,
+    };
     let setup = endpoint::Setup {
         node: node_id(&settings.name),
         address: settings.peers,
         keys,
         clock: Arc::clone(clock),
         mailbox: mailbox.clone(),
-        calls,
+        dialect: Arc::clone(&site.dialect),
         work: work.clone(),
         ping: settings.ping,
     };
@@ -145,27 +183,14 @@
     builder.spawn(run).map(|_| ()).map_err(NodeError::Thread)
 }
 
-/// Hands calls to upstreams to threads.
-fn call_upstreams(mut queue: mpsc::Receiver<Call>, clock: SharedClock) -> impl FnOnce() + Send {
-    move || {
-        let caller = Caller::new(clock);
-        let mut workers = Workers::new("upstream", MAX_CALLS, move |call| caller.run(call));
-        while let Some(call) = queue.blocking_recv() {
-            if let Err(call) = workers.submit(call) {
-                let not_run = Some(Reason::WorkersBusy);
-                let result = lavenderflow_core::gate::RunResult::Cancelled;
-                let _ = call.events.blocking_send(CallEvent::Failed { result, not_run });
-            }
-        }
-    }
-}
-
 /// Turns signals into a graceful stop.
 fn start_signals(mailbox: Mailbox) -> Result<(), NodeError> {
-    let mut signals = Signals::new([SIGINT, SIGTERM]).map_err(NodeError::Signal)?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(NodeError::Signal)?;
     spawn("signals", move || {
-        for _ in signals.forever() {
-            mailbox.send_blocking(Message::Drain);
+        for signal in signals.forever() {
+            log::info!("event=signal number={signal}");
+            let message = if signal == SIGHUP { Message::Reload } else { Message::Drain };
+            mailbox.send_blocking(message);
         }
     })
 }
@@ -200,6 +225,7 @@
         fleet: fleet::Setup,
         statsd: cadence::StatsdClient,
         work: Work,
+        is_ready: watch::Sender<bool>,
     ) -> Self {
         let mut stakker = Stakker::new(clock.now());
         let s = &mut stakker;
@@ -208,7 +234,10 @@
         let identity = Identity { node: me.node, incarnation, zone: me.zone.clone() };
         let answers = usize::try_from(settings.answers * 1024).unwrap_or(usize::MAX);
         let limits = TicketLimits { retention: settings.tickets, answers };
-        let entry = Entry::new(identity, limits, Arc::clone(clock), random());
+        let mut entry = Entry::new(identity, limits, Arc::clone(clock), random());
+        if fleet.deploys {
+            entry.await_routes();
+        }
         let counters = actor!(s, CountersActor::init(statsd), ret_nop!());
         let count = counters.clone();
         let entry = actor!(s, EntryActor::init(entry, count), ret_shutdown!(s));
@@ -221,10 +250,12 @@
         let handle = gate.clone();
         call!([fleet], set_gate(handle));
         let parts = Parts { entry: entry.clone(), gate: gate.clone(), fleet: fleet.clone() };
+        let NodeSettings { notice, linger, stop: limit, .. } = *settings;
+        let stop = Stop { notice, linger, limit };
         let lifecycle =
-            actor!(s, LifecycleActor::init(parts, work, settings.linger), ret_shutdown!(s));
-        let handle = lifecycle.clone();
-        call!([fleet], set_lifecycle(handle));
+            actor!(s, LifecycleActor::init(parts, work, stop, is_ready), ret_shutdown!(s));
+        let serve = fwd_to!([lifecycle], serve() as (()));
+        call!([fleet], set_serve(serve));
         Self { stakker, clock: Arc::clone(clock), counters, entry, gate, fleet, lifecycle }
     }
 
@@ -254,6 +285,10 @@
             Message::Gate(message) => call!([gate], handle(message)),
             Message::Fleet(message) => call!([fleet], handle(message)),
             Message::Count(counter) => call!([counters], add(counter)),
+            Message::Latency(stage, time) => call!([counters], measure(stage, time)),
+            Message::Metrics(reply) => call!([counters], metrics(reply)),
+            // Settings are read at the start; the configuration comes from the store.
+            Message::Reload => log::info!("event=reload changed=none"),
             Message::Drain => call!([lifecycle], drain()),
             Message::Status(reply) => call!([lifecycle], status(reply)),
         }
--- a/crates/lavenderflow/src/prelude.rs
+++ b/crates/lavenderflow/src/prelude.rs
@@ -2,5 +2,5 @@
 
 pub use lavenderflow_core::prelude::*;
 
-pub use crate::counter::{Counter, Fault};
+pub use crate::counter::{Counter, Fault, Stage};
 pub use crate::message::{Mailbox, Message};
--- /dev/null
+++ b/crates/lavenderflow/src/site.rs
@@ -0,0 +1,77 @@
+//! What a node finds where it runs: who its callers and upstreams are and how they speak.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use lavenderflow_platform::deployment;
+use lavenderflow_platform::placement::Placement;
+use lavenderflow_schema::dialect::Dialect;
+
+use crate::http::native::NativeDialect;
+use crate::prelude::*;
+use crate::store::{OWN_SOURCE, Source};
+
+/// How nodes know one another.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trust {
+    /// By certificates of the fleet's authority, on both sides.
+    Keys,
+    /// By their place in the network: whoever reaches a node's port is one of the fleet.
+    Network,
+}
+
+/// Where a node runs.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// How callers and upstreams spell what they say.
+    pub dialect: Arc<dyn Dialect>,
+    /// How nodes know one another.
+    pub trust: Trust,
+    /// Address for the question whether the node takes new requests.
+    pub ready: Option<SocketAddr>,
+    /// Address for announcements in the site's own form.
+    pub announcements: Option<SocketAddr>,
+    /// Where the only upstream of this VM serves HTTP; none when there can be several.
+    pub upstream: Option<SocketAddr>,
+    /// Where configuration comes from.
+    pub sources: Vec<Source>,
+    /// Whether the routes come as one deployment, before which nothing can be served.
+    pub deploys: bool,
+    /// Profile of services without a stored one.
+    pub profile: Profile,
+}
+
+impl Site {
+    /// Returns a site where everything is told by settings and by operators' commands.
+    pub fn native() -> Self {
+        Self {
+            dialect: Arc::new(NativeDialect),
+            trust: Trust::Keys,
+            ready: None,
+            announcements: None,
+            upstream: None,
+            sources: vec![OWN_SOURCE],
+            deploys: false,
+            profile: Profile::default(),
+        }
+    }
+
+    /// Returns a site on the platform.
+    pub fn platform(placement: &Placement) -> Self {
+        let deployment = Source {
+            prefix: deployment::KEY,
+            decode: |entry| deployment::decode(entry.value.as_bytes()),
+            restores: false,
+        };
+        Self {
+            dialect: Arc::new(placement.dialect.clone()),
+            trust: Trust::Network,
+            ready: Some(placement.ready),
+            announcements: Some(placement.announcements),
+            upstream: Some(placement.upstream),
+            sources: vec![OWN_SOURCE, deployment],
+            deploys: true,
+            profile: placement.profile.clone(),
+        }
+    }
+}
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -1,139 +1,62 @@
-//! The client of the platform's store.
-
-use std::net::SocketAddr;
-
-use serde::Deserialize;
-use ureq::Agent;
-use ureq::http::Response;
-
-use crate::prelude::*;
-
-/// Header with the store's revision of a value.
-const REVISION: &str = "store-revision";
-/// Longest time for a call, beyond the time that a watch waits.
-const TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Orders the changes of all keys in the store.
-pub type StoreRevision = u64;
-
-/// Why a call to the store failed.
-#[derive(Debug, thiserror::Error)]
-pub enum StoreError {
-    /// Another value is stored than the one to replace.
-    #[error("the value was changed meanwhile")]
-    Conflict,
-    /// There was no answer; a change may have taken effect.
-    #[error("the store cannot be reached: {0}")]
-    Unavailable(#[from] ureq::Error),
-    /// The answer has an unexpected status.
-    #[error("the store answered with status {0}")]
-    Status(u16),
-    /// The answer has no revision.
-    #[error("the store's answer has no revision")]
-    Revision,
+//! What nodes and operators keep in the platform's store.
+
+mod introducer;
+mod watcher;
+
+use lavenderflow_core::catalog::Document;
+use lavenderflow_schema::convert::{ConvertError, configuration};
+
+pub use self::introducer::{Introducer, Setup as IntroducerSetup, Standing};
+pub use self::watcher::{Setup as WatcherSetup, Watcher};
+pub use lavenderflow_platform::store::{Entry, Freshness, Page, Store, StoreError, StoreRevision};
+
+use crate::prelude::Duration;
+
+/// Prefix of the configuration's keys.
+pub const CONFIGURATION: &str = "config/";
+/// First time to wait after a failed call, doubled with each further one.
+const FIRST_BACKOFF: Duration = Duration::from_millis(250);
+/// Longest time to wait after a failed call; entries must be back two seconds after an outage.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
+/// A part of the store that holds configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Source {
+    /// Prefix of its keys.
+    pub prefix: &'static str,
+    /// Decodes a value; `Err` for what is not configuration at all.
+    pub decode: fn(&Entry) -> Result<Document, ConvertError>,
+    /// Whether nodes may put back values that the store has lost.
+    pub restores: bool,
 }
 
-/// A stored value.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
-pub struct Entry {
-    /// Key.
-    pub key: String,
-    /// The store's revision of the value.
-    pub revision: StoreRevision,
-    /// Value.
-    pub value: String,
-}
-
-/// The answer to a list or a watch.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
-pub struct Page {
-    /// The revision up to which changes are included.
-    pub revision: StoreRevision,
-    /// Values that have changed.
-    pub entries: Vec<Entry>,
-}
+/// The configuration that operators write by this product's commands.
+pub const OWN_SOURCE: Source = Source { prefix: CONFIGURATION, decode: decode_own, restores: true };
 
-/// Calls the store.
-#[derive(Clone, Debug)]
-pub struct Store {
-    address: SocketAddr,
-    agent: Agent,
+fn decode_own(entry: &Entry) -> Result<Document, ConvertError> {
+    // One that cannot be parsed has revision 0 and is rejected where it is checked.
+    let revision = configuration::parse(entry.value.as_bytes()).map_or(0, |stored| stored.revision);
+    let key = entry.key.strip_prefix(CONFIGURATION).unwrap_or(&entry.key);
+    Ok(Document { key: key.into(), revision, text: entry.value.as_bytes().into() })
 }
 
-impl Store {
-    /// Creates a client; nothing is sent yet.
-    pub fn new(address: SocketAddr) -> Self {
-        let config = Agent::config_builder().http_status_as_error(false).proxy(None);
-        Self { address, agent: config.build().into() }
-    }
+/// Time to wait after failed calls.
+#[derive(Debug)]
+struct Backoff(Duration);
 
-    /// Reads a value.
-    ///
-    /// # Errors
-    ///
-    /// The store does not answer as expected.
-    pub fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
-        let url = format!("http://{}/v1/kv/{key}", self.address);
-        let call = self.agent.get(url).config().timeout_global(Some(TIMEOUT)).build();
-        let mut response = call.call()?;
-        match response.status().as_u16() {
-            200 => {
-                let revision = revision(&response)?;
-                let value = response.body_mut().read_to_string()?;
-                Ok(Some(Entry { key: key.to_owned(), revision, value }))
-            }
-            404 => Ok(None),
-            status => Err(StoreError::Status(status)),
-        }
+impl Backoff {
+    fn new() -> Self {
+        Self(FIRST_BACKOFF)
     }
 
-    /// Replaces the value of revision `base`, or creates it when `base` is 0.
-    ///
-    /// # Errors
-    ///
-    /// Another value is stored, or the store does not answer; then the change may have taken
-    /// effect.
-    pub fn put(
-        &self,
-        key: &str,
-        value: &str,
-        base: StoreRevision,
-    ) -> Result<StoreRevision, StoreError> {
-        let url = format!("http://{}/v1/kv/{key}?if={base}", self.address);
-        let call = self.agent.put(url).config().timeout_global(Some(TIMEOUT)).build();
-        let response = call.send(value)?;
-        match response.status().as_u16() {
-            200 => revision(&response),
-            409 => Err(StoreError::Conflict),
-            status => Err(StoreError::Status(status)),
-        }
+    /// Returns the time to wait after another failure, spread so that nodes do not come together.
+    fn next(&mut self) -> Duration {
+        let wait = self.0.mul_f64(rand::random_range(0.5..1.0));
+        self.0 = (self.0 * 2).min(MAX_BACKOFF);
+        wait
     }
 
-    /// Returns the values below a prefix that have changed after a revision; waits up to `wait`
-    /// for the first.
-    ///
-    /// # Errors
-    ///
-    /// The store does not answer as expected.
-    pub fn list(
-        &self,
-        prefix: &str,
-        after: StoreRevision,
-        wait: Duration,
-    ) -> Result<Page, StoreError> {
-        let wait_ms = wait.as_millis();
-        let base = format!("http://{}/v1/kv", self.address);
-        let url = format!("{base}?prefix={prefix}&after={after}&wait_ms={wait_ms}");
-        let limit = Some(wait + TIMEOUT);
-        let mut response = self.agent.get(url).config().timeout_global(limit).build().call()?;
-        match response.status().as_u16() {
-            200 => Ok(response.body_mut().with_config().limit(u64::MAX).read_json()?),
-            status => Err(StoreError::Status(status)),
-        }
+    fn reset(&mut self) {
+        self.0 = FIRST_BACKOFF;
     }
 }
-
-fn revision<B>(response: &Response<B>) -> Result<StoreRevision, StoreError> {
-    let value = response.headers().get(REVISION).and_then(|value| value.to_str().ok());
-    value.and_then(|text| text.parse().ok()).ok_or(StoreError::Revision)
-}
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -1,34 +1,45 @@
-//! Calls upstreams. Each call runs on a thread that owns its connection.
+//! Calls upstreams over HTTP/1.1.
+//!
+//! One task owns the idle connections. Each call is a task of its own that holds one connection
+//! until the answer has ended; a connection on which anything unexpected came is closed.
+
+pub mod body;
+mod pool;
 
-use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
 use lavenderflow_core::gate::RunResult;
+use lavenderflow_schema::dialect::{Dialect, Fields, Judgement};
 use tokio::sync::mpsc;
-use ureq::http;
-use ureq::{Agent, SendBody};
+use tokio::time::{Instant, timeout_at};
 
+use self::body::UpstreamBody;
+use self::pool::{Connected, Pool, connect};
 use crate::http::header;
 use crate::net::body::BodyPart;
-use crate::prelude::*;
+use crate::prelude::{Duration, Reason, SharedClock};
 
-/// Size of the pieces in which an answer is read.
-const CHUNK_BYTES: usize = 32 * 1024;
-/// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle connections kept per upstream.
-const IDLE_CONNECTIONS: usize = 64;
+/// Calls that can wait for the task.
+const CAPACITY: usize = 256;
+/// Time after the deadline for the upstream's own answer that it has passed.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
 
 /// A call to an upstream.
 #[derive(Debug)]
 pub struct Call {
     /// Where the upstream serves HTTP.
     pub address: SocketAddr,
+    /// Id of the upstream.
+    pub upstream: Arc<str>,
+    /// Id of the request.
+    pub id: String,
     /// When the call must have ended.
-    pub deadline: Instant,
+    pub deadline: std::time::Instant,
     /// Whether it may be repeated.
     pub idempotent: bool,
     /// HTTP method.
@@ -36,14 +47,14 @@
     /// Path and query.
     pub target: String,
     /// Header fields.
-    pub headers: Vec<(String, String)>,
+    pub headers: Fields,
     /// The whole body, or its first part.
     pub body: Bytes,
     /// The rest of the body.
     pub rest: Option<mpsc::Receiver<BodyPart>>,
     /// Declared length of the body.
     pub length: Option<u64>,
-    /// Where events go.
+    /// Where events go. A receiver that is dropped cancels the call.
     pub events: mpsc::Sender<CallEvent>,
 }
 
@@ -55,7 +66,7 @@
         /// HTTP status.
         status: u16,
         /// Header fields.
-        headers: Vec<(String, String)>,
+        headers: Fields,
     },
     /// A part of the body.
     Data(Bytes),
@@ -70,56 +81,29 @@
     },
 }
 
-/// Makes calls.
-#[derive(Clone, Debug)]
-pub struct Caller {
-    clock: SharedClock,
-    reuse: Agent,
-    once: Agent,
-}
+/// Sends calls to the task that makes them.
+pub type Calls = mpsc::Sender<Call>;
 
-impl Caller {
-    /// Creates a caller with its own connections.
-    pub fn new(clock: SharedClock) -> Self {
-        Self { clock, reuse: agent(IDLE_CONNECTIONS), once: agent(0) }
-    }
-
-    /// Makes a call and reports it to the call's events.
-    pub fn run(&self, mut call: Call) {
-        let broken = Arc::new(AtomicBool::new(false));
-        let body = BodyReader {
-            part: std::mem::take(&mut call.body),
-            rest: call.rest.take(),
-            broken: Arc::clone(&broken),
-        };
-        let events = call.events.clone();
-        if let Err(failure) = self.exchange(&call, body) {
-            let failure = if broken.load(Ordering::Acquire) { CallFailure::Body } else { failure };
-            let (result, not_run) = failure.classify();
-            log::debug!("event=call-failed upstream={} fault={failure:?}", call.address);
-            let _ = events.blocking_send(CallEvent::Failed { result, not_run });
-        }
-    }
-
-    fn exchange(&self, call: &Call, body: BodyReader) -> Result<(), CallFailure> {
-        // A process that was frozen since the admission finds the deadline past here.
-        let now = self.clock.now();
-        let remaining = call.deadline.saturating_duration_since(now);
-        if remaining.is_zero() {
-            return Err(CallFailure::Late);
-        }
-        // On a new connection a failure to connect proves that nothing ran.
-        let agent = if call.idempotent { &self.reuse } else { &self.once };
-        let response = agent.run(request(agent, call, body, remaining)?)?;
-        let (status, headers) = (response.status().as_u16(), header::from_map(response.headers()));
-        if status == 503 && header::find(&headers, header::OUTCOME) == Some("not-run") {
-            return Err(CallFailure::Shed);
+/// Starts the task that makes calls; it ends with the last sender.
+pub fn start(clock: SharedClock, dialect: Arc<dyn Dialect>) -> Calls {
+    let (calls, mut received) = mpsc::channel::<Call>(CAPACITY);
+    let (returned, mut idle) = mpsc::channel::<Connected>(CAPACITY);
+    tokio::spawn(async move {
+        let mut pool = Pool::default();
+        loop {
+            tokio::select! {
+                call = received.recv() => {
+                    let Some(call) = call else { return };
+                    let kept = pool.take(call.address, call.idempotent);
+                    let clock = Arc::clone(&clock);
+                    let task = Task { clock, dialect: Arc::clone(&dialect), returned: returned.clone() };
+                    tokio::spawn(task.run(call, kept));
+                }
+                Some(connected) = idle.recv() => pool.put(connected),
+            }
         }
-        let length = header::content_length(&headers).filter(|_| call.method != "HEAD");
-        send(call, CallEvent::Head { status, headers })?;
-        relay(call, &mut response.into_body().into_reader(), length)?;
-        send(call, CallEvent::End)
-    }
+    });
+    calls
 }
 
 /// Why a call has no whole answer.
@@ -127,140 +111,201 @@
 enum CallFailure {
     #[error("the deadline had passed before the call")]
     Late,
-    #[error("the upstream sheds load")]
-    Shed,
+    #[error("the upstream refused the request: {0:?}")]
+    Refused(Reason),
     #[error("the request body broke off")]
     Body,
     #[error("the receiver of the answer is gone")]
     Unwanted,
-    #[error("the answer has {0} bytes too few or too many")]
-    Length(u64),
-    #[error("the answer broke off: {0}")]
-    Read(#[from] io::Error),
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    #[error("no connection in time")]
+    ConnectTimeout,
+    #[error("no answer in time")]
+    Timeout,
+    #[error("the answer belongs to no request")]
+    Foreign,
     #[error("malformed request: {0}")]
-    Request(#[from] http::Error),
-    #[error("call: {0}")]
-    Call(#[from] ureq::Error),
+    Request(#[from] hyper::http::Error),
+    #[error("the exchange failed: {0}")]
+    Exchange(#[from] hyper::Error),
 }
 
 impl CallFailure {
     fn classify(&self) -> (RunResult, Option<Reason>) {
         match self {
             Self::Late => (RunResult::Cancelled, Some(Reason::DeadlinePast)),
-            Self::Shed => (RunResult::Shed, Some(Reason::Shed)),
+            Self::Refused(reason) => (RunResult::Shed, Some(*reason)),
             Self::Request(_) => (RunResult::Cancelled, Some(Reason::BadRequest)),
             Self::Body | Self::Unwanted => (RunResult::Cancelled, None),
-            Self::Length(_) | Self::Read(_) => (RunResult::Broken, None),
-            // This machine has no free port: no sign of the upstream's health.
-            Self::Call(ureq::Error::Io(fault))
-                if fault.kind() == io::ErrorKind::AddrNotAvailable =>
-            {
+            // This machine has no free port or descriptor: no sign of the upstream's health.
+            Self::Connect(fault) if is_own_fault(fault) => {
                 (RunResult::Cancelled, Some(Reason::ConnectFailed))
             }
-            Self::Call(error) if is_connect_failure(error) => {
+            Self::Connect(_) | Self::ConnectTimeout => {
                 (RunResult::ConnectFailed, Some(Reason::ConnectFailed))
             }
-            Self::Call(ureq::Error::Timeout(_)) => (RunResult::TimedOut, None),
-            Self::Call(_) => (RunResult::Broken, None),
+            Self::Timeout => (RunResult::TimedOut, None),
+            Self::Foreign | Self::Exchange(_) => (RunResult::Broken, None),
         }
     }
 }
 
-fn is_connect_failure(error: &ureq::Error) -> bool {
-    match error {
-        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => true,
-        ureq::Error::Io(fault) => fault.kind() == io::ErrorKind::ConnectionRefused,
-        _ => false,
-    }
+fn is_own_fault(fault: &std::io::Error) -> bool {
+    /// Linux: too many open files.
+    const EMFILE: i32 = 24;
+    fault.kind() == std::io::ErrorKind::AddrNotAvailable || fault.raw_os_error() == Some(EMFILE)
 }
 
-fn agent(idle: usize) -> Agent {
-    Agent::config_builder()
-        .http_status_as_error(false)
-        .max_redirects(0)
-        .max_redirects_will_error(false)
-        .allow_non_standard_methods(true)
-        .proxy(None)
-        .user_agent("")
-        .accept("")
-        .accept_encoding("")
-        .timeout_connect(Some(CONNECT_TIMEOUT))
-        .max_idle_connections(idle * 16)
-        .max_idle_connections_per_host(idle)
-        .build()
-        .into()
+struct Task {
+    clock: SharedClock,
+    dialect: Arc<dyn Dialect>,
+    returned: mpsc::Sender<Connected>,
 }
 
-fn request(
-    agent: &Agent,
-    call: &Call,
-    body: BodyReader,
-    remaining: Duration,
-) -> Result<http::Request<SendBody<'static>>, CallFailure> {
-    let uri = format!("http://{}{}", call.address, call.target);
-    let mut builder = http::Request::builder().method(call.method.as_str()).uri(uri);
-    for (name, value) in call.headers.iter().filter(|(name, _)| !header::is_hop_by_hop(name)) {
-        builder = builder.header(name, value);
+impl Task {
+    /// Makes a call and reports it to the call's events.
+    async fn run(self, mut call: Call, kept: Option<Connected>) {
+        let (body, broken) =
+            UpstreamBody::new(std::mem::take(&mut call.body), call.rest.take(), call.length);
+        let events = call.events.clone();
+        let ended = tokio::select! {
+            ended = self.exchange(&call, body, kept) => ended,
+            () = events.closed() => Err(CallFailure::Unwanted),
+        };
+        let Err(failure) = ended else { return };
+        let failure = if broken.is_set() { CallFailure::Body } else { failure };
+        let (result, not_run) = failure.classify();
+        log::info!(
+            "event=call-failed request={} upstream={} result={result:?} not_run={} fault={failure:?}",
+            call.id,
+            call.upstream,
+            not_run.map_or("unknown", Reason::name)
+        );
+        // The receiver may be gone, which is why the call was given up.
+        let _ = events.send(CallEvent::Failed { result, not_run }).await;
     }
-    builder = builder.header(header::DEADLINE, remaining.as_millis().to_string());
-    let is_empty = body.part.is_empty() && body.rest.is_none();
-    let expects_body = matches!(call.method.as_str(), "POST" | "PUT" | "PATCH");
-    let request = if is_empty && !expects_body {
-        builder.body(SendBody::none())?
-    } else {
-        if let Some(length) = call.length {
-            builder = builder.header("content-length", length.to_string());
-        }
-        builder.body(SendBody::from_owned_reader(body))?
-    };
-    Ok(agent.configure_request(request).timeout_global(Some(remaining)).build())
-}
 
-/// Reads the body of the answer and checks its length.
-fn relay(call: &Call, reader: &mut impl Read, length: Option<u64>) -> Result<(), CallFailure> {
-    let mut total = 0;
-    loop {
-        let mut buffer = vec![0; CHUNK_BYTES];
-        let count = reader.read(&mut buffer)?;
-        if count == 0 {
-            break;
+    async fn exchange(
+        &self,
+        call: &Call,
+        body: UpstreamBody,
+        kept: Option<Connected>,
+    ) -> Result<(), CallFailure> {
+        // A process that was frozen since the admission finds the deadline past here.
+        let remaining = call.deadline.saturating_duration_since(self.clock.now());
+        if remaining.is_zero() {
+            return Err(CallFailure::Late);
         }
-        buffer.truncate(count);
-        total += count as u64;
-        send(call, CallEvent::Data(buffer.into()))?;
+        let limit = Instant::now() + remaining + ANSWER_MARGIN;
+        let request = self.request(call, body, remaining)?;
+        let (mut connected, response) = self.send(call, request, kept, limit).await?;
+        let (parts, incoming) = response.into_parts();
+        let (status, headers) = (parts.status.as_u16(), header::from_map(&parts.headers));
+        match self.dialect.judge(&call.id, status, &headers) {
+            Judgement::Answer => {}
+            Judgement::NotRun(reason) => {
+                // The connection stays useful when the refusal is whole.
+                if drain(incoming, limit).await {
+                    self.keep(connected, &headers).await;
+                }
+                return Err(CallFailure::Refused(reason));
+            }
+            Judgement::Foreign => return Err(CallFailure::Foreign),
+        }
+        let kept_for = pool::idle_time(&headers);
+        send(call, CallEvent::Head { status, headers }).await?;
+        relay(call, incoming, limit).await?;
+        connected.idle_time = kept_for;
+        // Returned before the end is told, so that the next call finds it.
+        let _ = self.returned.send(connected).await;
+        send(call, CallEvent::End).await
     }
-    match length {
-        Some(length) if length != total => Err(CallFailure::Length(length.abs_diff(total))),
-        _ => Ok(()),
+
+    /// Sends the request, on a new connection if the kept one turns out to be closed before
+    /// anything was sent.
+    async fn send(
+        &self,
+        call: &Call,
+        mut request: Request<UpstreamBody>,
+        kept: Option<Connected>,
+        limit: Instant,
+    ) -> Result<(Connected, Response<Incoming>), CallFailure> {
+        if let Some(mut connected) = kept {
+            match timeout_at(limit, connected.send(request)).await {
+                Err(_) => return Err(CallFailure::Timeout),
+                Ok(Ok(response)) => return Ok((connected, response)),
+                Ok(Err(mut fault)) => match fault.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(fault.into_error().into()),
+                },
+            }
+        }
+        let mut connected = connect(call.address, limit).await?;
+        match timeout_at(limit, connected.send(request)).await {
+            Err(_) => Err(CallFailure::Timeout),
+            Ok(Ok(response)) => Ok((connected, response)),
+            Ok(Err(fault)) => Err(fault.into_error().into()),
+        }
     }
-}
 
-fn send(call: &Call, event: CallEvent) -> Result<(), CallFailure> {
-    call.events.blocking_send(event).map_err(|_| CallFailure::Unwanted)
-}
+    async fn keep(&self, mut connected: Connected, headers: &[(String, String)]) {
+        connected.idle_time = pool::idle_time(headers);
+        // The task ends with the node; then the connection is closed.
+        let _ = self.returned.send(connected).await;
+    }
 
-/// Reads a request body from its first part and the channel with the rest.
-struct BodyReader {
-    part: Bytes,
-    rest: Option<mpsc::Receiver<BodyPart>>,
-    broken: Arc<AtomicBool>,
+    fn request(
+        &self,
+        call: &Call,
+        body: UpstreamBody,
+        remaining: Duration,
+    ) -> Result<Request<UpstreamBody>, CallFailure> {
+        let mut headers = call.headers.clone();
+        headers.retain(|(name, _)| !header::is_hop_by_hop(name));
+        self.dialect.run(&mut headers, &call.upstream, remaining);
+        let mut builder = Request::builder().method(call.method.as_str()).uri(call.target.as_str());
+        if header::find(&headers, "host").is_none() {
+            builder = builder.header("host", call.address.to_string());
+        }
+        for (name, value) in &headers {
+            builder = builder.header(name, value);
+        }
+        // A body of length 0 is declared where one is usual, as the caller did.
+        if call.length == Some(0) && header::find(&call.headers, "content-length").is_some() {
+            builder = builder.header("content-length", "0");
+        }
+        Ok(builder.body(body)?)
+    }
 }
 
-impl Read for BodyReader {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        while self.part.is_empty() {
-            let Some(rest) = &mut self.rest else { return Ok(0) };
-            match rest.blocking_recv() {
-                Some(BodyPart::Data(part)) => self.part = part,
-                Some(BodyPart::End) => self.rest = None,
-                None => {
-                    self.broken.store(true, Ordering::Release);
-                    return Err(io::ErrorKind::BrokenPipe.into());
+/// Passes the body of the answer on.
+async fn relay(call: &Call, mut incoming: Incoming, limit: Instant) -> Result<(), CallFailure> {
+    loop {
+        let frame = timeout_at(limit, incoming.frame()).await;
+        match frame.map_err(|_| CallFailure::Timeout)? {
+            None => return Ok(()),
+            Some(frame) => {
+                // Trailers are dropped.
+                if let Ok(data) = frame?.into_data() {
+                    send(call, CallEvent::Data(data)).await?;
                 }
             }
         }
-        let count = self.part.len().min(buffer.len());
-        buffer[..count].copy_from_slice(&self.part.split_to(count));
-        Ok(count)
     }
 }
+
+/// Reads a body that nobody wants; returns whether it was whole.
+async fn drain(mut incoming: Incoming, limit: Instant) -> bool {
+    loop {
+        match timeout_at(limit, incoming.frame()).await {
+            Ok(None) => return true,
+            Ok(Some(Ok(_))) => {}
+            Ok(Some(Err(_))) | Err(_) => return false,
+        }
+    }
+}
+
+async fn send(call: &Call, event: CallEvent) -> Result<(), CallFailure> {
+    call.events.send(event).await.map_err(|_| CallFailure::Unwanted)
+}
--- /dev/null
+++ b/crates/lavenderflow/src/upstream/body.rs
@@ -0,0 +1,98 @@
+//! Bodies of requests to upstreams.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+use crate::net::body::BodyPart;
+
+/// The request body broke off before its end.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the request body broke off")]
+pub struct BrokenBody;
+
+/// Tells whether a body broke off, after the library has taken it.
+#[derive(Clone, Debug, Default)]
+pub struct Broken(Arc<AtomicBool>);
+
+impl Broken {
+    /// Returns whether the body broke off.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// A body from its first part and the channel with the rest.
+#[derive(Debug)]
+pub struct UpstreamBody {
+    first: Bytes,
+    rest: Option<mpsc::Receiver<BodyPart>>,
+    left: Option<u64>,
+    broken: Broken,
+}
+
+impl UpstreamBody {
+    /// Creates a body; `length` is its declared length.
+    pub fn new(
+        first: Bytes,
+        rest: Option<mpsc::Receiver<BodyPart>>,
+        length: Option<u64>,
+    ) -> (Self, Broken) {
+        let broken = Broken::default();
+        (Self { first, rest, left: length, broken: broken.clone() }, broken)
+    }
+
+    fn count(&mut self, data: &Bytes) {
+        self.left = self.left.map(|left| left.saturating_sub(data.len() as u64));
+    }
+}
+
+impl Body for UpstreamBody {
+    type Data = Bytes;
+    type Error = BrokenBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenBody>>> {
+        if !self.first.is_empty() {
+            let first = std::mem::take(&mut self.first);
+            self.count(&first);
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
+        match rest.poll_recv(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(BodyPart::Data(data))) => {
+                self.count(&data);
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Poll::Ready(Some(BodyPart::End)) => {
+                self.rest = None;
+                Poll::Ready(None)
+            }
+            Poll::Ready(None) => {
+                self.rest = None;
+                self.broken.0.store(true, Ordering::Release);
+                Poll::Ready(Some(Err(BrokenBody)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_empty() && self.rest.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match (&self.rest, self.left) {
+            (_, Some(left)) => SizeHint::with_exact(left),
+            (None, None) => SizeHint::with_exact(self.first.len() as u64),
+            (Some(_), None) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -0,0 +1,132 @@
+//! Connections to upstreams that are kept between calls.
+
+use std::io;
+use std::net::SocketAddr;
+
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout_at};
+
+use super::CallFailure;
+use super::body::UpstreamBody;
+use crate::http::header;
+use crate::prelude::{Duration, IndexMap};
+
+/// Longest time to open a connection to an upstream on the same VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Idle connections that are kept per upstream.
+const MAX_IDLE: usize = 16;
+/// Time for which a connection is kept when the upstream does not say.
+const DEFAULT_IDLE: Duration = Duration::from_secs(5);
+/// Time before the announced end at which a connection is no longer used, so that a request does
+/// not cross the upstream's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(1500);
+/// Longest pause after which a connection still carries a request that may not be repeated: an
+/// upstream may forget an idle connection, and such a request would be lost with it.
+const FRESH: Duration = Duration::from_secs(2);
+
+/// A connection that one call holds, or none.
+#[derive(Debug)]
+pub(super) struct Connected {
+    address: SocketAddr,
+    sender: SendRequest<UpstreamBody>,
+    driver: AbortHandle,
+    /// How long it may stay idle; zero when it must not be kept.
+    pub(super) idle_time: Duration,
+    since: Instant,
+}
+
+impl Drop for Connected {
+    /// Closes the connection, so that the upstream stops work on its request.
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connected {
+    /// Sends a request and waits for the head of the answer.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<UpstreamBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<UpstreamBody>>> {
+        self.sender.try_send_request(request).await
+    }
+}
+
+/// Opens a connection.
+pub(super) async fn connect(address: SocketAddr, limit: Instant) -> Result<Connected, CallFailure> {
+    let limit = limit.min(Instant::now() + CONNECT_TIMEOUT);
+    let opened = timeout_at(limit, TcpStream::connect(address)).await;
+    let stream = opened.map_err(|_| CallFailure::ConnectTimeout)?.map_err(CallFailure::Connect)?;
+    stream.set_nodelay(true).map_err(CallFailure::Connect)?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|fault| CallFailure::Connect(io::Error::other(fault)))?;
+    let driver = tokio::spawn(async move {
+        if let Err(fault) = connection.await {
+            log::debug!("event=upstream-connection-failed address={address} fault={fault:?}");
+        }
+    });
+    let (idle_time, since) = (Duration::ZERO, Instant::now());
+    Ok(Connected { address, sender, driver: driver.abort_handle(), idle_time, since })
+}
+
+/// Returns how long the upstream keeps a connection after an answer with these fields.
+pub(super) fn idle_time(headers: &[(String, String)]) -> Duration {
+    let closes = header::find(headers, "connection")
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return Duration::ZERO;
+    }
+    let seconds = header::find(headers, "keep-alive").and_then(|value| {
+        let mut parts = value.split(',').filter_map(|part| part.trim().split_once('='));
+        parts.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?.1.parse().ok()
+    });
+    seconds.map_or(DEFAULT_IDLE, Duration::from_secs)
+}
+
+/// Idle connections by address, the latest last.
+#[derive(Debug, Default)]
+pub(super) struct Pool {
+    idle: IndexMap<SocketAddr, Vec<Connected>>,
+}
+
+impl Pool {
+    /// Takes the connection that was used last, if it may still be used.
+    pub(super) fn take(&mut self, address: SocketAddr, idempotent: bool) -> Option<Connected> {
+        let now = Instant::now();
+        self.expire(now);
+        let idle = self.idle.get_mut(&address)?;
+        let latest = idle.last()?;
+        (idempotent || now < latest.since + FRESH).then(|| idle.pop()).flatten()
+    }
+
+    /// Keeps a connection after its answer has ended.
+    pub(super) fn put(&mut self, mut connected: Connected) {
+        let now = Instant::now();
+        self.expire(now);
+        connected.since = now;
+        let idle = self.idle.entry(connected.address).or_default();
+        if idle.len() < MAX_IDLE && is_usable(&connected, now) {
+            idle.push(connected);
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for idle in self.idle.values_mut() {
+            idle.retain(|connected| is_usable(connected, now));
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+    }
+}
+
+fn is_usable(connected: &Connected, now: Instant) -> bool {
+    let end = connected.since + connected.idle_time.saturating_sub(IDLE_MARGIN);
+    now < end && !connected.sender.is_closed()
+}
--- a/crates/schema/src/convert.rs
+++ b/crates/schema/src/convert.rs
@@ -29,7 +29,8 @@
 }
 
 impl ConvertError {
-    fn invalid(
+    /// Names a field, its value and what was expected.
+    pub fn invalid(
         field: &'static str,
         value: &(impl ToString + ?Sized),
         expected: &'static str,
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -3,9 +3,9 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use lavenderflow_core::catalog::{Document, Item};
+use lavenderflow_core::catalog::{Deployment, Document, Item, Limits};
 use lavenderflow_core::profile::{Caution, Forgiveness, Patience, Profile};
-use lavenderflow_core::route::{Repeat, Route};
+use lavenderflow_core::route::{Part, Repeat, Route};
 use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
 
 use super::ConvertError;
@@ -56,6 +56,9 @@
             value.name.clone(),
             Item::Organisation(name_of("name", &value.name)?.into(), value.concurrency),
         ),
+        ("deployment", stored::Stored { deployment: Some(value), .. }) => {
+            (name.to_owned(), Item::Deployment(deployment(&value)?))
+        }
         _ => return Err(ConvertError::Key(document.key.to_string())),
     };
     if found == name { Ok(item) } else { Err(ConvertError::Key(document.key.to_string())) }
@@ -146,6 +149,9 @@
         slots: number("slots", value.slots, 1..=MAX_SLOTS)?,
         phase,
         lease: time("lease_ms", value.lease_ms, 100..=MAX_MS)?,
+        warm_up: None,
+        born: 0,
+        sequence: 0,
     })
 }
 
@@ -159,8 +165,40 @@
     if !value.prefix.starts_with('/') {
         return Err(ConvertError::invalid("prefix", &value.prefix, "a path"));
     }
-    let service = name_of("service", &value.service)?.into();
-    Ok(Route { prefix: value.prefix.clone(), service, repeat, long: value.long })
+    let parts = value.parts.iter().map(|part| {
+        let service = name_of("parts.service", &part.service)?.into();
+        Ok(Part { service, weight: part.weight })
+    });
+    let parts: Vec<Part> = parts.collect::<Result<_, ConvertError>>()?;
+    if !parts.is_empty() && parts.iter().all(|part| part.weight == 0) {
+        return Err(ConvertError::invalid("parts.weight", &0, "above 0 for one service"));
+    }
+    let service = if parts.is_empty() { name_of("service", &value.service)? } else { "" };
+    let optional = |ms: u32| (ms > 0).then(|| Duration::from_millis(u64::from(ms)));
+    Ok(Route {
+        prefix: value.prefix.clone(),
+        service: service.into(),
+        repeat,
+        long: value.long,
+        host: Some(value.host.clone()).filter(|host| !host.is_empty()),
+        parts,
+        timeout: optional(value.timeout_ms),
+        attempts: Some(value.attempts).filter(|attempts| *attempts > 0),
+        rank: value.rank,
+        target: optional(value.target_ms),
+    })
+}
+
+fn deployment(value: &stored::Deployment) -> Result<Deployment, ConvertError> {
+    let limits = value.limits.unwrap_or_default();
+    let header_bytes = usize::try_from(limits.header_bytes).ok().filter(|bytes| *bytes > 0);
+    Ok(Deployment {
+        routes: value.routes.iter().map(route).collect::<Result<_, _>>()?,
+        limits: Limits {
+            header_bytes,
+            body_bytes: Some(limits.body_bytes).filter(|bytes| *bytes > 0),
+        },
+    })
 }
 
 fn name_of<'a>(field: &'static str, name: &'a str) -> Result<&'a str, ConvertError> {
--- a/crates/schema/src/convert/gossip.rs
+++ b/crates/schema/src/convert/gossip.rs
@@ -59,6 +59,7 @@
             callers: member.callers.to_string(),
             zone: member.zone.to_string(),
             phase: phase.into(),
+            detached: member.detached,
             offers: member.offers.iter().map(Into::into).collect(),
         }
     }
@@ -72,6 +73,7 @@
             node: member.node,
             incarnation: member.incarnation,
             version: member.version,
+            detached: member.detached,
             leaving: member.phase() == wire::Phase::Leaving,
             peer: address("peer", &member.peer)?,
             callers: address("callers", &member.callers)?,
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -1,21 +1,21 @@
-//! The platform's store: compare-and-swap, leases left out, long-poll watches, and its faults.
+//! The platform's store: transactions under conditions, leases, watches, and its faults.
 //!
 //! One thread owns the values; HTTP threads ask it by messages.
 
+mod owner;
+mod protocol;
+
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{self, Sender};
 use std::thread;
-use std::time::{Duration, Instant};
-
-use indexmap::IndexMap;
-use serde_json::json;
+use std::time::Duration;
 
 use crate::error::Error;
 use crate::http::Head;
 
-/// Longest sleep of the owner.
-const MAX_SLEEP: Duration = Duration::from_secs(3600);
+pub use self::owner::Copy;
+use self::owner::{Command, Delivery, Owner};
 
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,41 +24,28 @@
     Up,
     /// It fails every call and changes nothing.
     Down,
+    /// It reads calls and never answers them.
+    Silent,
+    /// It resets connections instead of answering.
+    Resets,
+    /// It refuses calls because of their rate.
+    Limited,
+    /// It fails calls from one address and answers the others.
+    Refuses(IpAddr),
     /// It makes changes and then fails to say so.
     LosesAnswers,
     /// It answers after a delay.
     Slow(Duration),
 }
 
-/// All values, to put a store back to an older copy.
-#[derive(Clone, Debug, Default)]
-pub struct Copy {
-    revision: u64,
-    values: IndexMap<String, (u64, String)>,
-}
-
-#[derive(Debug)]
-enum Command {
-    Call(Call, Sender<Answer>),
-    Mode(Mode),
-    Calls(Sender<u64>),
-    Snapshot(Sender<Copy>),
-    Restore(Copy),
-}
-
-#[derive(Debug)]
-enum Call {
-    Get(String),
-    Put(String, String, u64),
-    List { prefix: String, after: u64, until: Instant },
-}
-
-#[derive(Clone, Debug)]
-struct Answer {
-    status: u16,
-    revision: u64,
-    body: String,
-    delay: Duration,
+/// What happens to leases while the store is down.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Outage {
+    /// They run on.
+    #[default]
+    Expires,
+    /// They stand still.
+    Pauses,
 }
 
 /// A running store.
@@ -78,7 +65,7 @@
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let (commands, received) = mpsc::channel();
-        thread::spawn(move || Owner::new().run(&received));
+        thread::spawn(move || Owner::default().run(&received));
         let sender = commands.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -99,6 +86,31 @@
         let _ = self.commands.send(Command::Mode(mode));
     }
 
+    /// Says what happens to leases while it is down.
+    pub fn set_outage(&self, outage: Outage) {
+        let _ = self.commands.send(Command::Outage(outage));
+    }
+
+    /// Forgets the history of changes, and cuts watches.
+    pub fn compact(&self) {
+        let _ = self.commands.send(Command::Compact);
+    }
+
+    /// Writes a value as the platform's operator does.
+    pub fn write(&self, key: &str, value: &str) {
+        let (key, value) = (key.to_owned(), value.to_owned());
+        let _ = self.commands.send(Command::Write(key, value));
+    }
+
+    /// Returns the keys that are stored.
+    ///
+    /// # Errors
+    ///
+    /// The store has stopped.
+    pub fn keys(&self) -> Result<Vec<String>, Error> {
+        self.ask(Command::Keys)
+    }
+
     /// Returns how many calls it has had; a waiting watch is one.
     ///
     /// # Errors
@@ -129,151 +141,37 @@
     }
 }
 
-struct Watch {
-    prefix: String,
-    after: u64,
-    until: Instant,
-    reply: Sender<Answer>,
-}
-
-struct Owner {
-    mode: Mode,
-    copy: Copy,
-    calls: u64,
-    watches: Vec<Watch>,
-}
-
-impl Owner {
-    fn new() -> Self {
-        Self { mode: Mode::Up, copy: Copy::default(), calls: 0, watches: Vec::new() }
-    }
-
-    fn run(mut self, commands: &Receiver<Command>) {
-        loop {
-            let now = Instant::now();
-            let end = self.watches.iter().map(|watch| watch.until).min();
-            let wait = end.map_or(MAX_SLEEP, |end| end.saturating_duration_since(now));
-            match commands.recv_timeout(wait) {
-                Ok(command) => self.handle(command),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
-            }
-            self.answer_watches();
-        }
-    }
-
-    fn handle(&mut self, command: Command) {
-        match command {
-            Command::Call(call, reply) => {
-                self.calls += 1;
-                self.call(call, reply);
-            }
-            Command::Mode(mode) => self.mode = mode,
-            Command::Calls(reply) => drop(reply.send(self.calls)),
-            Command::Snapshot(reply) => drop(reply.send(self.copy.clone())),
-            Command::Restore(copy) => self.copy = copy,
-        }
-    }
-
-    fn call(&mut self, call: Call, reply: Sender<Answer>) {
-        if self.mode == Mode::Down {
-            drop(reply.send(self.answer(503, String::new())));
-            return;
-        }
-        let answer = match call {
-            Call::Get(key) => match self.copy.values.get(&key) {
-                Some((revision, value)) => {
-                    Answer { revision: *revision, ..self.answer(200, value.clone()) }
-                }
-                None => self.answer(404, String::new()),
-            },
-            Call::Put(key, value, base) => self.put(key, value, base),
-            Call::List { prefix, after, until } => {
-                self.watches.push(Watch { prefix, after, until, reply });
-                return;
-            }
-        };
-        let _ = reply.send(answer);
-    }
-
-    fn put(&mut self, key: String, value: String, base: u64) -> Answer {
-        let current = self.copy.values.get(&key).map_or(0, |(revision, _)| *revision);
-        if current != base {
-            return self.answer(409, String::new());
-        }
-        self.copy.revision += 1;
-        self.copy.values.insert(key, (self.copy.revision, value));
-        let status = if self.mode == Mode::LosesAnswers { 504 } else { 200 };
-        self.answer(status, String::new())
-    }
-
-    fn answer(&self, status: u16, body: String) -> Answer {
-        let delay = if let Mode::Slow(delay) = self.mode { delay } else { Duration::ZERO };
-        Answer { status, revision: self.copy.revision, body, delay }
-    }
-
-    fn answer_watches(&mut self) {
-        let now = Instant::now();
-        let watches = std::mem::take(&mut self.watches);
-        for watch in watches {
-            let entries: Vec<_> = self
-                .copy
-                .values
-                .iter()
-                .filter(|(key, (revision, _))| {
-                    key.starts_with(&watch.prefix) && *revision > watch.after
-                })
-                .map(|(key, (revision, value))| {
-                    json!({"key": key, "revision": revision, "value": value})
-                })
-                .collect();
-            let is_behind = self.copy.revision < watch.after;
-            let is_down = self.mode == Mode::Down;
-            if entries.is_empty() && !is_behind && !is_down && now < watch.until {
-                self.watches.push(watch);
-                continue;
-            }
-            let body = json!({"revision": self.copy.revision, "entries": entries}).to_string();
-            let status = if is_down { 503 } else { 200 };
-            let _ = watch.reply.send(self.answer(status, body));
-        }
-    }
-}
-
 fn serve(stream: TcpStream, commands: &Sender<Command>) -> Result<(), Error> {
     let peer = stream.peer_addr()?;
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(head) = Head::read(&mut reader, peer)? {
-        let value = head.read_text(&mut reader, peer)?;
-        let call = parse(&head, value).ok_or(Error::Malformed(peer))?;
+        let text = head.read_text(&mut reader, peer)?;
+        let call = protocol::parse(&head, &text).ok_or(Error::Malformed(peer))?;
         let (reply, answer) = mpsc::channel();
-        commands.send(Command::Call(call, reply)).map_err(|_| Error::Stopped)?;
-        let answer = answer.recv().map_err(|_| Error::Stopped)?;
-        thread::sleep(answer.delay);
-        let Answer { status, revision, body, .. } = answer;
-        let length = body.len();
-        let text = format!(
-            "HTTP/1.1 {status} status\r\ncontent-length: {length}\r\n\
-             store-revision: {revision}\r\n\r\n{body}"
-        );
-        writer.write_all(text.as_bytes())?;
+        let command = Command::Call { call, from: peer.ip(), reply };
+        commands.send(command).map_err(|_| Error::Stopped)?;
+        match answer.recv().map_err(|_| Error::Stopped)? {
+            Delivery::Answer(status, body, delay) => {
+                thread::sleep(delay);
+                let length = body.len();
+                let text = format!(
+                    "HTTP/1.1 {status} status\r\ncontent-length: {length}\r\n\
+                     content-type: application/json\r\n\r\n{body}"
+                );
+                writer.write_all(text.as_bytes())?;
+            }
+            // A connection on which an answer is lost says nothing more.
+            Delivery::Silence => {
+                let mut rest = String::new();
+                return std::io::Read::read_to_string(&mut reader, &mut rest)
+                    .map(drop)
+                    .map_err(Error::from);
+            }
+            // Unread bytes turn the close into a reset.
+            Delivery::Reset => return Ok(()),
+        }
     }
     Ok(())
 }
-
-fn parse(head: &Head, value: String) -> Option<Call> {
-    let path = head.target.split('?').next()?;
-    let key = path.strip_prefix("/v1/kv")?.trim_start_matches('/').to_owned();
-    match head.method.as_str() {
-        "PUT" => Some(Call::Put(key, value, head.number("if")?)),
-        "GET" if key.is_empty() => Some(Call::List {
-            prefix: head.field("prefix")?.to_owned(),
-            after: head.number("after")?,
-            until: Instant::now() + Duration::from_millis(head.number("wait_ms")?),
-        }),
-        "GET" => Some(Call::Get(key)),
-        _ => None,
-    }
-}
--- /dev/null
+++ b/crates/standins/src/store/protocol.rs
@@ -0,0 +1,92 @@
+//! The store's calls as they come over HTTP.
+
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+
+use crate::http::Head;
+
+const BASE: &str = "/lavenderflow/";
+
+/// One call.
+#[derive(Debug)]
+pub(super) enum Call {
+    Get(String),
+    Range { prefix: String, after: String },
+    Watch { prefix: String, after: u64, until: Instant },
+    Commit(Transaction),
+    Grant(Duration),
+    Keep(u64),
+    End(u64),
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Transaction {
+    #[serde(default)]
+    pub(super) expect: Vec<Expected>,
+    #[serde(default)]
+    pub(super) writes: Vec<Write>,
+    #[serde(default)]
+    pub(super) deletes: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Expected {
+    pub(super) key: String,
+    pub(super) revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Write {
+    pub(super) key: String,
+    /// Base64.
+    pub(super) value: String,
+    #[serde(default)]
+    pub(super) lease: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct LeaseRequest {
+    ttl_s_time: f64,
+}
+
+/// Decodes a call; `None` for what the store does not know.
+pub(super) fn parse(head: &Head, text: &str) -> Option<Call> {
+    let path = head.target.split('?').next()?.strip_prefix(BASE)?;
+    match (head.method.as_str(), path) {
+        ("GET", "kv-key") => Some(Call::Get(unescape(head.field("key")?)?)),
+        ("GET", "kv-range") => Some(Call::Range {
+            prefix: unescape(head.field("path_prefix")?)?,
+            after: head.field("after").map_or(Some(String::new()), unescape)?,
+        }),
+        ("GET", "kv-watch") => Some(Call::Watch {
+            prefix: unescape(head.field("path_prefix")?)?,
+            after: head.number("after")?,
+            until: Instant::now() + Duration::from_millis(head.number("wait_ms")?),
+        }),
+        ("POST", "kv-txn") => serde_json::from_str(text).ok().map(Call::Commit),
+        ("POST", "kv-lease") => {
+            let request: LeaseRequest = serde_json::from_str(text).ok()?;
+            Duration::try_from_secs_f64(request.ttl_s_time).ok().map(Call::Grant)
+        }
+        ("POST", path) => path.strip_prefix("kv-keep/")?.parse().ok().map(Call::Keep),
+        ("DELETE", path) => path.strip_prefix("kv-lease-end/")?.parse().ok().map(Call::End),
+        _ => None,
+    }
+}
+
+fn unescape(text: &str) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((byte, tail)) = rest.split_first() {
+        if *byte == b'%' {
+            let digits = std::str::from_utf8(tail.get(..2)?).ok()?;
+            bytes.push(u8::from_str_radix(digits, 16).ok()?);
+            rest = &tail[2..];
+        } else {
+            bytes.push(*byte);
+            rest = tail;
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
