--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -5,7 +5,7 @@
 
 use divan::{Bencher, black_box};
 use lavenderflow_core::catalog::{Catalog, Document, Item};
-use lavenderflow_core::choice::Chooser;
+use lavenderflow_core::choice::{Chooser, Wish};
 use lavenderflow_core::clock::{ManualClock, SharedClock};
 use lavenderflow_core::gate::{Gate, Offer, Offered, RunResult};
 use lavenderflow_core::id::{AttemptId, ServiceName};
@@ -64,7 +64,8 @@
     }
     let (service, profile, now) = (service(1), Profile::default(), Instant::now());
     let mut rng = Pcg64Mcg::seed_from_u64(1);
-    bencher.bench_local(|| chooser.pick(&service, &profile, true, &[], now, &mut rng));
+    let wish = Wish { profile: &profile, idempotent: true, doubts: false, excluded: &[] };
+    bencher.bench_local(|| chooser.pick(&service, &wish, now, &mut rng));
 }
 
 /// The review of which gates are in the choice, which comes every 100 ms per used service.
@@ -121,7 +122,10 @@
             remaining: Duration::from_secs(2),
             usual: Duration::ZERO,
             rank: 0,
-            prompt: None,
+            target: None,
+            repeatable: true,
+            kind: None,
+            tolerance: 1.0,
         };
         black_box(gate.offer(offer));
         gate.finish(attempt, RunResult::Success)
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -48,11 +48,16 @@
         self.tokens = (self.tokens + share).min(self.most);
     }
 
-    /// Takes one repeat, or returns false when the budget is spent.
-    pub fn withdraw(&mut self) -> bool {
+    /// Tells whether a repeat can be taken.
+    pub fn has_token(&self) -> bool {
         // Sums of tenths fall short of whole numbers by rounding.
         const ROUNDING: f64 = 1e-9;
-        let allowed = self.tokens + ROUNDING >= 1.0;
+        self.tokens + ROUNDING >= 1.0
+    }
+
+    /// Takes one repeat, or returns false when the budget is spent.
+    pub fn withdraw(&mut self) -> bool {
+        let allowed = self.has_token();
         if allowed {
             self.tokens -= 1.0;
         }
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -13,6 +13,35 @@
 /// Share of idempotent requests that test a gate which is out of the choice.
 const TRIAL_SHARE: f64 = 0.02;
 
+/// Cost of another zone's traffic, as the time that it is worth.
+const CROSSING_COST: f64 = 0.04;
+/// Cost of a gray spell for work that may not be repeated, in seconds.
+const SPELL_COST: f64 = 1.0;
+/// Cost of a gray spell for work that is given up early and repeated, in seconds.
+const REPEATED_SPELL_COST: f64 = 0.2;
+/// Cost of a gate that did not answer just now, in seconds.
+const SILENCE_COST: f64 = 1.0;
+/// Time after which a silence has lost most of its weight, in seconds.
+const SILENCE_MEMORY: f64 = 2.0;
+/// Spread of the choice among gates of similar cost, in seconds, so that entries do not all choose
+/// the same.
+const SPREAD: f64 = 0.03;
+/// Spread for work that may be repeated, which shows how the other gates are.
+const REPEATED_SPREAD: f64 = 0.15;
+
+/// What a request wants of a gate.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// The profile of its service.
+    pub profile: &'a Profile,
+    /// Whether it may be repeated.
+    pub idempotent: bool,
+    /// Whether gray spells count.
+    pub doubts: bool,
+    /// Gates that it has asked before.
+    pub excluded: &'a [NodeId],
+}
+
 /// Chooses among the gates of each service, by two random choices on the expected time.
 #[derive(Debug)]
 pub struct Chooser {
@@ -20,12 +49,20 @@
     pools: IndexMap<ServiceName, Pool>,
     offers: IndexMap<NodeId, Vec<ServiceName>>,
     paths: IndexMap<NodeId, Witness>,
+    // When a gate did not answer, for those that have not answered since.
+    silent: IndexMap<NodeId, Instant>,
 }
 
 impl Chooser {
     /// Creates a chooser for an entry in `zone`.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, pools: IndexMap::new(), offers: IndexMap::new(), paths: IndexMap::new() }
+        Self {
+            zone,
+            pools: IndexMap::new(),
+            offers: IndexMap::new(),
+            paths: IndexMap::new(),
+            silent: IndexMap::new(),
+        }
     }
 
     /// Takes in what a node offers; nothing when it is leaving.
@@ -56,34 +93,36 @@
             }
         }
         self.paths.swap_remove(&node);
+        self.silent.swap_remove(&node);
     }
 
     /// Chooses a gate that is not excluded.
     pub fn pick(
         &mut self,
         service: &ServiceName,
-        profile: &Profile,
-        idempotent: bool,
-        excluded: &[NodeId],
+        wish: &Wish<'_>,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<NodeId> {
         let pool = self.pools.get_mut(service)?;
         let paths = &self.paths;
-        pool.refresh(now, profile.caution.floor, |node| path_evidence(paths, node));
-        if idempotent
-            && excluded.is_empty()
+        pool.refresh(now, wish.profile.caution.floor, |node| path_evidence(paths, node));
+        if wish.idempotent
+            && wish.excluded.is_empty()
             && rng.random_bool(TRIAL_SHARE)
             && let Some(node) = pool.take_trial(now)
         {
             return Some(node);
         }
         let (near, all) = pool.choice();
+        if wish.doubts {
+            return least_cost(pool, all, &self.silent, wish, now, rng);
+        }
         let mut samples: Vec<usize> = near.choose_multiple(rng, 2).copied().collect();
         samples.extend(all.choose_multiple(rng, if near.is_empty() { 2 } else { 1 }));
-        let best = best_of(pool, &samples, excluded, now);
+        let best = best_of(pool, &samples, wish.excluded, now);
         // The samples can all be excluded; then any other gate will do.
-        best.or_else(|| best_of(pool, all, excluded, now))
+        best.or_else(|| best_of(pool, all, wish.excluded, now))
     }
 
     /// Returns the median time of short work at a service's gates; zero when not known.
@@ -129,6 +168,10 @@
         now: Instant,
         profile: &Profile,
     ) {
+        match observation {
+            Observation::Failure => self.silent.insert(node, now),
+            Observation::Success => self.silent.swap_remove(&node),
+        };
         let witness = self.paths.entry(node).or_default();
         if witness.observe(observation, now, &profile.forgiveness) {
             self.invalidate(node);
@@ -177,6 +220,36 @@
     witness.map_or((Condition::Well, 0.0), |w| (w.condition(), w.evidence()))
 }
 
+/// Returns the gate at which a request costs least: by the probability of a spell, the wait and
+/// the zone.
+fn least_cost(
+    pool: &Pool,
+    indexes: &[usize],
+    silent: &IndexMap<NodeId, Instant>,
+    wish: &Wish<'_>,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<NodeId> {
+    let (spell, spread) =
+        if wish.idempotent { (REPEATED_SPELL_COST, REPEATED_SPREAD) } else { (SPELL_COST, SPREAD) };
+    let gates = indexes.iter().map(|index| pool.at(*index));
+    let free = gates.filter(|gate| !wish.excluded.contains(&gate.node));
+    let costs = free.map(|gate| {
+        let crossing = if gate.near { 0.0 } else { CROSSING_COST };
+        let silence = silent.get(&gate.node).map_or(0.0, |time| silence_cost(*time, now));
+        let wait = gate.wait(now).as_secs_f64();
+        let cost = gate.doubt(now) * spell + wait + crossing + silence;
+        (cost + rng.random_range(0.0..spread), gate.node)
+    });
+    costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, node)| node)
+}
+
+/// Returns the cost of asking a gate that did not answer at some time, in seconds.
+fn silence_cost(time: Instant, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(time).as_secs_f64();
+    SILENCE_COST * (-age / SILENCE_MEMORY).exp()
+}
+
 fn best_of(pool: &Pool, indexes: &[usize], excluded: &[NodeId], now: Instant) -> Option<NodeId> {
     let gates = indexes.iter().map(|index| pool.at(*index));
     let free = gates.filter(|gate| !excluded.contains(&gate.node));
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -10,7 +10,8 @@
 
 use self::ending::{conclude, lost_reason};
 use crate::budget::Budget;
-use crate::choice::Chooser;
+use crate::choice::{Chooser, Wish};
+use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
 use crate::prelude::*;
 use crate::request::{Arrival, EntryAction, Plan, Report};
@@ -23,6 +24,10 @@
 const MAX_GATES: u32 = 6;
 /// Gates that are asked for a free slot before a request waits in a queue.
 const PROBED_GATES: usize = 3;
+/// Probability of a gray spell that a request accepts at the first gates that it asks.
+const FIRST_TOLERANCE: f32 = 0.2;
+/// Probability of a gray spell that a request accepts before its last gate.
+const LATER_TOLERANCE: f32 = 0.5;
 /// Part of its remaining time that a request on a route with a timeout may wait for a slot.
 const QUEUE_DIVISOR: u32 = 2;
 
@@ -46,7 +51,8 @@
     // Whether an attempt may have run, so that "not run" would be untrue.
     uncertain: bool,
     rank: u32,
-    prompt: Option<Instant>,
+    target: Option<Duration>,
+    kind: Option<WorkKind>,
 }
 
 /// How often a request may be tried.
@@ -269,7 +275,10 @@
             ticket: arrival.ticket.filter(|_| !idempotent),
             limits: AttemptLimits::new(route, &profile),
             rank: route.map_or(0, |route| route.rank),
-            prompt: route.and_then(|route| route.target).map(|target| now + target),
+            target: route.and_then(|route| route.target),
+            kind: route
+                .filter(|route| route.attempts.is_some())
+                .map(|route| work_kind(route.host.as_deref().unwrap_or_default(), &route.prefix)),
             arrival,
             service,
             profile,
@@ -377,14 +386,13 @@
         if now >= flight.deadline {
             return self.refuse(&flight, Reason::DeadlinePast);
         }
-        let gate = self.chooser.pick(
-            &flight.service,
-            &flight.profile,
-            flight.idempotent,
-            &flight.tried,
-            now,
-            &mut self.rng,
-        );
+        let wish = Wish {
+            profile: &flight.profile,
+            idempotent: flight.idempotent,
+            doubts: flight.kind.is_some(),
+            excluded: &flight.tried,
+        };
+        let gate = self.chooser.pick(&flight.service, &wish, now, &mut self.rng);
         let Some(gate) = gate else {
             return self.refuse(&flight, retry.unwrap_or(Reason::NoGate));
         };
@@ -398,7 +406,11 @@
         flight.gate = Some(gate);
         flight.pending = true;
         flight.tried.push(gate);
+        let repeatable = flight.idempotent
+            && flight.sent + 1 < flight.limits.upstreams
+            && self.budget(&flight.service).has_token();
         let plan = Plan {
+            repeatable,
             service: flight.service.clone(),
             long: flight.long,
             idempotent: flight.idempotent,
@@ -406,7 +418,9 @@
             remaining: flight.deadline - now,
             usual: self.chooser.usual(&flight.service),
             rank: flight.rank,
-            prompt: flight.prompt.map(|prompt| prompt.saturating_duration_since(now)),
+            target: flight.target,
+            kind: flight.kind,
+            tolerance: tolerance(&flight),
         };
         let (request, ticket) = (flight.arrival.request, flight.ticket);
         self.flights.insert(request, flight);
@@ -497,6 +511,17 @@
     }
 }
 
+/// Returns the highest probability of a gray spell that a request accepts: less while there are
+/// other gates to ask.
+fn tolerance(flight: &Flight) -> f32 {
+    let asked = flight.tried.len();
+    match flight.kind {
+        Some(_) if asked <= PROBED_GATES => FIRST_TOLERANCE,
+        Some(_) if asked < flight.limits.gates as usize => LATER_TOLERANCE,
+        _ => 1.0,
+    }
+}
+
 /// Returns how long a request may wait in a gate's queue: not at all while it asks for a free
 /// slot.
 fn queue_time(flight: &Flight, now: Instant) -> Duration {
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -4,11 +4,13 @@
 //! so the count of work in flight is exact.
 
 mod review;
+mod spell;
 
 pub use crate::admission::{GateAction, Offer, Offered, RunResult};
 use crate::prelude::*;
 use crate::queue::{Queue, Waiting};
-use crate::upstream::{AnnouncedPhase, Announcement, AnyUpstream};
+use crate::survival::Survival;
+use crate::upstream::{AnnouncedPhase, Announcement, AnyUpstream, Lifetime};
 use crate::window::Window;
 
 /// Upstreams that are remembered after they said that they are gone.
@@ -30,6 +32,7 @@
     short: Queue,
     long: Queue,
     profile: Profile,
+    survivals: IndexMap<WorkKind, Survival>,
 }
 
 /// Admits work to upstreams.
@@ -41,8 +44,8 @@
     services: IndexMap<ServiceName, ServiceState>,
     offers: IndexMap<AttemptId, (Offer, Instant)>,
     running: IndexMap<AttemptId, Running>,
-    // Upstreams that said they are gone, with their lifetimes.
-    resigned: IndexMap<UpstreamId, u64>,
+    // Upstreams that said they leave, with their last lifetimes.
+    resigned: IndexMap<UpstreamId, Lifetime>,
     window: Window,
     draining: bool,
     published: Vec<Offered>,
@@ -96,7 +99,7 @@
         let known = self.upstreams.get(&announcement.id);
         let resigned = self.resigned.get(&announcement.id);
         known.is_some_and(|upstream| upstream.is_outdated(announcement))
-            || resigned.is_some_and(|born| announcement.born <= *born)
+            || resigned.is_some_and(|last| last.covers(announcement))
             // A late announcement of an upstream whose address has a successor.
             || self.upstreams.values().any(|upstream| {
                 let common = upstream.common();
@@ -104,19 +107,35 @@
             })
     }
 
-    /// Takes note that an upstream is gone, so that its late announcements do not bring it back.
+    /// Takes note that an upstream says it is gone.
     fn resign(&mut self, announcement: &Announcement, now: Instant) {
-        let known = self.upstreams.swap_remove(&announcement.id);
-        let born = known.as_ref().map_or(announcement.born, |upstream| upstream.common().born);
-        if born != 0 {
-            if self.resigned.len() >= MAX_RESIGNED {
-                self.resigned.shift_remove_index(0);
+        match self.upstreams.swap_remove(&announcement.id) {
+            Some(upstream) => {
+                let upstream = upstream.renew(announcement, now);
+                self.upstreams.insert(announcement.id.clone(), upstream);
             }
-            self.resigned.insert(announcement.id.clone(), born);
+            None => self.remember(announcement.id.clone(), Lifetime::of(announcement)),
         }
-        if let Some(upstream) = known {
-            let upstream = upstream.renew(announcement, now);
-            self.upstreams.insert(announcement.id.clone(), upstream);
+    }
+
+    /// Remembers an upstream that left, so that its late announcements do not bring it back.
+    fn remember(&mut self, id: UpstreamId, lifetime: Lifetime) {
+        if self.resigned.len() >= MAX_RESIGNED {
+            self.resigned.shift_remove_index(0);
+        }
+        self.resigned.insert(id, lifetime);
+    }
+
+    /// Forgets upstreams that have left and finished their work.
+    fn bury(&mut self) {
+        let upstreams = std::mem::take(&mut self.upstreams);
+        let (gone, left): (Vec<_>, Vec<_>) =
+            upstreams.into_iter().partition(|(_, upstream)| upstream.is_gone());
+        self.upstreams = left.into_iter().collect();
+        for (id, upstream) in gone {
+            if let Some(lifetime) = upstream.common().ended() {
+                self.remember(id, lifetime);
+            }
         }
     }
 
@@ -143,12 +162,15 @@
         if !offer.idempotent && !self.window.accept(offer.attempt) {
             return vec![self.refusal(&offer, Reason::Duplicate)];
         }
-        if let Some(reason) = self.refuses(&offer, now) {
+        let refusal = self.refuses(&offer, now).or_else(|| self.doubts(&offer, now));
+        if let Some(reason) = refusal {
             return vec![self.refusal(&offer, reason)];
         }
         let (attempt, service, long) = (offer.attempt, offer.service.clone(), offer.long);
         let deadline = now + offer.remaining;
-        let patience_end = now + offer.patience;
+        // One that does not wait is turned away below, not when its time is over.
+        let waits = !offer.patience.is_zero();
+        let patience_end = if waits { now + offer.patience } else { deadline };
         let waiting = Waiting {
             attempt,
             since: now,
@@ -162,7 +184,21 @@
         } else {
             state.short.push(waiting);
         }
-        self.fill(&service)
+        let mut actions = self.fill(&service);
+        if !waits && !self.running.contains_key(&attempt) {
+            actions.extend(self.turn_away(attempt));
+        }
+        actions
+    }
+
+    /// Refuses a request that found no free slot and does not wait.
+    fn turn_away(&mut self, attempt: AttemptId) -> Option<GateAction> {
+        let (offer, _) = self.offers.swap_remove(&attempt)?;
+        if let Some(state) = self.services.get_mut(&offer.service) {
+            state.short.remove(attempt);
+            state.long.remove(attempt);
+        }
+        Some(self.refusal(&offer, Reason::QueueFull))
     }
 
     /// Notes that the first byte of the answer has come.
@@ -197,6 +233,7 @@
             return (Load::default(), Vec::new());
         };
         let profile = self.profile(&offer.service);
+        self.learn_spell(&offer, &running, result, now);
         let mut changed = false;
         let upstream = self.upstreams.get_mut(&running.upstream);
         if let Some(upstream) = upstream.filter(|u| u.common().born == running.born) {
@@ -219,7 +256,7 @@
             upstream.common_mut().witness.tick(now);
         }
         let mut actions = self.review_running(now);
-        self.upstreams.retain(|_, upstream| !upstream.is_gone());
+        self.bury();
         actions.extend(self.expire(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
@@ -249,6 +286,7 @@
         let upstreams = self.upstreams.values().filter(|u| u.common().service == *service);
         let load = upstreams.fold(None, |load, upstream| Some(add(load, upstream, now)));
         let Some(mut load) = load else { return Load::default() };
+        load.doubt = self.least_doubt(service, now) as f32;
         let queues = self.services.get(service);
         let queued = queues.map_or(0, |state| state.short.len() + state.long.len());
         load.queued = u32::try_from(queued).unwrap_or(u32::MAX);
@@ -295,6 +333,9 @@
             let known = self.upstreams.values().any(|u| u.common().service == offer.service);
             return Some(if known { Reason::Leaving } else { Reason::NoUpstream });
         }
+        if offer.patience.is_zero() {
+            return None;
+        }
         (self.expected_wait(offer, slots) > offer.patience).then_some(Reason::QueueFull)
     }
 
@@ -373,10 +414,12 @@
                 && common.short + common.long < limit
                 && (!long || common.long < long_limit(limit, common.slots, share))
         });
-        let best = free.min_by_key(|(_, upstream)| {
+        let best = free.min_by_key(|(id, upstream)| {
             let common = upstream.common();
             let ejected = common.witness.condition() != Condition::Well;
-            (ejected, (common.short + common.long) * 1000 / common.slots.max(1))
+            // A spell that is likelier than not is worse than any load.
+            let doubted = self.doubt(id, now) > 0.5;
+            (ejected, doubted, (common.short + common.long) * 1000 / common.slots.max(1))
         });
         best.map(|(id, _)| id.clone())
     }
--- a/crates/core/src/gate/review.rs
+++ b/crates/core/src/gate/review.rs
@@ -44,7 +44,9 @@
                 common.witness.observe(Observation::Failure, now, &state.profile.forgiveness);
             }
         }
-        self.abandon_stuck()
+        let mut actions = self.abandon_stuck();
+        actions.extend(self.abandon_hanging(now));
+        actions
     }
 
     /// Gives up stuck requests that may be repeated, once their upstream is ejected. On a healthy
--- /dev/null
+++ b/crates/core/src/gate/spell.rs
@@ -0,0 +1,137 @@
+//! How a gate tells from the age of its work that an upstream is in a gray spell, and what it does.
+//!
+//! This answers a load in which a part of the upstreams leaves most work hanging for seconds while
+//! their probes pass: work that may not be repeated goes where answers come, and work that may be
+//! repeated tries the others and is given up as soon as it is likelier to hang than to end.
+
+use super::{Gate, GateAction, RunResult, Running};
+use crate::admission::Offer;
+use crate::doubt;
+use crate::prelude::*;
+use crate::survival::Survival;
+
+/// Least interval between two trials of a doubted upstream.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(700);
+/// Part of a route's target latency that its work is assumed to take until runs have ended.
+const TARGET_DIVISOR: u32 = 4;
+/// Time that work is assumed to take when its route has no target.
+const DEFAULT_MEDIAN: Duration = Duration::from_millis(100);
+
+impl Gate {
+    /// Returns the probability that an upstream is in a spell.
+    pub(super) fn doubt(&self, id: &UpstreamId, now: Instant) -> f64 {
+        let Some(upstream) = self.upstreams.get(id) else { return 0.0 };
+        let common = upstream.common();
+        let own = self.running.iter().filter(|(_, running)| {
+            running.upstream == *id && running.born == common.born && !running.progress
+        });
+        let beyond = own.filter_map(|(attempt, running)| {
+            let (offer, _) = self.offers.get(attempt)?;
+            self.beyond(offer, now.saturating_duration_since(running.started))
+        });
+        common.doubt.probability(now, beyond.collect::<Vec<f64>>())
+    }
+
+    /// Returns the least probability of a spell among the upstreams of a service.
+    pub(super) fn least_doubt(&self, service: &ServiceName, now: Instant) -> f64 {
+        let upstreams = self.upstreams.iter();
+        let own = upstreams.filter(|(_, u)| u.common().service == *service && u.limit(now) > 0);
+        own.map(|(id, _)| self.doubt(id, now)).fold(1.0, f64::min)
+    }
+
+    /// Tells whether a request must go elsewhere because its upstream may be in a spell. A few
+    /// requests that may be repeated find out whether the spell is over.
+    pub(super) fn doubts(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
+        if self.least_doubt(&offer.service, now) <= f64::from(offer.tolerance) {
+            return None;
+        }
+        let upstreams = self.upstreams.values_mut().map(|upstream| upstream.common_mut());
+        let mut doubted = upstreams.filter(|common| common.service == offer.service);
+        let due =
+            doubted.find(|common| common.tried.is_none_or(|tried| now >= tried + TRIAL_INTERVAL));
+        match due {
+            Some(common) if offer.idempotent => {
+                common.tried = Some(now);
+                None
+            }
+            _ => Some(Reason::Doubtful),
+        }
+    }
+
+    /// Learns from a run that has ended.
+    pub(super) fn learn_spell(
+        &mut self,
+        offer: &Offer,
+        running: &Running,
+        result: RunResult,
+        now: Instant,
+    ) {
+        let age = now.saturating_duration_since(running.started);
+        let beyond = self.beyond(offer, age);
+        let upstream = self.upstreams.get_mut(&running.upstream);
+        let Some(upstream) = upstream.filter(|u| u.common().born == running.born) else { return };
+        let doubt = &mut upstream.common_mut().doubt;
+        match result {
+            RunResult::Success => doubt.answered(now),
+            RunResult::ServerError | RunResult::Broken | RunResult::ConnectFailed => {
+                doubt.failed(now);
+            }
+            RunResult::TimedOut | RunResult::Cancelled => {
+                if let Some(beyond) = beyond.filter(|_| !running.progress) {
+                    doubt.given_up(now, beyond);
+                }
+            }
+            RunResult::Shed => {}
+        }
+        if result == RunResult::Success
+            && let Some(kind) = offer.kind
+        {
+            self.survival(offer, kind).observe(age);
+        }
+    }
+
+    /// Gives up runs that can be repeated where that is worth more than waiting on.
+    pub(super) fn abandon_hanging(&mut self, now: Instant) -> Vec<GateAction> {
+        let running = self.running.iter();
+        let hanging = running.filter(|(attempt, running)| self.is_hanging(**attempt, running, now));
+        let hanging: Vec<AttemptId> = hanging.map(|(attempt, _)| *attempt).collect();
+        for attempt in &hanging {
+            if let Some(running) = self.running.get_mut(attempt) {
+                running.abandoned = true;
+            }
+        }
+        hanging.into_iter().map(|attempt| GateAction::Abandon { attempt }).collect()
+    }
+
+    fn is_hanging(&self, attempt: AttemptId, running: &Running, now: Instant) -> bool {
+        let Some((offer, deadline)) = self.offers.get(&attempt) else { return false };
+        let Some(kind) = offer.kind else { return false };
+        if !offer.repeatable || running.progress || running.abandoned {
+            return false;
+        }
+        let known = self.services.get(&offer.service).and_then(|s| s.survivals.get(&kind));
+        let new = known.is_none().then(|| assumed(offer));
+        let Some(survival) = known.or(new.as_ref()) else { return false };
+        let age = now.saturating_duration_since(running.started);
+        let left = deadline.saturating_duration_since(now);
+        let prompt = offer.target.map_or(left, |target| target.saturating_sub(age)).min(left);
+        let waiting = doubt::Waiting { survival, age, prompt, left };
+        waiting.should_give_up(self.doubt(&running.upstream, now))
+    }
+
+    /// Returns the share of such work that takes longer than `age`, when the kind is told.
+    fn beyond(&self, offer: &Offer, age: Duration) -> Option<f64> {
+        let kind = offer.kind?;
+        let known = self.services.get(&offer.service)?.survivals.get(&kind);
+        Some(known.map_or_else(|| assumed(offer).beyond(age), |survival| survival.beyond(age)))
+    }
+
+    fn survival(&mut self, offer: &Offer, kind: WorkKind) -> &mut Survival {
+        let state = self.services.entry(offer.service.clone()).or_default();
+        state.survivals.entry(kind).or_insert_with(|| assumed(offer))
+    }
+}
+
+fn assumed(offer: &Offer) -> Survival {
+    Survival::new(offer.target.map_or(DEFAULT_MEDIAN, |target| target / TARGET_DIVISOR))
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -17,6 +17,8 @@
 pub type Revision = u64;
 /// Identifies a request within one entry.
 pub type RequestId = u64;
+/// Groups requests whose runs take similar times.
+pub type WorkKind = u64;
 /// Names an upstream.
 pub type UpstreamId = Arc<str>;
 /// Names a service.
@@ -96,6 +98,19 @@
     hash(&name)
 }
 
+/// Returns the kind of work that a route's requests are.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow_core::id::work_kind;
+///
+/// assert_ne!(work_kind("a.example", "/a/"), work_kind("a.example", "/b/"));
+/// ```
+pub fn work_kind(host: &str, prefix: &str) -> WorkKind {
+    hash(&(host, prefix))
+}
+
 /// Hashes a value the same way in every process of one build.
 pub(crate) fn hash(value: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -29,4 +29,6 @@
     pub condition: Condition,
     /// Weight of the evidence against the upstreams, as a log-likelihood ratio.
     pub evidence: f32,
+    /// Probability that the best of the upstreams is in a gray spell.
+    pub doubt: f32,
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,5 +1,6 @@
 //! The gates that offer one service, as one entry sees them.
 
+use crate::doubt;
 use crate::floor::{self, Candidate};
 use crate::prelude::*;
 
@@ -60,6 +61,25 @@
     }
 }
 
+impl GateView {
+    /// Estimates the probability of a gray spell from the last report and its age.
+    pub fn doubt(&self, now: Instant) -> f64 {
+        match self.reported {
+            Some(time) => doubt::drift(self.load.doubt.into(), now.saturating_duration_since(time)),
+            None => doubt::BASE,
+        }
+    }
+
+    /// Estimates the wait for a slot.
+    pub fn wait(&self, now: Instant) -> Duration {
+        let fresh = self.reported.is_some_and(|time| now < time + STALE);
+        let busy = if fresh { self.load.busy + self.load.queued } else { 0 };
+        let ahead = (busy + self.pending + 1).saturating_sub(self.slots);
+        let pace = if self.load.pace.is_zero() { FIRST_PACE } else { self.load.pace };
+        pace * ahead / self.slots.max(1)
+    }
+}
+
 /// The gates of one service and which of them are in the choice.
 #[derive(Debug, Default)]
 pub struct Pool {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -7,7 +7,7 @@
 pub use crate::clock::{Clock, SharedClock};
 pub use crate::id::{
     AttemptId, Incarnation, NodeId, OrganisationName, ProfileName, RequestId, Revision, Serial,
-    ServiceName, TicketId, UpstreamId, Version, ZoneName,
+    ServiceName, TicketId, UpstreamId, Version, WorkKind, ZoneName,
 };
 pub use crate::load::{Condition, Load};
 pub use crate::profile::Profile;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -63,6 +63,8 @@
     ConnectFailed = "connect-failed", 503;
     /// The deadline passed.
     DeadlinePast = "deadline-past", 504;
+    /// The upstream may be in a gray spell, and the request can go elsewhere.
+    Doubtful = "doubtful", 503;
     /// The gate had seen the attempt before.
     Duplicate = "duplicate", 502;
     /// An answer came that belongs to another request or that no upstream gave.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -49,8 +49,14 @@
     pub usual: Duration,
     /// Urgency; 0 is the most urgent.
     pub rank: u32,
-    /// Time left until an answer is late, when the route says so.
-    pub prompt: Option<Duration>,
+    /// Time within which an answer is worth most, when the route says so.
+    pub target: Option<Duration>,
+    /// Whether it could be repeated now if this attempt came to nothing.
+    pub repeatable: bool,
+    /// What kind of work it is, when its route says; gates judge its age by it.
+    pub kind: Option<WorkKind>,
+    /// Highest probability of a gray spell at which the upstream still gets it.
+    pub tolerance: f32,
 }
 
 /// The end of a request without an answer from a gate at hand.
--- /dev/null
+++ b/crates/core/src/survival.rs
@@ -0,0 +1,79 @@
+//! How long work takes: the share of runs that last longer than a given time.
+
+use std::time::Duration;
+
+/// Shortest time that is told apart.
+const FIRST: f64 = 0.004;
+/// Growth of the time from one bucket to the next.
+const GROWTH: f64 = 1.2;
+/// Buckets; the last begins at about 90 s.
+const BUCKETS: usize = 56;
+/// Runs that the assumption made before the first run counts for.
+const PRIOR_RUNS: f64 = 6.0;
+/// Part of what was learnt that is kept with each new run, so that it follows changes.
+const KEPT: f64 = 0.99;
+/// Steepness of the assumed distribution (log-logistic), whose tail is that of mixed work.
+const SHAPE: f64 = 2.2;
+
+/// Learns from runs that ended how long others take.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use lavenderflow_core::survival::Survival;
+///
+/// let mut survival = Survival::new(Duration::from_millis(100));
+/// assert_eq!(survival.beyond(Duration::ZERO), 1.0);
+/// assert!((survival.beyond(Duration::from_millis(100)) - 0.5).abs() < 0.01);
+/// for _ in 0..100 {
+///     survival.observe(Duration::from_millis(10));
+/// }
+/// assert!(survival.beyond(Duration::from_millis(100)) < 0.1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Survival {
+    median: f64,
+    counts: [f64; BUCKETS],
+    total: f64,
+}
+
+impl Survival {
+    /// Creates one that assumes a median until runs have ended.
+    pub fn new(median: Duration) -> Self {
+        let median = median.as_secs_f64().max(FIRST);
+        Self { median, counts: [0.0; BUCKETS], total: 0.0 }
+    }
+
+    /// Learns from a run that ended with an answer.
+    pub fn observe(&mut self, time: Duration) {
+        for count in &mut self.counts {
+            *count *= KEPT;
+        }
+        self.total = self.total * KEPT + 1.0;
+        self.counts[bucket(time)] += 1.0;
+    }
+
+    /// Returns the share of runs that last longer than `time`, above 0 and at most 1.
+    pub fn beyond(&self, time: Duration) -> f64 {
+        let first = bucket(time);
+        // Half of the bucket that the time falls into lies beyond it.
+        let later: f64 = self.counts[first + 1..].iter().sum();
+        let beyond = later + self.counts[first] / 2.0;
+        let prior = 1.0 / (1.0 + (time.as_secs_f64() / self.median).powf(SHAPE));
+        ((beyond + PRIOR_RUNS * prior) / (self.total + PRIOR_RUNS)).clamp(1e-3, 1.0)
+    }
+
+    /// Returns the time within which half of the runs end.
+    pub fn median(&self) -> Duration {
+        let time = |index: usize| Duration::from_secs_f64(FIRST * GROWTH.powi(index as i32));
+        let index = (0..BUCKETS).find(|index| self.beyond(time(*index)) < 0.5);
+        time(index.unwrap_or(BUCKETS))
+    }
+}
+
+fn bucket(time: Duration) -> usize {
+    let steps = (time.as_secs_f64() / FIRST).max(1.0).ln() / GROWTH.ln();
+    (steps as usize).min(BUCKETS - 1)
+}
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 
+use crate::doubt::Doubt;
 use crate::lease::{Held, Lease};
 use crate::prelude::*;
 use crate::witness::Witness;
@@ -53,6 +54,31 @@
     pub sequence: u64,
 }
 
+/// The last that is known of one lifetime of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lifetime {
+    /// Its start; 0 when not told.
+    pub born: u64,
+    /// The number of its last announcement; 0 when not told.
+    pub sequence: u64,
+}
+
+impl Lifetime {
+    /// Returns the lifetime that an announcement is of.
+    pub fn of(announcement: &Announcement) -> Self {
+        Self { born: announcement.born, sequence: announcement.sequence }
+    }
+
+    /// Tells whether an announcement was made in this lifetime or before it. Where lifetimes are
+    /// not told, only its number speaks.
+    pub fn covers(&self, announcement: &Announcement) -> bool {
+        match (self.born, announcement.born) {
+            (0, _) | (_, 0) => announcement.sequence != 0 && announcement.sequence <= self.sequence,
+            (own, other) => other <= own,
+        }
+    }
+}
+
 /// It announced itself and takes no work yet.
 #[derive(Debug)]
 pub struct Announced;
@@ -88,6 +114,10 @@
     pub long: u32,
     /// Judge of its health.
     pub witness: Witness,
+    /// How likely it is in a gray spell.
+    pub doubt: Doubt,
+    /// When it was last tried in spite of doubt.
+    pub tried: Option<Instant>,
     /// Its lifetime.
     pub born: u64,
     sequence: u64,
@@ -98,6 +128,13 @@
     raised: Instant,
 }
 
+impl Common {
+    /// Returns its lifetime if the upstream ended it itself.
+    pub fn ended(&self) -> Option<Lifetime> {
+        self.resigned.then_some(Lifetime { born: self.born, sequence: self.sequence })
+    }
+}
+
 /// An upstream in one state of its life cycle.
 #[derive(Debug)]
 pub struct Upstream<S> {
@@ -115,6 +152,8 @@
             short: 0,
             long: 0,
             witness: Witness::default(),
+            doubt: Doubt::new(now),
+            tried: None,
             born: announcement.born,
             sequence: announcement.sequence,
             resigned: false,
@@ -182,7 +221,7 @@
     pub fn renew(mut self, announcement: &Announcement, now: Instant) -> Self {
         let common = self.common_mut();
         common.lease = Lease::grant(now, announcement.lease);
-        common.sequence = announcement.sequence;
+        common.sequence = common.sequence.max(announcement.sequence);
         if announcement.phase != AnnouncedPhase::Gone {
             common.slots = announcement.slots;
             common.address = announcement.address;
@@ -193,11 +232,10 @@
     /// Tells whether an announcement of this upstream was sent before one that was taken in, or
     /// by an earlier lifetime.
     pub fn is_outdated(&self, announcement: &Announcement) -> bool {
-        let common = self.common();
+        let Common { born, sequence, .. } = *self.common();
+        let is_late = announcement.sequence != 0 && announcement.sequence <= sequence;
         let is_told = announcement.born != 0;
-        let is_same = announcement.born == common.born;
-        let is_late = announcement.sequence <= common.sequence;
-        is_told && (announcement.born < common.born || (is_same && is_late))
+        (is_told && announcement.born < born) || (announcement.born == born && is_late)
     }
 
     /// Ends a lifetime that a later one has followed.
@@ -285,7 +323,8 @@
         let phase = announcement.phase;
         if matches!(phase, AnnouncedPhase::Leaving | AnnouncedPhase::Gone) {
             // Where lifetimes are not told, an upstream may change its mind.
-            self.common_mut().resigned = self.common().born != 0;
+            let common = self.common_mut();
+            common.resigned = common.born != 0 || common.sequence != 0;
         }
         match (self, phase) {
             (Self::Announced(upstream), AnnouncedPhase::Serving) => {
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -27,7 +27,10 @@
         remaining: Duration::from_secs(2),
         usual: Duration::ZERO,
         rank: 0,
-        prompt: None,
+        target: None,
+        repeatable: true,
+        kind: None,
+        tolerance: 1.0,
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -124,7 +124,10 @@
         remaining: plan.remaining,
         usual: plan.usual,
         rank: plan.rank,
-        prompt: plan.prompt,
+        target: plan.target,
+        repeatable: plan.repeatable,
+        kind: plan.kind,
+        tolerance: plan.tolerance,
     }
 }
 
--- a/crates/lavenderflow/src/http/listen.rs
+++ b/crates/lavenderflow/src/http/listen.rs
@@ -9,6 +9,7 @@
 use super::server::{self, Stopper};
 use super::{admin, announcements, callers, metrics, ready};
 use crate::error::NodeError;
+use crate::prelude::Duration;
 
 /// Addresses of the HTTP task.
 #[derive(Clone, Copy, Debug)]
@@ -40,8 +41,17 @@
     pub ready: oneshot::Receiver<()>,
     /// Whether the node takes new requests.
     pub is_ready: watch::Receiver<bool>,
-    /// Comes when the node stops; the sender hears when all answers are written out.
-    pub stop: oneshot::Receiver<oneshot::Sender<()>>,
+    /// Comes when the node stops.
+    pub stop: oneshot::Receiver<Closing>,
+}
+
+/// The end of a stop.
+#[derive(Debug)]
+pub struct Closing {
+    /// Longest time for answers to be written out.
+    pub limit: Duration,
+    /// Hears when all are, or when the time is over.
+    pub done: oneshot::Sender<()>,
 }
 
 /// Binds the addresses and serves them until the node stops.
@@ -75,17 +85,17 @@
     };
     tokio::pin!(serving);
     tokio::pin!(stop);
-    let (callers, done) = tokio::select! {
+    let (callers, closing) = tokio::select! {
         callers = &mut serving => (callers, stop.await),
-        done = &mut stop => (None, done),
+        closing = &mut stop => (None, closing),
     };
+    // Without an order to close the node has ended already.
+    let Ok(Closing { limit, done }) = closing else { return };
     if let Some(callers) = callers {
-        callers.stop().await;
+        callers.stop(limit).await;
     }
     drop(others);
-    if let Ok(done) = done {
-        let _ = done.send(());
-    }
+    let _ = done.send(());
 }
 
 /// Serves all but callers.
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -20,8 +20,6 @@
 const BUFFER_BYTES: usize = 64 * 1024;
 /// Time to wait before the next connection is accepted after a failure.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Longest time for answers to be written out during a stop.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Stops a server.
 #[derive(Debug)]
@@ -31,11 +29,11 @@
 }
 
 impl Stopper {
-    /// Lets each connection write out its answer, and waits for the last one to end.
-    pub async fn stop(mut self) {
+    /// Lets each connection write out its answer, and waits up to `limit` for the last one to end.
+    pub async fn stop(mut self, limit: Duration) {
         self.stop.send_replace(true);
         // Each connection holds a sender, so this ends with the last of them.
-        let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.ended.recv()).await;
+        let _ = tokio::time::timeout(limit, self.ended.recv()).await;
     }
 }
 
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -19,7 +19,7 @@
 use crate::prelude::*;
 
 /// Time after which a gate that is silent counts as lost; it acknowledges attempts that wait.
-const SILENCE: Duration = Duration::from_millis(300);
+const SILENCE: Duration = Duration::from_millis(150);
 /// Actions for one request that can wait.
 const ACTIONS: usize = 4;
 
@@ -100,11 +100,21 @@
             return Reply::without_answer(Outcome::Unknown, Reason::Lost, None);
         };
         let attempted = match action {
-            EntryAction::Dispatch { attempt, gate, incarnation, plan, ticket, .. } => {
+            EntryAction::Dispatch { attempt, gate, incarnation, plan, ticket, retry, .. } => {
+                log::info!(
+                    "event=dispatched request={} attempt={:x} gate={gate:x} service={} retry={} \
+                     tolerance={:.2} left_ms={} queue_ms={}",
+                    request.id,
+                    attempt.serial,
+                    plan.service,
+                    retry.map_or("none", Reason::name),
+                    plan.tolerance,
+                    plan.remaining.as_millis(),
+                    plan.patience.as_millis()
+                );
                 let begin =
                     Begin { incarnation, ..dispatch_frame(&request, attempt, ticket, &plan) };
-                let silence = if plan.idempotent { SILENCE } else { plan.remaining };
-                attempt_at(context, &mut request, gate, begin, plan.remaining, silence).await
+                attempt_at(context, &mut request, gate, begin, plan.remaining, SILENCE).await
             }
             EntryAction::Forward { home, ticket, remaining, .. } => {
                 let begin = forward_frame(&request, ticket, remaining);
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -54,21 +54,30 @@
             return Report::Unreachable.into();
         }
     };
+    let on_commit = begin.on_commit;
     if let Err(fault) = sink.send(Body::Begin(begin)).await {
-        log::debug!("event=lost request={} gate={node:x} fault={fault:?}", request.id);
-        return Report::Lost(Reason::Lost).into();
+        log::info!("event=attempt-lost request={} gate={node:x} fault={fault:?}", request.id);
+        let report = if on_commit { Report::Unreachable } else { Report::Lost(Reason::Lost) };
+        return report.into();
     }
     let id = request.arrival.request;
-    let mut exchange = AttemptLink { context, id, sink: Some(sink), source, remaining };
+    let committed = !on_commit;
+    let mut exchange = AttemptLink { context, id, sink: Some(sink), source, remaining, committed };
     let limit = remaining + GRACE;
-    match timeout(limit, exchange.run(request, silence.min(limit))).await {
-        Ok(Ok(attempted)) => attempted,
-        Ok(Err(fault)) => {
-            log::debug!("event=lost request={} gate={node:x} fault={fault:?}", request.id);
-            Report::Lost(Reason::Lost).into()
-        }
-        Err(_) => Report::Lost(Reason::DeadlinePast).into(),
-    }
+    let ended = timeout(limit, exchange.run(request, silence.min(limit))).await;
+    let committed = exchange.committed;
+    let report = match ended {
+        Ok(Ok(attempted)) => return attempted,
+        Ok(Err(_)) if !committed => Report::Unreachable,
+        Ok(Err(_)) => Report::Lost(Reason::Lost),
+        Err(_) if !committed => Report::Refused(Reason::DeadlinePast, None),
+        Err(_) => Report::Lost(Reason::DeadlinePast),
+    };
+    log::info!(
+        "event=attempt-lost request={} gate={node:x} committed={committed} report={report:?}",
+        request.id
+    );
+    report.into()
 }
 
 async fn open(context: &Context, node: NodeId) -> Result<(Sink, Source), PeerError> {
@@ -88,6 +97,8 @@
     sink: Option<Sink>,
     source: Source,
     remaining: Duration,
+    // Whether the gate may have run the request.
+    committed: bool,
 }
 
 impl AttemptLink<'_> {
@@ -105,7 +116,7 @@
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
                     let load = verdict.load.unwrap_or_default().into();
                     report(self.context, self.id, Report::Admitted(load)).await;
-                    self.send_rest(request);
+                    self.commit(request).await?;
                 }
                 Some(Body::Verdict(verdict)) => return Ok(refused(&verdict).into()),
                 Some(Body::Answer(answer)) => return Ok(self.answered(answer)),
@@ -120,14 +131,28 @@
         }
     }
 
-    /// Starts to pass on the rest of the body; its owner waits for this.
-    fn send_rest(&mut self, request: &mut Request) {
-        if let (Some(rest), Some(sink)) = (request.rest.take(), self.sink.take()) {
-            let (sender, parts) = mpsc::channel(CHANNEL_PARTS);
-            if rest.send(sender).is_ok() {
-                tokio::spawn(send_body(sink, parts));
-            }
+    /// Lets the gate run the request: sends the body that it waits for, and starts to pass on the
+    /// rest of it, whose owner waits for this.
+    async fn commit(&mut self, request: &mut Request) -> Result<(), LinkError> {
+        let waits = !std::mem::replace(&mut self.committed, true);
+        let rest = request.rest.take();
+        if !waits && rest.is_none() {
+            return Ok(());
+        }
+        let Some(mut sink) = self.sink.take() else { return Ok(()) };
+        if waits {
+            let (data, last) = (request.body.clone(), rest.is_none());
+            sink.send(Body::Chunk(wire::Chunk { data, last })).await?;
+        }
+        let Some(rest) = rest else {
+            sink.finish().await;
+            return Ok(());
+        };
+        let (sender, parts) = mpsc::channel(CHANNEL_PARTS);
+        if rest.send(sender).is_ok() {
+            tokio::spawn(send_body(sink, parts));
         }
+        Ok(())
     }
 
     fn answered(&mut self, answer: Answer) -> Attempted {
@@ -160,7 +185,7 @@
         let (body, is_end) = match part {
             BodyPart::Data(data) => {
                 length += data.len() as u64;
-                (Body::Chunk(wire::Chunk { data }), false)
+                (Body::Chunk(wire::Chunk { data, last: false }), false)
             }
             BodyPart::End => (Body::End(wire::End { length, load: None }), true),
         };
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -1,5 +1,6 @@
 //! The frames that open an attempt.
 
+use bytes::Bytes;
 use lavenderflow_core::request::Plan;
 use lavenderflow_schema::convert::request::micros;
 use lavenderflow_schema::wire::{Begin, Header, Purpose};
@@ -22,9 +23,16 @@
         patience_us: micros(plan.patience),
         usual_us: micros(plan.usual),
         rank: plan.rank,
-        prompt_us: plan.prompt.map(micros),
+        target_us: plan.target.map(micros),
+        repeatable: plan.repeatable,
+        kind: plan.kind,
+        tolerance: plan.tolerance,
         long: plan.long,
         idempotent: plan.idempotent,
+        // Work that may not be repeated runs only after this entry has heard that it can: until
+        // then a lost link proves that it did not run.
+        on_commit: !plan.idempotent,
+        body: if plan.idempotent { request.body.clone() } else { Bytes::new() },
         ..common_frame(request)
     }
 }
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -8,6 +8,7 @@
 use lavenderflow_schema::wire::frame::Body;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 use super::connector::Connector;
 use super::context::{self, Context, LocalLink};
@@ -32,8 +33,13 @@
     Member(NodeId, Incarnation, SocketAddr),
     /// Forget a node.
     Forget(NodeId),
-    /// Close all connections; the sender hears when that is done.
-    Close(oneshot::Sender<()>),
+    /// Close all connections.
+    Close {
+        /// Longest time for it.
+        limit: Duration,
+        /// Hears when it is done.
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// Sends commands to the network task.
@@ -102,9 +108,11 @@
     tokio::spawn(accept(context.clone(), endpoint.clone()));
     tokio::spawn(accept_local(context.clone(), local_links));
     while let Some(command) = commands.recv().await {
-        if let Command::Close(done) = command {
+        if let Command::Close { limit, done } = command {
             endpoint.close(VarInt::from_u32(0), b"stopped");
-            endpoint.wait_idle().await;
+            if timeout(limit, endpoint.wait_idle()).await.is_err() {
+                log::debug!("event=close-incomplete");
+            }
             let _ = done.send(());
             return;
         }
@@ -124,7 +132,7 @@
             context.connector.set_member(node, incarnation, address).await;
         }
         Command::Forget(node) => context.connector.forget(node).await,
-        Command::Close(_) => {}
+        Command::Close { .. } => {}
     }
 }
 
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -21,6 +21,8 @@
 
 /// Time after which the entry is told that an attempt waits for a slot.
 const ACKNOWLEDGE: Duration = Duration::from_millis(20);
+/// Longest time between the grant of a slot and the entry's word that the request may run.
+const COMMIT: Duration = Duration::from_millis(500);
 /// Answers up to this size are sent whole, in bytes.
 pub const WHOLE_BYTES: usize = 64 * 1024;
 
@@ -65,35 +67,56 @@
         remaining: Duration::from_micros(begin.remaining_us),
         usual: Duration::from_micros(begin.usual_us),
         rank: begin.rank,
-        prompt: begin.prompt_us.map(Duration::from_micros),
+        target: begin.target_us.map(Duration::from_micros),
+        repeatable: begin.repeatable,
+        kind: begin.kind,
+        tolerance: begin.tolerance,
     };
     let (reply, decision) = oneshot::channel();
     let (abandon, abandoned) = oneshot::channel();
     send_gate(context, GateMessage::Offer(offer, Waiter { reply, abandon })).await;
     match wait_for_slot(&mut sink, decision).await {
         Some(Decision::Start { upstream, address, deadline, load }) => {
+            log::info!(
+                "event=admitted request={} upstream={upstream} doubt={:.3} busy={} slots={}",
+                begin.request_id,
+                load.doubt,
+                load.busy,
+                load.slots
+            );
             let load = Some(load.into());
             let admitted = wire::Verdict { admitted: true, load, ..wire::Verdict::default() };
             if sink.send(Body::Verdict(admitted)).await.is_err() {
                 finish(context, attempt, RunResult::Cancelled).await;
                 return Err(LinkError::Closed);
             }
+            let (id, idempotent) = (begin.request_id.clone(), begin.idempotent);
+            let Some((body, rest)) = request_body(&begin, source).await else {
+                log::info!("event=not-committed request={id}");
+                finish(context, attempt, RunResult::Cancelled).await;
+                sink.reset();
+                return Err(LinkError::Closed);
+            };
             let (events, received) = mpsc::channel(CHANNEL_PARTS);
-            let id = begin.request_id.clone();
-            let rest = begin.body_follows.then(|| {
-                let (sender, rest) = mpsc::channel(CHANNEL_PARTS);
-                tokio::spawn(receive_body(source, sender));
-                rest
-            });
-            let idempotent = begin.idempotent;
-            let call = Call { rest, upstream, ..call(begin, address, deadline, events) };
+            let call = Call { body, rest, upstream, ..call(begin, address, deadline, events) };
             if context.calls.send(call).await.is_err() {
                 finish(context, attempt, RunResult::Cancelled).await;
                 return Err(LinkError::Closed);
             }
             Running { context, attempt, id, sink, idempotent }.relay(received, abandoned).await
         }
-        Some(Decision::Refuse(reason, load)) => refuse(sink, reason, Some(load)).await,
+        Some(Decision::Refuse(reason, load)) => {
+            log::info!(
+                "event=refused request={} reason={} doubt={:.3} busy={} slots={} queued={}",
+                begin.request_id,
+                reason.name(),
+                load.doubt,
+                load.busy,
+                load.slots,
+                load.queued
+            );
+            refuse(sink, reason, Some(load)).await
+        }
         None => {
             send_gate(context, GateMessage::Cancel(attempt)).await;
             Err(LinkError::Closed)
@@ -125,7 +148,15 @@
 async fn finish(context: &Context, attempt: AttemptId, result: RunResult) -> Option<Load> {
     let (reply, load) = oneshot::channel();
     send_gate(context, GateMessage::Finish(attempt, result, reply)).await;
-    load.await.ok()
+    let load = load.await.ok()?;
+    log::info!(
+        "event=ended entry={:x} attempt={:x} result={result:?} doubt={:.3} busy={}",
+        attempt.node,
+        attempt.serial,
+        load.doubt,
+        load.busy
+    );
+    Some(load)
 }
 
 async fn refuse(mut sink: Sink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
@@ -137,7 +168,29 @@
     Ok(())
 }
 
-/// Returns the call to the upstream, without the rest of the body.
+/// The first part of a request body and the source of the others.
+type BodyStart = (Bytes, Option<mpsc::Receiver<BodyPart>>);
+
+/// Returns the body of a request; `None` when its entry did not let the gate run it.
+async fn request_body(begin: &Begin, mut source: Source) -> Option<BodyStart> {
+    let first = if begin.on_commit {
+        match timeout(COMMIT, source.receive()).await {
+            Ok(Ok(Some(Body::Chunk(chunk)))) if chunk.last => return Some((chunk.data, None)),
+            Ok(Ok(Some(Body::Chunk(chunk)))) => chunk.data,
+            _ => return None,
+        }
+    } else {
+        begin.body.clone()
+    };
+    if !begin.body_follows {
+        return Some((first, None));
+    }
+    let (sender, rest) = mpsc::channel(CHANNEL_PARTS);
+    tokio::spawn(receive_body(source, sender));
+    Some((first, Some(rest)))
+}
+
+/// Returns the call to the upstream, without the body.
 fn call(
     begin: Begin,
     address: SocketAddr,
@@ -145,6 +198,7 @@
     events: mpsc::Sender<CallEvent>,
 ) -> Call {
     let whole = Some(begin.body.len() as u64);
+    let is_apart = begin.body_follows || begin.on_commit;
     Call {
         address,
         upstream: "".into(),
@@ -154,9 +208,9 @@
         method: begin.method,
         target: begin.target,
         headers: begin.headers.into_iter().map(|field| (field.name, field.value)).collect(),
-        body: begin.body,
+        body: Bytes::new(),
         rest: None,
-        length: if begin.body_follows { begin.body_length } else { whole },
+        length: if is_apart { begin.body_length } else { whole },
         events,
     }
 }
@@ -218,7 +272,7 @@
                             self.send(Body::Answer(head)).await?;
                         }
                     } else {
-                        self.send(Body::Chunk(wire::Chunk { data })).await?;
+                        self.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
                     }
                 }
                 Some(CallEvent::End) => return self.end(answer, first.freeze(), total).await,
@@ -365,7 +419,7 @@
                 return Ok(());
             };
             total += data.len() as u64;
-            sink.send(Body::Chunk(wire::Chunk { data })).await?;
+            sink.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
         }
         sink.send(Body::End(wire::End { length: total, load: None })).await?;
     }
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -27,7 +27,7 @@
 use crate::clock::SystemClock;
 use crate::counter;
 use crate::error::NodeError;
-use crate::http::listen::Addresses;
+use crate::http::listen::{Addresses, Closing};
 use crate::http::{callers, listen};
 use crate::net::context::Context;
 use crate::net::endpoint::{self, Command, Network};
@@ -39,6 +39,10 @@
 
 /// Longest sleep of the main loop.
 const MAX_SLEEP: Duration = Duration::from_secs(60);
+/// Longest time for answers to be written out at the end of a stop.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Part of a stop's time that its end may take.
+const CLOSE_DIVISOR: u32 = 40;
 /// Messages that are handled before the actors run.
 const BATCH: usize = 256;
 
@@ -101,7 +105,7 @@
         env!("CARGO_PKG_VERSION")
     );
     Main::new(settings, &clock, fleet, statsd, work, is_ready).serve(messages)?;
-    close(stop, &network);
+    close(stop, &network, CLOSE_TIMEOUT.min(settings.stop / CLOSE_DIVISOR));
     log::info!("event=ended node={}", settings.name);
     Ok(())
 }
@@ -196,14 +200,15 @@
 }
 
 /// Waits until answers are written out, then closes the connections to other nodes.
-fn close(stop: oneshot::Sender<oneshot::Sender<()>>, network: &Network) {
+fn close(stop: oneshot::Sender<Closing>, network: &Network, limit: Duration) {
     let (done, is_done) = oneshot::channel();
-    if stop.send(done).is_ok() {
-        let _ = is_done.blocking_recv();
+    if stop.send(Closing { limit, done }).is_ok() && is_done.blocking_recv().is_err() {
+        log::warn!("event=http-ended-early");
     }
     let (done, is_done) = oneshot::channel();
-    if network.blocking_send(Command::Close(done)).is_ok() {
-        let _ = is_done.blocking_recv();
+    let closing = Command::Close { limit, done };
+    if network.blocking_send(closing).is_ok() && is_done.blocking_recv().is_err() {
+        log::warn!("event=network-ended-early");
     }
 }
 
--- a/crates/schema/src/convert/request.rs
+++ b/crates/schema/src/convert/request.rs
@@ -60,6 +60,7 @@
             pace_us: micros(load.pace),
             condition: wire::Condition::from(load.condition).into(),
             evidence: load.evidence,
+            doubt: load.doubt,
         }
     }
 }
@@ -73,6 +74,7 @@
             pace: Duration::from_micros(load.pace_us),
             condition: load.condition().into(),
             evidence: load.evidence,
+            doubt: load.doubt,
         }
     }
 }
