Keep a slow attempt while another is made, and know replaced VMs by their address

What: a stuck attempt stays parked, and its answer counts if it comes first. A gate that never got the word to run an attempt has not run it, whatever its reason. A newer node at the same address replaces the older one. A deployment is not put back into the store.

Ruled out: the notice before a stop (requests were lost 0.3 s after it).

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -20,6 +20,16 @@
     pub text: Arc<[u8]>,
 }
 
+/// First part of the keys of deployments.
+pub const DEPLOYMENT: &str = "deployment";
+
+impl Document {
+    /// Tells whether the document holds a deployment.
+    pub fn is_deployment(&self) -> bool {
+        self.key.split('/').next() == Some(DEPLOYMENT)
+    }
+}
+
 impl Versioned for Document {
     fn version(&self) -> (Version, u64) {
         // Two texts of one revision can only come from a store that lost a change; any fixed
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -84,6 +84,7 @@
     expelled: IndexMap<NodeId, Instant>,
     failures: IndexMap<NodeId, u32>,
     buried: IndexMap<NodeId, (Version, Instant)>,
+    superseded: Vec<NodeId>,
 }
 
 impl Roster {
@@ -98,6 +99,7 @@
             expelled: IndexMap::new(),
             failures: IndexMap::new(),
             buried: IndexMap::new(),
+            superseded: Vec::new(),
         };
         roster.renew(|_| {});
         roster.arrange();
@@ -163,7 +165,35 @@
         }
         let buried = self.buried.get(&member.node);
         let is_buried = buried.is_some_and(|(version, _)| member.version <= *version);
-        !is_buried && self.members.merge(member.node, member, Some(source))
+        if is_buried {
+            return false;
+        }
+        let (node, peer, version) = (member.node, member.peer, member.version);
+        let is_news = self.members.merge(node, member, Some(source));
+        if is_news {
+            self.supersede(node, peer, version);
+        }
+        is_news
+    }
+
+    /// Forgets other nodes that had the address of a newer one: their VMs have been replaced.
+    fn supersede(&mut self, node: NodeId, peer: SocketAddr, version: Version) {
+        let others = self.members.iter().filter(|(other, member)| {
+            let is_other = **other != node && **other != self.me.node;
+            is_other && member.peer == peer && member.version < version
+        });
+        let others: Vec<NodeId> = others.map(|(other, _)| *other).collect();
+        let now = self.clock.now();
+        for other in others {
+            self.forget(other, now);
+            self.superseded.push(other);
+        }
+    }
+
+    /// Returns the nodes that were forgotten since the last call because their VMs have been
+    /// replaced.
+    pub fn take_superseded(&mut self) -> Vec<NodeId> {
+        std::mem::take(&mut self.superseded)
     }
 
     /// Notes that a ping was answered; returns whether a doubt was withdrawn.
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -206,15 +206,20 @@
         if is_alone || self.rounds % GREET_PINGS == 1 {
             self.greet();
             for node in self.roster.bury() {
-                self.known.swap_remove(&node);
-                let entry = &self.entry;
-                call!([entry], remove_node(node));
-                self.send(Command::Forget(node));
+                self.forget(node);
             }
         }
         self.set_standing();
     }
 
+    fn forget(&mut self, node: NodeId) {
+        log::info!("event=node-forgotten node={node:x}");
+        self.known.swap_remove(&node);
+        let entry = &self.entry;
+        call!([entry], remove_node(node));
+        self.send(Command::Forget(node));
+    }
+
     /// Tells the threads that speak to the store what is expected of them.
     fn set_standing(&mut self) {
         let delegate = self.roster.is_delegate(DELEGATES);
@@ -299,6 +304,9 @@
         let source = exchange.sender;
         let members = std::mem::take(&mut exchange.members);
         let nodes = self.roster.take(members, std::mem::take(&mut exchange.doubts), source);
+        for node in self.roster.take_superseded() {
+            self.forget(node);
+        }
         let mut news = false;
         for document in std::mem::take(&mut exchange.documents) {
             news |= self.apply(document, Some(source));
--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -25,7 +25,10 @@
             }
         }
         if is_all {
-            let missing = self.catalog.documents().iter().filter(|(key, _)| !seen.contains(*key));
+            let documents = self.catalog.documents().iter();
+            // A deployment lives under a key of its own, where only its operator writes.
+            let missing = documents
+                .filter(|(key, document)| !seen.contains(*key) && !document.is_deployment());
             outdated.extend(missing.map(|(_, document)| document.clone()));
         }
         for document in outdated {
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use self::attempt::{Held, attempt_at};
+use self::attempt::{Attempted, Held, Parked, attempt_at};
 use self::frame::{dispatch_frame, forward_frame};
 use super::body::{AnswerParts, BodyRequest, CHANNEL_PARTS, CutError};
 use super::context::Context;
@@ -92,6 +92,7 @@
     context.mailbox.send(Message::Entry(begin)).await;
     let mut guard = Guard { context, request: id, is_over: false };
     let mut held: Option<Held> = None;
+    let mut parked: Option<Parked> = None;
     let mut wait = None;
     loop {
         let Some(action) = next_action(context, id, &mut actions, wait.take()).await else {
@@ -114,7 +115,9 @@
                 );
                 let begin =
                     Begin { incarnation, ..dispatch_frame(&request, attempt, ticket, &plan) };
-                attempt_at(context, &mut request, gate, begin, plan.remaining, SILENCE).await
+                let limit = plan.remaining;
+                let next = attempt_at(context, &mut request, gate, begin, limit, SILENCE);
+                first_of(&mut parked, next).await
             }
             EntryAction::Forward { home, ticket, remaining, .. } => {
                 let begin = forward_frame(&request, ticket, remaining);
@@ -126,6 +129,13 @@
             }
             EntryAction::Conclude { conclusion, .. } => {
                 guard.is_over = true;
+                // No second attempt came about; the first one still runs.
+                if conclusion.outcome == Outcome::Unknown
+                    && let Some(first) = &mut parked
+                    && let Some(late) = first.answer().await
+                {
+                    return relay(context, id, late.held, conclusion.fresh);
+                }
                 return conclude(conclusion, held);
             }
             EntryAction::Wait { remaining, .. } => {
@@ -136,10 +146,29 @@
         if attempted.held.is_some() {
             held = attempted.held;
         }
+        if attempted.parked.is_some() {
+            parked = attempted.parked;
+        }
         report(context, id, attempted.report).await;
     }
 }
 
+/// Waits for a new attempt, or for the answer of one that goes on.
+async fn first_of(parked: &mut Option<Parked>, next: impl Future<Output = Attempted>) -> Attempted {
+    let Some(first) = parked else { return next.await };
+    tokio::pin!(next);
+    tokio::select! {
+        attempted = &mut next => return attempted,
+        answered = first.answer() => {
+            *parked = None;
+            if let Some(attempted) = answered {
+                return attempted;
+            }
+        }
+    }
+    next.await
+}
+
 async fn report(context: &Context, id: RequestId, report: Report) {
     context.mailbox.send(Message::Entry(EntryMessage::Report(id, report))).await;
 }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -6,15 +6,15 @@
 use lavenderflow_core::ticket::StoredAnswer;
 use lavenderflow_schema::wire::frame::Body;
 use lavenderflow_schema::wire::{self, Answer, Begin};
-use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout};
 
 use super::{Request, report};
 use crate::net::body::{BodyPart, CHANNEL_PARTS};
 use crate::net::connector::PeerError;
 use crate::net::context::Context;
 use crate::net::link::{self, LinkError, Sink, Source};
-use crate::prelude::*;
+use crate::prelude::{Duration, NodeId, Reason, RequestId};
 
 /// Time beyond the deadline for the gate's own report that it has passed.
 const GRACE: Duration = Duration::from_millis(60);
@@ -30,11 +30,50 @@
 pub(super) struct Attempted {
     pub(super) report: Report,
     pub(super) held: Option<Held>,
+    /// The link of an attempt that goes on while another one is made.
+    pub(super) parked: Option<Parked>,
 }
 
 impl From<Report> for Attempted {
     fn from(report: Report) -> Self {
-        Self { report, held: None }
+        Self { report, held: None, parked: None }
+    }
+}
+
+/// An attempt that takes long, while another one is made. Dropping it gives it up.
+pub(super) struct Parked(oneshot::Receiver<Attempted>);
+
+impl Parked {
+    /// Starts to wait for the rest of an attempt, up to `limit`.
+    fn start(sink: Option<Sink>, mut source: Source, limit: Duration) -> Self {
+        let (mut sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            // The sink is kept: its end would look like a caller that left.
+            let _sink = sink;
+            let answer = async {
+                loop {
+                    match source.receive().await {
+                        Ok(Some(Body::Answer(answer))) => return Some(answer),
+                        Ok(Some(Body::Verdict(_))) => {}
+                        _ => return None,
+                    }
+                }
+            };
+            let answer = tokio::select! {
+                answer = timeout(limit, answer) => answer.ok().flatten(),
+                () = sender.closed() => return,
+            };
+            if let Some(answer) = answer {
+                // The request may have ended by the other attempt.
+                let _ = sender.send(answered(answer, source, limit));
+            }
+        });
+        Self(receiver)
+    }
+
+    /// Waits for the answer; `None` when there will be none.
+    pub(super) async fn answer(&mut self) -> Option<Attempted> {
+        (&mut self.0).await.ok()
     }
 }
 
@@ -62,7 +101,9 @@
     }
     let id = request.arrival.request;
     let committed = !on_commit;
-    let mut exchange = AttemptLink { context, id, sink: Some(sink), source, remaining, committed };
+    let started = Instant::now();
+    let mut exchange =
+        AttemptLink { context, id, sink: Some(sink), source, remaining, started, committed };
     let limit = remaining + GRACE;
     let ended = timeout(limit, exchange.run(request, silence.min(limit))).await;
     let committed = exchange.committed;
@@ -97,6 +138,7 @@
     sink: Option<Sink>,
     source: Source,
     remaining: Duration,
+    started: Instant,
     // Whether the gate may have run the request.
     committed: bool,
 }
@@ -113,11 +155,16 @@
         loop {
             match frame.take() {
                 Some(Body::Verdict(verdict)) if verdict.queued => {}
+                Some(Body::Verdict(verdict)) if verdict.stuck => return Ok(self.park()),
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
                     let load = verdict.load.unwrap_or_default().into();
                     report(self.context, self.id, Report::Admitted(load)).await;
                     self.commit(request).await?;
                 }
+                // This gate never got the word to run the request, whatever its reason.
+                Some(Body::Verdict(verdict)) if !self.committed && is_foreign(&verdict) => {
+                    return Ok(Report::Unreachable.into());
+                }
                 Some(Body::Verdict(verdict)) => return Ok(refused(&verdict).into()),
                 Some(Body::Answer(answer)) => return Ok(self.answered(answer)),
                 Some(Body::Cut(cut)) => {
@@ -156,20 +203,41 @@
     }
 
     fn answered(&mut self, answer: Answer) -> Attempted {
-        let load = answer.load.map(Into::into);
-        // A running request can be given up by a stop of the source, a finished one needs nothing.
-        let status = u16::try_from(answer.status).unwrap_or(502);
-        let stored = answer.whole.then(|| Arc::new(stored(&answer, status)));
+        answered(answer, self.take_source(), self.remaining)
+    }
+
+    /// Lets the attempt go on while another one is made.
+    fn park(&mut self) -> Attempted {
+        let left = self.remaining.saturating_sub(self.started.elapsed()) + GRACE;
+        let parked = Parked::start(self.sink.take(), self.take_source(), left);
+        Attempted { parked: Some(parked), ..Report::Lost(Reason::Stuck).into() }
+    }
+
+    fn take_source(&mut self) -> Source {
         let closed = mpsc::channel(1).1;
-        let source = std::mem::replace(&mut self.source, Source::Local(closed));
-        let source = (!answer.whole).then_some(source);
-        Attempted {
-            report: Report::Answered { status, load, answer: stored },
-            held: Some(Held { answer, source, deadline: self.remaining }),
-        }
+        std::mem::replace(&mut self.source, Source::Local(closed))
     }
 }
 
+fn answered(answer: Answer, source: Source, deadline: Duration) -> Attempted {
+    let load = answer.load.map(Into::into);
+    let status = u16::try_from(answer.status).unwrap_or(502);
+    let stored = answer.whole.then(|| Arc::new(stored(&answer, status)));
+    // A running request can be given up by a stop of the source, a finished one needs nothing.
+    let source = (!answer.whole).then_some(source);
+    Attempted {
+        report: Report::Answered { status, load, answer: stored },
+        held: Some(Held { answer, source, deadline }),
+        parked: None,
+    }
+}
+
+/// Tells whether a gate refused an attempt as one of another run of it.
+fn is_foreign(verdict: &wire::Verdict) -> bool {
+    let reason = Reason::from_name(&verdict.reason);
+    matches!(reason, Some(Reason::Outdated | Reason::Duplicate))
+}
+
 fn refused(verdict: &wire::Verdict) -> Report {
     let load = verdict.load.map(Into::into);
     match Reason::from_name(&verdict.reason) {
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -248,11 +248,20 @@
         let mut answer: Option<Answer> = None;
         let mut first = BytesMut::new();
         let mut total = 0;
+        let mut is_watched = true;
         loop {
             let event = tokio::select! {
                 event = events.recv() => event,
                 () = self.sink.closed() => return self.outlive(events).await,
-                Ok(()) = &mut abandoned => return self.abandon(events).await,
+                told = &mut abandoned, if is_watched => {
+                    is_watched = false;
+                    if told.is_ok() {
+                        log::info!("event=stuck request={}", self.id);
+                        let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
+                        self.send(Body::Verdict(stuck)).await?;
+                    }
+                    continue;
+                }
             };
             match event {
                 Some(CallEvent::Head { status, headers }) => {
@@ -287,14 +296,6 @@
         }
     }
 
-    /// Lets the entry go elsewhere; the slot stays taken until the upstream is done.
-    async fn abandon(mut self, events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
-        let reason = Reason::Stuck.name().to_owned();
-        let cut = wire::Cut { reason, load: None, not_run: false };
-        self.sink.send(Body::Cut(cut)).await?;
-        self.outlive(events).await
-    }
-
     /// Ends work whose answer nobody wants. Where upstreams stop when their connection closes, work
     /// that may be repeated is cancelled. Otherwise this waits until the upstream answers: until
     /// then the request holds its slot there, and freeing it here would overload the upstream.
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -3,7 +3,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use lavenderflow_core::catalog::{Deployment, Document, Item, Limits};
+use lavenderflow_core::catalog::{DEPLOYMENT, Deployment, Document, Item, Limits};
 use lavenderflow_core::profile::{Caution, Forgiveness, Patience, Profile};
 use lavenderflow_core::route::{Part, Repeat, Route};
 use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
@@ -56,7 +56,7 @@
             value.name.clone(),
             Item::Organisation(name_of("name", &value.name)?.into(), value.concurrency),
         ),
-        ("deployment", stored::Stored { deployment: Some(value), .. }) => {
+        (DEPLOYMENT, stored::Stored { deployment: Some(value), .. }) => {
             (name.to_owned(), Item::Deployment(deployment(&value)?))
         }
         _ => return Err(ConvertError::Key(document.key.to_string())),
