Order evidence of gray spells by the start of runs; queue by rank; keep half of the slots of one that sheds

What: a limit lowered by shedding stays at half of the slots. The filter takes runs in the order of their starts. Requests that found no free slot queue where the wait is shortest among the gates that answered, also at one that was asked before; ranks give a head start in the queue.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -38,6 +38,8 @@
     pub idempotent: bool,
     /// Whether gray spells count.
     pub doubts: bool,
+    /// Whether it waits in the gate's queue for a slot.
+    pub queues: bool,
     /// Gates that it has asked before.
     pub excluded: &'a [NodeId],
 }
@@ -232,18 +234,29 @@
 ) -> Option<NodeId> {
     let (spell, spread) =
         if wish.idempotent { (REPEATED_SPELL_COST, REPEATED_SPREAD) } else { (SPELL_COST, SPREAD) };
-    let gates = indexes.iter().map(|index| pool.at(*index));
-    let free = gates.filter(|gate| !wish.excluded.contains(&gate.node));
+    let gates = || indexes.iter().map(|index| pool.at(*index));
+    // A gate that has not reported lately is taken to be as full as the others, when there is a
+    // reason to queue at all.
+    let waits: Vec<f64> = gates().filter_map(|gate| gate.known_wait(now)).map(seconds).collect();
+    let usual = match waits.len() {
+        count if wish.queues && count > 0 => waits.iter().sum::<f64>() / count as f64,
+        _ => 0.0,
+    };
+    let free = gates().filter(|gate| !wish.excluded.contains(&gate.node));
     let costs = free.map(|gate| {
         let crossing = if gate.near { 0.0 } else { CROSSING_COST };
         let silence = silent.get(&gate.node).map_or(0.0, |time| silence_cost(*time, now));
-        let wait = gate.wait(now).as_secs_f64();
+        let wait = gate.known_wait(now).map_or(usual, seconds);
         let cost = gate.doubt(now) * spell + wait + crossing + silence;
         (cost + rng.random_range(0.0..spread), gate.node)
     });
     costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, node)| node)
 }
 
+fn seconds(time: Duration) -> f64 {
+    time.as_secs_f64()
+}
+
 /// Returns the cost of asking a gate that did not answer at some time, in seconds.
 fn silence_cost(time: Instant, now: Instant) -> f64 {
     let age = now.saturating_duration_since(time).as_secs_f64();
--- a/crates/core/src/doubt.rs
+++ b/crates/core/src/doubt.rs
@@ -1,18 +1,24 @@
 //! The probability that an upstream is in a spell of leaving work without answers.
 //!
 //! An upstream can fail grayly: its probes pass while it leaves most of its work hanging. Failures
-//! tell so only when deadlines pass. This filter uses the age of the work in flight instead: each
-//! run that is overdue, against the times that such work usually takes, raises the probability,
-//! and each answer lowers it. Between observations it drifts to the share of time that spells
-//! last.
+//! tell so only when deadlines pass. This filter uses the age of the work in flight instead.
+//!
+//! It is the forward pass of a hidden Markov model with two states, well and in a spell. What
+//! becomes of a run depends on the state at its start, so runs are taken in the order of their
+//! starts: each one that is overdue, against the times that such work usually takes, raises the
+//! probability, and each answer lowers it. A long run that was followed by answered ones raises
+//! no doubt. Between runs the probability drifts to the share of time that spells last.
+
+use std::collections::VecDeque;
 
 use crate::prelude::*;
 use crate::survival::Survival;
 
-/// Share of time that an upstream spends in gray spells when nothing is known.
-pub(crate) const BASE: f64 = 0.08;
-/// Time after which what was observed has lost most of its weight: spells last for seconds.
-const MEMORY: f64 = 4.0;
+/// Share of time that an upstream spends in spells when nothing is known.
+pub(crate) const BASE: f64 = 0.14;
+/// Time after which what was observed has lost most of its weight, in seconds: spells last for
+/// seconds.
+const MEMORY: f64 = 6.0;
 /// Share of the work that is left without an answer during a spell.
 const HANGING: f64 = 0.75;
 /// Least and most probability, so that no observation is ever final.
@@ -25,66 +31,100 @@
 const LATE_WORTH: f64 = 0.3;
 /// Weight of a failure that was answered, as a likelihood ratio.
 const FAILURE_RATIO: f64 = 6.0;
+/// Ended runs that are kept in the order of their starts; older ones are summed up.
+const MAX_RUNS: usize = 32;
 
-/// Estimates whether one upstream is in a gray spell.
+/// A run that has not been answered yet.
+#[derive(Clone, Copy, Debug)]
+pub struct InFlight {
+    /// When it started.
+    pub started: Instant,
+    /// The share of such work that takes longer than its age.
+    pub beyond: f64,
+}
+
+/// Estimates whether one upstream is in a spell.
 ///
 /// # Examples
 ///
 /// ```
-/// use std::time::Instant;
+/// use std::time::{Duration, Instant};
 ///
-/// use lavenderflow_core::doubt::Doubt;
+/// use lavenderflow_core::doubt::{Doubt, InFlight};
 ///
-/// let now = Instant::now();
-/// let mut doubt = Doubt::new(now);
+/// let start = Instant::now();
+/// let now = start + Duration::from_secs(1);
+/// let mut doubt = Doubt::new(start);
 /// // One run is so old that only one in a hundred takes longer.
-/// let one = doubt.probability(now, [0.01]);
-/// assert!(one > 0.8);
-/// doubt.answered(now);
-/// assert!(doubt.probability(now, [0.01]) < one);
+/// let old = InFlight { started: start, beyond: 0.01 };
+/// assert!(doubt.probability(now, vec![old]) > 0.8);
+/// // Runs that started later were answered, so it just takes long.
+/// for _ in 0..4 {
+///     doubt.answered(start + Duration::from_millis(500));
+/// }
+/// assert!(doubt.probability(now, vec![old]) < 0.2);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Doubt {
-    probability: f64,
-    updated: Instant,
+    // The probability before the runs below.
+    before: f64,
+    since: Instant,
+    // Starts of ended runs with their likelihood ratios, in order.
+    runs: VecDeque<(Instant, f64)>,
 }
 
 impl Doubt {
     /// Starts without observations.
     pub fn new(now: Instant) -> Self {
-        Self { probability: BASE, updated: now }
+        Self { before: BASE, since: now, runs: VecDeque::new() }
     }
 
-    /// Returns the probability of a spell, given the work in flight: for each run the share of
-    /// such work that takes longer than its age.
-    pub fn probability(&self, now: Instant, beyond: impl IntoIterator<Item = f64>) -> f64 {
-        let ratio: f64 = beyond.into_iter().map(overdue_ratio).product();
-        update(self.drifted(now), ratio)
+    /// Returns the probability of a spell, given the work in flight.
+    pub fn probability(&self, now: Instant, mut in_flight: Vec<InFlight>) -> f64 {
+        in_flight.sort_by_key(|run| run.started);
+        let mut waiting =
+            in_flight.iter().map(|run| (run.started, overdue_ratio(run.beyond))).peekable();
+        let mut state = (self.before, self.since);
+        for run in &self.runs {
+            while let Some(earlier) = waiting.next_if(|(started, _)| *started < run.0) {
+                state = step(state, earlier);
+            }
+            state = step(state, *run);
+        }
+        state = waiting.fold(state, step);
+        drift(state.0, now.saturating_duration_since(state.1))
     }
 
-    /// Takes in an answer.
-    pub fn answered(&mut self, now: Instant) {
-        self.observe(now, 1.0 - HANGING);
+    /// Takes in the answer to a run.
+    pub fn answered(&mut self, started: Instant) {
+        self.add(started, 1.0 - HANGING);
     }
 
-    /// Takes in a failure that the upstream answered with, or a connection that it broke.
-    pub fn failed(&mut self, now: Instant) {
-        self.observe(now, FAILURE_RATIO);
+    /// Takes in a run that failed by the upstream's own answer, or whose connection it broke.
+    pub fn failed(&mut self, started: Instant) {
+        self.add(started, FAILURE_RATIO);
     }
 
     /// Takes in a run that was given up; `beyond` is the share of such work that takes longer.
-    pub fn given_up(&mut self, now: Instant, beyond: f64) {
-        self.observe(now, overdue_ratio(beyond));
+    pub fn given_up(&mut self, started: Instant, beyond: f64) {
+        self.add(started, overdue_ratio(beyond));
     }
 
-    fn observe(&mut self, now: Instant, ratio: f64) {
-        self.probability = update(self.drifted(now), ratio);
-        self.updated = now;
+    fn add(&mut self, started: Instant, ratio: f64) {
+        let place = self.runs.partition_point(|(other, _)| *other <= started);
+        self.runs.insert(place, (started, ratio));
+        if self.runs.len() > MAX_RUNS
+            && let Some(oldest) = self.runs.pop_front()
+        {
+            (self.before, self.since) = step((self.before, self.since), oldest);
+        }
     }
+}
 
-    fn drifted(&self, now: Instant) -> f64 {
-        drift(self.probability, now.saturating_duration_since(self.updated))
-    }
+/// Moves a probability on to the start of a run, and takes in what became of the run.
+fn step((probability, since): (f64, Instant), (started, ratio): (Instant, f64)) -> (f64, Instant) {
+    let probability = drift(probability, started.saturating_duration_since(since));
+    (update(probability, ratio), since.max(started))
 }
 
 /// Returns what is left of a probability after some time without observations.
@@ -106,8 +146,8 @@
 }
 
 impl Waiting<'_> {
-    /// Tells whether running the work anew elsewhere is worth more than waiting on, when its
-    /// upstream is in a spell with probability `spell`.
+    /// Tells whether running the work anew elsewhere is worth more than waiting on, when the other
+    /// work of its upstream says that it is in a spell with probability `spell`.
     pub fn should_give_up(&self, spell: f64) -> bool {
         let Self { survival, age, .. } = *self;
         let beyond = survival.beyond(age);
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -26,10 +26,12 @@
 const PROBED_GATES: usize = 3;
 /// Probability of a gray spell that a request accepts at the first gates that it asks.
 const FIRST_TOLERANCE: f32 = 0.2;
-/// Probability of a gray spell that a request accepts before its last gate.
+/// Probability of a gray spell that a request accepts in the queues of gates.
 const LATER_TOLERANCE: f32 = 0.5;
-/// Part of its remaining time that a request on a route with a timeout may wait for a slot.
-const QUEUE_DIVISOR: u32 = 2;
+/// Probability of a gray spell that a request accepts at its last gate.
+const LAST_TOLERANCE: f32 = 0.8;
+/// Part of its remaining time that a request may wait for a slot.
+const QUEUE_SHARE: f64 = 0.6;
 
 #[derive(Debug)]
 struct Flight {
@@ -45,6 +47,8 @@
     consumed: bool,
     streaming: bool,
     tried: Vec<NodeId>,
+    // Gates in whose queue it was to wait.
+    queued: Vec<NodeId>,
     limits: AttemptLimits,
     // Attempts that got a slot, or may have got one.
     sent: u32,
@@ -289,6 +293,7 @@
             consumed: false,
             streaming: false,
             tried: Vec::new(),
+            queued: Vec::new(),
             sent: 0,
             uncertain: false,
         };
@@ -386,11 +391,13 @@
         if now >= flight.deadline {
             return self.refuse(&flight, Reason::DeadlinePast);
         }
+        let queues = flight.kind.is_some() && flight.tried.len() >= PROBED_GATES;
         let wish = Wish {
             profile: &flight.profile,
             idempotent: flight.idempotent,
             doubts: flight.kind.is_some(),
-            excluded: &flight.tried,
+            queues,
+            excluded: if queues { &flight.queued } else { &flight.tried },
         };
         let gate = self.chooser.pick(&flight.service, &wish, now, &mut self.rng);
         let Some(gate) = gate else {
@@ -406,6 +413,9 @@
         flight.gate = Some(gate);
         flight.pending = true;
         flight.tried.push(gate);
+        if queues {
+            flight.queued.push(gate);
+        }
         let repeatable = flight.idempotent
             && flight.sent + 1 < flight.limits.upstreams
             && self.budget(&flight.service).has_token();
@@ -518,7 +528,8 @@
     match flight.kind {
         Some(_) if asked <= PROBED_GATES => FIRST_TOLERANCE,
         Some(_) if asked < flight.limits.gates as usize => LATER_TOLERANCE,
-        _ => 1.0,
+        Some(_) => LAST_TOLERANCE,
+        None => 1.0,
     }
 }
 
@@ -531,5 +542,5 @@
     if flight.tried.len() <= PROBED_GATES {
         return Duration::ZERO;
     }
-    (flight.deadline - now) / QUEUE_DIVISOR
+    (flight.deadline - now).mul_f64(QUEUE_SHARE)
 }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -176,6 +176,7 @@
             since: now,
             until: deadline.min(patience_end),
             deadline: deadline <= patience_end,
+            rank: offer.rank,
         };
         self.offers.insert(attempt, (offer, deadline));
         let state = self.services.entry(service.clone()).or_default();
--- a/crates/core/src/gate/spell.rs
+++ b/crates/core/src/gate/spell.rs
@@ -6,7 +6,7 @@
 
 use super::{Gate, GateAction, RunResult, Running};
 use crate::admission::Offer;
-use crate::doubt;
+use crate::doubt::{self, InFlight};
 use crate::prelude::*;
 use crate::survival::Survival;
 
@@ -20,16 +20,24 @@
 impl Gate {
     /// Returns the probability that an upstream is in a spell.
     pub(super) fn doubt(&self, id: &UpstreamId, now: Instant) -> f64 {
+        self.doubt_beside(id, None, now)
+    }
+
+    /// Returns that probability as if one attempt did not run.
+    fn doubt_beside(&self, id: &UpstreamId, left_out: Option<AttemptId>, now: Instant) -> f64 {
         let Some(upstream) = self.upstreams.get(id) else { return 0.0 };
         let common = upstream.common();
-        let own = self.running.iter().filter(|(_, running)| {
-            running.upstream == *id && running.born == common.born && !running.progress
+        let own = self.running.iter().filter(|(attempt, running)| {
+            let is_here = running.upstream == *id && running.born == common.born;
+            is_here && !running.progress && Some(**attempt) != left_out
         });
-        let beyond = own.filter_map(|(attempt, running)| {
+        let in_flight = own.filter_map(|(attempt, running)| {
             let (offer, _) = self.offers.get(attempt)?;
-            self.beyond(offer, now.saturating_duration_since(running.started))
+            let started = running.started;
+            let beyond = self.beyond(offer, now.saturating_duration_since(started))?;
+            Some(InFlight { started, beyond })
         });
-        common.doubt.probability(now, beyond.collect::<Vec<f64>>())
+        common.doubt.probability(now, in_flight.collect())
     }
 
     /// Returns the least probability of a spell among the upstreams of a service.
@@ -72,13 +80,13 @@
         let Some(upstream) = upstream.filter(|u| u.common().born == running.born) else { return };
         let doubt = &mut upstream.common_mut().doubt;
         match result {
-            RunResult::Success => doubt.answered(now),
+            RunResult::Success => doubt.answered(running.started),
             RunResult::ServerError | RunResult::Broken | RunResult::ConnectFailed => {
-                doubt.failed(now);
+                doubt.failed(running.started);
             }
             RunResult::TimedOut | RunResult::Cancelled => {
                 if let Some(beyond) = beyond.filter(|_| !running.progress) {
-                    doubt.given_up(now, beyond);
+                    doubt.given_up(running.started, beyond);
                 }
             }
             RunResult::Shed => {}
@@ -116,7 +124,7 @@
         let left = deadline.saturating_duration_since(now);
         let prompt = offer.target.map_or(left, |target| target.saturating_sub(age)).min(left);
         let waiting = doubt::Waiting { survival, age, prompt, left };
-        waiting.should_give_up(self.doubt(&running.upstream, now))
+        waiting.should_give_up(self.doubt_beside(&running.upstream, Some(attempt), now))
     }
 
     /// Returns the share of such work that takes longer than `age`, when the kind is told.
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -70,13 +70,16 @@
         }
     }
 
-    /// Estimates the wait for a slot.
-    pub fn wait(&self, now: Instant) -> Duration {
-        let fresh = self.reported.is_some_and(|time| now < time + STALE);
-        let busy = if fresh { self.load.busy + self.load.queued } else { 0 };
+    /// Estimates the wait for a slot; `None` when the last report is too old to say.
+    pub fn known_wait(&self, now: Instant) -> Option<Duration> {
+        let is_fresh = self.reported.is_some_and(|time| now < time + STALE);
+        if !is_fresh {
+            return None;
+        }
+        let busy = self.load.busy + self.load.queued;
         let ahead = (busy + self.pending + 1).saturating_sub(self.slots);
         let pace = if self.load.pace.is_zero() { FIRST_PACE } else { self.load.pace };
-        pace * ahead / self.slots.max(1)
+        Some(pace * ahead / self.slots.max(1))
     }
 }
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -15,8 +15,13 @@
     pub until: Instant,
     /// Whether the end of waiting is the request's own deadline.
     pub deadline: bool,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u32,
 }
 
+/// Head start of a request over one that is one rank less urgent.
+const RANK_START: Duration = Duration::from_millis(250);
+
 /// Holds requests for a bounded time; newest first while it is overloaded.
 #[derive(Debug, Default)]
 pub struct Queue {
@@ -32,11 +37,23 @@
     /// Takes the next request to run.
     ///
     /// The oldest goes first until it has used half of its time; from then on the newest goes
-    /// first, so that those who can still be served in time are.
+    /// first, so that those who can still be served in time are. Urgent requests have a head start
+    /// either way, but no rank starves another.
     pub fn pop(&mut self, now: Instant) -> Option<Waiting> {
         let oldest = self.waiting.front()?;
         let half = oldest.since + (oldest.until - oldest.since) / 2;
-        if now >= half { self.waiting.pop_back() } else { self.waiting.pop_front() }
+        let waiting = self.waiting.iter().enumerate();
+        let next = if now >= half {
+            // The latest place among equals.
+            waiting.min_by_key(|(place, w)| {
+                let age = now.saturating_duration_since(w.since);
+                (age + RANK_START * w.rank, std::cmp::Reverse(*place))
+            })
+        } else {
+            waiting.min_by_key(|(place, w)| (w.since + RANK_START * w.rank, *place))
+        };
+        let place = next.map(|(place, _)| place)?;
+        self.waiting.remove(place)
     }
 
     /// Removes the requests whose time is over.
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -265,12 +265,13 @@
         self.settle(now)
     }
 
-    /// Lowers the limit because the upstream shed a request.
+    /// Lowers the limit because the upstream shed a request, down to half of its slots: one that
+    /// sheds with few requests at hand does so for another reason than its load.
     pub fn shed(&mut self, now: Instant) {
         let common = self.common_mut();
         common.raised = now;
-        let busy = common.short + common.long;
-        common.shed_limit = Some(busy.saturating_sub(1).max(1));
+        let (busy, least) = (common.short + common.long, common.slots.div_ceil(2));
+        common.shed_limit = Some(busy.saturating_sub(1).max(least));
     }
 
     /// Returns how many requests it may run at once now.
