Try doubted upstreams within the budget only, prefer the least doubted gates, spread the rest

What: gates publish that they are doubted; entries send them only requests that can be repeated, often enough that a gate is tried every 1.3 s by the whole fleet. Among gates that are probably well the load decides. Work that may not be repeated asks first for a doubt below 0.04. The budget beside the share refills over its window.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -64,8 +64,14 @@
     }
     let (service, profile, now) = (service(1), Profile::default(), Instant::now());
     let mut rng = Pcg64Mcg::seed_from_u64(1);
-    let wish =
-        Wish { profile: &profile, idempotent: true, doubts: false, queues: false, excluded: &[] };
+    let wish = Wish {
+        profile: &profile,
+        idempotent: true,
+        repeatable: true,
+        doubts: false,
+        queues: false,
+        excluded: &[],
+    };
     bencher.bench_local(|| chooser.pick(&service, &wish, now, &mut rng));
 }
 
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,63 +1,108 @@
 //! The retry budget: repeats are a bounded share of recent requests.
 
+use crate::prelude::*;
+
 /// Most repeats that can be saved up.
 const MAX_TOKENS: f64 = 50.0;
 /// Repeats that are allowed before any request was counted.
 const FIRST_TOKENS: f64 = 10.0;
 
+/// What a budget allows beside its share of the requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Repeats that can be saved up.
+    pub saved: f64,
+    /// Repeats that are added each second.
+    pub rate: f64,
+}
+
+impl Allowance {
+    /// Divides the repeats that a fleet of `nodes` may make in any `window` beside the share of
+    /// its requests: half may come at once, most of the others one by one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use lavenderflow_core::budget::Allowance;
+    ///
+    /// let window = Duration::from_secs(10);
+    /// let own = Allowance::divide(100, window, 10);
+    /// assert!((own.saved + own.rate * 10.0) * 10.0 <= 100.0);
+    /// ```
+    pub fn divide(repeats: u64, window: Duration, nodes: usize) -> Self {
+        /// Part that may come at once.
+        const SAVED: f64 = 0.5;
+        /// Part that comes one by one; the rest covers what nodes count differently.
+        const STEADY: f64 = 0.4;
+        let own = repeats as f64 / nodes.max(1) as f64;
+        // A node that may save up less than one repeat could never make any.
+        Self { saved: (own * SAVED).max(1.0), rate: own * STEADY / window.as_secs_f64() }
+    }
+}
+
 /// A token bucket that requests fill and repeats empty.
 ///
 /// # Examples
 ///
 /// ```
+/// use std::time::Instant;
+///
 /// use lavenderflow_core::budget::Budget;
 ///
+/// let now = Instant::now();
 /// let mut budget = Budget::default();
-/// while budget.withdraw() {}
+/// while budget.withdraw(now) {}
 /// (0..10).for_each(|_| budget.deposit(0.1));
-/// assert!(budget.withdraw());
-/// assert!(!budget.withdraw());
+/// assert!(budget.withdraw(now));
+/// assert!(!budget.withdraw(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
     tokens: f64,
-    most: f64,
+    allowance: Allowance,
+    filled: Option<Instant>,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { tokens: FIRST_TOKENS, most: MAX_TOKENS }
+        let allowance = Allowance { saved: MAX_TOKENS, rate: 0.0 };
+        Self { tokens: FIRST_TOKENS, allowance, filled: None }
     }
 }
 
 impl Budget {
-    /// Creates a full budget that never saves up more than `burst` repeats, so that over any time
-    /// the repeats are at most `burst` and the share of the requests.
-    pub fn with_burst(burst: f64) -> Self {
-        Self { tokens: burst, most: burst }
+    /// Creates a full budget. Over any time the repeats are at most the allowance and the share
+    /// of the requests.
+    pub fn new(allowance: Allowance) -> Self {
+        Self { tokens: allowance.saved, allowance, filled: None }
     }
 
-    /// Changes how many repeats can be saved up.
-    pub fn set_burst(&mut self, burst: f64) {
-        self.most = burst;
-        self.tokens = self.tokens.min(burst);
+    /// Changes what is allowed beside the share.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+        self.tokens = self.tokens.min(allowance.saved);
     }
 
     /// Counts a first attempt; `share` of it can be spent on repeats.
     pub fn deposit(&mut self, share: f64) {
-        self.tokens = (self.tokens + share).min(self.most);
+        self.tokens = (self.tokens + share).min(self.allowance.saved);
     }
 
     /// Tells whether a repeat can be taken.
-    pub fn has_token(&self) -> bool {
+    pub fn has_token(&mut self, now: Instant) -> bool {
         // Sums of tenths fall short of whole numbers by rounding.
         const ROUNDING: f64 = 1e-9;
+        let since = self.filled.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(since).as_secs_f64();
+        self.deposit(elapsed * self.allowance.rate);
         self.tokens + ROUNDING >= 1.0
     }
 
     /// Takes one repeat, or returns false when the budget is spent.
-    pub fn withdraw(&mut self) -> bool {
-        let allowed = self.has_token();
+    pub fn withdraw(&mut self, now: Instant) -> bool {
+        let allowed = self.has_token(now);
         if allowed {
             self.tokens -= 1.0;
         }
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -15,6 +15,8 @@
 
 /// Cost of another zone's traffic, as the time that it is worth.
 const CROSSING_COST: f64 = 0.04;
+/// Probability of a gray spell that is nothing special.
+const COMMON_DOUBT: f64 = 0.15;
 /// Cost of a gray spell for work that may not be repeated, in seconds.
 const SPELL_COST: f64 = 1.0;
 /// Cost of a gray spell for work that is given up early and repeated, in seconds.
@@ -26,8 +28,6 @@
 /// Spread of the choice among gates of similar cost, in seconds, so that entries do not all choose
 /// the same.
 const SPREAD: f64 = 0.03;
-/// Spread for work that may be repeated, which shows how the other gates are.
-const REPEATED_SPREAD: f64 = 0.15;
 
 /// What a request wants of a gate.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +36,8 @@
     pub profile: &'a Profile,
     /// Whether it may be repeated.
     pub idempotent: bool,
+    /// Whether it could be repeated now.
+    pub repeatable: bool,
     /// Whether gray spells count.
     pub doubts: bool,
     /// Whether it waits in the gate's queue for a slot.
@@ -109,9 +111,16 @@
         let pool = self.pools.get_mut(service)?;
         let paths = &self.paths;
         pool.refresh(now, wish.profile.caution.floor, |node| path_evidence(paths, node));
-        if wish.idempotent
-            && wish.excluded.is_empty()
-            && rng.random_bool(TRIAL_SHARE)
+        let may_try = wish.idempotent && wish.excluded.is_empty();
+        let share = match may_try {
+            true if wish.doubts => {
+                let share = pool.trial_share(self.offers.len(), now);
+                if wish.repeatable { share } else { 0.0 }
+            }
+            true => TRIAL_SHARE,
+            false => 0.0,
+        };
+        if rng.random_bool(share)
             && let Some(node) = pool.take_trial(now)
         {
             return Some(node);
@@ -232,8 +241,7 @@
     now: Instant,
     rng: &mut impl Rng,
 ) -> Option<NodeId> {
-    let (spell, spread) =
-        if wish.idempotent { (REPEATED_SPELL_COST, REPEATED_SPREAD) } else { (SPELL_COST, SPREAD) };
+    let spell = if wish.idempotent { REPEATED_SPELL_COST } else { SPELL_COST };
     let gates = || indexes.iter().map(|index| pool.at(*index));
     // A gate that has not reported lately is taken to be as full as the others, when there is a
     // reason to queue at all.
@@ -247,8 +255,10 @@
         let crossing = if gate.near { 0.0 } else { CROSSING_COST };
         let silence = silent.get(&gate.node).map_or(0.0, |time| silence_cost(*time, now));
         let wait = gate.known_wait(now).map_or(usual, seconds);
-        let cost = gate.doubt(now) * spell + wait + crossing + silence;
-        (cost + rng.random_range(0.0..spread), gate.node)
+        // Among gates that are probably well the load decides, so that all of them get work.
+        let doubt = (gate.doubt(now) - COMMON_DOUBT).max(0.0);
+        let cost = doubt * spell + wait + crossing + silence;
+        (cost + rng.random_range(0.0..SPREAD), gate.node)
     });
     costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, node)| node)
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use self::ending::{conclude, lost_reason};
-use crate::budget::Budget;
+use crate::budget::{Allowance, Budget};
 use crate::choice::{Chooser, Wish};
 use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
@@ -24,8 +24,11 @@
 const MAX_GATES: u32 = 6;
 /// Gates that are asked for a free slot before a request waits in a queue.
 const PROBED_GATES: usize = 3;
-/// Probability of a gray spell that a request accepts at the first gates that it asks.
-const FIRST_TOLERANCE: f32 = 0.2;
+/// Probability of a gray spell that work which may not be repeated accepts at the gates that it
+/// asks first: one overdue run is reason enough to look for a better one.
+const TOLERANCE: [f32; PROBED_GATES] = [0.04, 0.08, 0.16];
+/// The same for work that may be repeated.
+const REPEATED_TOLERANCE: [f32; PROBED_GATES] = [0.1, 0.15, 0.2];
 /// Probability of a gray spell that a request accepts in the queues of gates.
 const LATER_TOLERANCE: f32 = 0.5;
 /// Probability of a gray spell that a request accepts at its last gate.
@@ -115,7 +118,7 @@
     profiles: IndexMap<ServiceName, Profile>,
     limits: IndexMap<OrganisationName, u32>,
     budgets: IndexMap<ServiceName, Budget>,
-    burst: Option<f64>,
+    allowance: Option<Allowance>,
     busy: IndexMap<OrganisationName, u32>,
     flights: IndexMap<RequestId, Flight>,
     waiting: IndexMap<RequestId, TicketId>,
@@ -144,7 +147,7 @@
             profiles: IndexMap::new(),
             limits: IndexMap::new(),
             budgets: IndexMap::new(),
-            burst: None,
+            allowance: None,
             busy: IndexMap::new(),
             flights: IndexMap::new(),
             waiting: IndexMap::new(),
@@ -167,11 +170,11 @@
         self.unconfigured = false;
     }
 
-    /// Lets each service make only so many repeats in a row beside the profile's share.
-    pub fn set_burst(&mut self, burst: f64) {
-        self.burst = Some(burst);
+    /// Sets how many repeats each service may make beside the profile's share.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = Some(allowance);
         for budget in self.budgets.values_mut() {
-            budget.set_burst(burst);
+            budget.set_allowance(allowance);
         }
     }
 
@@ -371,8 +374,8 @@
     }
 
     fn budget(&mut self, service: &ServiceName) -> &mut Budget {
-        let burst = self.burst;
-        let new = || burst.map_or_else(Budget::default, Budget::with_burst);
+        let allowance = self.allowance;
+        let new = || allowance.map_or_else(Budget::default, Budget::new);
         self.budgets.entry(service.clone()).or_insert_with(new)
     }
 
@@ -391,10 +394,14 @@
         if now >= flight.deadline {
             return self.refuse(&flight, Reason::DeadlinePast);
         }
+        let repeatable = flight.idempotent
+            && flight.sent + 1 < flight.limits.upstreams
+            && self.budget(&flight.service).has_token(now);
         let queues = flight.kind.is_some() && flight.tried.len() >= PROBED_GATES;
         let wish = Wish {
             profile: &flight.profile,
             idempotent: flight.idempotent,
+            repeatable,
             doubts: flight.kind.is_some(),
             queues,
             excluded: if queues { &flight.queued } else { &flight.tried },
@@ -416,9 +423,6 @@
         if queues {
             flight.queued.push(gate);
         }
-        let repeatable = flight.idempotent
-            && flight.sent + 1 < flight.limits.upstreams
-            && self.budget(&flight.service).has_token();
         let plan = Plan {
             repeatable,
             service: flight.service.clone(),
@@ -470,7 +474,7 @@
             && gates < flight.limits.gates
             && flight.sent < flight.limits.upstreams
             && now < flight.deadline
-            && (!costs || self.budget(&flight.service).withdraw())
+            && (!costs || self.budget(&flight.service).withdraw(now))
     }
 
     /// Goes on after proof that the attempt did not run.
@@ -525,8 +529,9 @@
 /// other gates to ask.
 fn tolerance(flight: &Flight) -> f32 {
     let asked = flight.tried.len();
+    let first = if flight.idempotent { REPEATED_TOLERANCE } else { TOLERANCE };
     match flight.kind {
-        Some(_) if asked <= PROBED_GATES => FIRST_TOLERANCE,
+        Some(_) if asked <= PROBED_GATES => first[asked.saturating_sub(1).min(first.len() - 1)],
         Some(_) if asked < flight.limits.gates as usize => LATER_TOLERANCE,
         Some(_) => LAST_TOLERANCE,
         None => 1.0,
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -241,8 +241,9 @@
             release(upstream, running.long);
             changed = review::learn(upstream, &running, result, offer.usual, now, &profile);
         }
+        self.review_doubts(now);
         let mut actions = self.fill(&offer.service);
-        if changed {
+        if changed || offer.kind.is_some() {
             actions.extend(self.publish());
         }
         (self.load(&offer.service), actions)
@@ -257,6 +258,7 @@
             upstream.common_mut().witness.tick(now);
         }
         let mut actions = self.review_running(now);
+        self.review_doubts(now);
         self.bury();
         actions.extend(self.expire(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
@@ -465,7 +467,11 @@
     load.busy += common.short + common.long;
     load.slots += upstream.limit(now);
     load.pace = load.pace.max(common.witness.pace());
-    load.condition = best(load.condition, common.witness.condition());
+    let condition = match common.witness.condition() {
+        Condition::Well if common.doubted => Condition::Trial,
+        condition => condition,
+    };
+    load.condition = best(load.condition, condition);
     load.evidence = load.evidence.min(common.witness.evidence());
     load
 }
--- a/crates/core/src/gate/spell.rs
+++ b/crates/core/src/gate/spell.rs
@@ -10,8 +10,14 @@
 use crate::prelude::*;
 use crate::survival::Survival;
 
+/// Probability of a spell at which an upstream leaves the choice.
+const OUT: f64 = 0.7;
+/// Probability of a spell at which it comes back.
+const BACK: f64 = 0.3;
+/// Doubt of an upstream that its failures or its slow answers have ejected.
+const EJECTED_DOUBT: f64 = 0.9;
 /// Least interval between two trials of a doubted upstream.
-const TRIAL_INTERVAL: Duration = Duration::from_millis(700);
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of a route's target latency that its work is assumed to take until runs have ended.
 const TARGET_DIVISOR: u32 = 4;
 /// Time that work is assumed to take when its route has no target.
@@ -40,17 +46,33 @@
         common.doubt.probability(now, in_flight.collect())
     }
 
-    /// Returns the least probability of a spell among the upstreams of a service.
+    /// Returns the least doubt about the upstreams of a service: the probability of a spell, or
+    /// that an upstream is ejected.
     pub(super) fn least_doubt(&self, service: &ServiceName, now: Instant) -> f64 {
         let upstreams = self.upstreams.iter();
         let own = upstreams.filter(|(_, u)| u.common().service == *service && u.limit(now) > 0);
-        own.map(|(id, _)| self.doubt(id, now)).fold(1.0, f64::min)
+        let doubts = own.map(|(id, upstream)| {
+            let is_well = upstream.common().witness.condition() == Condition::Well;
+            self.doubt(id, now).max(if is_well { 0.0 } else { EJECTED_DOUBT })
+        });
+        doubts.fold(1.0, f64::min)
+    }
+
+    /// Decides which upstreams the doubt takes out of the choice.
+    pub(super) fn review_doubts(&mut self, now: Instant) {
+        let doubts: Vec<f64> = self.upstreams.keys().map(|id| self.doubt(id, now)).collect();
+        for (upstream, doubt) in self.upstreams.values_mut().zip(doubts) {
+            let common = upstream.common_mut();
+            common.doubted = if common.doubted { doubt > BACK } else { doubt > OUT };
+        }
     }
 
     /// Tells whether a request must go elsewhere because its upstream may be in a spell. A few
     /// requests that may be repeated find out whether the spell is over.
     pub(super) fn doubts(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
-        if self.least_doubt(&offer.service, now) <= f64::from(offer.tolerance) {
+        if offer.kind.is_none()
+            || self.least_doubt(&offer.service, now) <= f64::from(offer.tolerance)
+        {
             return None;
         }
         let upstreams = self.upstreams.values_mut().map(|upstream| upstream.common_mut());
@@ -58,7 +80,7 @@
         let due =
             doubted.find(|common| common.tried.is_none_or(|tried| now >= tried + TRIAL_INTERVAL));
         match due {
-            Some(common) if offer.idempotent => {
+            Some(common) if offer.repeatable => {
                 common.tried = Some(now);
                 None
             }
@@ -74,6 +96,7 @@
         result: RunResult,
         now: Instant,
     ) {
+        let Some(kind) = offer.kind else { return };
         let age = now.saturating_duration_since(running.started);
         let beyond = self.beyond(offer, age);
         let upstream = self.upstreams.get_mut(&running.upstream);
@@ -91,9 +114,7 @@
             }
             RunResult::Shed => {}
         }
-        if result == RunResult::Success
-            && let Some(kind) = offer.kind
-        {
+        if result == RunResult::Success {
             self.survival(offer, kind).observe(age);
         }
     }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,6 +17,32 @@
 /// Least interval between two trial requests to one gate.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time within which the whole fleet tries each gate that is out about once.
+const TRIAL_PAUSE: Duration = Duration::from_millis(1300);
+/// Largest share of the requests that may be repeated which are trials.
+const MAX_TRIAL_SHARE: f64 = 0.4;
+/// Time over which arrivals are averaged.
+const RATE_MEMORY: Duration = Duration::from_secs(5);
+
+/// Smoothed number of arrivals per second.
+#[derive(Debug, Default)]
+struct ArrivalRate {
+    rate: f64,
+    last: Option<Instant>,
+}
+
+impl ArrivalRate {
+    /// Counts an arrival and returns the rate, which is never zero.
+    fn count(&mut self, now: Instant) -> f64 {
+        let memory = RATE_MEMORY.as_secs_f64();
+        let pause =
+            self.last.map_or(memory, |last| now.saturating_duration_since(last).as_secs_f64());
+        self.last = Some(now);
+        self.rate = self.rate * (-pause / memory).exp() + 1.0 / memory;
+        self.rate
+    }
+}
+
 /// One gate, as one entry sees it.
 #[derive(Clone, Debug)]
 pub struct GateView {
@@ -92,6 +118,9 @@
     trials: Vec<usize>,
     usual: Duration,
     refreshed: Option<Instant>,
+    // Whether gates that are out are tried all the time, since their own doubt protects callers.
+    eager: bool,
+    trial_rate: ArrivalRate,
 }
 
 /// Evidence against the path to a gate: whether it is suspect, and how strong the evidence is.
@@ -165,10 +194,12 @@
         self.near = self.chosen.iter().copied().filter(|i| self.gates[*i].near).collect();
         let on_trial = |i: &usize| {
             let gate = &self.gates[*i];
-            !chosen[*i]
-                && !gate.expelled
-                && gate.load.condition != Condition::Ejected
-                && path(gate.node).0 != Condition::Ejected
+            let is_due = if self.eager {
+                gate.load.condition != Condition::Well
+            } else {
+                !chosen[*i] && gate.load.condition != Condition::Ejected
+            };
+            is_due && !gate.expelled && path(gate.node).0 != Condition::Ejected
         };
         self.trials = (0..chosen.len()).filter(on_trial).collect();
     }
@@ -183,10 +214,25 @@
         &self.gates[index]
     }
 
-    /// Takes a gate for a trial request, if one is due.
+    /// Returns the share of requests that may be repeated which go to gates on trial, so that each
+    /// of these is tried about once in [`TRIAL_PAUSE`] by a fleet of `entries`.
+    pub fn trial_share(&mut self, entries: usize, now: Instant) -> f64 {
+        self.eager = true;
+        let own = self.trial_rate.count(now);
+        let wanted = self.trials.len() as f64 / TRIAL_PAUSE.as_secs_f64();
+        (wanted / (own * entries.max(1) as f64)).min(MAX_TRIAL_SHARE)
+    }
+
+    /// Returns how many gates wait for trial requests.
+    pub fn trials(&self) -> usize {
+        self.trials.len()
+    }
+
+    /// Takes the gate for a trial request that was tried longest ago, if one is due.
     pub fn take_trial(&mut self, now: Instant) -> Option<NodeId> {
         let due = |gate: &GateView| gate.tried.is_none_or(|time| now >= time + TRIAL_INTERVAL);
-        let index = self.trials.iter().copied().find(|i| due(&self.gates[*i]))?;
+        let due = self.trials.iter().copied().filter(|i| due(&self.gates[*i]));
+        let index = due.min_by_key(|i| self.gates[*i].tried)?;
         let gate = &mut self.gates[index];
         gate.tried = Some(now);
         Some(gate.node)
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -116,6 +116,8 @@
     pub witness: Witness,
     /// How likely it is in a gray spell.
     pub doubt: Doubt,
+    /// Whether the doubt takes it out of the choice.
+    pub doubted: bool,
     /// When it was last tried in spite of doubt.
     pub tried: Option<Instant>,
     /// Its lifetime.
@@ -153,6 +155,7 @@
             long: 0,
             witness: Witness::default(),
             doubt: Doubt::new(now),
+            doubted: false,
             tried: None,
             born: announcement.born,
             sequence: announcement.sequence,
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -1,5 +1,6 @@
 //! Owns the entry's decisions and the channels to the requests in flight.
 
+use lavenderflow_core::budget::Allowance;
 use lavenderflow_core::entry::Entry;
 use lavenderflow_core::pool::GateView;
 use lavenderflow_core::request::EntryAction;
@@ -69,9 +70,9 @@
         self.entry.set_router(router);
     }
 
-    /// Takes in how many repeats in a row a service may make.
-    pub fn set_burst(&mut self, _: CX![], burst: f64) {
-        self.entry.set_burst(burst);
+    /// Takes in how many repeats a service may make beside its share.
+    pub fn set_allowance(&mut self, _: CX![], allowance: Allowance) {
+        self.entry.set_allowance(allowance);
     }
 
     /// Takes in a service's profile.
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use lavenderflow_core::budget::Allowance;
 use lavenderflow_core::catalog::{Catalog, Limits};
 use lavenderflow_core::gate::Offered;
 use lavenderflow_core::gossip::{Exchange, Gossip, Position};
@@ -25,6 +26,8 @@
 const COLLECT: Duration = Duration::from_millis(20);
 /// Interval at which the seeds are greeted, in pings.
 const GREET_PINGS: u32 = 10;
+/// Time in which the repeats of the setting `burst` may be made.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Size of the fleet that is assumed until more nodes are known.
 const MIN_FLEET: usize = 16;
 /// Nodes that are greeted at a time.
@@ -359,8 +362,9 @@
             return;
         }
         self.size = size;
-        let (entry, burst) = (&self.entry, self.burst as f64 / size as f64);
-        call!([entry], set_burst(burst));
+        let entry = &self.entry;
+        let allowance = Allowance::divide(self.burst, BUDGET_WINDOW, size);
+        call!([entry], set_allowance(allowance));
     }
 
     fn set_next(&self) {
