Play loads on the decisions, and give work to upstreams of which nothing is known

Cause, from the play: an upstream without recent work stood at the prior doubt of 0.14, above what the first requests accept, and got none for 15 s in a fleet where all were well; trials all went to the upstream that came first in an order that entries share.

An upstream that is probably well gets work after 0.8 s without any; trials go to any doubted one. Requests that can be prompt leave the queue first, oldest first.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -121,7 +121,7 @@
             false => 0.0,
         };
         if rng.random_bool(share)
-            && let Some(node) = pool.take_trial(now)
+            && let Some(node) = pool.take_trial(now, rng)
         {
             return Some(node);
         }
--- a/crates/core/src/doubt.rs
+++ b/crates/core/src/doubt.rs
@@ -26,7 +26,7 @@
 /// Time to bring a repeat to another upstream.
 const REPEAT_TIME: Duration = Duration::from_millis(5);
 /// Gain in the probability of an answer in time that a repeat must bring: it takes capacity.
-const GAIN: f64 = 0.15;
+const GAIN: f64 = 0.25;
 /// Worth of a late answer, as a part of that of a prompt one.
 const LATE_WORTH: f64 = 0.3;
 /// Weight of a failure that was answered, as a likelihood ratio.
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -52,6 +52,7 @@
     tried: Vec<NodeId>,
     // Gates in whose queue it was to wait.
     queued: Vec<NodeId>,
+
     limits: AttemptLimits,
     // Attempts that got a slot, or may have got one.
     sent: u32,
@@ -533,6 +534,7 @@
     match flight.kind {
         Some(_) if asked <= PROBED_GATES => first[asked.saturating_sub(1).min(first.len() - 1)],
         Some(_) if asked < flight.limits.gates as usize => LATER_TOLERANCE,
+        Some(_) if flight.idempotent => 1.0,
         Some(_) => LAST_TOLERANCE,
         None => 1.0,
     }
@@ -544,7 +546,7 @@
     if !flight.limits.free_refusals {
         return flight.profile.patience.queue;
     }
-    if flight.tried.len() <= PROBED_GATES {
+    if flight.tried.len() <= PROBED_GATES || flight.tried.len() >= flight.limits.gates as usize {
         return Duration::ZERO;
     }
     (flight.deadline - now).mul_f64(QUEUE_SHARE)
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -13,6 +13,8 @@
 use crate::upstream::{AnnouncedPhase, Announcement, AnyUpstream, Lifetime};
 use crate::window::Window;
 
+/// Part of a route's target latency after which a request in the queue will be late.
+const PROMPT_SHARE: f64 = 0.5;
 /// Upstreams that are remembered after they said that they are gone.
 const MAX_RESIGNED: usize = 64;
 
@@ -171,10 +173,16 @@
         // One that does not wait is turned away below, not when its time is over.
         let waits = !offer.patience.is_zero();
         let patience_end = if waits { now + offer.patience } else { deadline };
+        let until = deadline.min(patience_end);
+        let prompt = match offer.target {
+            Some(target) => target.mul_f64(PROMPT_SHARE),
+            None => until.saturating_duration_since(now) / 2,
+        };
         let waiting = Waiting {
             attempt,
             since: now,
-            until: deadline.min(patience_end),
+            prompt_until: now + prompt,
+            until,
             deadline: deadline <= patience_end,
             rank: offer.rank,
         };
@@ -261,6 +269,7 @@
         self.review_doubts(now);
         self.bury();
         actions.extend(self.expire(now));
+        actions.extend(self.release_doubting(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
             actions.extend(self.fill(&service));
@@ -391,6 +400,7 @@
         let (service, deadline) = (offer.service.clone(), *deadline);
         let common = self.upstreams.get_mut(id)?.common_mut();
         *(if long { &mut common.long } else { &mut common.short }) += 1;
+        common.started = Some(now);
         let address = common.address;
         let running = Running {
             upstream: id.clone(),
--- a/crates/core/src/gate/spell.rs
+++ b/crates/core/src/gate/spell.rs
@@ -8,14 +8,19 @@
 use crate::admission::Offer;
 use crate::doubt::{self, InFlight};
 use crate::prelude::*;
+use crate::queue::Waiting;
 use crate::survival::Survival;
 
 /// Probability of a spell at which an upstream leaves the choice.
-const OUT: f64 = 0.7;
+const OUT: f64 = 0.4;
 /// Probability of a spell at which it comes back.
-const BACK: f64 = 0.3;
+const BACK: f64 = 0.2;
 /// Doubt of an upstream that its failures or its slow answers have ejected.
 const EJECTED_DOUBT: f64 = 0.9;
+/// Doubt up to which an upstream without recent work is probably well.
+const UNKNOWN_DOUBT: f64 = 0.2;
+/// Time without work after which an upstream that is probably well gets some whatever is asked for.
+const UNUSED: Duration = Duration::from_millis(800);
 /// Least interval between two trials of a doubted upstream.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of a route's target latency that its work is assumed to take until runs have ended.
@@ -58,6 +63,30 @@
         doubts.fold(1.0, f64::min)
     }
 
+    /// Refuses requests that wait for an upstream which has become doubtful, so that they can
+    /// wait elsewhere.
+    pub(super) fn release_doubting(&mut self, now: Instant) -> Vec<GateAction> {
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        let mut actions = Vec::new();
+        for service in services {
+            let doubt = self.least_doubt(&service, now);
+            let Some(state) = self.services.get_mut(&service) else { continue };
+            let offers = &self.offers;
+            let is_over = |waiting: &Waiting| {
+                let offer = offers.get(&waiting.attempt).map(|(offer, _)| offer);
+                offer.is_some_and(|o| o.kind.is_some() && doubt > f64::from(o.tolerance))
+            };
+            let mut over = state.short.take(is_over);
+            over.extend(state.long.take(is_over));
+            for waiting in over {
+                if let Some((offer, _)) = self.offers.swap_remove(&waiting.attempt) {
+                    actions.push(self.refusal(&offer, Reason::Doubtful));
+                }
+            }
+        }
+        actions
+    }
+
     /// Decides which upstreams the doubt takes out of the choice.
     pub(super) fn review_doubts(&mut self, now: Instant) {
         let doubts: Vec<f64> = self.upstreams.keys().map(|id| self.doubt(id, now)).collect();
@@ -67,25 +96,28 @@
         }
     }
 
-    /// Tells whether a request must go elsewhere because its upstream may be in a spell. A few
-    /// requests that may be repeated find out whether the spell is over.
+    /// Tells whether a request must go elsewhere because its upstream may be in a spell.
+    ///
+    /// An upstream of which nothing is known, since it has had no work, gets some all the same: it
+    /// is probably well. One that is doubted gets a request now and then that can be repeated, to
+    /// find out whether the spell is over.
     pub(super) fn doubts(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
-        if offer.kind.is_none()
-            || self.least_doubt(&offer.service, now) <= f64::from(offer.tolerance)
-        {
+        offer.kind?;
+        let doubt = self.least_doubt(&offer.service, now);
+        if doubt <= f64::from(offer.tolerance) {
             return None;
         }
-        let upstreams = self.upstreams.values_mut().map(|upstream| upstream.common_mut());
-        let mut doubted = upstreams.filter(|common| common.service == offer.service);
-        let due =
-            doubted.find(|common| common.tried.is_none_or(|tried| now >= tried + TRIAL_INTERVAL));
-        match due {
-            Some(common) if offer.repeatable => {
-                common.tried = Some(now);
-                None
-            }
-            _ => Some(Reason::Doubtful),
-        }
+        let pause = match doubt <= UNKNOWN_DOUBT {
+            true => UNUSED,
+            false if offer.repeatable => TRIAL_INTERVAL,
+            false => return Some(Reason::Doubtful),
+        };
+        let mut upstreams = self.upstreams.values().map(|upstream| upstream.common());
+        let is_due = upstreams.any(|common| {
+            common.service == offer.service
+                && common.started.is_none_or(|started| now >= started + pause)
+        });
+        (!is_due).then_some(Reason::Doubtful)
     }
 
     /// Learns from a run that has ended.
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,5 +1,8 @@
 //! The gates that offer one service, as one entry sees them.
 
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
 use crate::doubt;
 use crate::floor::{self, Candidate};
 use crate::prelude::*;
@@ -18,7 +21,7 @@
 const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time within which the whole fleet tries each gate that is out about once.
-const TRIAL_PAUSE: Duration = Duration::from_millis(1300);
+const TRIAL_PAUSE: Duration = Duration::from_millis(900);
 /// Largest share of the requests that may be repeated which are trials.
 const MAX_TRIAL_SHARE: f64 = 0.4;
 /// Time over which arrivals are averaged.
@@ -228,11 +231,12 @@
         self.trials.len()
     }
 
-    /// Takes the gate for a trial request that was tried longest ago, if one is due.
-    pub fn take_trial(&mut self, now: Instant) -> Option<NodeId> {
+    /// Takes a gate for a trial request, if one is due. Any of them will do: entries that follow an
+    /// order would all try the same one.
+    pub fn take_trial(&mut self, now: Instant, rng: &mut impl Rng) -> Option<NodeId> {
         let due = |gate: &GateView| gate.tried.is_none_or(|time| now >= time + TRIAL_INTERVAL);
         let due = self.trials.iter().copied().filter(|i| due(&self.gates[*i]));
-        let index = due.min_by_key(|i| self.gates[*i].tried)?;
+        let index = due.choose(rng)?;
         let gate = &mut self.gates[index];
         gate.tried = Some(now);
         Some(gate.node)
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -11,6 +11,8 @@
     pub attempt: AttemptId,
     /// When it joined the queue.
     pub since: Instant,
+    /// Until when it can still be answered promptly.
+    pub prompt_until: Instant,
     /// When it must have left the queue.
     pub until: Instant,
     /// Whether the end of waiting is the request's own deadline.
@@ -36,31 +38,35 @@
 
     /// Takes the next request to run.
     ///
-    /// The oldest goes first until it has used half of its time; from then on the newest goes
-    /// first, so that those who can still be served in time are. Urgent requests have a head start
-    /// either way, but no rank starves another.
+    /// The oldest goes first among those that can still be answered promptly. The others follow,
+    /// the newest first, so that those who can still be served in time are. Urgent requests have a
+    /// head start either way, but no rank starves another.
     pub fn pop(&mut self, now: Instant) -> Option<Waiting> {
-        let oldest = self.waiting.front()?;
-        let half = oldest.since + (oldest.until - oldest.since) / 2;
         let waiting = self.waiting.iter().enumerate();
-        let next = if now >= half {
-            // The latest place among equals.
-            waiting.min_by_key(|(place, w)| {
-                let age = now.saturating_duration_since(w.since);
-                (age + RANK_START * w.rank, std::cmp::Reverse(*place))
-            })
-        } else {
-            waiting.min_by_key(|(place, w)| (w.since + RANK_START * w.rank, *place))
-        };
+        let next = waiting.min_by_key(|(place, w)| {
+            let age = now.saturating_duration_since(w.since);
+            if now < w.prompt_until {
+                let start = RANK_START * w.rank;
+                (false, w.since + start, Duration::ZERO, *place)
+            } else {
+                // The latest place among equals.
+                (true, now, age + RANK_START * w.rank, usize::MAX - place)
+            }
+        });
         let place = next.map(|(place, _)| place)?;
         self.waiting.remove(place)
     }
 
     /// Removes the requests whose time is over.
     pub fn expire(&mut self, now: Instant) -> Vec<Waiting> {
-        let (expired, waiting) = self.waiting.drain(..).partition(|w| now >= w.until);
+        self.take(|waiting| now >= waiting.until)
+    }
+
+    /// Removes the requests for which a condition is true.
+    pub fn take(&mut self, mut is_over: impl FnMut(&Waiting) -> bool) -> Vec<Waiting> {
+        let (over, waiting) = self.waiting.drain(..).partition(|waiting| is_over(waiting));
         self.waiting = waiting;
-        Vec::from_iter::<VecDeque<Waiting>>(expired)
+        Vec::from_iter::<VecDeque<Waiting>>(over)
     }
 
     /// Removes one request.
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -118,8 +118,8 @@
     pub doubt: Doubt,
     /// Whether the doubt takes it out of the choice.
     pub doubted: bool,
-    /// When it was last tried in spite of doubt.
-    pub tried: Option<Instant>,
+    /// When it last got work.
+    pub started: Option<Instant>,
     /// Its lifetime.
     pub born: u64,
     sequence: u64,
@@ -156,7 +156,7 @@
             witness: Witness::default(),
             doubt: Doubt::new(now),
             doubted: false,
-            tried: None,
+            started: None,
             born: announcement.born,
             sequence: announcement.sequence,
             resigned: false,
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod play;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
