--- a/crates/lavenderflow/src/net/connector.rs
+++ b/crates/lavenderflow/src/net/connector.rs
@@ -13,7 +13,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time that a request waits for a connection. The attempt goes on after it: giving it up
 /// would waste the handshake, of which many run at once when traffic starts.
-const CONNECT_WAIT: Duration = Duration::from_millis(250);
+const CONNECT_WAIT: Duration = Duration::from_millis(500);
 /// Requests for connections that can wait.
 const CAPACITY: usize = 1024;
 /// Error code of a connection to an earlier run of a node's process.
