Ask the store less: nodes that stop watching for their zone do not read it once more

Cause, from the calls that the stand-in saw: each node thinks at its start that it is one of its zone's delegates, and when its first watch ended after 5 s it read everything again because it was none (9 calls more with 12 nodes than with 3; the test that the store is not asked more by more nodes failed). With watches of 2 s this fell into the time that the test leaves for settling, so it had been there before.

Taking nodes into a fleet without an entry of their own was tried and is reverted: no fewer calls in the same test.

--- a/crates/lavenderflow/src/site.rs
+++ b/crates/lavenderflow/src/site.rs
@@ -11,6 +11,12 @@
 use crate::prelude::*;
 use crate::store::{OWN_SOURCE, Source};
 
+/// Time for which the watch of a deployment waits: it must be in force within two seconds, also
+/// when a connection to the store has gone silent.
+const DEPLOYMENT_WATCH: Duration = Duration::from_secs(2);
+/// Time for which the watch of profiles waits on the platform.
+const PROFILE_WATCH: Duration = Duration::from_secs(20);
+
 /// How nodes know one another.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Trust {
@@ -62,6 +68,7 @@
             prefix: deployment::KEY,
             decode: |entry| deployment::decode(entry.value.as_bytes()),
             restores: false,
+            watch: DEPLOYMENT_WATCH,
         };
         Self {
             dialect: Arc::new(placement.dialect.clone()),
@@ -69,7 +76,8 @@
             ready: Some(placement.ready),
             announcements: Some(placement.announcements),
             upstream: Some(placement.upstream),
-            sources: vec![OWN_SOURCE, deployment],
+            // Profiles change rarely, so their watch may wait longer than elsewhere.
+            sources: vec![Source { watch: PROFILE_WATCH, ..OWN_SOURCE }, deployment],
             deploys: true,
             profile: placement.profile.clone(),
         }
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -28,10 +28,18 @@
     pub decode: fn(&Entry) -> Result<Document, ConvertError>,
     /// Whether nodes may put back values that the store has lost.
     pub restores: bool,
+    /// Time for which a watch waits: a connection that has gone silent is noticed after it, and
+    /// each watch is a call that the platform counts.
+    pub watch: Duration,
 }
 
 /// The configuration that operators write by this product's commands.
-pub const OWN_SOURCE: Source = Source { prefix: CONFIGURATION, decode: decode_own, restores: true };
+pub const OWN_SOURCE: Source = Source {
+    prefix: CONFIGURATION,
+    decode: decode_own,
+    restores: true,
+    watch: Duration::from_secs(5),
+};
 
 fn decode_own(entry: &Entry) -> Result<Document, ConvertError> {
     // One that cannot be parsed has revision 0 and is rejected where it is checked.
--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -10,8 +10,6 @@
 use crate::message::FleetMessage;
 use crate::prelude::*;
 
-/// Time for which a delegate's watch waits: a connection that has gone silent is noticed after it.
-const WATCH: Duration = Duration::from_secs(2);
 /// Sleep of a node that has read everything once and hears of changes from its peers; a command
 /// wakes it.
 const IDLE: Duration = Duration::from_secs(3600);
@@ -142,7 +140,7 @@
 
     /// Reads everything, or waits for a change.
     fn step(&mut self) -> Result<(), StoreError> {
-        let Source { prefix, .. } = self.setup.source;
+        let Source { prefix, watch, .. } = self.setup.source;
         let Some(after) = self.after else {
             let page = self.setup.store.list(prefix, Freshness::Latest)?;
             self.take(&page, true);
@@ -151,7 +149,7 @@
         if !self.is_delegate {
             return Ok(());
         }
-        let page = self.setup.store.watch(prefix, after, WATCH)?;
+        let page = self.setup.store.watch(prefix, after, watch)?;
         self.take(&page, false);
         Ok(())
     }
@@ -191,8 +189,11 @@
             match self.commands.recv_timeout(left) {
                 Ok(Command::Delegate(is_delegate)) => {
                     self.is_delegate = is_delegate;
-                    // What changed in between is read anew.
-                    self.after = None;
+                    if is_delegate || self.failed {
+                        // What changed in between is read anew, and a node that does not reach
+                        // the store finds out when it does again.
+                        self.after = None;
+                    }
                     return true;
                 }
                 Ok(Command::Restore(document)) => self.restore(&document),
