--- /dev/null
+++ b/crates/core/src/gate/lifetimes.rs
@@ -0,0 +1,91 @@
+//! Which upstreams a gate has: announcements in the order of lifetimes, and those that left.
+
+use super::Gate;
+use crate::admission::GateAction;
+use crate::prelude::*;
+use crate::upstream::{AnnouncedPhase, Announcement, AnyUpstream, Lifetime};
+
+/// Upstreams that are remembered after they said that they are gone.
+const MAX_RESIGNED: usize = 64;
+
+impl Gate {
+    /// Takes in an announcement, unless it is older than what is known.
+    pub fn announce(&mut self, announcement: &Announcement) -> Vec<GateAction> {
+        let now = self.clock.now();
+        if self.is_outdated(announcement) {
+            return Vec::new();
+        }
+        if announcement.phase == AnnouncedPhase::Gone {
+            self.resign(announcement, now);
+            return self.tick();
+        }
+        self.services.entry(announcement.service.clone()).or_default();
+        self.succeed(announcement);
+        let known = self.upstreams.swap_remove(&announcement.id);
+        let known = known.filter(|u| u.common().service == announcement.service);
+        let upstream = match known.filter(|u| !u.is_succeeded_by(announcement)) {
+            Some(upstream) => upstream.renew(announcement, now),
+            None => AnyUpstream::new(announcement, now),
+        };
+        self.upstreams.insert(announcement.id.clone(), upstream);
+        self.tick()
+    }
+
+    fn is_outdated(&self, announcement: &Announcement) -> bool {
+        let known = self.upstreams.get(&announcement.id);
+        let resigned = self.resigned.get(&announcement.id);
+        known.is_some_and(|upstream| upstream.is_outdated(announcement))
+            || resigned.is_some_and(|last| last.covers(announcement))
+            // A late announcement of an upstream whose address has a successor.
+            || self.upstreams.values().any(|upstream| {
+                let common = upstream.common();
+                common.address == announcement.address && announcement.born < common.born
+            })
+    }
+
+    /// Takes note that an upstream says it is gone.
+    fn resign(&mut self, announcement: &Announcement, now: Instant) {
+        match self.upstreams.swap_remove(&announcement.id) {
+            Some(upstream) => {
+                let upstream = upstream.renew(announcement, now);
+                self.upstreams.insert(announcement.id.clone(), upstream);
+            }
+            None => self.remember(announcement.id.clone(), Lifetime::of(announcement)),
+        }
+    }
+
+    /// Remembers an upstream that left, so that its late announcements do not bring it back.
+    fn remember(&mut self, id: UpstreamId, lifetime: Lifetime) {
+        if self.resigned.len() >= MAX_RESIGNED {
+            self.resigned.shift_remove_index(0);
+        }
+        self.resigned.insert(id, lifetime);
+    }
+
+    /// Forgets upstreams that have left and finished their work.
+    pub(super) fn bury(&mut self) {
+        let upstreams = std::mem::take(&mut self.upstreams);
+        let (gone, left): (Vec<_>, Vec<_>) =
+            upstreams.into_iter().partition(|(_, upstream)| upstream.is_gone());
+        self.upstreams = left.into_iter().collect();
+        for (id, upstream) in gone {
+            if let Some(lifetime) = upstream.common().ended() {
+                self.remember(id, lifetime);
+            }
+        }
+    }
+
+    /// Ends the upstreams whose address a later lifetime has taken over.
+    fn succeed(&mut self, announcement: &Announcement) {
+        let upstreams = std::mem::take(&mut self.upstreams);
+        let is_over = |id: &UpstreamId, upstream: &AnyUpstream| {
+            *id != announcement.id
+                && upstream.common().address == announcement.address
+                && upstream.is_succeeded_by(announcement)
+        };
+        let upstreams = upstreams.into_iter();
+        self.upstreams = upstreams
+            .map(|(id, u)| if is_over(&id, &u) { (id, u.end()) } else { (id, u) })
+            .collect();
+    }
+}
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -1,19 +1,18 @@
 //! Serves requests from other nodes: as their gate, or as the home of their tickets.
 
+mod home;
+
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
 use lavenderflow_core::gate::{Offer, RunResult};
-use lavenderflow_core::request::Arrival;
 use lavenderflow_schema::wire::frame::Body;
 use lavenderflow_schema::wire::{self, Answer, Begin, Header, Purpose};
-use rand::random;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use super::body::{BodyPart, CHANNEL_PARTS};
 use super::context::Context;
-use super::drive::{self, ReplyBody, Request};
 use super::link::{LinkError, Sink, Source};
 use crate::message::{Decision, GateMessage, Waiter};
 use crate::prelude::*;
@@ -40,7 +39,7 @@
     let _piece = context.work.begin();
     match begin.purpose() {
         Purpose::Dispatch => serve_gate(context, begin, sink, source).await,
-        Purpose::Forward => serve_home(context, begin, sink, source).await,
+        Purpose::Forward => home::serve(context, begin, sink, source).await,
         Purpose::Unspecified => Err(LinkError::Unexpected),
     }
 }
@@ -373,80 +372,3 @@
         Ok(())
     }
 }
-
-/// Decides on a request whose ticket this node is the home of.
-async fn serve_home(
-    context: &Context,
-    begin: Begin,
-    mut sink: Sink,
-    source: Source,
-) -> Result<(), LinkError> {
-    let (rest, asked) = oneshot::channel();
-    let request = forwarded(begin, rest);
-    let driving = drive::drive(context, request);
-    tokio::pin!(driving);
-    let reply = tokio::select! {
-        reply = &mut driving => reply,
-        Ok(sender) = asked => {
-            let verdict = wire::Verdict { admitted: true, ..wire::Verdict::default() };
-            sink.send(Body::Verdict(verdict)).await?;
-            tokio::spawn(receive_body(source, sender));
-            driving.await
-        }
-    };
-    let whole = matches!(reply.body, ReplyBody::Whole(_));
-    let (first, parts) = match reply.body {
-        ReplyBody::Whole(body) => (body, None),
-        ReplyBody::Parts(first, parts) => (first, Some(parts)),
-    };
-    let headers = reply.headers.into_iter().map(|(name, value)| Header { name, value });
-    let mut total = first.len() as u64;
-    let answer = Answer {
-        request_id: String::new(),
-        status: reply.status.into(),
-        headers: headers.collect(),
-        body: first,
-        whole,
-        load: None,
-        outcome: reply.outcome.name().to_owned(),
-        reason: reply.reason.name().to_owned(),
-        fresh: reply.ticket.map(Into::into),
-    };
-    sink.send(Body::Answer(answer)).await?;
-    if let Some(mut parts) = parts {
-        while let Some(part) = parts.recv().await {
-            let Ok(data) = part else {
-                sink.reset();
-                return Ok(());
-            };
-            total += data.len() as u64;
-            sink.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
-        }
-        sink.send(Body::End(wire::End { length: total, load: None })).await?;
-    }
-    sink.finish().await;
-    Ok(())
-}
-
-fn forwarded(begin: Begin, rest: super::body::BodyRequest) -> Request {
-    let organisation = Some(begin.organisation.as_str()).filter(|name| !name.is_empty());
-    Request {
-        arrival: Arrival {
-            request: random(),
-            organisation: organisation.map(Into::into),
-            ticket: begin.ticket.map(Into::into),
-            body_length: begin.body_length,
-            whole: !begin.body_follows,
-            fingerprint: begin.fingerprint,
-            deadline: Some(Duration::from_micros(begin.remaining_us)),
-            forwarded: true,
-            method: begin.method,
-            target: begin.target,
-            host: String::new(),
-        },
-        id: begin.request_id,
-        headers: begin.headers.into_iter().map(|field| (field.name, field.value)).collect(),
-        body: begin.body,
-        rest: begin.body_follows.then_some(rest),
-    }
-}
--- /dev/null
+++ b/crates/lavenderflow/src/net/serve/home.rs
@@ -0,0 +1,91 @@
+//! Serves requests as the home of their tickets.
+
+use lavenderflow_core::request::Arrival;
+use lavenderflow_schema::wire::frame::Body;
+use lavenderflow_schema::wire::{self, Answer, Begin, Header};
+use rand::random;
+use tokio::sync::oneshot;
+
+use super::receive_body;
+use crate::net::body::BodyRequest;
+use crate::net::context::Context;
+use crate::net::drive::{self, ReplyBody, Request};
+use crate::net::link::{LinkError, Sink, Source};
+use crate::prelude::*;
+
+/// Decides on a request whose ticket this node is the home of.
+pub(super) async fn serve(
+    context: &Context,
+    begin: Begin,
+    mut sink: Sink,
+    source: Source,
+) -> Result<(), LinkError> {
+    let (rest, asked) = oneshot::channel();
+    let request = forwarded(begin, rest);
+    let driving = drive::drive(context, request);
+    tokio::pin!(driving);
+    let reply = tokio::select! {
+        reply = &mut driving => reply,
+        Ok(sender) = asked => {
+            let verdict = wire::Verdict { admitted: true, ..wire::Verdict::default() };
+            sink.send(Body::Verdict(verdict)).await?;
+            tokio::spawn(receive_body(source, sender));
+            driving.await
+        }
+    };
+    let whole = matches!(reply.body, ReplyBody::Whole(_));
+    let (first, parts) = match reply.body {
+        ReplyBody::Whole(body) => (body, None),
+        ReplyBody::Parts(first, parts) => (first, Some(parts)),
+    };
+    let headers = reply.headers.into_iter().map(|(name, value)| Header { name, value });
+    let mut total = first.len() as u64;
+    let answer = Answer {
+        request_id: String::new(),
+        status: reply.status.into(),
+        headers: headers.collect(),
+        body: first,
+        whole,
+        load: None,
+        outcome: reply.outcome.name().to_owned(),
+        reason: reply.reason.name().to_owned(),
+        fresh: reply.ticket.map(Into::into),
+    };
+    sink.send(Body::Answer(answer)).await?;
+    if let Some(mut parts) = parts {
+        while let Some(part) = parts.recv().await {
+            let Ok(data) = part else {
+                sink.reset();
+                return Ok(());
+            };
+            total += data.len() as u64;
+            sink.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
+        }
+        sink.send(Body::End(wire::End { length: total, load: None })).await?;
+    }
+    sink.finish().await;
+    Ok(())
+}
+
+fn forwarded(begin: Begin, rest: BodyRequest) -> Request {
+    let organisation = Some(begin.organisation.as_str()).filter(|name| !name.is_empty());
+    Request {
+        arrival: Arrival {
+            request: random(),
+            organisation: organisation.map(Into::into),
+            ticket: begin.ticket.map(Into::into),
+            body_length: begin.body_length,
+            whole: !begin.body_follows,
+            fingerprint: begin.fingerprint,
+            deadline: Some(Duration::from_micros(begin.remaining_us)),
+            forwarded: true,
+            method: begin.method,
+            target: begin.target,
+            host: String::new(),
+        },
+        id: begin.request_id,
+        headers: begin.headers.into_iter().map(|field| (field.name, field.value)).collect(),
+        body: begin.body,
+        rest: begin.body_follows.then_some(rest),
+    }
+}
