Greet an address once at a time

Cause: beside three busy processes six of nine tests in input.rs found no ready site in 30 s, in two runs of two. The logs show 963 greetings and 670 failed handshakes: a node that knew nobody greeted three addresses in each round of pings, also while earlier greetings were under way, so handshakes made each other too slow to end. Ruled out: load alone (the same tests pass beside it with this change, in 1.6 s with 4 greetings that failed). The test that failed is the check.

--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -76,6 +76,7 @@
     gossip: Gossip,
     seeds: Vec<SocketAddr>,
     introduced: IndexSet<SocketAddr>,
+    greeting: IndexSet<SocketAddr>,
     ping: Duration,
     network: Network,
     introducer: Introducer,
@@ -112,6 +113,7 @@
             gossip: Gossip::default(),
             seeds: setup.seeds,
             introduced: IndexSet::new(),
+            greeting: IndexSet::new(),
             ping: setup.ping,
             network: setup.network,
             introducer: setup.introducer,
@@ -162,7 +164,8 @@
                 let _ = reply.send(answer);
             }
             FleetMessage::Pinged(node, position, answer) => self.pinged(cx, node, position, answer),
-            FleetMessage::Greeted(answer) => {
+            FleetMessage::Greeted(address, answer) => {
+                self.greeting.swap_remove(&address);
                 if let Some(exchange) = answer {
                     self.take(cx, exchange);
                 }
@@ -285,7 +288,7 @@
             .collect();
         let seeds = self.seeds.iter().chain(&self.introduced);
         let seeds: IndexSet<SocketAddr> =
-            seeds.filter(|seed| !known.contains(*seed)).copied().collect();
+            seeds.filter(|seed| self.may_greet(seed, &known)).copied().collect();
         // Gossip brings the others.
         for seed in seeds.into_iter().choose_multiple(&mut rand::rng(), GREETED) {
             let mut exchange = Exchange {
@@ -298,10 +301,18 @@
             };
             exchange.summaries[0] = self.roster.members().summary();
             exchange.summaries[1] = self.catalog.documents().summary();
-            self.send(Command::Greet(seed, exchange));
+            if self.send(Command::Greet(seed, exchange)) {
+                self.greeting.insert(seed);
+            }
         }
     }
 
+    /// Tells whether a seed is neither known as a node nor being greeted. Each greeting is a
+    /// handshake, and one more while one is slow would make all of them slower.
+    fn may_greet(&self, seed: &SocketAddr, known: &IndexSet<SocketAddr>) -> bool {
+        !known.contains(seed) && !self.greeting.contains(seed)
+    }
+
     /// Takes in an exchange.
     fn take(&mut self, cx: CX![], mut exchange: Exchange) {
         let source = exchange.sender;
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -73,8 +73,8 @@
     Exchange(Exchange, oneshot::Sender<Exchange>),
     /// A ping ended; `None` when it was not answered.
     Pinged(NodeId, Position, Option<Exchange>),
-    /// A seed answered, or did not.
-    Greeted(Option<Exchange>),
+    /// A seed at an address answered, or did not.
+    Greeted(std::net::SocketAddr, Option<Exchange>),
     /// The store holds these documents.
     Stored {
         /// The documents.
--- a/crates/lavenderflow/src/net/ping.rs
+++ b/crates/lavenderflow/src/net/ping.rs
@@ -44,7 +44,7 @@
             None
         }
     };
-    context.mailbox.send(Message::Fleet(FleetMessage::Greeted(answer))).await;
+    context.mailbox.send(Message::Fleet(FleetMessage::Greeted(address, answer))).await;
 }
 
 /// Answers an exchange from another node.
