Log without waiting for the output, bounded by event, and say what is left out

Cause: the logger wrote each line to standard output under a lock. A full pipe stops every thread of the node, and one event can fill it.

Change: lines go over a bounded channel to a thread that owns the output. At most 500 lines a second of one event are written; what is left out, there or because the output is slow, is counted and logged.

Tests: a flood of one event leaves room for the others; with an output that takes nothing, 50,000 lines are logged within the bound of 5 s and each is written or counted as missing. The earlier logger cannot be put in the place of the new one in these tests, so it was not run against them.

--- a/crates/lavenderflow/src/command.rs
+++ b/crates/lavenderflow/src/command.rs
@@ -7,13 +7,17 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use argh::FromArgs;
+use env_logger::Target;
 use lavenderflow_platform::placement::PlacementError;
 use lavenderflow_schema::setting::SettingsError;
 use lavenderflow_schema::settings::{CheckArgs, NodeArgs};
 
+use crate::clock::SystemClock;
 use crate::error::{KeyError, NodeError};
+use crate::logging::{self, Log};
 use crate::operator::{Operator, OperatorError};
 use configure::{OrganisationArgs, ProfileArgs, RouteArgs, ServiceArgs};
 use keys::KeysArgs;
@@ -114,8 +118,14 @@
 /// Runs the command of this process.
 pub fn main() -> ExitCode {
     let command: Command = argh::from_env();
-    start_log(&command.action);
-    match run(command.action) {
+    let (log, result) = match start_log(&command.action) {
+        Ok(log) => (log, run(command.action)),
+        Err(error) => (None, Err(error.into())),
+    };
+    if let Some(log) = log {
+        log.finish();
+    }
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("lavenderflow: {error}");
@@ -124,15 +134,18 @@
     }
 }
 
-/// Nodes log on standard output. Operators' commands print their results there, so they log
-/// elsewhere.
-fn start_log(action: &Action) {
-    let target = match action {
-        Action::Node(_) | Action::Platform(_) => env_logger::Target::Stdout,
-        _ => env_logger::Target::Stderr,
-    };
-    let environment = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(environment).target(target).init();
+/// Nodes log on standard output, without waiting for it. Operators' commands print their results
+/// there, so they log elsewhere.
+fn start_log(action: &Action) -> Result<Option<Log>, NodeError> {
+    match action {
+        Action::Node(_) | Action::Platform(_) => {
+            Log::install(std::io::stdout(), Arc::new(SystemClock)).map(Some)
+        }
+        _ => {
+            logging::builder().target(Target::Stderr).init();
+            Ok(None)
+        }
+    }
 }
 
 fn run(action: Action) -> Result<(), CommandError> {
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counter;
 pub mod error;
 pub mod http;
+pub mod logging;
 pub mod message;
 pub mod net;
 pub mod node;
--- /dev/null
+++ b/crates/lavenderflow/tests/logging.rs
@@ -0,0 +1,112 @@
+//! The log: bounded by event, never in the way of who logs, and honest about what it leaves out.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use lavenderflow::logging::Log;
+use lavenderflow_core::clock::{ManualClock, SharedClock};
+
+/// Longest time to wait for lines to be written.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// An output that passes on what is written to it, and that can be made to block.
+struct Output {
+    written: Sender<Vec<u8>>,
+    // A write waits for one message, or for the end of the sender.
+    gate: Option<Receiver<()>>,
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        if let Some(gate) = &self.gate {
+            // The end of the sender opens the gate for good.
+            let _ = gate.recv();
+        }
+        self.written.send(bytes.to_vec()).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn clock() -> Arc<ManualClock> {
+    Arc::new(ManualClock::new(Instant::now()))
+}
+
+/// Logs a line as the logger does, in one call.
+fn log_line(output: &mut impl Write, line: &str) {
+    output.write_all(format!("INFO {line}\n").as_bytes()).expect("written");
+}
+
+/// Returns everything that is written until a text comes.
+fn read_until(written: &Receiver<Vec<u8>>, end: &str) -> String {
+    let mut text = String::new();
+    while !text.contains(end) {
+        let bytes = written.recv_timeout(LIMIT).unwrap_or_else(|_| panic!("no {end} in {text}"));
+        text.push_str(std::str::from_utf8(&bytes).expect("text"));
+    }
+    text
+}
+
+fn count(text: &str, reason: &str) -> u64 {
+    let lines = text.lines().filter(|line| line.contains(&format!("reason={reason}")));
+    lines.filter_map(|line| line.rsplit_once("count=")?.1.parse::<u64>().ok()).sum()
+}
+
+#[test]
+fn a_flood_of_one_event_leaves_room_for_the_others_and_is_counted() {
+    let (written, lines) = channel();
+    let clock = clock();
+    let shared = Arc::clone(&clock) as SharedClock;
+    let (log, mut output) = Log::start(Output { written, gate: None }, shared).expect("log");
+    for number in 0..3000 {
+        log_line(&mut output, &format!("event=refused request={number}"));
+    }
+    log_line(&mut output, "event=stopped");
+    log.finish();
+    let text = read_until(&lines, "event=stopped");
+    assert_eq!(text.matches("event=refused").count(), 500);
+    clock.advance(Duration::from_secs(1));
+    log_line(&mut output, "event=refused request=last");
+    log.finish();
+    let text = read_until(&lines, "request=last");
+    assert!(text.contains("event=log-left-out reason=limit kind=refused count=2500"), "{text}");
+}
+
+#[test]
+fn an_output_that_takes_nothing_holds_nobody_up() {
+    let (written, lines) = channel();
+    let (gate, is_open) = channel();
+    let clock = clock();
+    let shared = Arc::clone(&clock) as SharedClock;
+    let output = Output { written, gate: Some(is_open) };
+    let (log, mut output) = Log::start(output, shared).expect("log");
+    let start = Instant::now();
+    // Each is an event of its own, so that only the output limits them.
+    for number in 0..50_000 {
+        log_line(&mut output, &format!("event=kind-{} number={number}", number % 100));
+    }
+    log.finish();
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+    // Once the output takes lines again, it says how many are missing.
+    drop(gate);
+    let (mut text, mut sent) = (String::new(), 50_000);
+    let accounted = |text: &str| {
+        let kept = text.matches("event=kind-").count() + text.matches("event=again").count();
+        kept as u64 + count(text, "slow-output") + count(text, "limit")
+    };
+    while accounted(&text) < sent {
+        assert!(start.elapsed() < LIMIT, "{} of {sent} lines accounted for", accounted(&text));
+        clock.advance(Duration::from_secs(1));
+        log_line(&mut output, "event=again");
+        sent += 1;
+        log.finish();
+        text.extend(lines.try_iter().map(|bytes| String::from_utf8(bytes).expect("text")));
+    }
+    assert_eq!(accounted(&text), sent);
+    assert!(count(&text, "slow-output") > 0, "the channel was never full");
+}
