Bring a changed settings file into force while the node runs

Cause: settings were read at the start only; SIGHUP was logged and a file that changed without a signal went unnoticed.

Change: a thread owns the file and reads it each second and on SIGHUP. The profile, the fleet's repeats and the times of a stop come into force at once. What cannot change while the node runs is named in the log, and a file that cannot be used changes nothing.

Tests: reload.rs, with real processes: changes without a signal, a malformed file with one, a stop that goes by the new time (it ends early, which the old settings would not).

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -98,6 +98,11 @@
         Self { fallback, ..Self::default() }
     }
 
+    /// Changes the profile of services without a stored one.
+    pub fn set_fallback(&mut self, fallback: Profile) {
+        self.fallback = fallback;
+    }
+
     /// Takes in a document with the result of its check.
     ///
     /// A revision only rises: older documents change nothing.
--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -101,6 +101,18 @@
         self.set_ready();
     }
 
+    /// Changes the profile of services without a stored one, and the repeats of the fleet.
+    pub fn tune(&mut self, _: CX![], fallback: Profile, burst: u64) {
+        self.catalog.set_fallback(fallback);
+        let services: Vec<ServiceName> = self.profiles.keys().cloned().collect();
+        self.set_profiles(&services);
+        if self.burst != burst {
+            self.burst = burst;
+            self.size = 0;
+            self.share_burst();
+        }
+    }
+
     /// Passes on the profiles of services where they have changed.
     pub(super) fn set_profiles(&mut self, services: &[ServiceName]) {
         for service in services {
--- a/crates/lavenderflow/src/actor/lifecycle.rs
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -26,7 +26,7 @@
 }
 
 /// How a stop goes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Stop {
     /// Time for which new requests are still taken.
     pub notice: Duration,
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Changes how a stop goes that has not begun.
+    pub fn set_stop(&mut self, _: CX![], stop: Stop) {
+        self.stop = stop;
+    }
+
     /// Begins a graceful stop, once.
     pub fn drain(&mut self, cx: CX![]) {
         if matches!(self.node, AnyNode::Draining(_)) {
--- a/crates/lavenderflow/src/command/platform.rs
+++ b/crates/lavenderflow/src/command/platform.rs
@@ -14,5 +14,5 @@
         println!("settings of node {} are valid", placement.settings.name);
         return Ok(());
     }
-    Ok(node::run(&placement.settings, &Site::platform(&placement))?)
+    Ok(node::run(&placement.settings, &Site::platform(path, &placement))?)
 }
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod node;
 pub mod operator;
 pub mod prelude;
+pub mod reload;
 pub mod site;
 pub mod status;
 pub mod store;
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::prelude::*;
+use crate::reload::Tuning;
 use crate::status::Status;
 
 /// Messages that can wait for the main loop.
@@ -112,8 +113,8 @@
     Metrics(oneshot::Sender<String>),
     /// An operator asks for the status.
     Status(oneshot::Sender<Status>),
-    /// The settings may have changed.
-    Reload,
+    /// Settings have changed that can while a node runs.
+    Tune(Box<Tuning>),
     /// The node must stop gracefully.
     Drain,
 }
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -33,6 +33,7 @@
 use crate::net::endpoint::{self, Command, Network};
 use crate::net::key;
 use crate::prelude::*;
+use crate::reload::{Reloader, Tuning};
 use crate::site::{Site, Trust};
 use crate::store::{Introducer, IntroducerSetup, Store, Watcher, WatcherSetup};
 use crate::work::Work;
@@ -73,7 +74,13 @@
         is_ready: ready_state,
         stop: is_stopped,
     })?;
-    start_signals(mailbox.clone())?;
+    let reloader = match &site.file {
+        Some((path, placement)) => {
+            Some(Reloader::start(path.clone(), placement.clone(), mailbox.clone())?)
+        }
+        None => None,
+    };
+    start_signals(mailbox.clone(), reloader)?;
     let store = Store::new(settings.store);
     let member = member(settings);
     let (name, peer) = (settings.name.clone(), member.peer);
@@ -187,14 +194,18 @@
     builder.spawn(run).map(|_| ()).map_err(NodeError::Thread)
 }
 
-/// Turns signals into a graceful stop.
-fn start_signals(mailbox: Mailbox) -> Result<(), NodeError> {
+/// Turns signals into a graceful stop or a look at the settings file.
+fn start_signals(mailbox: Mailbox, reloader: Option<Reloader>) -> Result<(), NodeError> {
     let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(NodeError::Signal)?;
     spawn("signals", move || {
         for signal in signals.forever() {
             log::info!("event=signal number={signal}");
-            let message = if signal == SIGHUP { Message::Reload } else { Message::Drain };
-            mailbox.send_blocking(message);
+            match (&reloader, signal) {
+                (Some(reloader), SIGHUP) => reloader.reload(),
+                // Flags and variables cannot change.
+                (None, SIGHUP) => log::info!("event=reload changed=none"),
+                _ => mailbox.send_blocking(Message::Drain),
+            }
         }
     })
 }
@@ -292,10 +303,17 @@
             Message::Count(counter) => call!([counters], add(counter)),
             Message::Latency(stage, time) => call!([counters], measure(stage, time)),
             Message::Metrics(reply) => call!([counters], metrics(reply)),
-            // Settings are read at the start; the configuration comes from the store.
-            Message::Reload => log::info!("event=reload changed=none"),
+            Message::Tune(tuning) => self.tune(*tuning),
             Message::Drain => call!([lifecycle], drain()),
             Message::Status(reply) => call!([lifecycle], status(reply)),
         }
     }
+
+    /// Brings changed settings into force.
+    fn tune(&self, tuning: Tuning) {
+        let Self { fleet, lifecycle, .. } = self;
+        let Tuning { profile, burst, stop } = tuning;
+        call!([fleet], tune(profile, burst));
+        call!([lifecycle], set_stop(stop));
+    }
 }
--- a/crates/lavenderflow/src/site.rs
+++ b/crates/lavenderflow/src/site.rs
@@ -1,6 +1,7 @@
 //! What a node finds where it runs: who its callers and upstreams are and how they speak.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 
 use lavenderflow_platform::deployment;
@@ -45,6 +46,8 @@
     pub deploys: bool,
     /// Profile of services without a stored one.
     pub profile: Profile,
+    /// The settings file and what it said at the start; none when flags and variables say it all.
+    pub file: Option<(PathBuf, Placement)>,
 }
 
 impl Site {
@@ -59,11 +62,12 @@
             sources: vec![OWN_SOURCE],
             deploys: false,
             profile: Profile::default(),
+            file: None,
         }
     }
 
     /// Returns a site on the platform.
-    pub fn platform(placement: &Placement) -> Self {
+    pub fn platform(path: PathBuf, placement: &Placement) -> Self {
         let deployment = Source {
             prefix: deployment::KEY,
             decode: |entry| deployment::decode(entry.value.as_bytes()),
@@ -80,6 +84,7 @@
             sources: vec![Source { watch: PROFILE_WATCH, ..OWN_SOURCE }, deployment],
             deploys: true,
             profile: placement.profile.clone(),
+            file: Some((path, placement.clone())),
         }
     }
 }
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
 use lavenderflow_standins::endpoint::{Endpoint, Settings};
@@ -194,6 +195,17 @@
         vm.process = process(&vm.file);
     }
 
+    /// Starts the node of a VM again; its log comes line by line.
+    pub fn restart_logged(&mut self, vm: usize) -> Receiver<String> {
+        let vm = &mut self.vms[vm];
+        vm.process.kill().expect("a node");
+        let arguments = ["platform".to_owned()];
+        let started = Process::start_logged(binary(), &arguments, &variables(&vm.file));
+        let (process, lines) = started.expect("a node");
+        vm.process = process;
+        lines
+    }
+
     /// Returns how often each request ran, on all upstreams.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         let mut runs = BTreeMap::new();
@@ -273,11 +285,14 @@
 }
 
 fn process(file: &std::path::Path) -> Process {
-    let variables = [
+    Process::start(binary(), &["platform".to_owned()], &variables(file)).expect("a node")
+}
+
+fn variables(file: &std::path::Path) -> [(&'static str, String); 2] {
+    [
         ("LAVENDERFLOW_NODE_FILE", file.display().to_string()),
         ("LAVENDERFLOW_PING", "100".to_owned()),
-    ];
-    Process::start(binary(), &["platform".to_owned()], &variables).expect("a node")
+    ]
 }
 
 /// Starts the upstream of a VM, in its `life`-th lifetime.
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -1,7 +1,9 @@
 //! Processes of nodes.
 
+use std::io::{BufRead, BufReader};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -30,14 +32,33 @@
         arguments: &[String],
         variables: &[(&str, String)],
     ) -> Result<Self, Error> {
-        let mut command = Command::new(program);
-        command.args(arguments).stdin(Stdio::null());
-        command.envs(variables.iter().map(|(name, value)| (*name, value)));
+        let mut command = command(program, arguments, variables);
         if std::env::var_os("RUST_LOG").is_none() {
             command.env("RUST_LOG", "off");
         }
-        let _turn = SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(Self { child: command.spawn()? })
+        spawn(&mut command)
+    }
+
+    /// Starts a program whose log comes line by line over a channel.
+    ///
+    /// # Errors
+    ///
+    /// The process cannot be started.
+    pub fn start_logged(
+        program: &Path,
+        arguments: &[String],
+        variables: &[(&str, String)],
+    ) -> Result<(Self, Receiver<String>), Error> {
+        let mut command = command(program, arguments, variables);
+        command.env("RUST_LOG", "info").stdout(Stdio::piped());
+        let mut process = spawn(&mut command)?;
+        let (sender, lines) = channel();
+        if let Some(output) = process.child.stdout.take() {
+            let lines = BufReader::new(output).lines().map_while(Result::ok);
+            // The output is read to its end, whether or not anybody listens.
+            std::thread::spawn(move || lines.for_each(|line| drop(sender.send(line))));
+        }
+        Ok((process, lines))
     }
 
     /// Tells the process that its settings have changed.
@@ -125,6 +146,18 @@
     }
 }
 
+fn command(program: &Path, arguments: &[String], variables: &[(&str, String)]) -> Command {
+    let mut command = Command::new(program);
+    command.args(arguments).stdin(Stdio::null());
+    command.envs(variables.iter().map(|(name, value)| (*name, value)));
+    command
+}
+
+fn spawn(command: &mut Command) -> Result<Process, Error> {
+    let _turn = SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
+    Ok(Process { child: command.spawn()? })
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // It may have ended already.
