Try doubted upstreams also without budget while requests go unserved

Where the entries' budget of repeats is spent, by upstreams that shed, there are no trials at all, and so no way back.

Change: each entry knows whether its service leaves requests unserved (strain.rs) and tells gates. A doubted upstream then gets work that may be repeated after 1 s without any, and other work after 1.2 s. Entries ask doubted gates more often then; a gate that is not due refuses. Upstreams above a doubt of 0.2 are asked too, not only those that are out.

The new test of load.rs fails before.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -67,7 +67,7 @@
     let wish = Wish {
         profile: &profile,
         idempotent: true,
-        repeatable: true,
+        strained: false,
         doubts: false,
         queues: false,
         excluded: &[],
@@ -131,6 +131,7 @@
             rank: 0,
             target: None,
             repeatable: true,
+            strained: false,
             kind: None,
             tolerance: 1.0,
         };
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -29,6 +29,8 @@
     pub target: Option<Duration>,
     /// Whether it could be repeated now if this attempt came to nothing.
     pub repeatable: bool,
+    /// Whether the service leaves requests unserved, so that doubted upstreams are needed too.
+    pub strained: bool,
     /// What kind of work it is, when its route says; gates judge its age by it.
     pub kind: Option<WorkKind>,
     /// Highest probability of a gray spell at which the upstream still gets it.
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use crate::doubt;
 use crate::gate::Offered;
 use crate::pool::{GateView, Pool};
 use crate::prelude::*;
@@ -15,8 +16,6 @@
 
 /// Cost of another zone's traffic, as the time that it is worth.
 const CROSSING_COST: f64 = 0.04;
-/// Probability of a gray spell that is nothing special.
-const COMMON_DOUBT: f64 = 0.15;
 /// Cost of a gray spell for work that may not be repeated, in seconds.
 const SPELL_COST: f64 = 1.0;
 /// Cost of a gray spell for work that is given up early and repeated, in seconds.
@@ -36,8 +35,8 @@
     pub profile: &'a Profile,
     /// Whether it may be repeated.
     pub idempotent: bool,
-    /// Whether it could be repeated now.
-    pub repeatable: bool,
+    /// Whether its service leaves requests unserved.
+    pub strained: bool,
     /// Whether gray spells count.
     pub doubts: bool,
     /// Whether it waits in the gate's queue for a slot.
@@ -111,14 +110,10 @@
         let pool = self.pools.get_mut(service)?;
         let paths = &self.paths;
         pool.refresh(now, wish.profile.caution.floor, |node| path_evidence(paths, node));
-        let may_try = wish.idempotent && wish.excluded.is_empty();
-        let share = match may_try {
-            true if wish.doubts => {
-                let share = pool.trial_share(self.offers.len(), now);
-                if wish.repeatable { share } else { 0.0 }
-            }
-            true => TRIAL_SHARE,
-            false => 0.0,
+        let share = match wish.excluded.is_empty() {
+            true if wish.doubts => pool.trial_share(wish, self.offers.len(), now),
+            true if wish.idempotent => TRIAL_SHARE,
+            _ => 0.0,
         };
         if rng.random_bool(share)
             && let Some(node) = pool.take_trial(now, rng)
@@ -256,7 +251,7 @@
         let silence = silent.get(&gate.node).map_or(0.0, |time| silence_cost(*time, now));
         let wait = gate.known_wait(now).map_or(usual, seconds);
         // Among gates that are probably well the load decides, so that all of them get work.
-        let doubt = (gate.doubt(now) - COMMON_DOUBT).max(0.0);
+        let doubt = (gate.doubt(now) - doubt::UNREMARKABLE).max(0.0);
         let cost = doubt * spell + wait + crossing + silence;
         (cost + rng.random_range(0.0..SPREAD), gate.node)
     });
--- a/crates/core/src/doubt.rs
+++ b/crates/core/src/doubt.rs
@@ -16,6 +16,10 @@
 
 /// Share of time that an upstream spends in spells when nothing is known.
 pub(crate) const BASE: f64 = 0.14;
+/// Probability of a spell up to which an upstream is chosen by its load alone.
+pub(crate) const UNREMARKABLE: f64 = 0.15;
+/// Probability of a spell up to which an upstream without recent work is probably well.
+pub(crate) const PROBABLY_WELL: f64 = 0.2;
 /// Time after which what was observed has lost most of its weight, in seconds: spells last for
 /// seconds.
 const MEMORY: f64 = 6.0;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::request::{Arrival, EntryAction, Report};
 use crate::roster::Member;
 use crate::route::{Route, Router};
+use crate::strain::Strain;
 use crate::ticket::StoredAnswer;
 use crate::witness::Observation;
 
@@ -83,6 +84,7 @@
     limits: IndexMap<OrganisationName, u32>,
     budgets: IndexMap<ServiceName, Budget>,
     allowance: Option<Allowance>,
+    strains: IndexMap<ServiceName, Strain>,
     busy: IndexMap<OrganisationName, u32>,
     flights: IndexMap<RequestId, Flight>,
     waiting: IndexMap<RequestId, TicketId>,
@@ -112,6 +114,7 @@
             limits: IndexMap::new(),
             budgets: IndexMap::new(),
             allowance: None,
+            strains: IndexMap::new(),
             busy: IndexMap::new(),
             flights: IndexMap::new(),
             waiting: IndexMap::new(),
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -75,11 +75,12 @@
         } else if flight.tried.len() >= PROBED_GATES {
             flight.search = flight.search.max(Search::Queue);
         }
+        let strained = self.strains.get(&flight.service).is_some_and(|s| s.is_strained(now));
         let gate = loop {
             let wish = Wish {
                 profile: &flight.profile,
                 idempotent: flight.idempotent,
-                repeatable,
+                strained,
                 doubts: flight.kind.is_some(),
                 queues: flight.search != Search::FreeSlot,
                 excluded: match flight.search {
@@ -114,6 +115,7 @@
         }
         let plan = Plan {
             repeatable,
+            strained,
             service: flight.service.clone(),
             long: flight.long,
             idempotent: flight.idempotent,
--- a/crates/core/src/entry/ending.rs
+++ b/crates/core/src/entry/ending.rs
@@ -20,6 +20,7 @@
         if flight.uncertain {
             return self.lose(flight, reason);
         }
+        self.observe(flight, false);
         self.release(flight);
         let waiters = flight.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
         let wants_ticket = !flight.idempotent;
@@ -35,6 +36,10 @@
     /// Ends a request that may have run.
     pub(super) fn lose(&mut self, flight: &Flight, reason: Reason) -> Vec<EntryAction> {
         let request = flight.arrival.request;
+        // That a caller leaves says nothing about the service.
+        if reason != Reason::CallerGone {
+            self.observe(flight, false);
+        }
         let mut actions = conclude(request, Outcome::Unknown, reason);
         actions.extend(self.finish(flight, Outcome::Unknown, None));
         actions
@@ -47,6 +52,9 @@
         outcome: Outcome,
         answer: Option<Arc<StoredAnswer>>,
     ) -> Vec<EntryAction> {
+        if outcome == Outcome::Ran {
+            self.observe(flight, true);
+        }
         self.release(flight);
         let Some(ticket) = flight.ticket else {
             return Vec::new();
@@ -65,6 +73,12 @@
             .collect()
     }
 
+    /// Counts the end of a request for its service.
+    fn observe(&mut self, flight: &Flight, is_served: bool) {
+        let now = self.clock.now();
+        self.strains.entry(flight.service.clone()).or_default().observe(is_served, now);
+    }
+
     pub(super) fn release(&mut self, flight: &Flight) {
         let Some(organisation) = &flight.arrival.organisation else {
             return;
--- a/crates/core/src/gate/spell.rs
+++ b/crates/core/src/gate/spell.rs
@@ -17,12 +17,17 @@
 const BACK: f64 = 0.2;
 /// Doubt of an upstream that its failures or its slow answers have ejected.
 const EJECTED_DOUBT: f64 = 0.9;
-/// Doubt up to which an upstream without recent work is probably well.
-const UNKNOWN_DOUBT: f64 = 0.2;
 /// Time without work after which an upstream that is probably well gets some whatever is asked for.
 const UNUSED: Duration = Duration::from_millis(800);
-/// Least interval between two trials of a doubted upstream.
+/// Least interval between two trials, by requests that can be repeated, of an upstream that is out
+/// of the choice.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without work after which a doubted upstream gets work that may be repeated, though the
+/// budget of repeats is spent: each upstream must get some work within two seconds, or the floor
+/// of the service's capacity is lost.
+const IDEMPOTENT_TRIAL: Duration = Duration::from_millis(1000);
+/// The same for work that may not be repeated, while the service leaves requests unserved.
+const ONCE_TRIAL: Duration = Duration::from_millis(1200);
 /// Part of a route's target latency that its work is assumed to take until runs have ended.
 const TARGET_DIVISOR: u32 = 4;
 /// Time that work is assumed to take when its route has no target.
@@ -99,23 +104,26 @@
     /// Tells whether a request must go elsewhere because its upstream may be in a spell.
     ///
     /// An upstream of which nothing is known, since it has had no work, gets some all the same: it
-    /// is probably well. One that is doubted gets a request now and then that can be repeated, to
-    /// find out whether the spell is over.
+    /// is probably well. One that is doubted gets a request now and then, to find out whether the
+    /// spell is over: one that can be repeated if there is any.
     pub(super) fn doubts(&mut self, offer: &Offer, now: Instant) -> Option<Reason> {
         offer.kind?;
         let doubt = self.least_doubt(&offer.service, now);
         if doubt <= f64::from(offer.tolerance) {
             return None;
         }
-        let pause = match doubt <= UNKNOWN_DOUBT {
-            true => UNUSED,
-            false if offer.repeatable => TRIAL_INTERVAL,
-            false => return Some(Reason::Doubtful),
-        };
-        let mut upstreams = self.upstreams.values().map(|upstream| upstream.common());
-        let is_due = upstreams.any(|common| {
-            common.service == offer.service
-                && common.started.is_none_or(|started| now >= started + pause)
+        let upstreams = self.upstreams.values().map(|upstream| upstream.common());
+        let mut own = upstreams.filter(|common| common.service == offer.service);
+        let is_due = own.any(|common| {
+            let is_out = common.doubted || common.witness.condition() != Condition::Well;
+            let pause = match doubt <= doubt::PROBABLY_WELL {
+                true => UNUSED,
+                false if offer.repeatable && is_out => TRIAL_INTERVAL,
+                false if offer.idempotent => IDEMPOTENT_TRIAL,
+                false if offer.strained => ONCE_TRIAL,
+                false => return false,
+            };
+            common.started.is_none_or(|started| now >= started + pause)
         });
         (!is_due).then_some(Reason::Doubtful)
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod rings;
 pub mod roster;
 pub mod route;
+pub mod strain;
 pub mod survival;
 pub mod table;
 pub mod ticket;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
+use crate::choice::Wish;
 use crate::doubt;
 use crate::floor::{self, Candidate};
 use crate::prelude::*;
@@ -20,10 +21,15 @@
 /// Least interval between two trial requests to one gate.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Time within which the whole fleet tries each gate that is out about once.
-const TRIAL_PAUSE: Duration = Duration::from_millis(900);
-/// Largest share of the requests that may be repeated which are trials.
+/// Time within which the whole fleet asks each doubtful gate about once whether it takes a trial.
+const TRIAL_PAUSE: Duration = Duration::from_millis(600);
+/// The same while the service leaves requests unserved: each gate must get some work within two
+/// seconds then. One that is not due refuses, so asking costs a round trip only.
+const STRAINED_PAUSE: Duration = Duration::from_millis(300);
+/// Largest share of the requests that may be repeated which ask for a trial.
 const MAX_TRIAL_SHARE: f64 = 0.4;
+/// Largest share of the other requests which ask for a trial, where the first kind is too rare.
+const MAX_ONCE_SHARE: f64 = 0.2;
 /// Time over which arrivals are averaged.
 const RATE_MEMORY: Duration = Duration::from_secs(5);
 
@@ -37,13 +43,17 @@
 impl ArrivalRate {
     /// Counts an arrival and returns the rate, which is never zero.
     fn count(&mut self, now: Instant) -> f64 {
-        let memory = RATE_MEMORY.as_secs_f64();
-        let pause =
-            self.last.map_or(memory, |last| now.saturating_duration_since(last).as_secs_f64());
+        self.rate = self.at(now) + 1.0 / RATE_MEMORY.as_secs_f64();
         self.last = Some(now);
-        self.rate = self.rate * (-pause / memory).exp() + 1.0 / memory;
         self.rate
     }
+
+    /// Returns the rate.
+    fn at(&self, now: Instant) -> f64 {
+        let Some(last) = self.last else { return 0.0 };
+        let pause = now.saturating_duration_since(last).as_secs_f64();
+        self.rate * (-pause / RATE_MEMORY.as_secs_f64()).exp()
+    }
 }
 
 /// One gate, as one entry sees it.
@@ -123,7 +133,9 @@
     refreshed: Option<Instant>,
     // Whether gates that are out are tried all the time, since their own doubt protects callers.
     eager: bool,
-    trial_rate: ArrivalRate,
+    // Arrivals of requests that may be repeated, and of the others.
+    repeatable_rate: ArrivalRate,
+    once_rate: ArrivalRate,
 }
 
 /// Evidence against the path to a gate: whether it is suspect, and how strong the evidence is.
@@ -198,7 +210,7 @@
         let on_trial = |i: &usize| {
             let gate = &self.gates[*i];
             let is_due = if self.eager {
-                gate.load.condition != Condition::Well
+                gate.load.condition != Condition::Well || gate.doubt(now) > doubt::PROBABLY_WELL
             } else {
                 !chosen[*i] && gate.load.condition != Condition::Ejected
             };
@@ -217,13 +229,22 @@
         &self.gates[index]
     }
 
-    /// Returns the share of requests that may be repeated which go to gates on trial, so that each
-    /// of these is tried about once in [`TRIAL_PAUSE`] by a fleet of `entries`.
-    pub fn trial_share(&mut self, entries: usize, now: Instant) -> f64 {
+    /// Counts a request and returns the probability with which it asks a doubtful gate for a
+    /// trial, so that a fleet of `entries` asks each of these about once in [`TRIAL_PAUSE`].
+    /// Requests that may be repeated go first, since a trial can leave them without an answer;
+    /// the others follow only while the service is strained.
+    pub fn trial_share(&mut self, wish: &Wish<'_>, entries: usize, now: Instant) -> f64 {
         self.eager = true;
-        let own = self.trial_rate.count(now);
-        let wanted = self.trials.len() as f64 / TRIAL_PAUSE.as_secs_f64();
-        (wanted / (own * entries.max(1) as f64)).min(MAX_TRIAL_SHARE)
+        let entries = entries.max(1) as f64;
+        let pause = if wish.strained { STRAINED_PAUSE } else { TRIAL_PAUSE };
+        let wanted = self.trials.len() as f64 / pause.as_secs_f64() / entries;
+        if wish.idempotent {
+            let rate = self.repeatable_rate.count(now);
+            return (wanted / rate).min(MAX_TRIAL_SHARE);
+        }
+        let rate = self.once_rate.count(now);
+        let missing = wanted - self.repeatable_rate.at(now) * MAX_TRIAL_SHARE;
+        if wish.strained { (missing / rate).clamp(0.0, MAX_ONCE_SHARE) } else { 0.0 }
     }
 
     /// Returns how many gates wait for trial requests.
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -29,6 +29,7 @@
         rank: 0,
         target: None,
         repeatable: true,
+        strained: false,
         kind: None,
         tolerance: 1.0,
     }
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -82,3 +82,13 @@
         }
     }
 }
+
+#[test]
+fn the_floor_gets_work_also_when_the_budget_of_repeats_is_spent() {
+    for seed in SEEDS {
+        for (gray, sheds, rate) in [(0.4, 0.2, 60.0), (0.4, 0.3, 95.0), (0.5, 0.5, 95.0)] {
+            let got = play(Load { gray, sheds, rate, seed, ..Load::default() });
+            assert!(got.at_work >= 0.7, "seed {seed} gray {gray} sheds {sheds}: {got:?}");
+        }
+    }
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -129,6 +129,7 @@
         rank: plan.rank,
         target: plan.target,
         repeatable: plan.repeatable,
+        strained: plan.strained,
         kind: plan.kind,
         tolerance: plan.tolerance,
     }
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -25,6 +25,7 @@
         rank: plan.rank,
         target_us: plan.target.map(micros),
         repeatable: plan.repeatable,
+        strained: plan.strained,
         kind: plan.kind,
         tolerance: plan.tolerance,
         long: plan.long,
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -68,6 +68,7 @@
         rank: begin.rank,
         target: begin.target_us.map(Duration::from_micros),
         repeatable: begin.repeatable,
+        strained: begin.strained,
         kind: begin.kind,
         tolerance: begin.tolerance,
     };
