Let upstreams that have just started use all their slots, and expect them to be slow

Half of the slots with work that takes twice as long are a quarter of the capacity, and work that takes twice as long looks like a spell.

Change: such an upstream runs up to its slots, but a request that looks for a free slot finds only half of them, so that warm ones are preferred. The age of its work counts half.

The new test fails before.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -265,11 +265,18 @@
             return Some(if known { Reason::Leaving } else { Reason::NoUpstream });
         }
         if offer.patience.is_zero() {
-            return None;
+            return (!self.has_prompt_slot(&offer.service, now)).then_some(Reason::QueueFull);
         }
         (self.expected_wait(offer, slots) > offer.patience).then_some(Reason::QueueFull)
     }
 
+    /// Tells whether a request that looks for a free slot finds one here. An upstream that has just
+    /// started keeps some of its slots for requests that would have to wait elsewhere.
+    fn has_prompt_slot(&self, service: &ServiceName, now: Instant) -> bool {
+        let mut own = self.upstreams.values().filter(|u| u.common().service == *service);
+        own.any(|u| u.common().short + u.common().long < u.prompt_limit(now))
+    }
+
     /// Estimates the wait of a new request from the work before it.
     fn expected_wait(&self, offer: &Offer, slots: u32) -> Duration {
         let load = self.load(&offer.service);
--- a/crates/core/src/gate/spell.rs
+++ b/crates/core/src/gate/spell.rs
@@ -10,6 +10,7 @@
 use crate::prelude::*;
 use crate::queue::Waiting;
 use crate::survival::Survival;
+use crate::upstream::AnyUpstream;
 
 /// Probability of a spell at which an upstream leaves the choice.
 const OUT: f64 = 0.4;
@@ -50,7 +51,7 @@
         let in_flight = own.filter_map(|(attempt, running)| {
             let (offer, _) = self.offers.get(attempt)?;
             let started = running.started;
-            let beyond = self.beyond(offer, now.saturating_duration_since(started))?;
+            let beyond = self.beyond(offer, self.usual_age(running, now))?;
             Some(InFlight { started, beyond })
         });
         common.doubt.probability(now, in_flight.collect())
@@ -137,7 +138,7 @@
         now: Instant,
     ) {
         let Some(kind) = offer.kind else { return };
-        let age = now.saturating_duration_since(running.started);
+        let age = self.usual_age(running, now);
         let beyond = self.beyond(offer, age);
         let upstream = self.upstreams.get_mut(&running.upstream);
         let Some(upstream) = upstream.filter(|u| u.common().born == running.born) else { return };
@@ -181,13 +182,21 @@
         let known = self.services.get(&offer.service).and_then(|s| s.survivals.get(&kind));
         let new = known.is_none().then(|| assumed(offer));
         let Some(survival) = known.or(new.as_ref()) else { return false };
-        let age = now.saturating_duration_since(running.started);
+        let elapsed = now.saturating_duration_since(running.started);
         let left = deadline.saturating_duration_since(now);
-        let prompt = offer.target.map_or(left, |target| target.saturating_sub(age)).min(left);
+        let prompt = offer.target.map_or(left, |target| target.saturating_sub(elapsed)).min(left);
+        let age = self.usual_age(running, now);
         let waiting = doubt::Waiting { survival, age, prompt, left };
         waiting.should_give_up(self.doubt_beside(&running.upstream, Some(attempt), now))
     }
 
+    /// Returns how old a run would be on an upstream that has not just started.
+    fn usual_age(&self, running: &Running, now: Instant) -> Duration {
+        let upstream = self.upstreams.get(&running.upstream);
+        let slowness = upstream.map_or(1, AnyUpstream::slowness);
+        now.saturating_duration_since(running.started) / slowness
+    }
+
     /// Returns the share of such work that takes longer than `age`, when the kind is told.
     fn beyond(&self, offer: &Offer, age: Duration) -> Option<f64> {
         let kind = offer.kind?;
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -15,6 +15,8 @@
 
 /// Interval at which the slots of a warming upstream double.
 pub const WARM_STEP: Duration = Duration::from_millis(500);
+/// How much longer work is assumed to take on an upstream that says it has just started.
+const COLD_SLOWNESS: u32 = 2;
 /// Interval at which a limit lowered by shedding rises by one slot.
 const RAISE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -177,9 +179,9 @@
 impl Upstream<Warming> {
     fn open_slots(&self, now: Instant) -> u32 {
         let slots = self.common.slots;
-        if let Some(until) = self.state.until {
-            // A cold upstream takes about twice as long, so half of its slots are its capacity.
-            return if now >= until { slots } else { slots.div_ceil(2) };
+        if self.state.until.is_some() {
+            // One that says how long it stays slow can use all of its slots meanwhile.
+            return slots;
         }
         let steps =
             now.saturating_duration_since(self.state.since).as_millis() / WARM_STEP.as_millis();
@@ -187,6 +189,11 @@
         (1 << steps).min(slots)
     }
 
+    fn is_warm(&self, now: Instant) -> bool {
+        let is_over = self.state.until.is_none_or(|until| now >= until);
+        is_over && self.open_slots(now) >= self.common.slots
+    }
+
     /// Ends the warm-up.
     pub fn serve(self) -> Upstream<Serving> {
         Upstream { common: self.common, state: Serving }
@@ -277,6 +284,19 @@
         common.shed_limit = Some(busy.saturating_sub(1).max(least));
     }
 
+    /// Returns how much longer than usual its work takes, as far as it says.
+    pub fn slowness(&self) -> u32 {
+        match self {
+            Self::Warming(upstream) if upstream.state.until.is_some() => COLD_SLOWNESS,
+            _ => 1,
+        }
+    }
+
+    /// Returns how many requests it may run at once now and still be as prompt as others.
+    pub fn prompt_limit(&self, now: Instant) -> u32 {
+        self.limit(now).div_ceil(self.slowness())
+    }
+
     /// Returns how many requests it may run at once now.
     pub fn limit(&self, now: Instant) -> u32 {
         let open = match self {
@@ -348,9 +368,7 @@
     /// Ends a warm-up that is over.
     fn settle(self, now: Instant) -> Self {
         match self {
-            Self::Warming(upstream) if upstream.open_slots(now) >= upstream.common.slots => {
-                Self::Serving(upstream.serve())
-            }
+            Self::Warming(upstream) if upstream.is_warm(now) => Self::Serving(upstream.serve()),
             other => other,
         }
     }
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::play::{Load, play};
+use support::play::{Got, Load, play};
 
 const SEEDS: [u64; 3] = [1, 2, 3];
 
@@ -92,3 +92,19 @@
         }
     }
 }
+
+#[test]
+fn a_fleet_that_starts_cold_serves_what_its_slots_can() {
+    // 18 upstreams with 4 slots and work that takes 0.46 s while they are cold: 156 a second. A
+    // thirtieth of the work takes longer than the route's timeout by itself.
+    for rate in [100.0, 150.0] {
+        let length = Duration::from_secs(3);
+        let plays =
+            SEEDS.map(|seed| play(Load { rate, cold: length, length, seed, ..Load::default() }));
+        let served: u32 =
+            plays.iter().flat_map(|got| [got.once, got.repeatable]).map(Got::count).sum();
+        let asked: u32 = plays.iter().map(|got| got.once.asked + got.repeatable.asked).sum();
+        let share = f64::from(served) / f64::from(asked);
+        assert!(share > 0.95, "rate {rate}: {share} of {asked}, {plays:?}");
+    }
+}
--- a/crates/core/tests/support/play.rs
+++ b/crates/core/tests/support/play.rs
@@ -31,6 +31,8 @@
 const TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time within which upstreams must get work.
 const WINDOW: Duration = Duration::from_secs(2);
+/// How much longer work takes on an upstream that has just started.
+const COLD_FACTOR: f64 = 2.0;
 /// Path of requests that may be repeated, and of those that may not.
 const REPEATABLE: &str = "/lookup/";
 const ONCE: &str = "/assign/";
@@ -56,6 +58,8 @@
     pub spell: Duration,
     /// Share of the work that upstreams shed for no reason.
     pub sheds: f64,
+    /// Time for which all upstreams have just started and take twice as long.
+    pub cold: Duration,
     pub length: Duration,
     pub seed: u64,
 }
@@ -74,6 +78,7 @@
             hangs: 0.75,
             spell: Duration::from_secs(9),
             sheds: 0.0,
+            cold: Duration::ZERO,
             length: Duration::from_secs(40),
             seed: 1,
         }
@@ -93,8 +98,12 @@
 }
 
 impl Got {
+    pub fn count(self) -> u32 {
+        self.prompt + self.late
+    }
+
     pub fn served(&self) -> f64 {
-        f64::from(self.prompt + self.late) / f64::from(self.asked.max(1))
+        self.share(self.count())
     }
 
     pub fn share(&self, count: u32) -> f64 {
@@ -207,11 +216,12 @@
             .map(|index| {
                 let mut gate = Gate::new(1, Arc::clone(&shared));
                 gate.configure(&service(), profile.clone());
-                gate.announce(&announcement(&format!("upstream-{index}"), load.slots));
+                let mut new = announcement(&format!("upstream-{index}"), load.slots);
+                new.warm_up = Some(load.cold);
+                gate.announce(&new);
                 gate
             })
             .collect();
-        clock.advance(Duration::from_secs(10));
         gates.iter_mut().for_each(|gate| drop(gate.tick()));
         let entries = (0..load.entries).map(|index| {
             let identity = Identity { node: index + 1, incarnation: 1, zone: "zone-a".into() };
@@ -457,7 +467,8 @@
             request.runs += 1;
         }
         let hangs = self.gray[gate] && self.rng.random_bool(self.load.hangs);
-        let work = if hangs { left } else { Duration::from_secs_f64(self.draw_work()) };
+        let slowness = if self.now < self.load.cold { COLD_FACTOR } else { 1.0 };
+        let work = if hangs { left } else { Duration::from_secs_f64(self.draw_work() * slowness) };
         let (time, result) =
             if work < left { (work, RunResult::Success) } else { (left, RunResult::TimedOut) };
         self.at(time, Event::End(gate, attempt, result));
