Let uploads wait for their own zone rather than cross to another

An upload of 60 KB was sent to another zone for 40 ms, like a lookup of 800 bytes.

Change: the cost of another zone grows with the declared length of the body, up to 0.6 s, which is less than a spell costs. A body without a length counts as 64 KB.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -70,6 +70,7 @@
         strained: false,
         doubts: false,
         queues: false,
+        body: 0,
         excluded: &[],
     };
     bencher.bench_local(|| chooser.pick(&service, &wish, now, &mut rng));
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -14,8 +14,13 @@
 /// Share of idempotent requests that test a gate which is out of the choice.
 const TRIAL_SHARE: f64 = 0.02;
 
-/// Cost of another zone's traffic, as the time that it is worth.
+/// Cost of another zone's traffic, as the time that it is worth, in seconds.
 const CROSSING_COST: f64 = 0.04;
+/// The same for each byte of the request's body, in seconds: bytes between zones are paid for, and
+/// an upload rather waits for a slot in its own zone.
+const CROSSING_BYTE_COST: f64 = 0.5 / 65_536.0;
+/// Largest cost of another zone, in seconds: less than a spell costs.
+const MAX_CROSSING_COST: f64 = 0.6;
 /// Cost of a gray spell for work that may not be repeated, in seconds.
 const SPELL_COST: f64 = 1.0;
 /// Cost of a gray spell for work that is given up early and repeated, in seconds.
@@ -41,6 +46,8 @@
     pub doubts: bool,
     /// Whether it waits in the gate's queue for a slot.
     pub queues: bool,
+    /// Length of its body in bytes, as far as it is known.
+    pub body: u64,
     /// Gates that it has asked before.
     pub excluded: &'a [NodeId],
 }
@@ -245,9 +252,11 @@
         count if wish.queues && count > 0 => waits.iter().sum::<f64>() / count as f64,
         _ => 0.0,
     };
+    let crossing = CROSSING_COST + wish.body as f64 * CROSSING_BYTE_COST;
+    let crossing = crossing.min(MAX_CROSSING_COST);
     let free = gates().filter(|gate| !wish.excluded.contains(&gate.node));
     let costs = free.map(|gate| {
-        let crossing = if gate.near { 0.0 } else { CROSSING_COST };
+        let crossing = if gate.near { 0.0 } else { crossing };
         let silence = silent.get(&gate.node).map_or(0.0, |time| silence_cost(*time, now));
         let wait = gate.known_wait(now).map_or(usual, seconds);
         // Among gates that are probably well the load decides, so that all of them get work.
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -22,6 +22,9 @@
 /// Part of its remaining time that a request may wait for a slot.
 const QUEUE_SHARE: f64 = 0.6;
 
+/// Length that a body sent in chunks is assumed to have, in bytes.
+const UNKNOWN_BODY: u64 = 64 * 1024;
+
 /// What a request looks for.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Search {
@@ -83,6 +86,7 @@
                 strained,
                 doubts: flight.kind.is_some(),
                 queues: flight.search != Search::FreeSlot,
+                body: flight.arrival.body_length.unwrap_or(UNKNOWN_BODY),
                 excluded: match flight.search {
                     Search::FreeSlot => &flight.tried,
                     Search::Queue => &flight.queued,
--- /dev/null
+++ b/crates/core/tests/choice.rs
@@ -0,0 +1,49 @@
+//! Which gate a request is sent to.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use lavenderflow_core::choice::{Chooser, Wish};
+use lavenderflow_core::load::{Condition, Load};
+use lavenderflow_core::profile::Profile;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use support::{offered, service};
+
+const NEAR: u64 = 1;
+const FAR: u64 = 2;
+
+/// Returns how many of 100 requests with a body of `body` bytes go to the full gate in their own
+/// zone instead of the free one in another zone.
+fn stay_near(body: u64) -> usize {
+    let now = Instant::now();
+    let mut chooser = Chooser::new("zone-a".into());
+    let offers = [offered(4, Condition::Well, 0.0)];
+    chooser.set_node(NEAR, &"zone-a".into(), &offers, false);
+    chooser.set_node(FAR, &"zone-b".into(), &offers, false);
+    let pace = Duration::from_millis(400);
+    let load = Load { slots: 4, pace, ..Load::default() };
+    // All slots are taken, so that the next request waits about a tenth of a second.
+    chooser.report(&service(), NEAR, Load { busy: 4, ..load }, now);
+    chooser.report(&service(), FAR, load, now);
+    let profile = Profile::default();
+    let wish = Wish {
+        profile: &profile,
+        idempotent: false,
+        strained: false,
+        doubts: true,
+        queues: true,
+        body,
+        excluded: &[],
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let picks = (0..100).map(|_| chooser.pick(&service(), &wish, now, &mut rng));
+    picks.filter(|node| *node == Some(NEAR)).count()
+}
+
+#[test]
+fn small_requests_cross_zones_for_a_free_slot_and_uploads_wait_in_their_own() {
+    assert_eq!(stay_near(300), 0);
+    assert_eq!(stay_near(60_000), 100);
+}
