Keep connections alive from one end only, and do not probe for larger packets

Cause: of the bytes between zones a part is not work: both ends of some 900 connections sent a keep-alive each second, and each new connection probed for larger packets with several full ones.

Change: the end that opened a connection keeps it alive for both; the idle limit of 3 s stays. The search for a larger packet size is off.

--- a/crates/lavenderflow/src/net/key.rs
+++ b/crates/lavenderflow/src/net/key.rs
@@ -162,7 +162,10 @@
 fn client_config(mut tls: rustls::ClientConfig) -> Result<ClientConfig, KeyError> {
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
     let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
-    config.transport_config(Arc::new(transport()));
+    let mut transport = transport();
+    // The end that opened a connection keeps it alive for both.
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    config.transport_config(Arc::new(transport));
     Ok(config)
 }
 
@@ -170,7 +173,8 @@
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
-        .keep_alive_interval(Some(KEEP_ALIVE))
+        // Probes for larger packets cost more bytes than most connections carry.
+        .mtu_discovery_config(None)
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
         .stream_receive_window(VarInt::from_u32(STREAM_WINDOW))
