Hold memory for 512 instead of 8192 requests at once on each connection

Cause: on the grown sites the largest price is memory: 107 MB at the peak with 75 nodes, 49 MB with 31, so 1.3 MB for each other node. A connection holds a record for each request that may come over it from the start, and two nodes have two connections.

Change: at most 512 at once between two nodes; what is beyond waits at the entry.

--- a/crates/lavenderflow/src/net/key.rs
+++ b/crates/lavenderflow/src/net/key.rs
@@ -23,8 +23,9 @@
 const IDLE_TIMEOUT_MS: u32 = 3000;
 /// Interval of keep-alive packets.
 const KEEP_ALIVE: Duration = Duration::from_millis(1000);
-/// Most requests at once on one connection.
-const MAX_STREAMS: u32 = 8192;
+/// Most requests at once on one connection. Both ends hold a record of some 100 bytes for each of
+/// them from the start, whether or not there is a request.
+const MAX_STREAMS: u32 = 512;
 /// Bytes that a peer may send on one stream before they are read.
 const STREAM_WINDOW: u32 = 256 * 1024;
 /// Unacknowledged bytes per connection.
