--- a/crates/lavenderflow/src/command.rs
+++ b/crates/lavenderflow/src/command.rs
@@ -1,11 +1,13 @@
 //! The command line.
 
 pub mod configure;
+pub mod explain;
 pub mod keys;
 pub mod node;
 pub mod platform;
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -20,6 +22,7 @@
 use crate::logging::{self, Log};
 use crate::operator::{Operator, OperatorError};
 use configure::{OrganisationArgs, ProfileArgs, RouteArgs, ServiceArgs};
+use explain::ExplainArgs;
 use keys::KeysArgs;
 
 /// A proxy fleet for upstreams with gray failures.
@@ -36,6 +39,7 @@
 enum Action {
     Check(CheckArgs),
     Drain(DrainArgs),
+    Explain(ExplainArgs),
     Keys(KeysArgs),
     Node(NodeArgs),
     Organisation(OrganisationArgs),
@@ -94,6 +98,17 @@
     /// An operator's command failed.
     #[error(transparent)]
     Operator(#[from] OperatorError),
+    /// A log cannot be read.
+    #[error("{path}: {fault}")]
+    Log {
+        /// The file.
+        path: PathBuf,
+        /// The fault.
+        fault: std::io::Error,
+    },
+    /// No log knows a request.
+    #[error("no log knows the request {0}")]
+    NoRequest(String),
     /// The output cannot be formed.
     #[error("output: {0}")]
     Output(#[from] serde_json::Error),
@@ -103,7 +118,11 @@
     /// Returns the exit code.
     pub fn code(&self) -> u8 {
         match self {
-            Self::Settings(_) | Self::Placement(_) | Self::Key(_) => 2,
+            Self::Settings(_)
+            | Self::Placement(_)
+            | Self::Key(_)
+            | Self::Log { .. }
+            | Self::NoRequest(_) => 2,
             Self::Operator(error) => match error {
                 OperatorError::Conflict { .. } => 3,
                 OperatorError::Store(_) | OperatorError::Unsettled { .. } => 4,
@@ -153,6 +172,7 @@
         Action::Check(args) => node::check(&args),
         Action::Node(args) => node::run(&args),
         Action::Keys(args) => Ok(keys::run(&args)?),
+        Action::Explain(args) => args.run(),
         Action::Drain(args) => Ok(Operator::drain(args.node)?),
         Action::Status(args) => status(&args),
         Action::Organisation(args) => args.run(),
--- /dev/null
+++ b/crates/lavenderflow/src/command/explain.rs
@@ -0,0 +1,37 @@
+//! `explain`.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+use super::CommandError;
+use crate::explain::{NodeLog, explain};
+
+/// tell the story of one request from the logs of the nodes
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// id of the request
+    #[argh(positional)]
+    request: String,
+    /// log files, one for each node
+    #[argh(positional)]
+    files: Vec<PathBuf>,
+}
+
+impl ExplainArgs {
+    /// Prints the story.
+    pub fn run(&self) -> Result<(), CommandError> {
+        let logs = self.files.iter().map(|path| {
+            let text = std::fs::read(path)
+                .map_err(|fault| CommandError::Log { path: path.clone(), fault })?;
+            let name = path.file_stem().unwrap_or_default().to_string_lossy();
+            Ok(NodeLog::parse(&String::from_utf8_lossy(&text), &name))
+        });
+        let logs = logs.collect::<Result<Vec<NodeLog>, CommandError>>()?;
+        let story = explain(&self.request, &logs);
+        let story = story.ok_or_else(|| CommandError::NoRequest(self.request.clone()))?;
+        println!("{story}");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lavenderflow/src/explain.rs
@@ -0,0 +1,194 @@
+//! Tells the story of one request from the logs of the nodes that it met.
+//!
+//! A line of the log has a time in whole seconds only, so the order of the story comes from the
+//! lines themselves: those of the entry stand in order, and each `dispatched` names the gate whose
+//! own lines follow it.
+
+use std::fmt::{self, Display, Formatter};
+
+use lavenderflow_core::id::node_id;
+
+use crate::prelude::*;
+
+/// The lines that one node wrote, oldest first.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NodeLog {
+    /// Name of the node.
+    pub name: String,
+    /// Its lines.
+    pub lines: Vec<String>,
+}
+
+impl NodeLog {
+    /// Takes in the text of a log. The node's name is what its `started` line says; without one it
+    /// is `fallback`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow::explain::NodeLog;
+    ///
+    /// let log = NodeLog::parse("event=started node=vm-1 peers=127.0.0.1:1", "file");
+    /// assert_eq!(log.name, "vm-1");
+    /// ```
+    pub fn parse(text: &str, fallback: &str) -> Self {
+        let lines: Vec<String> = text.lines().map(str::to_owned).collect();
+        let started = lines.iter().find(|line| field(line, "event") == Some("started"));
+        let name = started.and_then(|line| field(line, "node")).unwrap_or(fallback).to_owned();
+        Self { name, lines }
+    }
+
+    fn of_request<'a>(&'a self, request: &'a str) -> impl Iterator<Item = &'a str> {
+        let lines = self.lines.iter().map(String::as_str);
+        lines.filter(move |line| field(line, "request") == Some(request))
+    }
+}
+
+/// One line of a story.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The node that wrote it.
+    pub node: String,
+    /// Whether the node spoke as the gate that the step before it asked.
+    pub is_gate: bool,
+    /// The line, from its event on.
+    pub text: String,
+}
+
+/// What became of a request, and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Story {
+    /// The lines about it, in the order of what happened.
+    pub steps: Vec<Step>,
+    /// The cause of the outcome in one sentence.
+    pub cause: String,
+}
+
+impl Display for Story {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        for step in &self.steps {
+            let indent = if step.is_gate { "    " } else { "" };
+            writeln!(f, "{indent}{}: {}", step.node, step.text)?;
+        }
+        write!(f, "cause: {}", self.cause)
+    }
+}
+
+/// Tells the story of a request; `None` when no log knows it.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow::explain::{NodeLog, explain};
+///
+/// let text = "event=answered request=r1 outcome=not-run reason=not-configured";
+/// let story = explain("r1", &[NodeLog::parse(text, "vm-1")]).expect("a story");
+/// assert_eq!(story.cause, "not-run by not-configured: no gate was asked");
+/// assert!(explain("r2", &[]).is_none());
+/// ```
+pub fn explain(request: &str, logs: &[NodeLog]) -> Option<Story> {
+    let is_entry = |log: &&NodeLog| {
+        log.of_request(request).any(|line| {
+            matches!(field(line, "event"), Some("dispatched" | "answered" | "bad-request"))
+        })
+    };
+    let entry = logs.iter().find(is_entry);
+    let mut gates: IndexMap<NodeId, GateLines<'_>> = IndexMap::new();
+    for log in logs {
+        gates.insert(node_id(&log.name), GateLines::new(log, request));
+    }
+    let mut steps = Vec::new();
+    for line in entry.into_iter().flat_map(|log| log.of_request(request)) {
+        if !is_of_entry(line) {
+            continue;
+        }
+        steps.extend(entry.map(|log| step(&log.name, line, false)));
+        let gate = field(line, "gate").and_then(|gate| NodeId::from_str_radix(gate, 16).ok());
+        let attempt = field(line, "attempt");
+        if field(line, "event") == Some("dispatched")
+            && let Some(lines) = gate.and_then(|gate| gates.get_mut(&gate))
+        {
+            let entry = entry.map(|log| node_id(&log.name)).unwrap_or_default();
+            steps.extend(lines.of_attempt(entry, attempt.unwrap_or_default()));
+        }
+    }
+    // What no dispatch accounts for, as when the entry's log is missing.
+    for lines in gates.values_mut() {
+        steps.extend(lines.rest());
+    }
+    let cause = cause(&steps);
+    (!steps.is_empty()).then_some(Story { steps, cause })
+}
+
+/// The lines of one node as a gate, in its own order.
+struct GateLines<'a> {
+    log: &'a NodeLog,
+    lines: Vec<&'a str>,
+    next: usize,
+}
+
+impl<'a> GateLines<'a> {
+    fn new(log: &'a NodeLog, request: &'a str) -> Self {
+        let lines = log.of_request(request).filter(|line| !is_of_entry(line)).collect();
+        Self { log, lines, next: 0 }
+    }
+
+    /// Takes the lines of the next attempt: its decision, and what follows up to the next one.
+    fn of_attempt(&mut self, entry: NodeId, attempt: &str) -> Vec<Step> {
+        let left = &self.lines[self.next..];
+        let is_decision =
+            |line: &&str| matches!(field(line, "event"), Some("admitted" | "refused"));
+        let length = left.iter().skip(1).position(is_decision).map_or(left.len(), |at| at + 1);
+        self.next += length;
+        let mut steps: Vec<Step> =
+            left[..length].iter().map(|line| step(&self.log.name, line, true)).collect();
+        let entry = format!("{entry:x}");
+        let is_end = |line: &&String| {
+            let is_same = field(line, "attempt") == Some(attempt);
+            field(line, "event") == Some("ended") && is_same && field(line, "entry") == Some(&entry)
+        };
+        let end = self.log.lines.iter().find(is_end);
+        steps.extend(end.map(|line| step(&self.log.name, line, true)));
+        steps
+    }
+
+    fn rest(&mut self) -> Vec<Step> {
+        let left = &self.lines[self.next..];
+        self.next = self.lines.len();
+        left.iter().map(|line| step(&self.log.name, line, true)).collect()
+    }
+}
+
+/// Tells whether a node wrote a line about a request as its entry.
+fn is_of_entry(line: &str) -> bool {
+    let event = field(line, "event").unwrap_or_default();
+    matches!(event, "answered" | "attempt-lost" | "bad-request" | "dispatched" | "field-dropped")
+}
+
+fn step(node: &str, line: &str, is_gate: bool) -> Step {
+    let text = line.find("event=").map_or(line, |start| &line[start..]);
+    Step { node: node.to_owned(), is_gate, text: text.to_owned() }
+}
+
+/// Names the cause of the outcome: what the last gate decided, or how its run ended.
+fn cause(steps: &[Step]) -> String {
+    let entry = steps.iter().rev().find(|step| field(&step.text, "event") == Some("answered"));
+    let Some(answered) = entry else {
+        return "unknown: the line of the answer is missing".to_owned();
+    };
+    let of = |name| field(&answered.text, name).unwrap_or("unknown");
+    let (outcome, reason) = (of("outcome"), of("reason"));
+    let last = steps.iter().rev().find(|step| step.is_gate);
+    let Some(last) = last else {
+        return format!("{outcome} by {reason}: no gate was asked");
+    };
+    let asked = steps.iter().filter(|step| field(&step.text, "event") == Some("dispatched"));
+    let told = last.text.strip_prefix("event=").unwrap_or(&last.text);
+    format!("{outcome} by {reason} after {} gates; last, {}: {told}", asked.count(), last.node)
+}
+
+/// Returns the value of a field of a line.
+fn field<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    let words = line.split_ascii_whitespace();
+    words.filter_map(|word| word.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| v)
+}
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod counter;
 pub mod error;
+pub mod explain;
 pub mod http;
 pub mod logging;
 pub mod message;
