--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -4,6 +4,7 @@
 //! so the count of work in flight is exact.
 
 mod lifetimes;
+mod report;
 mod review;
 mod spell;
 
@@ -211,37 +212,6 @@
         self.running.len()
     }
 
-    /// Returns the load of a service.
-    pub fn load(&self, service: &ServiceName) -> Load {
-        let now = self.clock.now();
-        let upstreams = self.upstreams.values().filter(|u| u.common().service == *service);
-        let load = upstreams.fold(None, |load, upstream| Some(add(load, upstream, now)));
-        let Some(mut load) = load else { return Load::default() };
-        load.doubt = self.least_doubt(service, now) as f32;
-        let queues = self.services.get(service);
-        let queued = queues.map_or(0, |state| state.short.len() + state.long.len());
-        load.queued = u32::try_from(queued).unwrap_or(u32::MAX);
-        load
-    }
-
-    /// Returns what this gate offers.
-    pub fn offered(&self) -> Vec<Offered> {
-        let now = self.clock.now();
-        let mut offers: IndexMap<&ServiceName, (u32, Load)> = IndexMap::new();
-        for upstream in self.upstreams.values().filter(|u| u.limit(now) > 0) {
-            let common = upstream.common();
-            let old = offers.get(&common.service).copied();
-            let slots = old.map_or(0, |(slots, _)| slots) + common.slots;
-            let load = add(old.map(|(_, load)| load), upstream, now);
-            offers.insert(&common.service, (slots, load));
-        }
-        let offers = offers.into_iter().map(|(service, (slots, load))| {
-            let evidence = if load.condition == Condition::Well { 0.0 } else { load.evidence };
-            Offered { service: service.clone(), slots, condition: load.condition, evidence }
-        });
-        offers.collect()
-    }
-
     /// Returns the upstreams with their ids, in the order of their last announcement.
     pub fn upstreams(&self) -> impl Iterator<Item = (&UpstreamId, &AnyUpstream)> {
         self.upstreams.iter()
@@ -369,22 +339,6 @@
             queues.flat_map(|s| [s.short.expire(now), s.long.expire(now)]).flatten().collect();
         expired.iter().filter_map(|w| self.refuse_waiting(w, spent(w))).collect()
     }
-
-    fn publish(&mut self) -> Option<GateAction> {
-        let offered = self.offered();
-        let same = offered.len() == self.published.len()
-            && offered.iter().all(|new| {
-                self.published.iter().any(|old| {
-                    (&old.service, old.slots, old.condition)
-                        == (&new.service, new.slots, new.condition)
-                })
-            });
-        if same {
-            return None;
-        }
-        self.published = offered;
-        Some(GateAction::Publish)
-    }
 }
 
 /// Returns how many slots long work may hold; short work keeps one unless there is only one.
@@ -395,35 +349,10 @@
     ((f64::from(limit) * share) as u32).max(1)
 }
 
-/// Adds an upstream to the load of its service.
-fn add(load: Option<Load>, upstream: &AnyUpstream, now: Instant) -> Load {
-    let common = upstream.common();
-    let nothing = Load { condition: Condition::Ejected, evidence: f32::MAX, ..Load::default() };
-    let mut load = load.unwrap_or(nothing);
-    load.busy += common.short + common.long;
-    load.slots += upstream.limit(now);
-    load.pace = load.pace.max(common.witness.pace());
-    let condition = match common.witness.condition() {
-        Condition::Well if common.doubted => Condition::Trial,
-        condition => condition,
-    };
-    load.condition = best(load.condition, condition);
-    load.evidence = load.evidence.min(common.witness.evidence());
-    load
-}
-
 fn spent(waiting: &Waiting) -> Reason {
     if waiting.deadline { Reason::DeadlinePast } else { Reason::PatienceSpent }
 }
 
-fn best(one: Condition, other: Condition) -> Condition {
-    match (one, other) {
-        (Condition::Well, _) | (_, Condition::Well) => Condition::Well,
-        (Condition::Trial, _) | (_, Condition::Trial) => Condition::Trial,
-        _ => Condition::Ejected,
-    }
-}
-
 fn release(upstream: &mut AnyUpstream, long: bool) {
     let common = upstream.common_mut();
     let count = if long { &mut common.long } else { &mut common.short };
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -1,6 +1,7 @@
 //! Owns the membership, the configuration and the gossip that spreads both.
 
 mod configure;
+mod greeting;
 mod status;
 
 use std::net::SocketAddr;
@@ -10,7 +11,6 @@
 use lavenderflow_core::gate::Offered;
 use lavenderflow_core::gossip::{Exchange, Gossip, Position};
 use lavenderflow_core::roster::Roster;
-use rand::seq::IteratorRandom;
 use stakker::{Actor, CX, Fwd, after, call};
 use tokio::sync::{oneshot, watch};
 
@@ -30,8 +30,6 @@
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Size of the fleet that is assumed until more nodes are known.
 const MIN_FLEET: usize = 16;
-/// Nodes that are greeted at a time.
-const GREETED: usize = 3;
 /// Pings after which callers are let in though neither peers nor the store have answered.
 const READY_PINGS: u32 = 20;
 /// Nodes per zone that watch the store.
@@ -278,41 +276,6 @@
         self.take(cx, exchange);
     }
 
-    /// Greets the seeds that are not known as nodes.
-    fn greet(&mut self) {
-        let members = self.roster.members();
-        let known: IndexSet<SocketAddr> = members
-            .iter()
-            .filter(|(node, _)| !self.roster.is_expelled(**node))
-            .map(|(_, member)| member.peer)
-            .collect();
-        let seeds = self.seeds.iter().chain(&self.introduced);
-        let seeds: IndexSet<SocketAddr> =
-            seeds.filter(|seed| self.may_greet(seed, &known)).copied().collect();
-        // Gossip brings the others.
-        for seed in seeds.into_iter().choose_multiple(&mut rand::rng(), GREETED) {
-            let mut exchange = Exchange {
-                sender: self.roster.me().node,
-                incarnation: self.roster.me().incarnation,
-                members: vec![self.roster.me().clone()],
-                member_digests: self.roster.members().digests().to_vec(),
-                document_digests: self.catalog.documents().digests().to_vec(),
-                ..Exchange::default()
-            };
-            exchange.summaries[0] = self.roster.members().summary();
-            exchange.summaries[1] = self.catalog.documents().summary();
-            if self.send(Command::Greet(seed, exchange)) {
-                self.greeting.insert(seed);
-            }
-        }
-    }
-
-    /// Tells whether a seed is neither known as a node nor being greeted. Each greeting is a
-    /// handshake, and one more while one is slow would make all of them slower.
-    fn may_greet(&self, seed: &SocketAddr, known: &IndexSet<SocketAddr>) -> bool {
-        !known.contains(seed) && !self.greeting.contains(seed)
-    }
-
     /// Takes in an exchange.
     fn take(&mut self, cx: CX![], mut exchange: Exchange) {
         let source = exchange.sender;
