--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -22,7 +22,8 @@
 /// Part of its remaining time that a request may wait for a slot.
 const QUEUE_SHARE: f64 = 0.6;
 
-/// Length that a body sent in chunks is assumed to have, in bytes.
+/// Length that a body sent in chunks is assumed to have, in bytes: that from which work counts as
+/// long by default.
 const UNKNOWN_BODY: u64 = 64 * 1024;
 
 /// What a request looks for.
