Let only the gray failure detector exclude an upstream that it observes

Change: where runs feed the gray failure detector, its probability alone decides; it falls below 0.2 after three answers.

--- a/crates/core/src/gate/gray_failure.rs
+++ b/crates/core/src/gate/gray_failure.rs
@@ -16,13 +16,10 @@
 const LIKELY_GRAY_PROBABILITY: f64 = 0.4;
 /// Gray failure probability up to which it ceases to be likely gray.
 const CLEAR_PROBABILITY: f64 = 0.2;
-/// Least gray failure probability of an upstream that outlier detection ejected or put on trial.
-const EJECTED_PROBABILITY: f64 = 0.9;
 /// Time since the last start after which an upstream that is probably healthy gets a request of any
 /// gray tolerance.
 const IDLE_TRIAL_INTERVAL: Duration = Duration::from_millis(800);
-/// Least interval between two trials, with retryable requests, of an upstream that is likely gray
-/// or ejected.
+/// Least interval between two trials, with retryable requests, of an upstream that may be gray.
 const RETRYABLE_TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time since the last start after which an upstream that may be gray gets an idempotent request
 /// even if the retry budget is spent. Each upstream must get some work within two seconds, or the
@@ -63,16 +60,11 @@
         common.gray_failure.probability(now, in_flight.collect())
     }
 
-    /// Returns the least gray failure probability among the upstreams of a service, where ejected
-    /// ones have at least [`EJECTED_PROBABILITY`].
+    /// Returns the least gray failure probability among the upstreams of a service.
     pub(super) fn min_gray_probability(&self, service: &ServiceName, now: Instant) -> f64 {
         let upstreams = self.upstreams.iter();
         let own = upstreams.filter(|(_, u)| u.common().service == *service && u.limit(now) > 0);
-        let probabilities = own.map(|(id, upstream)| {
-            let is_healthy = upstream.common().outlier.condition() == Condition::Healthy;
-            self.gray_probability(id, now).max(if is_healthy { 0.0 } else { EJECTED_PROBABILITY })
-        });
-        probabilities.fold(1.0, f64::min)
+        own.map(|(id, _)| self.gray_probability(id, now)).fold(1.0, f64::min)
     }
 
     /// Refuses queued requests whose gray tolerance has been exceeded, so that they can wait at
@@ -132,11 +124,9 @@
         let upstreams = self.upstreams.values().map(|upstream| upstream.common());
         let mut own = upstreams.filter(|common| common.service == request.service);
         let is_due = own.any(|common| {
-            let is_ineligible =
-                common.likely_gray || common.outlier.condition() != Condition::Healthy;
             let interval = match probability <= HEALTHY_PROBABILITY {
                 true => IDLE_TRIAL_INTERVAL,
-                false if request.retryable && is_ineligible => RETRYABLE_TRIAL_INTERVAL,
+                false if request.retryable => RETRYABLE_TRIAL_INTERVAL,
                 false if request.idempotent => IDEMPOTENT_TRIAL_INTERVAL,
                 false if request.degraded => NON_IDEMPOTENT_TRIAL_INTERVAL,
                 false => return false,
--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -63,10 +63,7 @@
     load.busy += common.short_running + common.long_running;
     load.slots += upstream.limit(now);
     load.mean_latency = load.mean_latency.max(common.outlier.mean_latency());
-    let condition = match common.outlier.condition() {
-        Condition::Healthy if common.likely_gray => Condition::Trial,
-        condition => condition,
-    };
+    let condition = common.condition();
     load.condition = best(load.condition, condition);
     load.evidence = load.evidence.min(common.outlier.evidence());
     load
--- a/crates/core/src/gray_failure.rs
+++ b/crates/core/src/gray_failure.rs
@@ -99,6 +99,11 @@
         decay_to_prior(state.0, now.saturating_duration_since(state.1))
     }
 
+    /// Returns whether any run has finished.
+    pub fn has_observations(&self) -> bool {
+        !self.runs.is_empty()
+    }
+
     /// Records a run that was answered.
     pub fn answered(&mut self, started: Instant) {
         self.add(started, 1.0 - HANG_SHARE);
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -135,6 +135,18 @@
 }
 
 impl Common {
+    /// Returns the condition by which entries decide whether the upstream is eligible.
+    ///
+    /// Where gray failures are detected, only the gray failure probability decides: it sees the
+    /// end of a failure within a few answers, while an ejection lasts for its whole time.
+    pub fn condition(&self) -> Condition {
+        match self.gray_failure.has_observations() {
+            true if self.likely_gray => Condition::Trial,
+            true => Condition::Healthy,
+            false => self.outlier.condition(),
+        }
+    }
+
     /// Returns the lifetime if the upstream ended it itself or a later lifetime superseded it.
     pub fn final_lifetime(&self) -> Option<Lifetime> {
         self.ended.then_some(Lifetime { generation: self.generation, sequence: self.sequence })
