Run all tasks on one thread where there is one core, and wake up less

Cause: a node on a VM with one core spent most of its processor time on switches between the threads for HTTP, the network and decisions: a dispatch that a gate refuses is some eight of them. The gate's timers woke it 50 times a second, and each log line woke the writer.

The gate's timers run each 40 ms while it has requests and each 200 ms while it has none; log lines are written in batches of 50 ms.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -221,6 +221,11 @@
         self.running.len()
     }
 
+    /// Returns whether no attempt runs or waits, so that no timer is urgent.
+    pub fn is_idle(&self) -> bool {
+        self.requests.is_empty()
+    }
+
     /// Returns the upstreams with their ids, in the order of their last announcements.
     pub fn upstreams(&self) -> impl Iterator<Item = (&UpstreamId, &AnyUpstream)> {
         self.upstreams.iter()
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -1,7 +1,7 @@
 //! The actor that owns the gate and the channels to the attempts that wait for its decision.
 
 use lavenderflow_core::gate::{Gate, GateAction, RunResult, ServiceOffer};
-use stakker::{Actor, CX, Fwd, after, call};
+use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
 use tokio::sync::oneshot;
 
 use super::counters::CountersActor;
@@ -9,8 +9,10 @@
 use crate::prelude::*;
 use crate::status::{Status, UpstreamStatus, condition_name};
 
-/// Interval at which the gate's timers are advanced.
-const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which the gate's timers are advanced while attempts run or wait.
+const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(40);
+/// The same while there are none.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Admits attempts to the upstreams on this VM.
 pub struct GateActor {
@@ -20,6 +22,7 @@
     waiting: IndexMap<AttemptId, AttemptChannels>,
     running: IndexMap<AttemptId, oneshot::Sender<()>>,
     published_offers: Vec<ServiceOffer>,
+    tick_timer: MinTimerKey,
 }
 
 impl GateActor {
@@ -30,23 +33,27 @@
         counters: Actor<CountersActor>,
         publish: Fwd<Vec<ServiceOffer>>,
     ) -> Option<Self> {
-        after!(TICK_INTERVAL, [cx], tick());
-        Some(Self {
+        let mut actor = Self {
             gate,
             counters,
             publish,
             waiting: IndexMap::new(),
             running: IndexMap::new(),
             published_offers: Vec::new(),
-        })
+            tick_timer: MinTimerKey::default(),
+        };
+        actor.schedule_tick(cx);
+        Some(actor)
     }
 
     /// Handles a message.
-    pub fn handle(&mut self, _: CX![], message: GateMessage) {
+    pub fn handle(&mut self, cx: CX![], message: GateMessage) {
         let actions = match message {
             GateMessage::Submit(request, channels) => {
                 self.waiting.insert(request.attempt, channels);
-                self.gate.submit(request)
+                let actions = self.gate.submit(request);
+                self.schedule_tick(cx);
+                actions
             }
             GateMessage::ResponseStarted(attempt) => {
                 self.gate.response_started(attempt);
@@ -103,9 +110,16 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
-        after!(TICK_INTERVAL, [cx], tick());
         let actions = self.gate.tick();
         self.execute(actions);
+        self.schedule_tick(cx);
+    }
+
+    /// Schedules the next tick, unless an earlier one is already scheduled.
+    fn schedule_tick(&mut self, cx: CX![]) {
+        let interval = if self.gate.is_idle() { IDLE_TICK_INTERVAL } else { BUSY_TICK_INTERVAL };
+        let at = cx.now() + interval;
+        timer_min!(&mut self.tick_timer, at, [cx], tick());
     }
 
     fn execute(&mut self, actions: Vec<GateAction>) {
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counter;
 pub mod environment;
 pub mod error;
+pub mod executor;
 pub mod explain;
 pub mod http;
 pub mod logging;
--- a/crates/lavenderflow/src/logging.rs
+++ b/crates/lavenderflow/src/logging.rs
@@ -20,6 +20,9 @@
 const CHANNEL_CAPACITY: usize = 4096;
 /// Most lines in one write to the output.
 const MAX_BATCH_LINES: usize = 256;
+/// Time for which lines are collected before they are written, since each write costs a switch of
+/// threads.
+const BATCH_TIME: Duration = Duration::from_millis(50);
 /// Window of the rate limit.
 const LIMIT_WINDOW: Duration = Duration::from_secs(1);
 /// Longest sleep of the writer while nothing is logged.
@@ -151,6 +154,9 @@
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            if flushes.is_empty() {
+                thread::sleep(BATCH_TIME);
+            }
             for _ in 1..MAX_BATCH_LINES {
                 let Ok(message) = self.messages.try_recv() else { break };
                 self.receive(message, &mut batch, &mut flushes);
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -11,11 +11,11 @@
 use lavenderflow_core::id::node_id;
 use lavenderflow_core::roster::{Member, Roster};
 use lavenderflow_schema::settings::NodeSettings;
+use quinn::{ClientConfig, ServerConfig};
 use rand::random;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use stakker::{ActorOwn, Stakker, actor, call, fwd_to, ret_nop, ret_shutdown};
-use tokio::runtime::Runtime;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
@@ -28,6 +28,7 @@
 use crate::counter;
 use crate::environment::{Environment, PeerTrust};
 use crate::error::NodeError;
+use crate::executor::Executor;
 use crate::http::listen::{CloseRequest, HttpAddresses};
 use crate::http::{callers, listen};
 use crate::net::context::NetworkContext;
@@ -63,10 +64,22 @@
     let (stop, is_stopped) = oneshot::channel();
     let statsd = counter::statsd_client(settings.statsd.first().copied())?;
     let work = WorkTracker::default();
-    let net = start_network(settings, environment, &clock, &mailbox, commands, &work)?;
+    let executor = Executor::new(settings.threads)?;
+    let quic_configs = quic_configs(settings, environment)?;
+    let network_setup = endpoint::NetworkSetup {
+        node: node_id(&settings.name),
+        address: settings.peers,
+        quic_configs,
+        clock: Arc::clone(&clock),
+        mailbox: mailbox.clone(),
+        dialect: Arc::clone(&environment.dialect),
+        work: work.clone(),
+        ping_interval: settings.ping,
+    };
+    let net = start_network(&executor, network_setup, commands)?;
     let max_requests = usize::try_from(settings.workers).unwrap_or(usize::MAX);
     let name = settings.name.clone();
-    start_http(listen::HttpSetup {
+    let http_setup = listen::HttpSetup {
         addresses: addresses(settings, environment),
         context: callers::CallerContext {
             name,
@@ -79,7 +92,8 @@
         ready: becomes_ready,
         is_ready: ready_state,
         stop: is_stopped,
-    })?;
+    };
+    start_http(&executor, http_setup)?;
     let reloader = match &environment.node_file {
         Some((path, node_file)) => {
             Some(Reloader::start(path.clone(), node_file.clone(), mailbox.clone())?)
@@ -116,8 +130,9 @@
         settings.peers,
         env!("CARGO_PKG_VERSION")
     );
-    MainLoop::new(settings, &clock, fleet, statsd, work, is_ready).run(messages)?;
-    close(stop, &network, CLOSE_TIMEOUT.min(settings.stop / CLOSE_DIVISOR));
+    let mut main_loop = MainLoop::new(settings, &clock, fleet, statsd, work, is_ready);
+    executor.run(main_loop.run(messages));
+    executor.run(close(stop, &network, CLOSE_TIMEOUT.min(settings.stop / CLOSE_DIVISOR)));
     log::info!("event=ended node={}", settings.name);
     Ok(())
 }
@@ -148,48 +163,34 @@
     }
 }
 
-fn runtime() -> Result<Runtime, NodeError> {
-    let mut builder = tokio::runtime::Builder::new_current_thread();
-    builder.enable_all().build().map_err(NodeError::Runtime)
-}
-
-/// Starts the network thread.
-fn start_network(
+fn quic_configs(
     settings: &NodeSettings,
     environment: &Environment,
-    clock: &SharedClock,
-    mailbox: &Mailbox,
-    commands: mpsc::Receiver<NetworkCommand>,
-    work: &WorkTracker,
-) -> Result<NetworkContext, NodeError> {
-    let quic_configs = match environment.trust {
+) -> Result<(ServerConfig, ClientConfig), NodeError> {
+    Ok(match environment.trust {
         PeerTrust::Certificates => {
             tls::load(&settings.authority, &settings.certificate, &settings.key)?
         }
         PeerTrust::Network => tls::self_signed()?,
-    };
-    let setup = endpoint::NetworkSetup {
-        node: node_id(&settings.name),
-        address: settings.peers,
-        quic_configs,
-        clock: Arc::clone(clock),
-        mailbox: mailbox.clone(),
-        dialect: Arc::clone(&environment.dialect),
-        work: work.clone(),
-        ping_interval: settings.ping,
-    };
+    })
+}
+
+/// Starts the network task.
+fn start_network(
+    executor: &Executor,
+    setup: endpoint::NetworkSetup,
+    commands: mpsc::Receiver<NetworkCommand>,
+) -> Result<NetworkContext, NodeError> {
     let (bound, is_bound) = oneshot::channel();
-    let runtime = runtime()?;
-    spawn("network", move || runtime.block_on(endpoint::run(setup, commands, bound)))?;
-    is_bound.blocking_recv().unwrap_or_else(|_| Err(thread_ended()))
+    executor.start("network", endpoint::run(setup, commands, bound))?;
+    executor.run(is_bound).unwrap_or_else(|_| Err(thread_ended()))
 }
 
-/// Starts the HTTP thread.
-fn start_http(setup: listen::HttpSetup) -> Result<(), NodeError> {
+/// Starts the HTTP task.
+fn start_http(executor: &Executor, setup: listen::HttpSetup) -> Result<(), NodeError> {
     let (bound, is_bound) = oneshot::channel();
-    let runtime = runtime()?;
-    spawn("http", move || runtime.block_on(listen::run(setup, bound)))?;
-    is_bound.blocking_recv().unwrap_or_else(|_| Err(thread_ended()))
+    executor.start("http", listen::run(setup, bound))?;
+    executor.run(is_bound).unwrap_or_else(|_| Err(thread_ended()))
 }
 
 fn thread_ended() -> NodeError {
@@ -218,14 +219,14 @@
 }
 
 /// Waits until responses are written, then closes the connections to other nodes.
-fn close(stop: oneshot::Sender<CloseRequest>, network: &NetworkSender, timeout: Duration) {
+async fn close(stop: oneshot::Sender<CloseRequest>, network: &NetworkSender, timeout: Duration) {
     let (done, is_done) = oneshot::channel();
-    if stop.send(CloseRequest { timeout, done }).is_ok() && is_done.blocking_recv().is_err() {
+    if stop.send(CloseRequest { timeout, done }).is_ok() && is_done.await.is_err() {
         log::warn!("event=http-ended-early");
     }
     let (done, is_done) = oneshot::channel();
     let closing = NetworkCommand::Close { timeout, done };
-    if network.blocking_send(closing).is_ok() && is_done.blocking_recv().is_err() {
+    if network.send(closing).await.is_ok() && is_done.await.is_err() {
         log::warn!("event=network-ended-early");
     }
 }
@@ -284,13 +285,11 @@
     }
 
     /// Dispatches messages until an actor shuts the node down.
-    fn run(&mut self, mut messages: mpsc::Receiver<Message>) -> Result<(), NodeError> {
-        let runtime = runtime()?;
+    async fn run(&mut self, mut messages: mpsc::Receiver<Message>) {
         self.stakker.run(self.clock.now(), false);
         while self.stakker.not_shutdown() {
             let wait = self.stakker.next_wait_max(self.clock.now(), MAX_SLEEP, false);
-            let next = runtime.block_on(async { timeout(wait, messages.recv()).await });
-            if let Ok(Some(message)) = next {
+            if let Ok(Some(message)) = timeout(wait, messages.recv()).await {
                 self.dispatch(message);
                 for _ in 0..MAX_BATCH_MESSAGES {
                     let Ok(message) = messages.try_recv() else { break };
@@ -299,7 +298,6 @@
             }
             self.stakker.run(self.clock.now(), false);
         }
-        Ok(())
     }
 
     fn dispatch(&self, message: Message) {
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -298,10 +298,12 @@
     Process::start(binary(), &["platform".to_owned()], &environment(file)).expect("a node")
 }
 
-fn environment(file: &std::path::Path) -> [(&'static str, String); 2] {
+fn environment(file: &std::path::Path) -> [(&'static str, String); 3] {
     [
         ("LAVENDERFLOW_NODE_FILE", file.display().to_string()),
         ("LAVENDERFLOW_PING", "100".to_owned()),
+        // As on the platform, whose VMs have one core.
+        ("LAVENDERFLOW_THREADS", "1".to_owned()),
     ]
 }
 
