Report gray failures only to the entries that use a gate, and keep fewer connections alive

Cause: what a node pays grew with the fleet. And each connection that was ever used was kept alive each second.

Change: load reports, which go with each refusal and answer, are the only source of the gray failure probability; a likely gray gate is a candidate again once the probability has decayed. Gossip carries changes of slots and ejections only, at most each 100 ms. Connections that were not used for 30 s are released, and keep-alive packets go each 2 s. Gray failures are logged as event=gray-failure.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -90,6 +90,16 @@
     },
     /// Publish the current offers of the gate to the other nodes.
     Publish,
+    /// Log that an upstream has become likely gray, or is so no longer. Entries learn it from load
+    /// reports.
+    ReportGray {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Whether it is likely gray.
+        likely_gray: bool,
+        /// The gray failure probability.
+        probability: f64,
+    },
 }
 
 /// The capacity that a gate offers for one service.
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -178,9 +178,9 @@
                 &profile,
             );
         }
-        self.update_likely_gray(now);
-        let mut actions = self.fill(&request.service);
-        if changed || request.kind.is_some() {
+        let mut actions = self.update_likely_gray(now);
+        actions.extend(self.fill(&request.service));
+        if changed {
             actions.extend(self.publish());
         }
         (self.load(&request.service), actions)
@@ -195,7 +195,7 @@
             upstream.common_mut().outlier.tick(now);
         }
         let mut actions = self.review_running(now);
-        self.update_likely_gray(now);
+        actions.extend(self.update_likely_gray(now));
         self.remove_drained();
         actions.extend(self.expire(now));
         actions.extend(self.refuse_waits_on_gray(now));
--- a/crates/core/src/gate/gray_failure.rs
+++ b/crates/core/src/gate/gray_failure.rs
@@ -6,14 +6,12 @@
 
 use super::{Gate, GateAction, RunResult, Running};
 use crate::admission::SlotRequest;
-use crate::gray_failure::{HEALTHY_PROBABILITY, InFlight, UnansweredRun};
+use crate::gray_failure::{HEALTHY_PROBABILITY, InFlight, LIKELY_GRAY_PROBABILITY, UnansweredRun};
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::QueuedRequest;
 use crate::upstream::AnyUpstream;
 
-/// Gray failure probability above which an upstream becomes likely gray.
-const LIKELY_GRAY_PROBABILITY: f64 = 0.4;
 /// Gray failure probability up to which it ceases to be likely gray.
 const CLEAR_PROBABILITY: f64 = 0.2;
 /// Time since the last start after which an upstream that is probably healthy gets a request of any
@@ -92,18 +90,26 @@
         actions
     }
 
-    /// Updates which upstreams are likely gray.
-    pub(super) fn update_likely_gray(&mut self, now: Instant) {
+    /// Updates which upstreams are likely gray; returns the changes.
+    pub(super) fn update_likely_gray(&mut self, now: Instant) -> Vec<GateAction> {
+        let mut changes = Vec::new();
         let probabilities: Vec<f64> =
             self.upstreams.keys().map(|id| self.gray_probability(id, now)).collect();
-        for (upstream, probability) in self.upstreams.values_mut().zip(probabilities) {
+        for ((id, upstream), probability) in self.upstreams.iter_mut().zip(probabilities) {
             let common = upstream.common_mut();
-            common.likely_gray = if common.likely_gray {
-                probability > CLEAR_PROBABILITY
-            } else {
-                probability > LIKELY_GRAY_PROBABILITY
-            };
+            let limit =
+                if common.likely_gray { CLEAR_PROBABILITY } else { LIKELY_GRAY_PROBABILITY };
+            let likely_gray = probability > limit;
+            if common.likely_gray != likely_gray {
+                common.likely_gray = likely_gray;
+                changes.push(GateAction::ReportGray {
+                    upstream: id.clone(),
+                    likely_gray,
+                    probability,
+                });
+            }
         }
+        changes
     }
 
     /// Returns the reason to refuse a request whose upstreams may be in a gray failure.
--- a/crates/core/src/gray_failure.rs
+++ b/crates/core/src/gray_failure.rs
@@ -18,6 +18,8 @@
 pub(crate) const PRIOR_PROBABILITY: f64 = 0.14;
 /// Gray failure probability up to which an upstream is chosen by its load alone.
 pub(crate) const NEUTRAL_PROBABILITY: f64 = 0.15;
+/// Gray failure probability above which an upstream is likely gray.
+pub(crate) const LIKELY_GRAY_PROBABILITY: f64 = 0.4;
 /// Gray failure probability up to which an upstream without recent work is probably healthy.
 pub(crate) const HEALTHY_PROBABILITY: f64 = 0.2;
 /// Time constant of the decay to the prior probability: gray failures last for seconds.
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -10,8 +10,7 @@
     Healthy,
     /// Ejected; for several upstreams, all are.
     Ejected,
-    /// Ejection is over or a gray failure likely, and a few requests test the upstreams, idempotent
-    /// ones first.
+    /// Ejection is over, and a few requests test the upstreams, idempotent ones first.
     Trial,
 }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Returns whether its upstreams are ejected, on trial or likely gray.
+    pub fn is_unhealthy(&self, now: Instant) -> bool {
+        self.load.condition != Condition::Healthy
+            || self.gray_probability(now) > gray_failure::LIKELY_GRAY_PROBABILITY
+    }
+
     /// Estimates the wait for a slot; `None` when the last load report is too old.
     pub fn known_wait(&self, now: Instant) -> Option<Duration> {
         let is_fresh = self.reported_at.is_some_and(|time| now < time + MAX_REPORT_AGE);
@@ -196,11 +202,12 @@
         let Some(gate) = self.gates.get_mut(&node) else {
             return;
         };
-        if gate.load.condition != load.condition {
-            self.refreshed_at = None;
-        }
+        let was_unhealthy = gate.is_unhealthy(now);
         gate.load = load;
         gate.reported_at = Some(now);
+        if gate.is_unhealthy(now) != was_unhealthy {
+            self.refreshed_at = None;
+        }
     }
 
     /// Recomputes the eligible gates, if that is due.
@@ -211,7 +218,7 @@
         self.refreshed_at = Some(now);
         self.median_latency = self.compute_median_latency();
         let gates = self.gates.values();
-        let candidates: Vec<Candidate> = gates.map(|gate| candidate(gate, &path)).collect();
+        let candidates: Vec<Candidate> = gates.map(|gate| candidate(gate, &path, now)).collect();
         let is_eligible = floor::select(&candidates, floor);
         self.eligible = (0..is_eligible.len()).filter(|i| is_eligible[*i]).collect();
         self.same_zone =
@@ -295,12 +302,12 @@
     }
 }
 
-fn candidate(gate: &GateView, path: impl Fn(NodeId) -> PathEvidence) -> Candidate {
+fn candidate(gate: &GateView, path: impl Fn(NodeId) -> PathEvidence, now: Instant) -> Candidate {
     let (path_condition, path_evidence) = path(gate.node);
-    let is_unhealthy = gate.load.condition != Condition::Healthy;
+    let is_unhealthy = gate.is_unhealthy(now);
     let unreachable = path_condition != Condition::Healthy;
     let mut evidence = 0.0;
-    evidence += if is_unhealthy { gate.load.evidence } else { 0.0 };
+    evidence += if is_unhealthy { gate.load.evidence.max(gate.load.gray_probability) } else { 0.0 };
     evidence += if unreachable { path_evidence } else { 0.0 };
     evidence += if gate.expelled { EXPELLED_EVIDENCE } else { 0.0 };
     Candidate {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -135,16 +135,16 @@
 }
 
 impl Common {
-    /// Returns the condition by which entries decide whether the upstream is eligible.
+    /// Returns the condition by outlier detection.
     ///
-    /// Where gray failures are detected, only the gray failure probability decides: it sees the
-    /// end of a failure within a few answers, while an ejection lasts for its whole time.
+    /// Where gray failures are detected, it is always healthy and only the gray failure probability
+    /// counts: it sees the end of a failure within a few answers, while an ejection lasts for its
+    /// whole time.
     pub fn condition(&self) -> Condition {
-        match self.gray_failure.has_observations() {
-            true if self.likely_gray => Condition::Trial,
-            true => Condition::Healthy,
-            false => self.outlier.condition(),
+        if self.gray_failure.has_observations() {
+            return Condition::Healthy;
         }
+        self.outlier.condition()
     }
 
     /// Returns the lifetime if the upstream ended it itself or a later lifetime superseded it.
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -266,7 +266,9 @@
                     let report = AttemptReport::Refused(reason, Some(load));
                     self.messages.push((Message::Report { home, request, report }, 0));
                 }
-                GateAction::Abandon { .. } | GateAction::Publish => {}
+                GateAction::Abandon { .. }
+                | GateAction::Publish
+                | GateAction::ReportGray { .. } => {}
             }
         }
     }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -452,6 +452,7 @@
                     self.schedule(NETWORK_DELAY, Event::Stuck(entry, request, attempt));
                 }
                 GateAction::Publish => self.publish(gate),
+                GateAction::ReportGray { .. } => {}
             }
         }
     }
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -24,6 +24,9 @@
 
 /// Time for which changes are batched before they are sent to peers.
 const FLUSH_DELAY: Duration = Duration::from_millis(20);
+/// Least interval between two flushes. It bounds the exchanges per second however many nodes
+/// change; a change still reaches thousands of nodes within a second.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the seeds are contacted, in ping intervals.
 const SEED_INTERVAL_PINGS: u32 = 10;
 /// Period over which the fleet may make the retries of the setting `burst`.
@@ -96,6 +99,7 @@
     known_expelled: IndexSet<NodeId>,
     ping_rounds: u32,
     flush_scheduled: bool,
+    flushed_at: Option<Instant>,
 }
 
 impl FleetActor {
@@ -133,6 +137,7 @@
             known_expelled: IndexSet::new(),
             ping_rounds: 0,
             flush_scheduled: false,
+            flushed_at: None,
         };
         fleet.run_round(cx);
         Some(fleet)
@@ -369,13 +374,16 @@
     fn flush_soon(&mut self, cx: CX![]) {
         if !self.flush_scheduled {
             self.flush_scheduled = true;
-            after!(FLUSH_DELAY, [cx], flush());
+            let since = self.flushed_at.map(|time| cx.now().saturating_duration_since(time));
+            let wait = since.map_or(Duration::ZERO, |time| FLUSH_INTERVAL.saturating_sub(time));
+            after!(wait.max(FLUSH_DELAY), [cx], flush());
         }
     }
 
     /// Pings the subjects that lack changes.
-    fn flush(&mut self, _: CX![]) {
+    fn flush(&mut self, cx: CX![]) {
         self.flush_scheduled = false;
+        self.flushed_at = Some(cx.now());
         for node in self.roster.subjects() {
             if self.gossip.has_pending(&self.roster, &self.catalog, node) {
                 self.ping(node);
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -142,6 +142,12 @@
                     let _ = abandon.map(|abandon| abandon.send(()));
                 }
                 GateAction::Publish => self.publish(),
+                GateAction::ReportGray { upstream, likely_gray, probability } => {
+                    log::info!(
+                        "event=gray-failure upstream={upstream} likely={likely_gray} \
+                         probability={probability:.3}"
+                    );
+                }
             }
         }
     }
--- a/crates/lavenderflow/src/net/connector.rs
+++ b/crates/lavenderflow/src/net/connector.rs
@@ -4,7 +4,7 @@
 
 use quinn::{ConnectError, Connection, ConnectionError, Endpoint, VarInt};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, interval, timeout};
 
 use super::tls::SERVER_NAME;
 use crate::prelude::{Counter, Duration, Fault, Incarnation, IndexMap, Mailbox, Message, NodeId};
@@ -14,6 +14,11 @@
 /// Longest time that a request waits for a connection. The handshake continues after it: many
 /// handshakes run at once when traffic starts, and aborting them would waste their work.
 const CONNECTION_WAIT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an unused connection is closed: its keep-alive packets cost more in this time
+/// than another handshake.
+const UNUSED_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which unused connections are looked for.
+const REVIEW_INTERVAL: Duration = Duration::from_secs(5);
 /// Messages that the channel to the task buffers.
 const MESSAGE_CAPACITY: usize = 1024;
 /// QUIC error code of a connection to a removed node, or to an earlier incarnation or address.
@@ -137,6 +142,7 @@
     address: SocketAddr,
     incarnation: Incarnation,
     connection: Option<Connection>,
+    used_at: Instant,
     // Set after a failed attempt; requests fail immediately with it while a new attempt runs.
     last_error: Option<PeerError>,
     connecting_since: Option<Instant>,
@@ -152,16 +158,37 @@
 
 impl ConnectorTask {
     async fn run(mut self, mut messages: mpsc::Receiver<PeerMessage>) {
-        while let Some(message) = messages.recv().await {
-            match message {
-                PeerMessage::ConnectNode(node, reply) => self.connect_node(node, reply),
-                PeerMessage::ConnectAddress(address, reply) => self.connect_address(address, reply),
-                PeerMessage::Connected(node, result) => self.finish_connect(node, result).await,
-                PeerMessage::SetAddress(node, incarnation, address) => {
-                    self.set_address(node, incarnation, address);
-                }
-                PeerMessage::Replace(node, connection) => self.replace(node, connection),
-                PeerMessage::RemoveNode(node) => self.remove_node(node),
+        let mut review = interval(REVIEW_INTERVAL);
+        loop {
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message).await,
+                    None => return,
+                },
+                _ = review.tick() => self.release_unused(Instant::now()),
+            }
+        }
+    }
+
+    async fn handle(&mut self, message: PeerMessage) {
+        match message {
+            PeerMessage::ConnectNode(node, reply) => self.connect_node(node, reply),
+            PeerMessage::ConnectAddress(address, reply) => self.connect_address(address, reply),
+            PeerMessage::Connected(node, result) => self.finish_connect(node, result).await,
+            PeerMessage::SetAddress(node, incarnation, address) => {
+                self.set_address(node, incarnation, address);
+            }
+            PeerMessage::Replace(node, connection) => self.replace(node, connection),
+            PeerMessage::RemoveNode(node) => self.remove_node(node),
+        }
+    }
+
+    /// Releases connections that have not been used for a while. Each closes once the last request
+    /// on it has ended.
+    fn release_unused(&mut self, now: Instant) {
+        for peer in self.peers.values_mut() {
+            if now >= peer.used_at + UNUSED_TIMEOUT {
+                peer.connection = None;
             }
         }
     }
@@ -171,12 +198,13 @@
             let _ = reply.send(Err(PeerError::Unknown));
             return;
         };
+        let now = Instant::now();
+        peer.used_at = now;
         if let Some(connection) = peer.connection.as_ref().filter(|c| c.close_reason().is_none()) {
             let _ = reply.send(Ok(connection.clone()));
             return;
         }
         peer.connection = None;
-        let now = Instant::now();
         let is_overdue =
             peer.connecting_since.is_some_and(|since| now >= since + CONNECTION_WAIT_TIMEOUT);
         match &peer.last_error {
@@ -221,6 +249,7 @@
             address,
             incarnation,
             connection: None,
+            used_at: Instant::now(),
             last_error: None,
             connecting_since: None,
             waiters: Vec::new(),
--- a/crates/lavenderflow/src/net/tls.rs
+++ b/crates/lavenderflow/src/net/tls.rs
@@ -20,9 +20,10 @@
 /// ALPN protocol name, with the version of the messages.
 const ALPN_PROTOCOL: &[u8] = b"lavenderflow/1";
 /// Time without a packet after which a connection is lost.
-const IDLE_TIMEOUT_MS: u32 = 3000;
-/// Interval between keep-alive packets.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1000);
+const IDLE_TIMEOUT_MS: u32 = 6000;
+/// Interval between keep-alive packets. A silent path is noticed sooner: each attempt is answered
+/// within a bound, or else the connection is replaced.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(2000);
 /// Maximum concurrent requests on one connection. Both ends allocate about 100 bytes for each of
 /// them when the connection opens, whether or not there is a request.
 const MAX_CONCURRENT_STREAMS: u32 = 512;
