Serve requests of a queue by the time that they have left

Each gate counted the patient requests in its queue, up to ten seconds of patience, as ahead of them and refused: 'busy=5 slots=5 queued=8', six gates within 12 ms. First come, first served lets patient work keep urgent work out.

Change: among requests that can still be on time, the one with the least time left goes first, and the expected wait of a new request counts only those that are as urgent. Priorities keep their head start. With equal targets nothing changes.

Tried: refusing queued requests that would expire before their turn, by that order.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -7,7 +7,9 @@
 mod health;
 mod lifetimes;
 mod report;
+mod waiting;
 
+use self::waiting::{expiry_reason, queued_request};
 pub use crate::admission::{GateAction, RunResult, ServiceOffer, SlotRequest};
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
@@ -15,10 +17,6 @@
 use crate::upstream::{AnyUpstream, Lifetime};
 use crate::window::ReplayWindow;
 
-/// Share of a route's target latency that a request can spend in the queue and still be answered on
-/// time.
-const TARGET_QUEUE_SHARE: f64 = 0.5;
-
 #[derive(Debug)]
 struct Running {
     upstream: UpstreamId,
@@ -91,23 +89,9 @@
             return vec![self.refusal(&request, reason)];
         }
         let (attempt, service, long) = (request.attempt, request.service.clone(), request.long);
-        let deadline = now + request.remaining;
-        // A request that may not be queued is refused below, not by expiry.
         let waits = !request.queue_timeout.is_zero();
-        let queue_end = if waits { now + request.queue_timeout } else { deadline };
-        let expires_at = deadline.min(queue_end);
-        let on_time = match request.target_latency {
-            Some(target) => target.mul_f64(TARGET_QUEUE_SHARE),
-            None => expires_at.saturating_duration_since(now) / 2,
-        };
-        let waiting = QueuedRequest {
-            attempt,
-            queued_at: now,
-            on_time_until: now + on_time,
-            expires_at,
-            at_deadline: deadline <= queue_end,
-            rank: request.rank,
-        };
+        let waiting = queued_request(&request, now);
+        let deadline = now + request.remaining;
         self.requests.insert(attempt, (request, deadline));
         let state = self.services.entry(service.clone()).or_default();
         if long {
@@ -122,16 +106,6 @@
         actions
     }
 
-    /// Refuses a request that found no free slot and may not be queued.
-    fn refuse_without_wait(&mut self, attempt: AttemptId) -> Option<GateAction> {
-        let (request, _) = self.requests.swap_remove(&attempt)?;
-        if let Some(state) = self.services.get_mut(&request.service) {
-            state.short_queue.remove(attempt);
-            state.long_queue.remove(attempt);
-        }
-        Some(self.refusal(&request, Reason::QueueFull))
-    }
-
     /// Records that the first byte of the response has arrived.
     pub fn response_started(&mut self, attempt: AttemptId) {
         if let Some(running) = self.running.get_mut(&attempt) {
@@ -251,7 +225,8 @@
         if request.queue_timeout.is_zero() {
             return (!self.has_free_slot(&request.service, now)).then_some(Reason::QueueFull);
         }
-        (self.expected_wait(request, slots) > request.queue_timeout).then_some(Reason::QueueFull)
+        let wait = self.expected_wait(request, slots, now);
+        (wait > request.queue_timeout).then_some(Reason::QueueFull)
     }
 
     /// Returns whether a request that may not be queued finds a free slot. An upstream that has
@@ -261,25 +236,10 @@
         own.any(|u| u.common().short_running + u.common().long_running < u.on_time_limit(now))
     }
 
-    /// Estimates the time in the queue of a new request from the requests ahead of it.
-    fn expected_wait(&self, request: &SlotRequest, slots: u32) -> Duration {
-        let load = self.load(&request.service);
-        let queued = self.services.get(&request.service);
-        let ahead = queued
-            .map_or(0, |s| if request.long { s.long_queue.len() } else { s.short_queue.len() });
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        load.mean_latency * ahead / slots.max(1)
-    }
-
     fn refusal(&self, request: &SlotRequest, reason: Reason) -> GateAction {
         GateAction::Refuse { attempt: request.attempt, reason, load: self.load(&request.service) }
     }
 
-    fn refuse_waiting(&mut self, waiting: &QueuedRequest, reason: Reason) -> Option<GateAction> {
-        let (request, _) = self.requests.swap_remove(&waiting.attempt)?;
-        Some(self.refusal(&request, reason))
-    }
-
     /// Gives free slots to queued requests, short ones first.
     fn fill(&mut self, service: &ServiceName) -> Vec<GateAction> {
         let now = self.clock.now();
@@ -351,15 +311,6 @@
         });
         best.map(|(id, _)| id.clone())
     }
-
-    fn expire(&mut self, now: Instant) -> Vec<GateAction> {
-        let queues = self.services.values_mut();
-        let expired: Vec<QueuedRequest> = queues
-            .flat_map(|s| [s.short_queue.expire(now), s.long_queue.expire(now)])
-            .flatten()
-            .collect();
-        expired.iter().filter_map(|w| self.refuse_waiting(w, expiry_reason(w))).collect()
-    }
 }
 
 /// Returns how many slots long requests may hold. Short requests keep one, unless the upstream has
@@ -371,10 +322,6 @@
     ((f64::from(limit) * share) as u32).max(1)
 }
 
-fn expiry_reason(waiting: &QueuedRequest) -> Reason {
-    if waiting.at_deadline { Reason::DeadlinePast } else { Reason::PatienceSpent }
-}
-
 fn release_slot(upstream: &mut AnyUpstream, long: bool) {
     let common = upstream.common_mut();
     let count = if long { &mut common.long_running } else { &mut common.short_running };
--- /dev/null
+++ b/crates/core/src/gate/waiting.rs
@@ -0,0 +1,76 @@
+//! Requests that wait for a slot: their place in the queue, the expected wait and refusals.
+
+use super::{Gate, GateAction, SlotRequest};
+use crate::prelude::*;
+use crate::queue::QueuedRequest;
+
+/// Share of a route's target latency that a request can spend in the queue and still be answered on
+/// time.
+const TARGET_QUEUE_SHARE: f64 = 0.5;
+
+impl Gate {
+    /// Refuses a request that found no free slot and may not be queued.
+    pub(super) fn refuse_without_wait(&mut self, attempt: AttemptId) -> Option<GateAction> {
+        let (request, _) = self.requests.swap_remove(&attempt)?;
+        if let Some(state) = self.services.get_mut(&request.service) {
+            state.short_queue.remove(attempt);
+            state.long_queue.remove(attempt);
+        }
+        Some(self.refusal(&request, Reason::QueueFull))
+    }
+
+    /// Estimates the time in the queue of a new request from the requests ahead of it.
+    pub(super) fn expected_wait(
+        &self,
+        request: &SlotRequest,
+        slots: u32,
+        now: Instant,
+    ) -> Duration {
+        let Some(state) = self.services.get(&request.service) else { return Duration::ZERO };
+        let queue = if request.long { &state.long_queue } else { &state.short_queue };
+        let ahead = queue.ahead_of(&queued_request(request, now), now);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        self.load(&request.service).mean_latency * ahead / slots.max(1)
+    }
+
+    pub(super) fn refuse_waiting(
+        &mut self,
+        waiting: &QueuedRequest,
+        reason: Reason,
+    ) -> Option<GateAction> {
+        let (request, _) = self.requests.swap_remove(&waiting.attempt)?;
+        Some(self.refusal(&request, reason))
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) -> Vec<GateAction> {
+        let queues = self.services.values_mut();
+        let expired: Vec<QueuedRequest> = queues
+            .flat_map(|s| [s.short_queue.expire(now), s.long_queue.expire(now)])
+            .flatten()
+            .collect();
+        expired.iter().filter_map(|w| self.refuse_waiting(w, expiry_reason(w))).collect()
+    }
+}
+
+/// Returns the place in the queue of a request that joins it now.
+pub(super) fn queued_request(request: &SlotRequest, now: Instant) -> QueuedRequest {
+    let deadline = now + request.remaining;
+    // A request that may not be queued is refused at once, not by expiry.
+    let waits = !request.queue_timeout.is_zero();
+    let queue_end = if waits { now + request.queue_timeout } else { deadline };
+    let expires_at = deadline.min(queue_end);
+    let half = expires_at.saturating_duration_since(now) / 2;
+    let on_time = request.target_latency.map_or(half, |target| target.mul_f64(TARGET_QUEUE_SHARE));
+    QueuedRequest {
+        attempt: request.attempt,
+        queued_at: now,
+        on_time_until: (now + on_time).min(expires_at),
+        expires_at,
+        at_deadline: deadline <= queue_end,
+        rank: request.rank,
+    }
+}
+
+pub(super) fn expiry_reason(waiting: &QueuedRequest) -> Reason {
+    if waiting.at_deadline { Reason::DeadlinePast } else { Reason::PatienceSpent }
+}
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -22,6 +22,32 @@
     pub rank: u32,
 }
 
+/// The place of a request in the order in which a queue is served.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Turn {
+    /// Latest start with which the request meets its target latency, less its head start.
+    OnTime(Instant),
+    /// Age of a request that misses its target latency.
+    Late(Duration),
+}
+
+impl QueuedRequest {
+    /// Returns how long it can wait and still be answered on time.
+    fn slack(&self) -> Duration {
+        self.on_time_until.saturating_duration_since(self.queued_at)
+    }
+
+    /// Returns the place in the order of service.
+    fn turn(&self, now: Instant) -> Turn {
+        let head_start = RANK_HEAD_START * self.rank;
+        if now < self.on_time_until {
+            Turn::OnTime(self.on_time_until + head_start)
+        } else {
+            Turn::Late(now.saturating_duration_since(self.queued_at) + head_start)
+        }
+    }
+}
+
 /// Head start of a request over one of the next lower priority.
 const RANK_HEAD_START: Duration = Duration::from_millis(250);
 
@@ -39,25 +65,32 @@
 
     /// Takes the next request to run.
     ///
-    /// Requests that can still be answered on time go first, oldest first. The others follow,
-    /// newest first, so that as many as possible are still served before their deadline. Requests
-    /// of higher priority have a head start in both groups, but no rank starves another.
+    /// Requests that can still be answered on time go first, those with the least time left first,
+    /// so that urgent requests do not wait behind patient ones. The others follow, newest first, so
+    /// that as many as possible are still served before their deadline. Requests of higher priority
+    /// have a head start in both groups, but no rank starves another.
     pub fn pop(&mut self, now: Instant) -> Option<QueuedRequest> {
         let waiting = self.waiting.iter().enumerate();
-        let next = waiting.min_by_key(|(place, w)| {
-            let age = now.saturating_duration_since(w.queued_at);
-            if now < w.on_time_until {
-                let start = RANK_HEAD_START * w.rank;
-                (false, w.queued_at + start, Duration::ZERO, *place)
-            } else {
-                // Prefers the last position among equals.
-                (true, now, age + RANK_HEAD_START * w.rank, usize::MAX - place)
-            }
+        // Prefers the first position among equals on time, and the last one among late ones.
+        let next = waiting.min_by_key(|(place, w)| match w.turn(now) {
+            turn @ Turn::OnTime(_) => (turn, *place),
+            turn @ Turn::Late(_) => (turn, usize::MAX - place),
         });
         let place = next.map(|(place, _)| place)?;
         self.waiting.remove(place)
     }
 
+    /// Returns how many requests are at least as urgent as one that would join now. Priorities do
+    /// not count: a lower one would hardly be admitted under overload. Late requests count, if they
+    /// are no more patient, to keep the queue short under overload.
+    pub fn ahead_of(&self, new: &QueuedRequest, now: Instant) -> usize {
+        let is_ahead = |waiting: &&QueuedRequest| match now < waiting.on_time_until {
+            true => waiting.on_time_until <= new.on_time_until,
+            false => waiting.slack() <= new.slack(),
+        };
+        self.waiting.iter().filter(is_ahead).count()
+    }
+
     /// Removes and returns the expired requests.
     pub fn expire(&mut self, now: Instant) -> Vec<QueuedRequest> {
         self.remove_if(|waiting| now >= waiting.expires_at)
