Call the store less: four delegates for the fleet, and fewer calls at a start

Two delegates in each of five zones watched for two seconds at a time, and each start cost six calls: a lease, an entry, a list, two reads of configuration and the end of the lease, with a renewal and a list each 500 ms until the node had peers.

Change: four delegates for the whole fleet, whichever zones they are in (a partition chooses among its own nodes, as before); a watch on the deployment lasts four seconds. A node reads the profiles from its peers, leaves the lease of its entry to lapse, renews it only when due and searches less and less often; a node without peers becomes a delegate after four pings.

--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -258,8 +258,8 @@
         old
     }
 
-    /// Returns whether the local node is among the first `count` live nodes of its zone, in an
-    /// order on which all nodes agree.
+    /// Returns whether the local node is among the first `count` live nodes, in an order on which
+    /// all nodes agree. Nodes that a partition separates from the others choose among themselves.
     pub fn is_delegate(&self, count: usize) -> bool {
         // Nodes that cannot reach the store come last. If there are no others, they stay delegates
         // and keep trying.
@@ -267,10 +267,7 @@
         let mine = rank(&self.local);
         let peers = self.members.iter().map(|(_, member)| member);
         let ahead = peers.filter(|member| {
-            member.zone == self.local.zone
-                && !member.leaving
-                && !self.is_expelled(member.node)
-                && rank(member) < mine
+            !member.leaving && !self.is_expelled(member.node) && rank(member) < mine
         });
         ahead.count() < count
     }
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -36,8 +36,11 @@
 /// Ping intervals after which the node becomes ready even if neither peers nor the store have
 /// replied.
 const READY_TIMEOUT_PINGS: u32 = 20;
-/// Nodes per zone that watch the store.
-const DELEGATES_PER_ZONE: usize = 2;
+/// Nodes that watch the store for the fleet: more than one, so that a change is seen in time also
+/// while some of them are down or cannot reach the store.
+const DELEGATES: usize = 4;
+/// Ping intervals after which a node without peers watches the store itself.
+const LONE_PINGS: u32 = 4;
 /// Most alternative nodes that a refused caller is told of.
 const MAX_NEXT_NODES: usize = 3;
 
@@ -236,9 +239,10 @@
 
     /// Tells the store threads whether this node has joined and whether it is a delegate.
     fn update_store_role(&mut self) {
-        let delegate = self.roster.is_delegate(DELEGATES_PER_ZONE);
-        self.watchers.iter_mut().for_each(|watcher| watcher.set_delegate(delegate));
         let joined = self.roster.members().len() > 1;
+        let may_watch = joined || self.ping_rounds > LONE_PINGS;
+        let delegate = may_watch && self.roster.is_delegate(DELEGATES);
+        self.watchers.iter_mut().for_each(|watcher| watcher.set_delegate(delegate));
         self.registration.set_role(StoreRole { joined, delegate });
     }
 
--- a/crates/lavenderflow/src/environment.rs
+++ b/crates/lavenderflow/src/environment.rs
@@ -13,9 +13,9 @@
 use crate::prelude::*;
 use crate::store::{ConfigSource, OPERATOR_SOURCE};
 
-/// Timeout of a watch on the deployment: a deployment must take effect within 2 s, even if the
-/// connection to the store stopped responding.
-const DEPLOYMENT_WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a watch on the deployment. It bounds how late a change is seen if the connections of
+/// all delegates to the store have stopped responding.
+const DEPLOYMENT_WATCH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Timeout of a watch on profiles on the platform.
 const PROFILE_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -73,6 +73,7 @@
         let deployment = ConfigSource {
             prefix: deployment::STORE_KEY,
             decode: |entry| deployment::decode(entry.value.as_bytes()),
+            is_read_early: true,
             is_restorable: false,
             watch_timeout: DEPLOYMENT_WATCH_TIMEOUT,
         };
@@ -82,9 +83,13 @@
             ready_address: Some(node_file.ready),
             announcement_address: Some(node_file.announcements),
             upstream_address: Some(node_file.upstream),
-            // Profiles rarely change, so their watch has a longer timeout than in native mode.
+            // Profiles rarely change, and a node can serve without them.
             sources: vec![
-                ConfigSource { watch_timeout: PROFILE_WATCH_TIMEOUT, ..OPERATOR_SOURCE },
+                ConfigSource {
+                    watch_timeout: PROFILE_WATCH_TIMEOUT,
+                    is_read_early: false,
+                    ..OPERATOR_SOURCE
+                },
                 deployment,
             ],
             awaits_deployment: true,
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -104,7 +104,13 @@
     let store = Store::new(settings.store);
     let member = member(settings);
     let (name, peer) = (settings.name.clone(), member.peer_address);
-    let setup = RegistrationSetup { store: store.clone(), name, peer, mailbox: mailbox.clone() };
+    let setup = RegistrationSetup {
+        store: store.clone(),
+        name,
+        peer,
+        mailbox: mailbox.clone(),
+        clock: Arc::clone(&clock),
+    };
     let registration = Registration::start(setup)?;
     let watchers = environment.sources.iter().map(|source| {
         let (store, mailbox, clock) = (store.clone(), mailbox.clone(), Arc::clone(&clock));
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -28,6 +28,9 @@
     pub prefix: &'static str,
     /// Decodes an entry; returns an error if it is not configuration at all.
     pub decode: fn(&Entry) -> Result<Document, ConvertError>,
+    /// Whether a node reads the entries when it starts. Otherwise only delegates read them, and the
+    /// others receive them from their peers.
+    pub is_read_early: bool,
     /// Whether nodes may restore values that the store has lost.
     pub is_restorable: bool,
     /// Timeout of a watch. A connection that stopped responding is detected after this time, and
@@ -39,6 +42,7 @@
 pub const OPERATOR_SOURCE: ConfigSource = ConfigSource {
     prefix: CONFIG_KEY_PREFIX,
     decode: decode_operator_value,
+    is_read_early: true,
     is_restorable: true,
     watch_timeout: Duration::from_secs(5),
 };
--- a/crates/lavenderflow/src/store/registration.rs
+++ b/crates/lavenderflow/src/store/registration.rs
@@ -1,8 +1,8 @@
 //! Registers this node in the store and discovers other nodes there.
 //!
 //! The entries serve nodes that start: they find some node of the fleet, and learn the rest by
-//! gossip. A node keeps its entry until it has joined. From then on only the delegates of each zone
-//! keep theirs, so that the load on the store does not grow with the fleet.
+//! gossip. A node keeps its entry until it has joined. From then on only the delegates keep theirs,
+//! and the other entries lapse, so that the load on the store does not grow with the fleet.
 
 use std::net::SocketAddr;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
@@ -21,7 +21,8 @@
 const LEASE_TTL: Duration = Duration::from_secs(10);
 /// Interval of lease renewals, a few within the time to live.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(3);
-/// Interval at which a node that has not joined searches for others.
+/// Interval at which a node that has not joined searches for others, at first; it doubles with
+/// each search, up to [`RENEWAL_INTERVAL`].
 const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Renewals between two searches by a delegate, which join fleets that started separately.
 const RENEWALS_PER_SEARCH: u32 = 5;
@@ -39,6 +40,8 @@
     pub peer: SocketAddr,
     /// Mailbox of the actors.
     pub mailbox: Mailbox,
+    /// The clock.
+    pub clock: SharedClock,
 }
 
 /// The role of this node, which decides whether it needs an entry.
@@ -69,6 +72,8 @@
             setup,
             role: StoreRole::default(),
             lease: None,
+            renewed_at: None,
+            searches: 0,
             renewals: 0,
             backoff: Backoff::new(),
             failed: false,
@@ -94,6 +99,9 @@
     setup: RegistrationSetup,
     role: StoreRole,
     lease: Option<LeaseId>,
+    renewed_at: Option<Instant>,
+    // Searches since the node last had peers.
+    searches: u32,
     renewals: u32,
     backoff: Backoff,
     failed: bool,
@@ -132,10 +140,13 @@
     fn step(&mut self) -> Result<Duration, StoreError> {
         match self.role {
             StoreRole { joined: true, delegate: false } => {
-                self.remove_entry()?;
+                // The entry lapses: ending its lease would be one more call.
+                self.lease = None;
+                self.searches = 0;
                 Ok(IDLE_WAIT)
             }
             StoreRole { joined: true, delegate: true } => {
+                self.searches = 0;
                 self.maintain_entry()?;
                 self.renewals += 1;
                 if self.renewals >= RENEWALS_PER_SEARCH {
@@ -149,14 +160,22 @@
                 // the one that writes later finds the other.
                 self.maintain_entry()?;
                 self.search(Consistency::Linearizable)?;
-                Ok(SEARCH_INTERVAL)
+                let wait = (SEARCH_INTERVAL * (1 << self.searches.min(8))).min(RENEWAL_INTERVAL);
+                self.searches += 1;
+                Ok(wait)
             }
         }
     }
 
-    /// Renews the lease of the entry, or writes the entry if it has none.
+    /// Renews the lease of the entry if that is due, or writes the entry if it has none.
     fn maintain_entry(&mut self) -> Result<(), StoreError> {
+        let now = self.setup.clock.now();
         if let Some(lease) = self.lease {
+            // Renewals may be a little early, as the rounds that make them are not exact.
+            if self.renewed_at.is_some_and(|time| now < time + RENEWAL_INTERVAL / 2) {
+                return Ok(());
+            }
+            self.renewed_at = Some(now);
             match self.setup.store.renew_lease(lease) {
                 Err(StoreError::NotFound) => {
                     log::warn!("event=lease-lapsed lease={lease}");
@@ -169,14 +188,7 @@
         let lease = store.grant_lease(LEASE_TTL)?;
         store.put_leased(&format!("{NODE_KEY_PREFIX}{name}"), &peer.to_string(), lease)?;
         self.lease = Some(lease);
-        Ok(())
-    }
-
-    fn remove_entry(&mut self) -> Result<(), StoreError> {
-        if let Some(lease) = self.lease {
-            self.setup.store.revoke_lease(lease)?;
-            self.lease = None;
-        }
+        self.renewed_at = Some(now);
         Ok(())
     }
 
--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -145,6 +145,9 @@
     /// Reads all entries, or waits for changes.
     fn step(&mut self) -> Result<(), StoreError> {
         let ConfigSource { prefix, watch_timeout, .. } = self.setup.source;
+        if !self.is_delegate && !self.setup.source.is_read_early {
+            return Ok(());
+        }
         let Some(after) = self.last_revision else {
             let listing = self.setup.store.list(prefix, Consistency::Linearizable)?;
             self.publish(&listing, true);
