Send requests to a subset of a service's gates

Cause: an entry sent to all gates of a service, so that at 354 VMs it kept up to hundreds of connections and knew little of any gate.

Trial requests are shared by the entries whose subsets have a gate.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -58,7 +58,7 @@
 /// Selects one of `gates` gates of one service.
 #[divan::bench(args = [20, 200, 5000])]
 fn choice(bencher: Bencher<'_, '_>, gates: u64) {
-    let mut selector = GateSelector::new("zone-1".into());
+    let mut selector = GateSelector::new(1, "zone-1".into());
     for node in 0..gates {
         selector.set_node(node, &format!("zone-{}", node % 13).into(), &[service_offer(1)], false);
     }
@@ -79,7 +79,7 @@
 /// Recomputes which gates are eligible, as happens every 100 ms per service in use.
 #[divan::bench(args = [20, 200, 5000])]
 fn review(bencher: Bencher<'_, '_>, gates: u64) {
-    let mut selector = GateSelector::new("zone-1".into());
+    let mut selector = GateSelector::new(1, "zone-1".into());
     for node in 0..gates {
         selector.set_node(node, &format!("zone-{}", node % 13).into(), &[service_offer(1)], false);
     }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -97,7 +97,7 @@
     pub fn new(identity: Identity, limits: TicketLimits, clock: SharedClock, seed: u64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            selector: GateSelector::new(identity.zone.clone()),
+            selector: GateSelector::new(identity.node, identity.zone.clone()),
             ledger: Ledger::new(
                 identity.node,
                 identity.incarnation,
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -80,6 +80,9 @@
         } else if active.tried.len() >= PROBED_GATES {
             active.stage = active.stage.max(DispatchStage::Queue);
         }
+        if active.tried.len() == PROBED_GATES {
+            self.selector.grow_subset(&active.service, now);
+        }
         let degraded = self.service_levels.get(&active.service).is_some_and(|s| s.is_degraded(now));
         let gate = loop {
             let criteria = GateCriteria {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod route;
 pub mod selector;
 pub mod service_level;
+pub mod subset;
 pub mod table;
 pub mod ticket;
 pub mod upstream;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -7,6 +7,7 @@
 use crate::gray_failure;
 use crate::prelude::*;
 use crate::selector::GateCriteria;
+use crate::subset::{self, SubsetSize};
 
 /// Interval at which the eligible gates are recomputed when no condition has changed.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
@@ -140,6 +141,9 @@
 pub struct GatePool {
     gates: IndexMap<NodeId, GateView>,
     eligible: Vec<usize>,
+    // The eligible gates that requests are sent to.
+    subset: Vec<usize>,
+    subset_size: SubsetSize,
     same_zone: Vec<usize>,
     trials: Vec<usize>,
     median_latency: Duration,
@@ -210,8 +214,22 @@
         }
     }
 
-    /// Recomputes the eligible gates, if that is due.
-    pub fn refresh(&mut self, now: Instant, floor: f64, path: impl Fn(NodeId) -> PathEvidence) {
+    /// Adds gates to the subset, since those in it refused a request.
+    pub fn grow_subset(&mut self, now: Instant) {
+        if self.subset.len() < self.eligible.len() {
+            self.subset_size.grow(now);
+            self.refreshed_at = None;
+        }
+    }
+
+    /// Recomputes the eligible gates and the subset of `entry`, if that is due.
+    pub fn refresh(
+        &mut self,
+        entry: NodeId,
+        now: Instant,
+        floor: f64,
+        path: impl Fn(NodeId) -> PathEvidence,
+    ) {
         if self.refreshed_at.is_some_and(|time| now < time + REFRESH_INTERVAL) {
             return;
         }
@@ -221,8 +239,13 @@
         let candidates: Vec<Candidate> = gates.map(|gate| candidate(gate, &path, now)).collect();
         let is_eligible = floor::select(&candidates, floor);
         self.eligible = (0..is_eligible.len()).filter(|i| is_eligible[*i]).collect();
-        self.same_zone =
-            self.eligible.iter().copied().filter(|i| self.gates[*i].same_zone).collect();
+        self.subset_size.shrink(now);
+        let eligible = self.eligible.iter().map(|i| {
+            let gate = &self.gates[*i];
+            (*i, gate.node, gate.same_zone)
+        });
+        self.subset = subset::select(entry, eligible, self.subset_size.gates());
+        self.same_zone = self.subset.iter().copied().filter(|i| self.gates[*i].same_zone).collect();
         let on_trial = |i: &usize| {
             let gate = &self.gates[*i];
             let is_due = if self.gray_trials {
@@ -236,19 +259,19 @@
         self.trials = (0..is_eligible.len()).filter(on_trial).collect();
     }
 
-    /// Returns the indexes of the eligible gates: those in the entry's own zone, and all.
-    pub fn eligible(&self) -> (&[usize], &[usize]) {
-        (&self.same_zone, &self.eligible)
+    /// Returns the indexes of the gates in the subset: those in the entry's own zone, and all.
+    pub fn subset(&self) -> (&[usize], &[usize]) {
+        (&self.same_zone, &self.subset)
     }
 
-    /// Returns the gate at an index from [`GatePool::eligible`].
+    /// Returns the gate at an index from [`GatePool::subset`].
     pub fn gate(&self, index: usize) -> &GateView {
         &self.gates[index]
     }
 
     /// Counts a request and returns the probability with which it is to be a trial request, so that
-    /// a fleet of `entries` offers each gate that is unhealthy or may be gray about one in
-    /// `TRIAL_PERIOD`. A trial request may get no response, so idempotent requests are preferred;
+    /// those of all `entries` whose subsets have a gate together offer it about one in
+    /// `TRIAL_PERIOD` while it is unhealthy or may be gray. A trial request may get no response, so idempotent requests are preferred;
     /// others are used only while the service is degraded.
     pub fn trial_share(
         &mut self,
@@ -257,7 +280,8 @@
         now: Instant,
     ) -> f64 {
         self.gray_trials = true;
-        let entries = entries.max(1) as f64;
+        let entries = entries as f64 * self.subset.len().max(1) as f64;
+        let entries = (entries / self.eligible.len().max(1) as f64).max(1.0);
         let period = if criteria.degraded { DEGRADED_TRIAL_PERIOD } else { TRIAL_PERIOD };
         let wanted = self.trials.len() as f64 / period.as_secs_f64() / entries;
         if criteria.idempotent {
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -56,6 +56,7 @@
 /// power of two random choices on the expected latency elsewhere.
 #[derive(Debug)]
 pub struct GateSelector {
+    entry: NodeId,
     zone: ZoneName,
     pools: IndexMap<ServiceName, GatePool>,
     node_services: IndexMap<NodeId, Vec<ServiceName>>,
@@ -66,8 +67,9 @@
 
 impl GateSelector {
     /// Creates a selector for an entry in `zone`.
-    pub fn new(zone: ZoneName) -> Self {
+    pub fn new(entry: NodeId, zone: ZoneName) -> Self {
         Self {
+            entry,
             zone,
             pools: IndexMap::new(),
             node_services: IndexMap::new(),
@@ -123,7 +125,8 @@
     ) -> Option<NodeId> {
         let pool = self.pools.get_mut(service)?;
         let paths = &self.paths;
-        pool.refresh(now, criteria.profile.caution.floor, |node| path_evidence(paths, node));
+        let floor = criteria.profile.caution.floor;
+        pool.refresh(self.entry, now, floor, |node| path_evidence(paths, node));
         let share = match criteria.excluded.is_empty() {
             true if criteria.avoid_gray => {
                 pool.trial_share(criteria, self.node_services.len(), now)
@@ -136,7 +139,7 @@
         {
             return Some(node);
         }
-        let (same_zone, all) = pool.eligible();
+        let (same_zone, all) = pool.subset();
         if criteria.avoid_gray {
             return least_cost(pool, all, &self.unresponsive, criteria, now, rng);
         }
@@ -147,6 +150,13 @@
         best.or_else(|| best_of(pool, all, criteria.excluded, now))
     }
 
+    /// Adds gates to those that requests for a service are sent to.
+    pub fn grow_subset(&mut self, service: &ServiceName, now: Instant) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.grow_subset(now);
+        }
+    }
+
     /// Returns the median latency of short requests over a service's gates; zero when unknown.
     pub fn median_latency(&self, service: &ServiceName) -> Duration {
         self.pools.get(service).map_or(Duration::ZERO, GatePool::median_latency)
@@ -214,7 +224,7 @@
     pub fn refresh_pools(&mut self, now: Instant, floor: impl Fn(&ServiceName) -> f64) {
         let paths = &self.paths;
         for (service, pool) in &mut self.pools {
-            pool.refresh(now, floor(service), |node| path_evidence(paths, node));
+            pool.refresh(self.entry, now, floor(service), |node| path_evidence(paths, node));
         }
     }
 
--- a/crates/core/tests/selector.rs
+++ b/crates/core/tests/selector.rs
@@ -18,7 +18,7 @@
 /// entry's zone instead of the idle gate in another zone.
 fn count_same_zone(body_bytes: u64) -> usize {
     let now = Instant::now();
-    let mut selector = GateSelector::new("zone-a".into());
+    let mut selector = GateSelector::new(0, "zone-a".into());
     let offers = [service_offer(4, Condition::Healthy, 0.0)];
     selector.set_node(SAME_ZONE_GATE, &"zone-a".into(), &offers, false);
     selector.set_node(OTHER_ZONE_GATE, &"zone-b".into(), &offers, false);
--- a/crates/experiment/src/capacity.rs
+++ b/crates/experiment/src/capacity.rs
@@ -117,7 +117,7 @@
 }
 
 fn selector(count: u64) -> GateSelector {
-    let mut selector = GateSelector::new("zone-1".into());
+    let mut selector = GateSelector::new(1, "zone-1".into());
     for member in (0..count).map(member) {
         selector.set_node(member.node, &member.zone, &member.offers, false);
     }
