Limit what an upstream may send without a head or a part of a body

Cause: an upstream that sends informational responses without end kept the node's thread busy: hyper skips them in a loop, the deadline of the request could not fire, and no caller of this node got an answer for 20 s (endless.rs, 50 requests, four slots).

Change: a connection fails after 512 KB without a response head, or without a part of the body.

Test: endless.rs sends seven kinds of endless responses (no line end, headers, informational responses, a body without length, chunks, the size of a chunk, bytes after the response): answers within the route's timeout, memory grows by less than 24 MB, no made-up success, no second run of work that may not be repeated, connections closed, the upstream in use again. It failed before for informational responses, after 21 s.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -5,6 +5,7 @@
 
 pub mod body;
 mod pool;
+mod read_limit;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -219,7 +220,7 @@
         }
         let idle_time = pool::idle_time(&headers);
         send(call, CallEvent::Head { status, headers }).await?;
-        relay(call, incoming, deadline).await?;
+        relay(call, incoming, &connection, deadline).await?;
         connection.idle_time = idle_time;
         // Return the connection before the end event, so that the next call finds it.
         let _ = self.idle_sender.send(connection).await;
@@ -290,9 +291,15 @@
 }
 
 /// Relays the response body.
-async fn relay(call: &Call, mut incoming: Incoming, deadline: Instant) -> Result<(), CallFailure> {
+async fn relay(
+    call: &Call,
+    mut incoming: Incoming,
+    connection: &PooledConnection,
+    deadline: Instant,
+) -> Result<(), CallFailure> {
     loop {
         let frame = timeout_at(deadline, incoming.frame()).await;
+        connection.record_progress();
         match frame.map_err(|_| CallFailure::Timeout)? {
             None => return Ok(()),
             Some(frame) => {
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -14,6 +14,7 @@
 
 use super::CallFailure;
 use super::body::CallBody;
+use super::read_limit::{self, Progress};
 use crate::http::header;
 use crate::prelude::{Duration, IndexMap};
 
@@ -36,6 +37,7 @@
     address: SocketAddr,
     sender: SendRequest<CallBody>,
     driver: AbortHandle,
+    progress: Progress,
     /// How long the connection may stay idle; zero when it must not be reused.
     pub(super) idle_time: Duration,
     idle_since: Instant,
@@ -54,7 +56,15 @@
         &mut self,
         request: Request<CallBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<CallBody>>> {
-        self.sender.try_send_request(request).await
+        self.progress.record();
+        let response = self.sender.try_send_request(request).await;
+        self.progress.record();
+        response
+    }
+
+    /// Records that a part of the response body has arrived.
+    pub(super) fn record_progress(&self) {
+        self.progress.record();
     }
 }
 
@@ -67,6 +77,7 @@
     let opened = timeout_at(deadline, TcpStream::connect(address)).await;
     let stream = opened.map_err(|_| CallFailure::ConnectTimeout)?.map_err(CallFailure::Connect)?;
     stream.set_nodelay(true).map_err(CallFailure::Connect)?;
+    let (stream, progress) = read_limit::limit(stream);
     let (sender, http_connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -77,7 +88,8 @@
         }
     });
     let (idle_time, idle_since) = (Duration::ZERO, Instant::now());
-    Ok(PooledConnection { address, sender, driver: driver.abort_handle(), idle_time, idle_since })
+    let driver = driver.abort_handle();
+    Ok(PooledConnection { address, sender, driver, progress, idle_time, idle_since })
 }
 
 /// Returns how long the upstream keeps a connection after a response with these headers.
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -4,6 +4,8 @@
 //! another instance. One thread owns the state, one sends heartbeats, and each connection has its
 //! own thread; these send their accesses to the state to its thread.
 
+mod endless;
+
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Sender};
@@ -13,6 +15,7 @@
 use indexmap::IndexMap;
 use serde_json::json;
 
+pub use self::endless::Part;
 use crate::error::Error;
 use crate::http::RequestHead;
 
@@ -48,6 +51,8 @@
     CloseDelimited,
     /// Responds with status 200 but without a signature.
     Unsigned,
+    /// Runs the request and sends a part of the response without end.
+    Endless(Part),
 }
 
 /// Settings of an upstream.
@@ -321,6 +326,14 @@
         thread::sleep(settings.work);
         match mode {
             Mode::Hangs => return hang(&mut writer, &id, state),
+            Mode::Endless(part) => {
+                let headers = signed_headers(settings, &id);
+                let headers: String =
+                    headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+                // Sending fails once the node has closed the connection.
+                let _ = part.send(&mut writer, &headers, &response_body(&id));
+                return record_close(&id, state);
+            }
             Mode::Errors => respond_signed(&mut writer, settings, &id, 500)?,
             Mode::ExtraResponse => {
                 respond_signed(&mut writer, settings, &id, 200)?;
@@ -363,6 +376,10 @@
             return Ok(());
         }
     }
+    record_close(id, state)
+}
+
+fn record_close(id: &str, state: &StateHandle) -> Result<(), Error> {
     let (name, closed_at) = (id.to_owned(), Some(Instant::now()));
     state.ask(move |state| state.requests.entry(name).or_default().closed_at = closed_at)
 }
