Announce large documents and send them on request

Cause: each node sent a changed document to its four neighbours unless it had come from there, so a node received a configuration up to eight times.

Change: a document above 1 KB is announced by key and revision; a node requests it from one of the peers that have it, and from another one if it has not arrived after 300 ms.

Tried: announcing also what differs by digests. Nodes then did not converge within twelve rounds after losses (gossip.rs, its case is kept); digests still bring the documents themselves.

Tests: gossip.rs, a large document is sent to each of nine nodes once, each with four neighbours; the convergence property now has large documents among the small ones.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -2,7 +2,8 @@
 
 use std::hash::Hash;
 
-use crate::catalog::{Catalog, Document};
+use crate::catalog::{Catalog, Document, DocumentKey};
+use crate::pending::PendingDocuments;
 use crate::prelude::*;
 use crate::roster::{Member, Roster, Suspicion};
 use crate::table::{Sequence, Table, Versioned};
@@ -14,6 +15,8 @@
 const MISMATCHES_TO_RESEND_DIGESTS: u32 = 8;
 /// Most records of one kind in an exchange.
 const MAX_RECORDS: usize = 400;
+/// Size above which a document is announced and sent on request, in bytes.
+const MAX_PUSHED_BYTES: usize = 1024;
 /// Most bytes of documents in an exchange.
 const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
 
@@ -30,6 +33,10 @@
     pub suspicions: Vec<Suspicion>,
     /// Configuration documents.
     pub documents: Vec<Document>,
+    /// Keys and revisions of large documents that the sender has.
+    pub announced: Vec<(DocumentKey, Revision)>,
+    /// Keys of announced documents that the sender requests.
+    pub requested: Vec<DocumentKey>,
     /// Digests of the sender's members, to request the records that it lacks; empty otherwise.
     pub member_digests: Vec<u64>,
     /// Digests of the sender's documents, to request the ones that it lacks; empty otherwise.
@@ -54,12 +61,15 @@
     limit: u32,
     // Digests that the peer sent to request records.
     requested: Option<(Vec<u64>, Vec<u64>)>,
+    // Announced documents that the peer requested.
+    requested_documents: IndexSet<DocumentKey>,
 }
 
 /// Tracks what has been sent to each peer.
 #[derive(Debug, Default)]
 pub struct Gossip {
     peers: IndexMap<NodeId, Peer>,
+    pending: PendingDocuments,
 }
 
 impl Gossip {
@@ -84,14 +94,22 @@
         (exchange.members, cursor.members) = changes(members, cursor.members, node, |_| 0);
         (exchange.suspicions, cursor.suspicions) =
             changes(suspicions, cursor.suspicions, node, |_| 0);
-        (exchange.documents, cursor.documents) =
-            changes(documents, cursor.documents, node, |document| document.text.len());
+        let (changed, reached) = changes(documents, cursor.documents, node, pushed_bytes);
+        cursor.documents = reached;
+        let (small, large): (Vec<_>, Vec<_>) =
+            changed.into_iter().partition(|document| document.text.len() <= MAX_PUSHED_BYTES);
+        exchange.documents = small;
+        exchange.announced =
+            large.into_iter().map(|document| (document.key, document.revision)).collect();
+        let requested = std::mem::take(&mut peer.requested_documents);
+        let requested = requested.iter().filter_map(|key| documents.get(key));
+        append(&mut exchange.documents, requested, |document| document.text.len());
         if let Some((member_digests, document_digests)) = peer.requested.take() {
             append(&mut exchange.members, members.in_differing_buckets(&member_digests), |_| 0);
             append(
                 &mut exchange.documents,
                 documents.in_differing_buckets(&document_digests),
-                |d| d.text.len(),
+                |document| document.text.len(),
             );
         }
         if peer.mismatches >= peer.limit {
@@ -100,6 +118,8 @@
             exchange.member_digests = members.digests().to_vec();
             exchange.document_digests = documents.digests().to_vec();
         }
+        self.pending.remove_known(catalog);
+        exchange.requested = self.pending.request(node, roster.now());
         (exchange, cursor)
     }
 
@@ -113,7 +133,11 @@
     /// Compares the summaries of an exchange after its records were merged, and stores its digests
     /// for the next exchange with the sender.
     pub fn compare_summaries(&mut self, roster: &Roster, catalog: &Catalog, exchange: &Exchange) {
+        for (key, revision) in &exchange.announced {
+            self.pending.announce(catalog, exchange.sender, key.clone(), *revision);
+        }
         let peer = self.peer(roster, catalog, exchange.sender);
+        peer.requested_documents.extend(exchange.requested.iter().cloned());
         if !exchange.member_digests.is_empty() {
             peer.requested =
                 Some((exchange.member_digests.clone(), exchange.document_digests.clone()));
@@ -145,6 +169,7 @@
             mismatches: MISMATCHES_TO_SEND_DIGESTS,
             limit: MISMATCHES_TO_SEND_DIGESTS,
             requested: None,
+            requested_documents: IndexSet::new(),
         })
     }
 
@@ -154,6 +179,8 @@
             return true;
         };
         peer.requested.is_some()
+            || !peer.requested_documents.is_empty()
+            || self.pending.has_request(node, roster.now())
             || roster.members().changes_since(peer.cursor.members, node).next().is_some()
             || catalog.documents().changes_since(peer.cursor.documents, node).next().is_some()
             || roster.suspicions().changes_since(peer.cursor.suspicions, node).next().is_some()
@@ -165,6 +192,12 @@
     }
 }
 
+/// Returns the bytes of a document that go into an exchange without a request.
+fn pushed_bytes(document: &Document) -> usize {
+    let length = document.text.len();
+    if length <= MAX_PUSHED_BYTES { length } else { document.key.len() }
+}
+
 /// Returns the changes after `cursor` that fit into an exchange, and the sequence number up to
 /// which they bring the peer.
 fn changes<K: Clone + Eq + Hash, V: Clone + Versioned>(
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod load;
 pub mod node;
 pub mod outlier;
+pub mod pending;
 pub mod pool;
 pub mod prelude;
 pub mod profile;
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -107,6 +107,11 @@
         roster
     }
 
+    /// Returns the current time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Returns the record of the local node.
     pub fn local(&self) -> &Member {
         &self.local
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use lavenderflow_core::catalog::{Catalog, ConfigItem, Document, DocumentKey};
@@ -56,23 +57,29 @@
     }
 }
 
-/// Sends an exchange from one node to another, and one back. `lost` says whether the request and
-/// the response are lost.
-fn run_exchange(nodes: &mut [Node], from: usize, to: usize, lost: (bool, bool)) {
+/// Interval between two exchanges.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sends an exchange from one node to another, and one back; returns the number of documents in
+/// them. `lost` says whether the request and the response are lost.
+fn run_exchange(nodes: &mut [Node], from: usize, to: usize, lost: (bool, bool)) -> usize {
     let (from_id, to_id) = (nodes[from].roster.local().node, nodes[to].roster.local().node);
     let node = &mut nodes[from];
     let (request, cursor) = node.gossip.compose(&node.roster, &node.catalog, to_id);
+    let mut documents = request.documents.len();
     if lost.0 {
-        return;
+        return documents;
     }
     nodes[to].receive(request);
     let node = &mut nodes[to];
     let (response, response_cursor) = node.gossip.compose(&node.roster, &node.catalog, from_id);
     node.gossip.mark_delivered(from_id, response_cursor);
+    documents += response.documents.len();
     if !lost.1 {
         nodes[from].gossip.mark_delivered(to_id, cursor);
         nodes[from].receive(response);
     }
+    documents
 }
 
 fn document(key: u8, revision: u64) -> Document {
@@ -80,6 +87,12 @@
     Document { key: format!("organisations/{key}").into(), revision, text: text.as_bytes().into() }
 }
 
+/// Returns a document that is so large that it is announced and sent on request.
+fn large_document(key: u8, revision: u64) -> Document {
+    let small = document(key, revision);
+    Document { text: small.text.repeat(500).into(), ..small }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 60,
@@ -91,13 +104,16 @@
         changes in vec((0_usize..5, 0_u8..6, 1_u64..9), 1..30),
         exchanges in vec((0_usize..5, 0_usize..5, any::<bool>(), any::<bool>()), 0..80),
     ) {
-        let clock: SharedClock = clock();
+        let time = clock();
+        let clock: SharedClock = time.clone();
         let mut nodes: Vec<Node> = (1..=5).map(|id| Node::new(id, &clock)).collect();
         let mut changes = changes.into_iter();
         for (from, to, request_lost, response_lost) in exchanges {
             if let Some((node, key, revision)) = changes.next() {
+                let document = if key % 2 == 0 { document } else { large_document };
                 nodes[node].apply(document(key, revision), None);
             }
+            time.advance(EXCHANGE_INTERVAL);
             let before: Vec<_> = nodes.iter().map(Node::revisions).collect();
             if from != to {
                 run_exchange(&mut nodes, from, to, (request_lost, response_lost));
@@ -109,6 +125,7 @@
         }
         for _ in 0..12 {
             for node in 0..5 {
+                time.advance(EXCHANGE_INTERVAL);
                 run_exchange(&mut nodes, node, (node + 1) % 5, (false, false));
             }
         }
@@ -141,6 +158,33 @@
     assert_eq!(exchange.documents, [document(7, 2)]);
 }
 
+#[test]
+fn a_large_document_is_sent_to_each_node_once() {
+    const NODES: u64 = 9;
+    let time = clock();
+    let clock: SharedClock = time.clone();
+    let mut nodes: Vec<Node> = (1..=NODES).map(|id| Node::new(id, &clock)).collect();
+    let exchange_all = |nodes: &mut Vec<Node>, rounds: usize| -> usize {
+        let mut copies = 0;
+        for _ in 0..rounds {
+            // Each node exchanges with four others.
+            for from in 0..nodes.len() {
+                for step in 1..=4 {
+                    time.advance(Duration::from_millis(1));
+                    let to = (from + step) % nodes.len();
+                    copies += run_exchange(nodes, from, to, (false, false));
+                }
+            }
+        }
+        copies
+    };
+    exchange_all(&mut nodes, 8);
+    nodes[0].apply(large_document(7, 2), None);
+    let copies = exchange_all(&mut nodes, 4);
+    assert!(nodes.iter().all(|node| node.revisions() == nodes[0].revisions()));
+    assert_eq!(copies as u64, NODES - 1);
+}
+
 #[test]
 fn nodes_agree_on_a_replaced_node_for_any_order_of_records() {
     let clock: SharedClock = clock();
--- a/crates/schema/src/convert/gossip.rs
+++ b/crates/schema/src/convert/gossip.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use lavenderflow_core::catalog::Document;
+use lavenderflow_core::catalog::{Document, DocumentKey};
 use lavenderflow_core::gate::ServiceOffer;
 use lavenderflow_core::gossip::Exchange;
+use lavenderflow_core::id::Revision;
 use lavenderflow_core::roster::{Member, Suspicion};
 
 use super::ConvertError;
@@ -22,6 +23,8 @@
             documents: exchange.documents.iter().map(Into::into).collect(),
             member_digests: exchange.member_digests.clone(),
             document_digests: exchange.document_digests.clone(),
+            announced: exchange.announced.iter().map(announcement).collect(),
+            requested: exchange.requested.iter().map(ToString::to_string).collect(),
             member_summary,
             document_summary,
             doubt_summary,
@@ -42,11 +45,17 @@
             documents: exchange.documents.into_iter().map(Into::into).collect(),
             member_digests: exchange.member_digests,
             document_digests: exchange.document_digests,
+            announced: exchange.announced.into_iter().map(|a| (a.key.into(), a.revision)).collect(),
+            requested: exchange.requested.into_iter().map(Into::into).collect(),
             summaries: [exchange.member_summary, exchange.document_summary, exchange.doubt_summary],
         })
     }
 }
 
+fn announcement((key, revision): &(DocumentKey, Revision)) -> wire::Announcement {
+    wire::Announcement { key: key.to_string(), revision: *revision }
+}
+
 impl From<&Member> for wire::Member {
     fn from(member: &Member) -> Self {
         let phase = if member.leaving { wire::Phase::Leaving } else { wire::Phase::Serving };
