Exchange changes of the membership less often than documents

Change: a change of the membership waits for 300 ms after the last exchange, documents and requests for them for 100 ms as before. The code that sends changes has a file of its own.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -173,16 +173,23 @@
         })
     }
 
+    /// Returns whether a peer lacks or has requested documents, or has one that this node lacks.
+    pub fn has_documents(&self, roster: &Roster, catalog: &Catalog, node: NodeId) -> bool {
+        self.pending.has_request(node, roster.now())
+            || self.peers.get(&node).is_some_and(|peer| {
+                let mut changes = catalog.documents().changes_since(peer.cursor.documents, node);
+                !peer.requested_documents.is_empty() || changes.next().is_some()
+            })
+    }
+
     /// Returns whether a peer is new, has requested records or lacks changes.
     pub fn has_pending(&self, roster: &Roster, catalog: &Catalog, node: NodeId) -> bool {
         let Some(peer) = self.peers.get(&node) else {
             return true;
         };
         peer.requested.is_some()
-            || !peer.requested_documents.is_empty()
-            || self.pending.has_request(node, roster.now())
+            || self.has_documents(roster, catalog, node)
             || roster.members().changes_since(peer.cursor.members, node).next().is_some()
-            || catalog.documents().changes_since(peer.cursor.documents, node).next().is_some()
             || roster.suspicions().changes_since(peer.cursor.suspicions, node).next().is_some()
     }
 
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the membership, the configuration and the gossip that replicates both.
 
 mod configure;
+mod flush;
 mod seeds;
 mod status;
 
@@ -11,7 +12,7 @@
 use lavenderflow_core::gate::ServiceOffer;
 use lavenderflow_core::gossip::{Exchange, Gossip, PeerCursor};
 use lavenderflow_core::roster::Roster;
-use stakker::{Actor, CX, Fwd, after, call};
+use stakker::{Actor, CX, Fwd, MinTimerKey, after, call};
 use tokio::sync::{oneshot, watch};
 
 use super::counters::CountersActor;
@@ -22,11 +23,6 @@
 use crate::prelude::*;
 use crate::store::{ConfigWatcher, Registration, StoreRole};
 
-/// Time for which changes are batched before they are sent to peers.
-const FLUSH_DELAY: Duration = Duration::from_millis(20);
-/// Least interval between two flushes. It bounds the exchanges per second however many nodes
-/// change; a change still reaches thousands of nodes within a second.
-const FLUSH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the seeds are contacted, in ping intervals.
 const SEED_INTERVAL_PINGS: u32 = 10;
 /// Period over which the fleet may make the retries of the setting `burst`.
@@ -101,7 +97,7 @@
     pinging: IndexSet<NodeId>,
     known_expelled: IndexSet<NodeId>,
     ping_rounds: u32,
-    flush_scheduled: bool,
+    flush_timer: MinTimerKey,
     flushed_at: Option<Instant>,
 }
 
@@ -139,7 +135,7 @@
             pinging: IndexSet::new(),
             known_expelled: IndexSet::new(),
             ping_rounds: 0,
-            flush_scheduled: false,
+            flush_timer: MinTimerKey::default(),
             flushed_at: None,
         };
         fleet.run_round(cx);
@@ -312,7 +308,7 @@
             self.notify_changed(cx, &nodes);
         }
         if self.gossip.has_pending(&self.roster, &self.catalog, source) {
-            self.flush_soon(cx);
+            self.schedule_flush(cx);
         }
     }
 
@@ -345,7 +341,7 @@
         let subjects = self.roster.subjects();
         self.gossip
             .retain(|node| subjects.contains(&node) || self.roster.members().get(&node).is_some());
-        self.flush_soon(cx);
+        self.schedule_flush(cx);
     }
 
     /// Sets this node's part of the retries that the fleet may make.
@@ -375,26 +371,6 @@
         self.next_nodes.send_replace(urls.join(", "));
     }
 
-    fn flush_soon(&mut self, cx: CX![]) {
-        if !self.flush_scheduled {
-            self.flush_scheduled = true;
-            let since = self.flushed_at.map(|time| cx.now().saturating_duration_since(time));
-            let wait = since.map_or(Duration::ZERO, |time| FLUSH_INTERVAL.saturating_sub(time));
-            after!(wait.max(FLUSH_DELAY), [cx], flush());
-        }
-    }
-
-    /// Pings the subjects that lack changes.
-    fn flush(&mut self, cx: CX![]) {
-        self.flush_scheduled = false;
-        self.flushed_at = Some(cx.now());
-        for node in self.roster.subjects() {
-            if self.gossip.has_pending(&self.roster, &self.catalog, node) {
-                self.ping(node);
-            }
-        }
-    }
-
     /// Sends a command; returns false if the network task's channel is full or closed.
     fn send(&self, command: NetworkCommand) -> bool {
         let sent = self.network.try_send(command);
