Do not request a document again that this node does not accept

A document that has arrived is no longer pending, accepted or not.

Test: gossip.rs, one request for a document that is not accepted.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Records that a peer has sent a document, whether or not this node accepts it.
+    pub fn mark_received(&mut self, document: &Document) {
+        self.pending.remove(&document.key, document.revision);
+    }
+
     /// Compares the summaries of an exchange after its records were merged, and stores its digests
     /// for the next exchange with the sender.
     pub fn compare_summaries(&mut self, roster: &Roster, catalog: &Catalog, exchange: &Exchange) {
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -62,7 +62,14 @@
         }
     }
 
-    /// Removes the documents that have arrived.
+    /// Removes a document that a peer has sent, also if this node does not accept it.
+    pub fn remove(&mut self, key: &DocumentKey, revision: Revision) {
+        if self.documents.get(key).is_some_and(|pending| pending.revision <= revision) {
+            self.documents.swap_remove(key);
+        }
+    }
+
+    /// Removes the documents that have become known, for example from the store.
     pub fn remove_known(&mut self, catalog: &Catalog) {
         self.documents.retain(|key, pending| {
             catalog.documents().get(key).is_none_or(|known| known.revision < pending.revision)
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -271,8 +271,8 @@
 
     /// Counts a request and returns the probability with which it is to be a trial request, so that
     /// those of all `entries` whose subsets have a gate together offer it about one in
-    /// `TRIAL_PERIOD` while it is unhealthy or may be gray. A trial request may get no response, so idempotent requests are preferred;
-    /// others are used only while the service is degraded.
+    /// `TRIAL_PERIOD` while it is unhealthy or may be gray. A trial request may get no response, so
+    /// idempotent requests are preferred; others are used only while the service is degraded.
     pub fn trial_share(
         &mut self,
         criteria: &GateCriteria<'_>,
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -135,11 +135,10 @@
 }
 
 impl Common {
-    /// Returns the condition by outlier detection.
+    /// Returns the condition by outlier detection; healthy where gray failures are detected.
     ///
-    /// Where gray failures are detected, it is always healthy and only the gray failure probability
-    /// counts: it sees the end of a failure within a few answers, while an ejection lasts for its
-    /// whole time.
+    /// There only the gray failure probability counts: it sees the end of a failure within a few
+    /// answers, while an ejection lasts for its whole time.
     pub fn condition(&self) -> Condition {
         if self.gray_failure.has_observations() {
             return Condition::Healthy;
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -43,6 +43,7 @@
             source,
         );
         for document in std::mem::take(&mut exchange.documents) {
+            self.gossip.mark_received(&document);
             self.apply(document, Some(source));
         }
         self.gossip.compare_summaries(&self.roster, &self.catalog, &exchange);
@@ -185,6 +186,31 @@
     assert_eq!(copies as u64, NODES - 1);
 }
 
+#[test]
+fn a_document_that_is_not_accepted_is_not_requested_again() {
+    let time = clock();
+    let clock: SharedClock = time.clone();
+    let mut nodes: Vec<Node> = (1..=2).map(|id| Node::new(id, &clock)).collect();
+    run_exchange(&mut nodes, 0, 1, (false, false));
+    nodes[0].apply(large_document(7, 2), None);
+    let mut requests = 0;
+    for _ in 0..60 {
+        time.advance(Duration::from_millis(500));
+        let node = &mut nodes[0];
+        let (request, cursor) = node.gossip.compose(&node.roster, &node.catalog, 2);
+        node.gossip.mark_delivered(2, cursor);
+        // The other node does not apply the document, as if it were malformed.
+        request.documents.iter().for_each(|document| nodes[1].gossip.mark_received(document));
+        let request = Exchange { documents: Vec::new(), document_digests: Vec::new(), ..request };
+        nodes[1].receive(request);
+        let node = &mut nodes[1];
+        let (response, _) = node.gossip.compose(&node.roster, &node.catalog, 1);
+        requests += response.requested.len();
+        nodes[0].receive(Exchange { documents: Vec::new(), ..response });
+    }
+    assert_eq!(requests, 1);
+}
+
 #[test]
 fn nodes_agree_on_a_replaced_node_for_any_order_of_records() {
     let clock: SharedClock = clock();
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -297,6 +297,7 @@
         }
         let mut has_changed = false;
         for document in std::mem::take(&mut exchange.documents) {
+            self.gossip.mark_received(&document);
             has_changed |= self.apply_document(document, Some(source));
         }
         self.gossip.compare_summaries(&self.roster, &self.catalog, &exchange);
