--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -4,6 +4,9 @@
 
 use crate::prelude::*;
 
+/// Head start of a request over one of the next lower priority.
+const RANK_HEAD_START: Duration = Duration::from_millis(250);
+
 /// A request that waits for a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct QueuedRequest {
@@ -48,9 +51,6 @@
     }
 }
 
-/// Head start of a request over one of the next lower priority.
-const RANK_HEAD_START: Duration = Duration::from_millis(250);
-
 /// Holds requests for a bounded time; serves the newest first under overload.
 #[derive(Debug, Default)]
 pub struct Queue {
--- a/crates/core/src/subset.rs
+++ b/crates/core/src/subset.rs
@@ -72,6 +72,17 @@
 /// and half as many in the others.
 ///
 /// `gates` has the index of each gate, its node and whether it is in the entry's zone.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow_core::subset::select;
+///
+/// let gates = (0..100).map(|index| (index, index as u64, index < 50));
+/// let subset = select(7, gates, 12);
+/// assert_eq!(subset.iter().filter(|index| **index < 50).count(), 12);
+/// assert_eq!(subset.len(), 18);
+/// ```
 pub fn select(
     entry: NodeId,
     gates: impl Iterator<Item = (usize, NodeId, bool)>,
--- a/crates/lavenderflow/src/executor.rs
+++ b/crates/lavenderflow/src/executor.rs
@@ -10,6 +10,21 @@
 ///
 /// On a machine with several cores each of them has a thread of its own. With a single core they
 /// share the calling thread: each message between two threads would cost a switch between them.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow::executor::Executor;
+/// use tokio::sync::oneshot;
+///
+/// for threads in [1, 3] {
+///     let executor = Executor::new(threads)?;
+///     let (sender, receiver) = oneshot::channel();
+///     executor.start("sender", async { drop(sender.send(7)) })?;
+///     assert_eq!(executor.run(receiver), Ok(7));
+/// }
+/// # Ok::<(), lavenderflow::error::NodeError>(())
+/// ```
 #[derive(Debug)]
 pub struct Executor {
     main: Runtime,
