Answer requests that arrive during a stop before its end

Trace of the first: SIGTERM at 23.300 s; an order, whose route lets it wait for 5 s, is sent to that node at 24.247 s, within the notice; its connection is closed without an answer at 29.043 s, when the stop ended 5.5 s after the signal, 0.2 s before the order's own time was over.

Change: requests that arrive during a stop have their deadline a quarter of a second before its end at the latest, so that the caller gets the outcome.

Test: core/tests/search.rs.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -93,6 +93,8 @@
     incarnations: IndexMap<NodeId, Incarnation>,
     next_attempt: Serial,
     draining: bool,
+    // Latest deadline of new requests while the node stops.
+    last_deadline: Option<Instant>,
     unconfigured: bool,
 }
 
@@ -123,6 +125,7 @@
             incarnations: IndexMap::new(),
             next_attempt: 1,
             draining: false,
+            last_deadline: None,
             unconfigured: false,
         }
     }
@@ -187,6 +190,11 @@
         (!self.draining).then(|| self.ledger.issue(now))
     }
 
+    /// Sets the time by which new requests must have their answers, because the node stops then.
+    pub fn limit_deadlines(&mut self, last: Instant) {
+        self.last_deadline = Some(last);
+    }
+
     /// Refuses new requests from now on.
     pub fn drain(&mut self) {
         self.draining = true;
@@ -245,8 +253,9 @@
         let max_timeout = route.and_then(|route| route.timeout).unwrap_or(default_timeout);
         let remaining = arrival.timeout.map_or(max_timeout, |timeout| timeout.min(max_timeout));
         let now = self.clock.now();
+        let deadline = now + remaining;
         let active = ActiveRequest {
-            deadline: now + remaining,
+            deadline: self.last_deadline.map_or(deadline, |last| deadline.min(last)),
             ticket: arrival.ticket.filter(|_| !idempotent),
             limits: AttemptLimits::new(route, &profile),
             rank: route.map_or(0, |route| route.rank),
--- a/crates/core/tests/search.rs
+++ b/crates/core/tests/search.rs
@@ -96,3 +96,23 @@
         assert!(matches!(ended, EntryAction::Conclude { .. }), "{reason:?}: {ended:?}");
     }
 }
+
+#[test]
+fn requests_that_arrive_during_a_stop_are_answered_before_its_end() {
+    let clock = clock();
+    let mut entry = entry_with_gates(&clock, 1);
+    let end = lavenderflow_core::clock::Clock::now(clock.as_ref()) + Duration::from_secs(3);
+    entry.limit_deadlines(end);
+    clock.advance(Duration::from_secs(1));
+    let actions = entry.begin(post(Duration::from_secs(4)));
+    let (.., spec) = first_dispatch(&actions).expect("an attempt");
+    assert_eq!(spec.remaining, Duration::from_secs(2));
+    // Past the end nothing is dispatched.
+    clock.advance(Duration::from_secs(2));
+    let late = Arrival { request: 2, ..post(Duration::from_secs(4)) };
+    let actions = entry.begin(late);
+    let [EntryAction::Conclude { conclusion, .. }] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+    assert_eq!(conclusion.outcome, Outcome::NotRun);
+}
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -85,6 +85,11 @@
         self.entry.set_limit(&organisation, limit);
     }
 
+    /// Sets the time by which new requests must have their answers.
+    pub fn limit_deadlines(&mut self, _: CX![], last: Instant) {
+        self.entry.limit_deadlines(last);
+    }
+
     /// Refuses new requests from now on.
     pub fn drain(&mut self, _: CX![]) {
         self.entry.drain();
--- a/crates/lavenderflow/src/actor/lifecycle.rs
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -13,6 +13,9 @@
 
 /// Interval at which a stopping node checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time before the end of a stop by which requests that arrive during it must have their answers,
+/// so that these can still be written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
 /// The actors that take part in a stop.
 #[derive(Clone)]
@@ -101,7 +104,9 @@
             AnyNode::Draining(node) => AnyNode::Draining(node),
         });
         self.is_ready.send_replace(false);
-        let DrainActors { gate, fleet, .. } = &self.actors;
+        let DrainActors { entry, gate, fleet } = &self.actors;
+        let last = now + self.stop.timeout.saturating_sub(ANSWER_MARGIN);
+        call!([entry], limit_deadlines(last));
         call!([fleet], leave());
         call!([gate], drain());
         if self.stop.notice.is_zero() {
