--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -59,13 +59,17 @@
         let (key, revision) = (document.key.clone(), document.revision);
         match self.catalog.apply(document, checked, source) {
             ApplyResult::Applied(item, replaced) => {
-                log::info!("event=configuration key={key} revision={revision}");
+                let origin = origin(source);
+                log::info!("event=configuration key={key} revision={revision} origin={origin}");
                 self.apply_item(*item, replaced.map(|item| *item));
                 true
             }
             ApplyResult::Unchanged => false,
             ApplyResult::Rejected => {
-                log::warn!("event=configuration-rejected key={key} revision={revision}");
+                let origin = origin(source);
+                log::warn!(
+                    "event=configuration-rejected key={key} revision={revision} origin={origin}"
+                );
                 let counters = &self.counters;
                 call!([counters], add(Counter::Fault(Fault::Configuration)));
                 false
@@ -141,3 +145,8 @@
         self.set_profiles(&new);
     }
 }
+
+/// Names where a document came from: a peer, or the store.
+fn origin(source: Option<NodeId>) -> String {
+    source.map_or_else(|| "store".to_owned(), |node| format!("{node:x}"))
+}
--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 pub struct ConfigWatcher {
     commands: Sender<WatcherCommand>,
+    prefix: &'static str,
     is_restorable: bool,
     is_delegate: bool,
 }
@@ -49,24 +50,26 @@
     /// The thread cannot be started.
     pub fn start(setup: WatcherSetup) -> Result<Self, NodeError> {
         let (commands, received) = mpsc::channel();
-        let is_restorable = setup.source.is_restorable;
+        let ConfigSource { prefix, is_restorable, .. } = setup.source;
         let task = WatchTask {
             setup,
             commands: received,
             is_delegate: false,
             last_revision: None,
+            responded_at: None,
             backoff: Backoff::new(),
             failed: false,
         };
         let builder = thread::Builder::new().name("watcher".to_owned());
         builder.spawn(move || task.run()).map_err(NodeError::Thread)?;
-        Ok(Self { commands, is_restorable, is_delegate: false })
+        Ok(Self { commands, prefix, is_restorable, is_delegate: false })
     }
 
     /// Sets whether this node is a delegate, which watches the store for its zone.
     pub fn set_delegate(&mut self, is_delegate: bool) {
         if self.is_delegate != is_delegate {
             self.is_delegate = is_delegate;
+            log::info!("event=store-watch prefix={} active={is_delegate}", self.prefix);
             self.send(WatcherCommand::Delegate(is_delegate));
         }
     }
@@ -90,6 +93,7 @@
     commands: Receiver<WatcherCommand>,
     is_delegate: bool,
     last_revision: Option<StoreRevision>,
+    responded_at: Option<Instant>,
     backoff: Backoff,
     failed: bool,
 }
@@ -128,8 +132,9 @@
         }
         match fault {
             Some(fault) if !self.failed => {
+                let silence = self.responded_at.map(|time| self.setup.clock.now() - time);
                 log::warn!(
-                    "event=store-lost prefix={prefix} after={:?} fault={fault}",
+                    "event=store-lost prefix={prefix} after={:?} silence={silence:?} fault={fault}",
                     self.last_revision
                 );
             }
@@ -162,6 +167,7 @@
     }
 
     fn publish(&mut self, changes: &Changes, is_all: bool) {
+        self.responded_at = Some(self.setup.clock.now());
         // The store was restored from an older backup, so all entries must be read again.
         if self.last_revision.is_some_and(|after| changes.revision < after) {
             self.last_revision = None;
