Read the store where no node confirms the configuration

Exchanges now say how long ago any node read the store; a node with the same documents takes that over, and one that has heard of no read for 0.65 to 0.75 of the limit for changes reads the store itself. Watches last for half of the limit.

--- a/crates/core/src/gossip.rs
+++ b/crates/core/src/gossip.rs
@@ -3,6 +3,7 @@
 use std::hash::Hash;
 
 use crate::catalog::{Catalog, Document, DocumentKey};
+use crate::freshness::Confirmation;
 use crate::pending::PendingDocuments;
 use crate::prelude::*;
 use crate::roster::{Member, Roster, Suspicion};
@@ -41,6 +42,8 @@
     pub member_digests: Vec<u64>,
     /// Digests of the sender's documents, to request the ones that it lacks; empty otherwise.
     pub document_digests: Vec<u64>,
+    /// How long ago the sources of the sender's documents were read.
+    pub confirmations: Vec<Confirmation>,
     /// Summaries of the sender's members, documents and suspicions.
     pub summaries: [u64; 3],
 }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -27,6 +27,8 @@
 pub type ZoneName = Arc<str>;
 /// Names a profile.
 pub type ProfileName = Arc<str>;
+/// Names a source of configuration; the prefix of its keys in the store.
+pub type SourceName = Arc<str>;
 /// Names an organisation.
 pub type OrganisationName = Arc<str>;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod entry;
 pub mod floor;
+pub mod freshness;
 pub mod gate;
 pub mod gossip;
 pub mod gray_failure;
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -2,6 +2,7 @@
 
 mod configure;
 mod flush;
+mod freshness;
 mod seeds;
 mod status;
 
@@ -9,6 +10,7 @@
 
 use lavenderflow_core::budget::RetryAllowance;
 use lavenderflow_core::catalog::{Catalog, RequestLimits};
+use lavenderflow_core::freshness::Freshness;
 use lavenderflow_core::gate::ServiceOffer;
 use lavenderflow_core::gossip::{Exchange, Gossip, PeerCursor};
 use lavenderflow_core::roster::Roster;
@@ -21,7 +23,7 @@
 use crate::message::FleetMessage;
 use crate::net::endpoint::{NetworkCommand, NetworkSender};
 use crate::prelude::*;
-use crate::store::{ConfigWatcher, Registration, StoreRole};
+use crate::store::{ConfigWatcher, Registration};
 
 /// Interval at which the seeds are contacted, in ping intervals.
 const SEED_INTERVAL_PINGS: u32 = 10;
@@ -32,11 +34,6 @@
 /// Ping intervals after which the node becomes ready even if neither peers nor the store have
 /// replied.
 const READY_TIMEOUT_PINGS: u32 = 20;
-/// Nodes that watch the store for the fleet: more than one, so that a change is seen in time also
-/// while some of them are down or cannot reach the store.
-const DELEGATES: usize = 4;
-/// Ping intervals after which a node without peers watches the store itself.
-const LONE_PINGS: u32 = 4;
 /// Most alternative nodes that a refused caller is told of.
 const MAX_NEXT_NODES: usize = 3;
 
@@ -55,6 +52,8 @@
     pub registration: Registration,
     /// The watchers of the store.
     pub watchers: Vec<ConfigWatcher>,
+    /// When the sources of configuration were last confirmed.
+    pub freshness: Freshness,
     /// Profile of services that have none in the store.
     pub profile: Profile,
     /// Publishes the nodes that refused callers are told to try.
@@ -82,6 +81,8 @@
     network: NetworkSender,
     registration: Registration,
     watchers: Vec<ConfigWatcher>,
+    freshness: Freshness,
+    freshness_timer: MinTimerKey,
     detached_prefixes: IndexSet<&'static str>,
     next_nodes: watch::Sender<String>,
     limits: watch::Sender<RequestLimits>,
@@ -120,6 +121,8 @@
             network: setup.network,
             registration: setup.registration,
             watchers: setup.watchers,
+            freshness: setup.freshness,
+            freshness_timer: MinTimerKey::default(),
             detached_prefixes: IndexSet::new(),
             next_nodes: setup.next_nodes,
             limits: setup.limits,
@@ -139,6 +142,7 @@
             flushed_at: None,
         };
         fleet.run_round(cx);
+        fleet.schedule_check(cx);
         Some(fleet)
     }
 
@@ -161,7 +165,7 @@
             FleetMessage::Exchange(exchange, reply) => {
                 let peer = exchange.sender;
                 self.merge_exchange(cx, exchange);
-                let (response, cursor) = self.gossip.compose(&self.roster, &self.catalog, peer);
+                let (response, cursor) = self.compose(peer);
                 // If the response is lost, digests make up for it.
                 self.gossip.mark_delivered(peer, cursor);
                 let _ = reply.send(response);
@@ -176,6 +180,10 @@
             FleetMessage::StoreRead { documents, is_complete } => {
                 self.merge_stored(cx, documents, is_complete);
             }
+            FleetMessage::StoreConfirmed { prefix, time } => {
+                self.freshness.confirm(prefix, time);
+                self.schedule_check(cx);
+            }
             FleetMessage::StoreConnection { prefix, attached } => {
                 self.set_attached(cx, prefix, attached);
             }
@@ -233,38 +241,12 @@
         self.send(NetworkCommand::RemoveNode(node));
     }
 
-    /// Tells the store threads whether this node has joined and whether it is a delegate.
-    fn update_store_role(&mut self) {
-        let joined = self.roster.members().len() > 1;
-        let may_watch = joined || self.ping_rounds > LONE_PINGS;
-        let delegate = may_watch && self.roster.is_delegate(DELEGATES);
-        self.watchers.iter_mut().for_each(|watcher| watcher.set_delegate(delegate));
-        self.registration.set_role(StoreRole { joined, delegate });
-    }
-
-    /// Records whether a watcher reaches the store. While one does not, this node is marked as
-    /// detached, so that another node watches for the zone.
-    fn set_attached(&mut self, cx: CX![], prefix: &'static str, attached: bool) {
-        if attached {
-            self.detached_prefixes.swap_remove(prefix);
-        } else {
-            self.detached_prefixes.insert(prefix);
-        }
-        let is_detached = !self.detached_prefixes.is_empty();
-        if self.roster.local().detached != is_detached {
-            log::info!("event=store-path attached={attached} prefix={prefix}");
-            self.roster.update_local(|local| local.detached = is_detached);
-            let own = self.roster.local().node;
-            self.notify_changed(cx, &[own]);
-        }
-    }
-
     fn ping(&mut self, node: NodeId) {
         // One exchange at a time per peer: the reply confirms what the peer has received.
         if !self.pinging.insert(node) {
             return;
         }
-        let (exchange, cursor) = self.gossip.compose(&self.roster, &self.catalog, node);
+        let (exchange, cursor) = self.compose(node);
         if !self.send(NetworkCommand::Ping(node, exchange, cursor)) {
             self.pinging.swap_remove(&node);
         }
@@ -302,8 +284,11 @@
         }
         self.gossip.compare_summaries(&self.roster, &self.catalog, &exchange);
         // Equal summaries: the peer has no document that this node lacks.
-        if !self.awaits_deployment && self.catalog.documents().summary() == exchange.summaries[1] {
-            self.set_ready();
+        if self.catalog.documents().summary() == exchange.summaries[1] {
+            self.adopt_confirmations(cx, &exchange.confirmations);
+            if !self.awaits_deployment {
+                self.set_ready();
+            }
         }
         if has_changed || !nodes.is_empty() {
             self.notify_changed(cx, &nodes);
--- a/crates/lavenderflow/src/environment.rs
+++ b/crates/lavenderflow/src/environment.rs
@@ -13,11 +13,8 @@
 use crate::prelude::*;
 use crate::store::{ConfigSource, OPERATOR_SOURCE};
 
-/// Timeout of a watch on the deployment. It bounds how late a change is seen if the connections of
-/// all delegates to the store have stopped responding.
-const DEPLOYMENT_WATCH_TIMEOUT: Duration = Duration::from_secs(4);
-/// Timeout of a watch on profiles on the platform.
-const PROFILE_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time within which a change of a profile must be in force on the platform.
+const PROFILE_APPLY_LIMIT: Duration = Duration::from_secs(40);
 
 /// How nodes authenticate their peers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -75,7 +72,7 @@
             decode: |entry| deployment::decode(entry.value.as_bytes()),
             is_read_early: true,
             is_restorable: false,
-            watch_timeout: DEPLOYMENT_WATCH_TIMEOUT,
+            apply_limit: node_file.apply_limit,
         };
         Self {
             dialect: Arc::new(node_file.dialect.clone()),
@@ -86,7 +83,7 @@
             // Profiles rarely change, and a node can serve without them.
             sources: vec![
                 ConfigSource {
-                    watch_timeout: PROFILE_WATCH_TIMEOUT,
+                    apply_limit: PROFILE_APPLY_LIMIT,
                     is_read_early: false,
                     ..OPERATOR_SOURCE
                 },
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -83,6 +83,13 @@
         /// Whether the list is complete, so that any other document is missing in the store.
         is_complete: bool,
     },
+    /// A source of configuration contained nothing newer than what was read, at some time.
+    StoreConfirmed {
+        /// Key prefix of the source.
+        prefix: &'static str,
+        /// The time.
+        time: Instant,
+    },
     /// A watcher lost or regained its connection to the store.
     StoreConnection {
         /// Key prefix that it watches.
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -7,6 +7,7 @@
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::clock::SharedClock;
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
+use lavenderflow_core::freshness::Freshness;
 use lavenderflow_core::gate::Gate;
 use lavenderflow_core::id::node_id;
 use lavenderflow_core::roster::{Member, Roster};
@@ -116,7 +117,10 @@
         let (store, mailbox, clock) = (store.clone(), mailbox.clone(), Arc::clone(&clock));
         ConfigWatcher::start(WatcherSetup { store, source: *source, mailbox, clock })
     });
+    let ages = environment.sources.iter().map(|source| (source.prefix.into(), source.max_age()));
+    let freshness = Freshness::new(ages, random(), clock.now());
     let fleet = fleet::FleetSetup {
+        freshness,
         roster: Roster::new(Arc::clone(&clock), member),
         seeds: settings.seeds.clone(),
         ping_interval: settings.ping,
--- a/crates/lavenderflow/src/reload.rs
+++ b/crates/lavenderflow/src/reload.rs
@@ -118,6 +118,7 @@
         let deferred = join_names(&[
             ("addresses", addresses(before) != addresses(after)),
             ("store", before.settings.store != after.settings.store),
+            ("apply-limit", before.apply_limit != after.apply_limit),
             ("name", before.settings.name != after.settings.name),
             ("zone", before.settings.zone != after.settings.zone),
             ("upstream", (&before.dialect, before.upstream) != (&after.dialect, after.upstream)),
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -16,6 +16,8 @@
 
 /// Prefix of configuration keys.
 pub const CONFIG_KEY_PREFIX: &str = "config/";
+/// Time within which an operator's change must be in force on all nodes.
+const OPERATOR_APPLY_LIMIT: Duration = Duration::from_secs(10);
 /// Backoff after the first failed call, doubled with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
 /// Longest backoff; entries must be back in the store within 2 s after an outage.
@@ -33,9 +35,21 @@
     pub is_read_early: bool,
     /// Whether nodes may restore values that the store has lost.
     pub is_restorable: bool,
-    /// Timeout of a watch. A connection that stopped responding is detected after this time, and
-    /// each watch is a call that the platform counts.
-    pub watch_timeout: Duration,
+    /// Time within which a change must be in force on all nodes that reach the store.
+    pub apply_limit: Duration,
+}
+
+impl ConfigSource {
+    /// Returns the timeout of a watch, after which the source is confirmed to be unchanged.
+    pub fn watch_timeout(&self) -> Duration {
+        self.apply_limit / 2
+    }
+
+    /// Returns the age of the last confirmation at which a node reads the source itself. The rest of
+    /// the limit is for the read and for applying the change.
+    pub fn max_age(&self) -> Duration {
+        self.apply_limit * 13 / 20
+    }
 }
 
 /// The configuration that operators change with the commands of this binary.
@@ -44,7 +58,7 @@
     decode: decode_operator_value,
     is_read_early: true,
     is_restorable: true,
-    watch_timeout: Duration::from_secs(5),
+    apply_limit: OPERATOR_APPLY_LIMIT,
 };
 
 fn decode_operator_value(entry: &Entry) -> Result<Document, ConvertError> {
--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -1,5 +1,6 @@
 //! Watches configuration in the store, and restores values that the store has lost.
 
+use std::ops::Range;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread;
 
@@ -14,6 +15,12 @@
 /// command wakes it.
 const IDLE_WAIT: Duration = Duration::from_secs(3600);
 
+/// Range of the wait of a watch, as a share of its timeout.
+const WAIT: Range<f64> = 0.8..1.0;
+/// The same after a change, which ends the watches of all delegates at the same time. Without a
+/// wide range they would go on confirming at the same time.
+const WAIT_AFTER_CHANGE: Range<f64> = 0.2..0.8;
+
 /// Parameters of the watcher thread.
 #[derive(Clone, Debug)]
 pub struct WatcherSetup {
@@ -30,6 +37,7 @@
 #[derive(Debug)]
 enum WatcherCommand {
     Delegate(bool),
+    Read,
     Restore(Document),
 }
 
@@ -55,6 +63,8 @@
             setup,
             commands: received,
             is_delegate: false,
+            is_read_due: false,
+            has_changed: false,
             last_revision: None,
             responded_at: None,
             backoff: Backoff::new(),
@@ -74,6 +84,23 @@
         }
     }
 
+    /// Reads the source once. Does nothing on a delegate, which watches it anyway.
+    pub fn read(&self) {
+        if !self.is_delegate {
+            self.send(WatcherCommand::Read);
+        }
+    }
+
+    /// Returns the key prefix of the source.
+    pub fn prefix(&self) -> &'static str {
+        self.prefix
+    }
+
+    /// Returns whether this node watches the source.
+    pub fn is_delegate(&self) -> bool {
+        self.is_delegate
+    }
+
     /// Restores a document that the store has lost, if the source allows it.
     pub fn restore(&self, document: Document) {
         if self.is_restorable {
@@ -92,6 +119,8 @@
     setup: WatcherSetup,
     commands: Receiver<WatcherCommand>,
     is_delegate: bool,
+    is_read_due: bool,
+    has_changed: bool,
     last_revision: Option<StoreRevision>,
     responded_at: Option<Instant>,
     backoff: Backoff,
@@ -102,10 +131,16 @@
     fn run(mut self) {
         let mut is_open = true;
         while is_open {
-            let wait = match self.step() {
-                Ok(()) => {
-                    self.backoff.reset();
-                    self.record_result(None);
+            let is_single_read = std::mem::take(&mut self.is_read_due);
+            let wait = match self.step(is_single_read) {
+                Ok(confirmed_at) => {
+                    if let Some(time) = confirmed_at {
+                        self.backoff.reset();
+                        self.record_result(None);
+                        let prefix = self.setup.source.prefix;
+                        let message = FleetMessage::StoreConfirmed { prefix, time };
+                        self.setup.mailbox.send_blocking(Message::Fleet(message));
+                    }
                     if self.is_delegate { Duration::ZERO } else { IDLE_WAIT }
                 }
                 Err(StoreError::Compacted) => {
@@ -113,6 +148,13 @@
                     self.last_revision = None;
                     Duration::ZERO
                 }
+                // Another read is requested if nothing confirms the configuration.
+                Err(fault) if is_single_read && !self.must_read() => {
+                    let prefix = self.setup.source.prefix;
+                    log::warn!("event=store-read-failed prefix={prefix} fault={fault}");
+                    self.setup.mailbox.send_blocking(Message::Count(Counter::Fault(Fault::Store)));
+                    IDLE_WAIT
+                }
                 Err(fault) => {
                     self.record_result(Some(&fault));
                     self.backoff.next()
@@ -147,23 +189,32 @@
         }
     }
 
-    /// Reads all entries, or waits for changes.
-    fn step(&mut self) -> Result<(), StoreError> {
-        let ConfigSource { prefix, watch_timeout, .. } = self.setup.source;
-        if !self.is_delegate && !self.setup.source.is_read_early {
-            return Ok(());
-        }
-        let Some(after) = self.last_revision else {
-            let listing = self.setup.store.list(prefix, Consistency::Linearizable)?;
+    /// Returns whether this node must read all entries, until it succeeds.
+    fn must_read(&self) -> bool {
+        let is_needed = self.is_delegate || self.setup.source.is_read_early || self.failed;
+        self.last_revision.is_none() && is_needed
+    }
+
+    /// Reads all entries, or waits for changes. Returns a time at which the source contained
+    /// nothing newer; `None` if there was nothing to do.
+    fn step(&mut self, is_single_read: bool) -> Result<Option<Instant>, StoreError> {
+        let source = self.setup.source;
+        let started = self.setup.clock.now();
+        if is_single_read || self.must_read() {
+            let listing = self.setup.store.list(source.prefix, Consistency::Linearizable)?;
             self.publish(&listing, true);
-            return Ok(());
-        };
-        if !self.is_delegate {
-            return Ok(());
+            return Ok(Some(started));
         }
-        let changes = self.setup.store.watch(prefix, after, watch_timeout)?;
+        let Some(after) = self.last_revision.filter(|_| self.is_delegate) else {
+            return Ok(None);
+        };
+        let share = if self.has_changed { WAIT_AFTER_CHANGE } else { WAIT };
+        let wait = source.watch_timeout().mul_f64(rand::random_range(share));
+        let changes = self.setup.store.watch(source.prefix, after, wait)?;
         self.publish(&changes, false);
-        Ok(())
+        // The response may have been on its way for any time since the end of the wait.
+        let is_full_wait = changes.entries.is_empty() && self.setup.clock.now() >= started + wait;
+        Ok(Some(if is_full_wait { started + wait } else { started }))
     }
 
     fn publish(&mut self, changes: &Changes, is_all: bool) {
@@ -174,6 +225,7 @@
             return;
         }
         self.last_revision = Some(changes.revision);
+        self.has_changed = !changes.entries.is_empty();
         if changes.entries.is_empty() && !is_all {
             return;
         }
@@ -211,6 +263,10 @@
                     }
                     return true;
                 }
+                Ok(WatcherCommand::Read) => {
+                    self.is_read_due = true;
+                    return true;
+                }
                 Ok(WatcherCommand::Restore(document)) => self.restore(&document),
                 Err(RecvTimeoutError::Timeout) => return true,
                 Err(RecvTimeoutError::Disconnected) => return false,
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -28,6 +28,8 @@
     pub ready: SocketAddr,
     pub control: SocketAddr,
     pub upstream: SocketAddr,
+    /// Address at which only this VM's node calls the store.
+    pub store: SocketAddr,
     pub settings_file: PathBuf,
     pub process: Process,
 }
@@ -169,10 +171,16 @@
 
     /// Starts VMs without a configuration.
     pub fn start_unconfigured(count: usize) -> Self {
+        Self::start_with_bound(count, 2)
+    }
+
+    /// Starts VMs without a configuration; `apply_seconds` is the bound within which a change of
+    /// the configuration must take effect.
+    pub fn start_with_bound(count: usize, apply_seconds: u32) -> Self {
         let store = StoreStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a store");
         let number = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
         let vms: Vec<Vm> = (0..count)
-            .map(|index| start_vm(&format!("vm-{number}-{index}"), index, &store))
+            .map(|index| start_vm(&format!("vm-{number}-{index}"), index, &store, apply_seconds))
             .collect();
         let upstreams =
             vms.iter().map(|vm| start_upstream(vm, 1, Duration::from_millis(5))).collect();
@@ -272,7 +280,8 @@
     }
 }
 
-fn start_vm(name: &str, index: usize, store: &StoreStandin) -> Vm {
+fn start_vm(name: &str, index: usize, store: &StoreStandin, apply_seconds: u32) -> Vm {
+    let store = store.listen().expect("an address");
     let port = || free_tcp_port().expect("a port");
     let (outbound, ready, control, upstream) = (port(), port(), port(), port());
     let first = free_port_pair();
@@ -283,15 +292,15 @@
             "ready": ready.to_string(), "control_plane": control.to_string()},
         "internal_ports": [first, first + 1], "heartbeat_s": 0.3,
         "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "budget_extra_retries": 56,
-            "floor_share": 0.7},
+            "floor_share": 0.7, "config_apply_s": apply_seconds},
         "app_address": upstream.to_string(), "service": "work",
-        "platform": {"address": store.address().to_string(), "form": "kv"}
+        "platform": {"address": store.to_string(), "form": "kv"}
     });
     let settings_file =
         std::env::temp_dir().join(format!("lavenderflow-{}-{name}.json", std::process::id()));
     std::fs::write(&settings_file, settings.to_string()).expect("a settings file");
     let process = start_node(&settings_file);
-    Vm { name: name.to_owned(), outbound, ready, control, upstream, settings_file, process }
+    Vm { name: name.to_owned(), outbound, ready, control, upstream, store, settings_file, process }
 }
 
 fn start_node(file: &std::path::Path) -> Process {
--- a/crates/schema/src/convert/gossip.rs
+++ b/crates/schema/src/convert/gossip.rs
@@ -1,9 +1,11 @@
 //! Conversions of gossip messages.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use lavenderflow_core::catalog::{Document, DocumentKey};
+use lavenderflow_core::freshness::Confirmation;
 use lavenderflow_core::gate::ServiceOffer;
 use lavenderflow_core::gossip::Exchange;
 use lavenderflow_core::id::Revision;
@@ -25,6 +27,7 @@
             document_digests: exchange.document_digests.clone(),
             announced: exchange.announced.iter().map(announcement).collect(),
             requested: exchange.requested.iter().map(ToString::to_string).collect(),
+            confirmations: exchange.confirmations.iter().map(confirmation).collect(),
             member_summary,
             document_summary,
             doubt_summary,
@@ -47,11 +50,21 @@
             document_digests: exchange.document_digests,
             announced: exchange.announced.into_iter().map(|a| (a.key.into(), a.revision)).collect(),
             requested: exchange.requested.into_iter().map(Into::into).collect(),
+            confirmations: exchange
+                .confirmations
+                .into_iter()
+                .map(|c| (c.source.into(), Duration::from_millis(c.age_ms)))
+                .collect(),
             summaries: [exchange.member_summary, exchange.document_summary, exchange.doubt_summary],
         })
     }
 }
 
+fn confirmation((source, age): &Confirmation) -> wire::Confirmation {
+    // Milliseconds of an age fit into 64 bits.
+    wire::Confirmation { source: source.to_string(), age_ms: age.as_millis() as u64 }
+}
+
 fn announcement((key, revision): &(DocumentKey, Revision)) -> wire::Announcement {
     wire::Announcement { key: key.to_string(), revision: *revision }
 }
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -11,6 +11,8 @@
 use std::thread;
 use std::time::Duration;
 
+use indexmap::IndexSet;
+
 use crate::error::Error;
 use crate::http::RequestHead;
 
@@ -66,13 +68,7 @@
         let address = listener.local_addr()?;
         let (commands, received) = mpsc::channel();
         thread::spawn(move || Actor::default().run(&received));
-        let sender = commands.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let sender = sender.clone();
-                thread::spawn(move || drop(serve(stream, &sender)));
-            }
-        });
+        serve_all(listener, commands.clone());
         Ok(Self { address, commands })
     }
 
@@ -81,6 +77,33 @@
         self.address
     }
 
+    /// Opens a further address at which the store serves the same values.
+    ///
+    /// # Errors
+    ///
+    /// No port can be bound.
+    pub fn listen(&self) -> Result<SocketAddr, Error> {
+        let listener = TcpListener::bind((self.address.ip(), 0))?;
+        let address = listener.local_addr()?;
+        serve_all(listener, self.commands.clone());
+        Ok(address)
+    }
+
+    /// Never responds again to calls at these addresses, including pending watches.
+    pub fn silence(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let _ = self.commands.send(Command::Silence(addresses.into_iter().collect()));
+    }
+
+    /// Returns the addresses at which a watch on the prefix is pending.
+    ///
+    /// # Errors
+    ///
+    /// The store has stopped.
+    pub fn watched_addresses(&self, prefix: &str) -> Result<IndexSet<SocketAddr>, Error> {
+        let prefix = prefix.to_owned();
+        self.ask(|reply| Command::WatchedAddresses(prefix, reply))
+    }
+
     /// Changes the mode, which applies to pending watches at once.
     pub fn set_mode(&self, mode: Mode) {
         let _ = self.commands.send(Command::Mode(mode));
@@ -141,8 +164,17 @@
     }
 }
 
+fn serve_all(listener: TcpListener, commands: Sender<Command>) {
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let commands = commands.clone();
+            thread::spawn(move || drop(serve(stream, &commands)));
+        }
+    });
+}
+
 fn serve(stream: TcpStream, commands: &Sender<Command>) -> Result<(), Error> {
-    let peer = stream.peer_addr()?;
+    let (peer, at) = (stream.peer_addr()?, stream.local_addr()?);
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
@@ -150,7 +182,7 @@
         let text = head.read_text(&mut reader, peer)?;
         let call = protocol::parse_call(&head, &text).ok_or(Error::Malformed(peer))?;
         let (reply, response) = mpsc::channel();
-        let command = Command::Call { call, from: peer.ip(), reply };
+        let command = Command::Call { call, from: peer.ip(), at, reply };
         commands.send(command).map_err(|_| Error::Stopped)?;
         match response.recv().map_err(|_| Error::Stopped)? {
             ResponseAction::Respond(status, body, delay) => {
--- a/crates/standins/src/store/actor.rs
+++ b/crates/standins/src/store/actor.rs
@@ -1,12 +1,12 @@
 //! The actor that owns the values, leases and pending watches.
 
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde_json::{Value, json};
 
 use super::protocol::{Call, Transaction};
@@ -37,14 +37,16 @@
 
 #[derive(Debug)]
 pub(super) enum Command {
-    Call { call: Call, from: IpAddr, reply: Sender<ResponseAction> },
+    Call { call: Call, from: IpAddr, at: SocketAddr, reply: Sender<ResponseAction> },
     CallCount(Sender<u64>),
     Compact,
     Keys(Sender<Vec<String>>),
     Mode(Mode),
     LeasePolicy(LeasePolicy),
     Restore(Snapshot),
+    Silence(Vec<SocketAddr>),
     Snapshot(Sender<Snapshot>),
+    WatchedAddresses(String, Sender<IndexSet<SocketAddr>>),
     Write(String, String),
 }
 
@@ -61,6 +63,7 @@
     prefix: String,
     after: u64,
     deadline: Instant,
+    at: SocketAddr,
     reply: Sender<ResponseAction>,
 }
 
@@ -81,6 +84,7 @@
 #[derive(Debug)]
 pub(super) struct Actor {
     mode: Mode,
+    silenced: IndexSet<SocketAddr>,
     lease_policy: LeasePolicy,
     contents: Snapshot,
     call_count: u64,
@@ -97,6 +101,7 @@
     fn default() -> Self {
         Self {
             mode: Mode::Up,
+            silenced: IndexSet::new(),
             lease_policy: LeasePolicy::default(),
             contents: Snapshot { revision: 1, values: IndexMap::new() },
             call_count: 0,
@@ -129,9 +134,12 @@
 
     fn handle(&mut self, command: Command) {
         match command {
-            Command::Call { call, from, reply } => {
+            Command::Call { call, from, at, reply } => {
                 self.call_count += 1;
-                self.call(call, from, reply);
+                match self.fault_response(from, at) {
+                    Some(fault) => drop(reply.send(fault)),
+                    None => self.call(call, at, reply),
+                }
             }
             Command::CallCount(reply) => drop(reply.send(self.call_count)),
             Command::Compact => self.compact(),
@@ -145,7 +153,12 @@
                 self.history.clear();
                 self.compacted_revision = self.contents.revision;
             }
+            Command::Silence(addresses) => self.silenced.extend(addresses),
             Command::Snapshot(reply) => drop(reply.send(self.contents.clone())),
+            Command::WatchedAddresses(prefix, reply) => {
+                let watches = self.watches.iter().filter(|watch| watch.prefix == prefix);
+                drop(reply.send(watches.map(|watch| watch.at).collect()));
+            }
             Command::Write(key, value) => {
                 self.contents.revision += 1;
                 self.set(key, STANDARD.encode(value), 0);
@@ -169,7 +182,10 @@
     }
 
     /// Returns the response that the mode injects, if any.
-    fn fault_response(&self, from: IpAddr) -> Option<ResponseAction> {
+    fn fault_response(&self, from: IpAddr, at: SocketAddr) -> Option<ResponseAction> {
+        if self.silenced.contains(&at) {
+            return Some(ResponseAction::Silence);
+        }
         let respond = |status| Some(ResponseAction::Respond(status, String::new(), Duration::ZERO));
         match self.mode {
             Mode::Down => respond(503),
@@ -181,11 +197,7 @@
         }
     }
 
-    fn call(&mut self, call: Call, from: IpAddr, reply: Sender<ResponseAction>) {
-        if let Some(fault) = self.fault_response(from) {
-            let _ = reply.send(fault);
-            return;
-        }
+    fn call(&mut self, call: Call, at: SocketAddr, reply: Sender<ResponseAction>) {
         let action = match call {
             Call::Get(key) => match self.contents.values.get(&key) {
                 Some(item) => self.respond(200, self.item_json(&key, item)),
@@ -193,7 +205,7 @@
             },
             Call::Range { prefix, after } => self.range(&prefix, &after),
             Call::Watch { prefix, after, deadline } => {
-                self.watches.push(Watch { prefix, after, deadline, reply });
+                self.watches.push(Watch { prefix, after, deadline, at, reply });
                 return;
             }
             Call::Commit(transaction) => self.commit(transaction),
@@ -330,6 +342,7 @@
             });
             let events: Vec<Value> = changes.map(|event| self.event_json(event)).collect();
             let action = match self.mode {
+                _ if self.silenced.contains(&watch.at) => ResponseAction::Silence,
                 Mode::Down => ResponseAction::Respond(503, String::new(), Duration::ZERO),
                 Mode::Silent => ResponseAction::Silence,
                 Mode::Resets => ResponseAction::Reset,
