--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -38,6 +38,27 @@
     pub gray_tolerance: f32,
 }
 
+/// What a response says about the rate at which its upstream takes requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateSignal {
+    /// There is no limit.
+    #[default]
+    Unlimited,
+    /// The upstream takes this many requests per second from all nodes together.
+    PerSecond(f64),
+    /// A limit that cannot be read.
+    Unreadable,
+}
+
+/// What an upstream says about itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpstreamSignals {
+    /// The rate at which it takes requests.
+    pub rate: RateSignal,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
 /// How a run on an upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunResult {
@@ -90,6 +111,13 @@
     },
     /// Publish the current offers of the gate to the other nodes.
     Publish,
+    /// Log that an upstream has named another limit for its requests, or none.
+    ReportRateLimit {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Requests per second; `None` without a limit.
+        rate: Option<f64>,
+    },
     /// Log that an upstream has become likely gray, or is so no longer. Entries learn it from load
     /// reports.
     ReportGray {
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -7,10 +7,13 @@
 mod health;
 mod lifetimes;
 mod report;
+mod signals;
 mod waiting;
 
 use self::waiting::{expiry_reason, queued_request};
-pub use crate::admission::{GateAction, RunResult, ServiceOffer, SlotRequest};
+pub use crate::admission::{
+    GateAction, RateSignal, RunResult, ServiceOffer, SlotRequest, UpstreamSignals,
+};
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::{Queue, QueuedRequest};
--- /dev/null
+++ b/crates/core/src/upstream/announcement.rs
@@ -0,0 +1,66 @@
+//! What an upstream announces, and the order of announcements.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+
+/// The phase that an upstream announces.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnnouncedPhase {
+    /// The upstream is starting and does not take requests yet.
+    Warming,
+    /// The upstream takes requests.
+    Serving,
+    /// The upstream finishes its requests and takes no new ones.
+    Leaving,
+    /// The upstream has deregistered and no longer belongs to its service.
+    Deregistered,
+}
+
+/// An announcement of an upstream to the node on its VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Announcement {
+    /// Id of the upstream.
+    pub id: UpstreamId,
+    /// The service that it offers.
+    pub service: ServiceName,
+    /// HTTP address of the upstream.
+    pub address: SocketAddr,
+    /// Requests that it can run concurrently.
+    pub slots: u32,
+    /// Phase of the upstream.
+    pub phase: AnnouncedPhase,
+    /// Time for which the announcement is valid.
+    pub lease: Duration,
+    /// Time for which the upstream stays slow after its start; none when not announced.
+    pub warm_up: Option<Duration>,
+    /// Start time of the lifetime, which orders lifetimes; 0 when not announced.
+    pub generation: u64,
+    /// Orders the announcements of one lifetime; 0 when not announced.
+    pub sequence: u64,
+}
+
+/// The last known state of one lifetime of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lifetime {
+    /// Start time of the lifetime; 0 when not announced.
+    pub generation: u64,
+    /// Sequence number of the last announcement; 0 when not announced.
+    pub sequence: u64,
+}
+
+impl Lifetime {
+    /// Returns the lifetime that an announcement belongs to.
+    pub fn of(announcement: &Announcement) -> Self {
+        Self { generation: announcement.generation, sequence: announcement.sequence }
+    }
+
+    /// Returns whether an announcement was made in this lifetime or before it. Without generations,
+    /// only the sequence number decides.
+    pub fn covers(&self, announcement: &Announcement) -> bool {
+        match (self.generation, announcement.generation) {
+            (0, _) | (_, 0) => announcement.sequence != 0 && announcement.sequence <= self.sequence,
+            (own, other) => other <= own,
+        }
+    }
+}
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -268,7 +268,8 @@
                 }
                 GateAction::Abandon { .. }
                 | GateAction::Publish
-                | GateAction::ReportGray { .. } => {}
+                | GateAction::ReportGray { .. }
+                | GateAction::ReportRateLimit { .. } => {}
             }
         }
     }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -461,7 +461,7 @@
                     self.schedule(NETWORK_DELAY, Event::Stuck(entry, request, attempt));
                 }
                 GateAction::Publish => self.publish(gate),
-                GateAction::ReportGray { .. } => {}
+                GateAction::ReportGray { .. } | GateAction::ReportRateLimit { .. } => {}
             }
         }
     }
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -55,10 +55,11 @@
                 self.schedule_tick(cx);
                 actions
             }
-            GateMessage::ResponseStarted(attempt) => {
+            GateMessage::ResponseStarted(attempt, signals) => {
                 self.gate.response_started(attempt);
-                return;
+                self.gate.observe_signals(attempt, signals)
             }
+            GateMessage::Signals(attempt, signals) => self.gate.observe_signals(attempt, signals),
             GateMessage::Finish(attempt, result, reply) => {
                 self.running.swap_remove(&attempt);
                 let (load, actions) = self.gate.finish(attempt, result);
@@ -142,6 +143,9 @@
                     let _ = abandon.map(|abandon| abandon.send(()));
                 }
                 GateAction::Publish => self.publish(),
+                GateAction::ReportRateLimit { upstream, rate } => {
+                    log::info!("event=rate-limit upstream={upstream} per_second={rate:?}");
+                }
                 GateAction::ReportGray { upstream, likely_gray, probability } => {
                     log::info!(
                         "event=gray-failure upstream={upstream} likely={likely_gray} \
--- a/crates/lavenderflow/src/http/header.rs
+++ b/crates/lavenderflow/src/http/header.rs
@@ -20,6 +20,11 @@
 /// URLs of other nodes that a refused caller can try, separated by commas.
 pub const NEXT_NODES: &str = "lavenderflow-next";
 
+/// Requests per second that an upstream takes from all nodes together.
+pub const RATE_LIMIT: &str = "lavenderflow-rate-limit";
+/// `1` in the responses of an upstream that is leaving.
+pub const LEAVING: &str = "lavenderflow-leaving";
+
 /// Headers that apply to a single connection, or that are set anew on each.
 const HOP_BY_HOP: [&str; 11] = [
     "connection",
--- a/crates/lavenderflow/src/http/native.rs
+++ b/crates/lavenderflow/src/http/native.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use lavenderflow_core::gate::UpstreamSignals;
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::upstream::Announcement;
 use lavenderflow_schema::convert::{ConvertError, configuration};
 use lavenderflow_schema::dialect::{
     Completion, Dialect, HeaderError, Headers, RequestMetadata, ResponseClass, find_header,
-    set_header,
+    parse_rate, set_header,
 };
 
 use super::header;
@@ -53,6 +54,13 @@
         }
     }
 
+    fn parse_signals(&self, headers: &[(String, String)]) -> UpstreamSignals {
+        UpstreamSignals {
+            rate: parse_rate(find_header(headers, header::RATE_LIMIT)),
+            leaving: find_header(headers, header::LEAVING).is_some_and(|value| value == "1"),
+        }
+    }
+
     fn response_status(&self, _: Outcome, reason: Reason) -> u16 {
         reason.status()
     }
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages that other threads send to the actors on the main thread.
 
 use lavenderflow_core::catalog::Document;
-use lavenderflow_core::gate::{RunResult, SlotRequest};
+use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
 use lavenderflow_core::upstream::Announcement;
@@ -57,8 +57,10 @@
 pub enum GateMessage {
     /// An attempt asks for a slot.
     Submit(SlotRequest, AttemptChannels),
-    /// The first byte of the response has arrived.
-    ResponseStarted(AttemptId),
+    /// The head of the response has arrived.
+    ResponseStarted(AttemptId, UpstreamSignals),
+    /// The upstream has refused the attempt.
+    Signals(AttemptId, UpstreamSignals),
     /// A run has ended; the sender receives the load after it.
     Finish(AttemptId, RunResult, oneshot::Sender<Load>),
     /// The entry has cancelled a queued attempt.
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -275,8 +275,12 @@
                 }
             };
             match event {
-                Some(CallEvent::Head { status, headers }) => {
-                    send_gate(self.context, GateMessage::ResponseStarted(self.attempt)).await;
+                Some(CallEvent::Signals(signals)) => {
+                    send_gate(self.context, GateMessage::Signals(self.attempt, signals)).await;
+                }
+                Some(CallEvent::Head { status, headers, signals }) => {
+                    send_gate(self.context, GateMessage::ResponseStarted(self.attempt, signals))
+                        .await;
                     answer = Some(self.response_head(status, headers));
                 }
                 Some(CallEvent::Data(data)) => {
@@ -318,11 +322,18 @@
             finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
             return Err(LinkError::Closed);
         }
-        let result = match events.recv().await {
-            Some(CallEvent::End) => RunResult::Success,
-            Some(CallEvent::Failed { result, .. }) => result,
-            // Dropping the receiver of events closes the connection to the upstream.
-            Some(CallEvent::Head { .. } | CallEvent::Data(_)) | None => RunResult::Cancelled,
+        let result = loop {
+            match events.recv().await {
+                Some(CallEvent::Signals(signals)) => {
+                    send_gate(self.context, GateMessage::Signals(self.attempt, signals)).await;
+                }
+                Some(CallEvent::End) => break RunResult::Success,
+                Some(CallEvent::Failed { result, .. }) => break result,
+                // Dropping the receiver of events closes the connection to the upstream.
+                Some(CallEvent::Head { .. } | CallEvent::Data(_)) | None => {
+                    break RunResult::Cancelled;
+                }
+            }
         };
         finish_attempt(self.context, self.attempt, result).await;
         Err(LinkError::Closed)
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -14,7 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
-use lavenderflow_core::gate::RunResult;
+use lavenderflow_core::gate::{RunResult, UpstreamSignals};
 use lavenderflow_schema::dialect::{Dialect, Headers, ResponseClass};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
@@ -68,7 +68,11 @@
         status: u16,
         /// Response headers.
         headers: Headers,
+        /// What the response says about the upstream.
+        signals: UpstreamSignals,
     },
+    /// The upstream refused the request, and this is what the refusal says about the upstream.
+    Signals(UpstreamSignals),
     /// A part of the response body.
     Data(Bytes),
     /// The response is complete.
@@ -210,6 +214,10 @@
         match self.dialect.classify_response(&call.id, status, &headers) {
             ResponseClass::Answer => {}
             ResponseClass::NotRun(reason) => {
+                // Another refusal may come from another upstream at the same address.
+                if reason == Reason::Shed {
+                    send(call, CallEvent::Signals(self.dialect.parse_signals(&headers))).await?;
+                }
                 // The connection can be reused when the refusal was read completely.
                 if drain(incoming, deadline).await {
                     self.return_connection(connection, &headers).await;
@@ -219,7 +227,8 @@
             ResponseClass::Foreign => return Err(CallFailure::Foreign),
         }
         let idle_time = pool::idle_time(&headers);
-        send(call, CallEvent::Head { status, headers }).await?;
+        let signals = self.dialect.parse_signals(&headers);
+        send(call, CallEvent::Head { status, headers, signals }).await?;
         relay(call, incoming, &connection, deadline).await?;
         connection.idle_time = idle_time;
         // Return the connection before the end event, so that the next call finds it.
--- a/crates/schema/src/dialect.rs
+++ b/crates/schema/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+use lavenderflow_core::gate::{RateSignal, UpstreamSignals};
 use lavenderflow_core::id::{OrganisationName, TicketError, TicketId};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::upstream::Announcement;
@@ -59,6 +60,26 @@
     Ticket(#[from] TicketError),
 }
 
+/// Parses the value of a header with a limit in requests per second.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow_core::gate::RateSignal;
+/// use lavenderflow_schema::dialect::parse_rate;
+///
+/// assert_eq!(parse_rate(None), RateSignal::Unlimited);
+/// assert_eq!(parse_rate(Some("2.5")), RateSignal::PerSecond(2.5));
+/// assert_eq!(parse_rate(Some("-1")), RateSignal::Unreadable);
+/// ```
+pub fn parse_rate(value: Option<&str>) -> RateSignal {
+    let Some(value) = value else { return RateSignal::Unlimited };
+    match value.trim().parse::<f64>() {
+        Ok(rate) if rate.is_finite() && rate >= 0.0 => RateSignal::PerSecond(rate),
+        _ => RateSignal::Unreadable,
+    }
+}
+
 /// What an upstream's response shows about the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseClass {
@@ -113,6 +134,9 @@
         headers: &[(String, String)],
     ) -> ResponseClass;
 
+    /// Parses what an upstream's response says about the upstream.
+    fn parse_signals(&self, headers: &[(String, String)]) -> UpstreamSignals;
+
     /// Returns the status of a response that the node itself makes.
     fn response_status(&self, outcome: Outcome, reason: Reason) -> u16;
 
