Keep the rate that an upstream names in its responses

Cause: nothing read the limit. All requests to an upstream pass the gate on its VM, so the gate is where the sum over all entries is known.

The gate now spreads the starts of runs by the limit, with bursts of a second's worth, whatever a start is for: first attempts, retries, trials and calls alike. What must wait too long is refused at once as rate-limited: not run, free of the retry budget, and no sign of ill health. Load reports say how long the gate takes nothing, so entries go elsewhere. A limit ends with the first response that does not name it.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -183,10 +183,14 @@
         reason: Reason,
         now: Instant,
     ) -> Vec<EntryAction> {
-        // A gate that is gone is no sign of overload, so such retries cannot cause a retry storm.
-        let is_gone = matches!(reason, Reason::Leaving | Reason::NoUpstream | Reason::Unreachable);
+        // A gate that is gone or keeps to the rate of its upstream is no sign of overload, so such
+        // retries cannot cause a retry storm.
+        let is_harmless = matches!(
+            reason,
+            Reason::Leaving | Reason::NoUpstream | Reason::RateLimited | Reason::Unreachable
+        );
         let seen_by_upstream = matches!(reason, Reason::Shed);
-        let is_free = is_gone || (active.limits.free_refusals && !seen_by_upstream);
+        let is_free = is_harmless || (active.limits.free_refusals && !seen_by_upstream);
         if self.may_retry(&active, now, !is_free) {
             self.dispatch(active, Some(reason))
         } else {
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -225,6 +225,10 @@
             let known = self.upstreams.values().any(|u| u.common().service == request.service);
             return Some(if known { Reason::Leaving } else { Reason::NoUpstream });
         }
+        let waits_for_rate = self.rate_wait(request, now);
+        if waits_for_rate > request.queue_timeout.min(request.remaining) {
+            return Some(Reason::RateLimited);
+        }
         if request.queue_timeout.is_zero() {
             return (!self.has_free_slot(&request.service, now)).then_some(Reason::QueueFull);
         }
@@ -236,7 +240,11 @@
     /// just started keeps some of its slots for requests that would have to wait elsewhere.
     fn has_free_slot(&self, service: &ServiceName, now: Instant) -> bool {
         let mut own = self.upstreams.values().filter(|u| u.common().service == *service);
-        own.any(|u| u.common().short_running + u.common().long_running < u.on_time_limit(now))
+        own.any(|u| {
+            let common = u.common();
+            let busy = common.short_running + common.long_running;
+            busy < u.on_time_limit(now) && common.rate.wait(now).is_zero()
+        })
     }
 
     fn refusal(&self, request: &SlotRequest, reason: Reason) -> GateAction {
@@ -253,7 +261,10 @@
                     break;
                 };
                 let queue = if long { &mut state.long_queue } else { &mut state.short_queue };
-                let Some(waiting) = queue.pop(now) else { break };
+                let is_limited =
+                    self.upstreams.get(&id).is_some_and(|u| u.common().rate.rate().is_some());
+                let next = if is_limited { queue.pop_first_to_expire() } else { queue.pop(now) };
+                let Some(waiting) = next else { break };
                 actions.extend(self.start(&waiting, &id, long, now));
             }
         }
@@ -275,6 +286,7 @@
         let common = self.upstreams.get_mut(id)?.common_mut();
         *(if long { &mut common.long_running } else { &mut common.short_running }) += 1;
         common.last_start = Some(now);
+        common.rate.record(now);
         let address = common.address;
         let running = Running {
             upstream: id.clone(),
@@ -298,6 +310,7 @@
             let common = upstream.common();
             let limit = upstream.limit(now);
             common.service == *service
+                && common.rate.wait(now).is_zero()
                 && common.short_running + common.long_running < limit
                 && (!long || common.long_running < long_limit(limit, common.slots, share))
         });
--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -16,6 +16,12 @@
         let queues = self.services.get(service);
         let queued = queues.map_or(0, |state| state.short_queue.len() + state.long_queue.len());
         load.queued = u32::try_from(queued).unwrap_or(u32::MAX);
+        let open = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.common().service == *service && upstream.limit(now) > 0);
+        let waits = open.map(|upstream| upstream.common().rate.wait_behind(load.queued, now));
+        load.rate_wait = waits.min().unwrap_or_default();
         load
     }
 
--- a/crates/core/src/gate/signals.rs
+++ b/crates/core/src/gate/signals.rs
@@ -10,23 +10,30 @@
         attempt: AttemptId,
         signals: UpstreamSignals,
     ) -> Vec<GateAction> {
+        let now = self.clock.now();
         let Some(running) = self.running.get(&attempt) else { return Vec::new() };
         let (id, generation) = (running.upstream.clone(), running.generation);
         let upstream = self.upstreams.get_mut(&id);
         let Some(upstream) = upstream.filter(|u| u.common().generation == generation) else {
             return Vec::new();
         };
-        let common = upstream.common_mut();
+        let limiter = &mut upstream.common_mut().rate;
+        let old = limiter.rate();
         let rate = match signals.rate {
             RateSignal::Unlimited => None,
             RateSignal::PerSecond(rate) => Some(rate),
             // The last limit that could be read stays.
-            RateSignal::Unreadable => common.rate_limit,
+            RateSignal::Unreadable => old,
         };
-        if common.rate_limit == rate {
+        limiter.set_rate(rate, now);
+        let rate = limiter.rate();
+        if rate == old {
             return Vec::new();
         }
-        common.rate_limit = rate;
-        vec![GateAction::ReportRateLimit { upstream: id, rate }]
+        let service = upstream.common().service.clone();
+        let mut actions = vec![GateAction::ReportRateLimit { upstream: id, rate }];
+        // A higher limit makes room for requests in the queue.
+        actions.extend(self.fill(&service));
+        actions
     }
 }
--- a/crates/core/src/gate/waiting.rs
+++ b/crates/core/src/gate/waiting.rs
@@ -33,6 +33,20 @@
         self.load(&request.service).mean_latency * ahead / slots.max(1)
     }
 
+    /// Returns how long a new request waits for the upstreams that limit the rate of their requests.
+    pub(super) fn rate_wait(&self, request: &SlotRequest, now: Instant) -> Duration {
+        let queues = self.services.get(&request.service);
+        // All count: a request that is admitted must not take the turn of one that waits.
+        let ahead = queues.map_or(0, |state| state.short_queue.len() + state.long_queue.len());
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let open = self.upstreams.values().filter(|upstream| {
+            upstream.common().service == request.service && upstream.limit(now) > 0
+        });
+        open.map(|upstream| upstream.common().rate.wait_behind(ahead, now))
+            .min()
+            .unwrap_or_default()
+    }
+
     pub(super) fn refuse_waiting(
         &mut self,
         waiting: &QueuedRequest,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod prelude;
 pub mod profile;
 pub mod queue;
+pub mod rate_limit;
 pub mod reason;
 pub mod request;
 pub mod rings;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -31,4 +31,6 @@
     pub evidence: f32,
     /// Gray failure probability of the best of the upstreams.
     pub gray_probability: f32,
+    /// Time until the upstreams that limit the rate of their requests take another one.
+    pub rate_wait: Duration,
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -75,6 +75,8 @@
     /// Requests that this entry dispatched and that are not in a load report yet.
     pub unreported: u32,
     reported_at: Option<Instant>,
+    // Time until which the gate takes no request, because of the rate that its upstream allows.
+    rate_limited_until: Option<Instant>,
     last_trial: Option<Instant>,
 }
 
@@ -89,6 +91,7 @@
             load: Load::default(),
             unreported: 0,
             reported_at: None,
+            rate_limited_until: None,
             last_trial: None,
         }
     }
@@ -122,17 +125,23 @@
             || self.gray_probability(now) > gray_failure::LIKELY_GRAY_PROBABILITY
     }
 
+    /// Returns how long the gate takes no request, because of the rate that its upstream allows.
+    pub fn rate_wait(&self, now: Instant) -> Duration {
+        self.rate_limited_until.map_or(Duration::ZERO, |end| end.saturating_duration_since(now))
+    }
+
     /// Estimates the wait for a slot; `None` when the last load report is too old.
     pub fn known_wait(&self, now: Instant) -> Option<Duration> {
+        let rate_wait = self.rate_wait(now);
         let is_fresh = self.reported_at.is_some_and(|time| now < time + MAX_REPORT_AGE);
         if !is_fresh {
-            return None;
+            return (!rate_wait.is_zero()).then_some(rate_wait);
         }
         let busy = self.load.busy + self.load.queued;
         let ahead = (busy + self.unreported + 1).saturating_sub(self.slots);
         let latency =
             if self.load.mean_latency.is_zero() { INITIAL_LATENCY } else { self.load.mean_latency };
-        Some(latency * ahead / self.slots.max(1))
+        Some((latency * ahead / self.slots.max(1)).max(rate_wait))
     }
 }
 
@@ -209,6 +218,7 @@
         let was_unhealthy = gate.is_unhealthy(now);
         gate.load = load;
         gate.reported_at = Some(now);
+        gate.rate_limited_until = (!load.rate_wait.is_zero()).then(|| now + load.rate_wait);
         if gate.is_unhealthy(now) != was_unhealthy {
             self.refreshed_at = None;
         }
@@ -301,8 +311,10 @@
     /// Selects a gate for a trial request, if one is due. The selection is random, since entries
     /// that followed an order would all select the same gate.
     pub fn take_trial(&mut self, now: Instant, rng: &mut impl Rng) -> Option<NodeId> {
-        let due =
-            |gate: &GateView| gate.last_trial.is_none_or(|time| now >= time + MIN_TRIAL_INTERVAL);
+        let due = |gate: &GateView| {
+            gate.rate_wait(now).is_zero()
+                && gate.last_trial.is_none_or(|time| now >= time + MIN_TRIAL_INTERVAL)
+        };
         let due = self.trials.iter().copied().filter(|i| due(&self.gates[*i]));
         let index = due.choose(rng)?;
         let gate = &mut self.gates[index];
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -80,6 +80,16 @@
         self.waiting.remove(place)
     }
 
+    /// Takes the request that leaves the queue first.
+    ///
+    /// In this order all requests start in time that were admitted when there was time for them
+    /// after all others.
+    pub fn pop_first_to_expire(&mut self) -> Option<QueuedRequest> {
+        let waiting = self.waiting.iter().enumerate();
+        let place = waiting.min_by_key(|(_, w)| w.expires_at).map(|(place, _)| place)?;
+        self.waiting.remove(place)
+    }
+
     /// Returns how many requests are at least as urgent as one that would join now. Priorities do
     /// not count: a lower one would hardly be admitted under overload. Late requests count, if they
     /// are no more patient, to keep the queue short under overload.
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -93,6 +93,8 @@
     PatienceSpent = "patience-spent", 503;
     /// The expected wait for a slot exceeds the time that the request may wait.
     QueueFull = "queue-full", 503;
+    /// The upstream limits the rate of its requests.
+    RateLimited = "rate-limited", 503;
     /// The upstream shed the request without running it.
     Shed = "shed", 503;
     /// The body exceeds the limit for callers.
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -266,15 +266,19 @@
     let gates = || indexes.iter().map(|index| pool.gate(*index));
     // For a request that may queue, a gate without a recent load report is assumed to have the mean
     // wait of the others.
+    let unlimited = gates().filter(|gate| gate.rate_wait(now).is_zero());
     let known_waits: Vec<f64> =
-        gates().filter_map(|gate| gate.known_wait(now)).map(seconds).collect();
+        unlimited.filter_map(|gate| gate.known_wait(now)).map(seconds).collect();
     let assumed_wait = match known_waits.len() {
         count if criteria.may_queue && count > 0 => known_waits.iter().sum::<f64>() / count as f64,
         _ => 0.0,
     };
     let cross_zone = CROSS_ZONE_COST_S + criteria.body_bytes as f64 * CROSS_ZONE_BYTE_COST_S;
     let cross_zone = cross_zone.min(MAX_CROSS_ZONE_COST_S);
-    let free = gates().filter(|gate| !criteria.excluded.contains(&gate.node));
+    let free = gates().filter(|gate| {
+        let takes_any = criteria.may_queue || gate.rate_wait(now).is_zero();
+        takes_any && !criteria.excluded.contains(&gate.node)
+    });
     let costs = free.map(|gate| {
         let cross_zone = if gate.same_zone { 0.0 } else { cross_zone };
         let unresponsiveness =
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -16,6 +16,7 @@
 use crate::lease::{Held, Lease};
 use crate::outlier::OutlierDetector;
 use crate::prelude::*;
+use crate::rate_limit::RateLimiter;
 
 /// Interval at which the open slots of a warming upstream double.
 pub const WARM_UP_STEP: Duration = Duration::from_millis(500);
@@ -63,8 +64,8 @@
     pub gray_failure: GrayFailureDetector,
     /// Whether it is likely in a gray failure.
     pub likely_gray: bool,
-    /// Requests per second that it takes, if it has named a limit.
-    pub rate_limit: Option<f64>,
+    /// Keeps the rate of its requests within the limit that it has named.
+    pub rate: RateLimiter,
     /// Time at which it last started a request.
     pub last_start: Option<Instant>,
     /// Start time of its lifetime.
@@ -115,7 +116,7 @@
             outlier: OutlierDetector::default(),
             gray_failure: GrayFailureDetector::new(now),
             likely_gray: false,
-            rate_limit: None,
+            rate: RateLimiter::default(),
             last_start: None,
             generation: announcement.generation,
             sequence: announcement.sequence,
--- a/crates/schema/src/convert/request.rs
+++ b/crates/schema/src/convert/request.rs
@@ -61,6 +61,7 @@
             condition: wire::Condition::from(load.condition).into(),
             evidence: load.evidence,
             doubt: load.gray_probability,
+            rate_wait_us: micros(load.rate_wait),
         }
     }
 }
@@ -75,6 +76,7 @@
             condition: load.condition().into(),
             evidence: load.evidence,
             gray_probability: load.doubt,
+            rate_wait: Duration::from_micros(load.rate_wait_us),
         }
     }
 }
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -83,6 +83,8 @@
     pub headers: Vec<(String, String)>,
     /// Length of the request body and sum of its bytes.
     pub body_digest: (u64, u64),
+    /// When the request arrived last.
+    pub arrived_at: Option<Instant>,
     /// When the client closed the connection while the request was running.
     pub closed_at: Option<Instant>,
 }
@@ -123,6 +125,7 @@
 #[derive(Debug)]
 struct State {
     mode: Mode,
+    response_headers: Vec<(&'static str, String)>,
     phase: &'static str,
     sequence: u64,
     acknowledged: u64,
@@ -147,6 +150,7 @@
         let listener = TcpListener::bind(settings.address)?;
         let state = StateHandle::start(State {
             mode: Mode::Healthy,
+            response_headers: Vec::new(),
             phase: "ready",
             sequence: 0,
             acknowledged: 0,
@@ -177,6 +181,16 @@
         self.state.ask(move |state| state.mode = mode)
     }
 
+    /// Sets headers that all further signed responses have.
+    ///
+    /// # Errors
+    ///
+    /// The upstream has stopped.
+    pub fn set_response_headers(&self, headers: &[(&'static str, &str)]) -> Result<(), Error> {
+        let headers = headers.iter().map(|(name, value)| (*name, (*value).to_owned())).collect();
+        self.state.ask(move |state| state.response_headers = headers)
+    }
+
     /// Reports `draining` in all further heartbeats, and waits until the node acknowledges one.
     ///
     /// # Errors
@@ -312,10 +326,11 @@
         state.ask(move |state| {
             let record = state.requests.entry(name).or_default();
             record.run_count += 1;
+            record.arrived_at = Some(Instant::now());
             record.headers = headers;
         })?;
         if mode == Mode::RespondsEarly {
-            respond_signed(&mut writer, settings, &id, 200)?;
+            respond_signed(&mut writer, settings, &id, 200, state)?;
         }
         let received = head.read_body(&mut reader, peer)?;
         let name = id.clone();
@@ -327,36 +342,41 @@
         match mode {
             Mode::Hangs => return hang(&mut writer, &id, state),
             Mode::Endless(part) => {
-                let headers = signed_headers(settings, &id);
+                let headers = signed_headers(settings, &id, state)?;
                 let headers: String =
                     headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
                 // Sending fails once the node has closed the connection.
                 let _ = part.send(&mut writer, &headers, &response_body(&id));
                 return record_close(&id, state);
             }
-            Mode::Errors => respond_signed(&mut writer, settings, &id, 500)?,
+            Mode::Errors => respond_signed(&mut writer, settings, &id, 500, state)?,
             Mode::ExtraResponse => {
-                respond_signed(&mut writer, settings, &id, 200)?;
-                respond_signed(&mut writer, settings, &id, 200)?;
+                respond_signed(&mut writer, settings, &id, 200, state)?;
+                respond_signed(&mut writer, settings, &id, 200, state)?;
             }
-            Mode::WrongRequestId => respond_signed(&mut writer, settings, "another", 200)?,
+            Mode::WrongRequestId => respond_signed(&mut writer, settings, "another", 200, state)?,
             Mode::Garbage => writer.write_all(b"\x00\x01 not an answer\r\n\r\n")?,
             Mode::Disconnects => return Ok(writer.shutdown(Shutdown::Both)?),
             Mode::Truncates => {
                 let body = response_body(&id);
-                write_head(&mut writer, 200, &signed_headers(settings, &id), Some(body.len()))?;
+                write_head(
+                    &mut writer,
+                    200,
+                    &signed_headers(settings, &id, state)?,
+                    Some(body.len()),
+                )?;
                 writer.write_all(&body.as_bytes()[..body.len() / 2])?;
                 return Ok(writer.shutdown(Shutdown::Both)?);
             }
             Mode::CloseDelimited => {
-                write_head(&mut writer, 200, &signed_headers(settings, &id), None)?;
+                write_head(&mut writer, 200, &signed_headers(settings, &id, state)?, None)?;
                 writer.write_all(response_body(&id).as_bytes())?;
                 return Ok(writer.shutdown(Shutdown::Write)?);
             }
             Mode::Unsigned => {
                 respond(&mut writer, 200, &[("Lavenderflow-Request-Id", &id)], "made up")?;
             }
-            _ => respond_signed(&mut writer, settings, &id, 200)?,
+            _ => respond_signed(&mut writer, settings, &id, 200, state)?,
         }
     }
     Ok(())
@@ -384,11 +404,16 @@
     state.ask(move |state| state.requests.entry(name).or_default().closed_at = closed_at)
 }
 
-fn signed_headers(settings: &Settings, id: &str) -> [(&'static str, String); 2] {
-    [
-        ("Lavenderflow-Request-Id", id.to_owned()),
-        ("Lavenderflow-Server-Signature", format!("signed-by-{}", settings.id)),
-    ]
+/// Returns the headers of a signed response.
+fn signed_headers(
+    settings: &Settings,
+    id: &str,
+    state: &StateHandle,
+) -> Result<Vec<(&'static str, String)>, Error> {
+    let mut headers = state.ask(|state| state.response_headers.clone())?;
+    headers.push(("Lavenderflow-Request-Id", id.to_owned()));
+    headers.push(("Lavenderflow-Server-Signature", format!("signed-by-{}", settings.id)));
+    Ok(headers)
 }
 
 fn respond_signed(
@@ -396,9 +421,10 @@
     settings: &Settings,
     id: &str,
     status: u16,
+    state: &StateHandle,
 ) -> Result<(), Error> {
     let body = response_body(id);
-    write_head(writer, status, &signed_headers(settings, id), Some(body.len()))?;
+    write_head(writer, status, &signed_headers(settings, id, state)?, Some(body.len()))?;
     Ok(writer.write_all(body.as_bytes())?)
 }
 
