Wait for the rate of an upstream only as long as the answer can be on time

Under a limit the queues of gates grew to 0.6 of the time of their requests, and answers came late or not at all although as many ran as with short queues.

Requests now wait for the rate for at most half of their target latency.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -10,7 +10,7 @@
 mod signals;
 mod waiting;
 
-use self::waiting::{expiry_reason, queued_request};
+use self::waiting::{expiry_reason, longest_rate_wait, queued_request};
 pub use crate::admission::{
     GateAction, RateSignal, RunResult, ServiceOffer, SlotRequest, UpstreamSignals,
 };
@@ -225,8 +225,7 @@
             let known = self.upstreams.values().any(|u| u.common().service == request.service);
             return Some(if known { Reason::Leaving } else { Reason::NoUpstream });
         }
-        let waits_for_rate = self.rate_wait(request, now);
-        if waits_for_rate > request.queue_timeout.min(request.remaining) {
+        if self.rate_wait(request, now) > longest_rate_wait(request) {
             return Some(Reason::RateLimited);
         }
         if request.queue_timeout.is_zero() {
--- a/crates/core/src/gate/waiting.rs
+++ b/crates/core/src/gate/waiting.rs
@@ -66,6 +66,13 @@
     }
 }
 
+/// Returns how long a request may wait for the rate of an upstream. The rate is the same however many
+/// wait, so longer queues would only make all responses late.
+pub(super) fn longest_rate_wait(request: &SlotRequest) -> Duration {
+    let on_time = request.target_latency.map(|target| target.mul_f64(TARGET_QUEUE_SHARE));
+    request.queue_timeout.min(request.remaining).min(on_time.unwrap_or(Duration::MAX))
+}
+
 /// Returns the place in the queue of a request that joins it now.
 pub(super) fn queued_request(request: &SlotRequest, now: Instant) -> QueuedRequest {
     let deadline = now + request.remaining;
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -259,3 +259,17 @@
     assert_eq!(pick(false, now + rate_wait * 9 / 10), None);
     assert_eq!(pick(false, now + rate_wait), Some(1));
 }
+
+#[test]
+fn a_request_that_would_wait_too_long_for_the_rate_to_be_on_time_is_refused_at_once() {
+    let clock = clock();
+    let mut gate = limited_gate(&clock, 4, 1.0);
+    assert!(is_started(&gate.submit(request(1, Duration::ZERO)), 1));
+    let patient = Duration::from_secs(2);
+    let with_target = |serial, millis| SlotRequest {
+        target_latency: Some(Duration::from_millis(millis)),
+        ..request(serial, patient)
+    };
+    assert_eq!(refusal(&gate.submit(with_target(2, 1200))), Some(Reason::RateLimited));
+    assert_eq!(gate.submit(with_target(3, 2400)), []);
+}
