Give an upstream no further work once a response says that it is leaving

The gate ends its lifetime at the first such response and withdraws its offer; later heartbeats of the same lifetime do not bring it back.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -118,6 +118,11 @@
         /// Requests per second; `None` without a limit.
         rate: Option<f64>,
     },
+    /// Log that an upstream has said in a response that it is leaving.
+    ReportLeaving {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// Log that an upstream has become likely gray, or is so no longer. Entries learn it from load
     /// reports.
     ReportGray {
--- a/crates/core/src/gate/signals.rs
+++ b/crates/core/src/gate/signals.rs
@@ -2,6 +2,7 @@
 
 use super::{Gate, GateAction, RateSignal, UpstreamSignals};
 use crate::prelude::*;
+use crate::upstream::AnyUpstream;
 
 impl Gate {
     /// Applies what the response to an attempt says about its upstream.
@@ -17,23 +18,41 @@
         let Some(upstream) = upstream.filter(|u| u.common().generation == generation) else {
             return Vec::new();
         };
+        let service = upstream.common().service.clone();
+        let mut actions = Vec::new();
         let limiter = &mut upstream.common_mut().rate;
         let old = limiter.rate();
-        let rate = match signals.rate {
-            RateSignal::Unlimited => None,
-            RateSignal::PerSecond(rate) => Some(rate),
+        match signals.rate {
+            RateSignal::Unlimited => limiter.set_rate(None, now),
+            RateSignal::PerSecond(rate) => limiter.set_rate(Some(rate), now),
             // The last limit that could be read stays.
-            RateSignal::Unreadable => old,
-        };
-        limiter.set_rate(rate, now);
+            RateSignal::Unreadable => {}
+        }
         let rate = limiter.rate();
-        if rate == old {
+        if rate != old {
+            actions.push(GateAction::ReportRateLimit { upstream: id.clone(), rate });
+        }
+        if signals.leaving {
+            actions.extend(self.retire(&id));
+        }
+        if rate != old {
+            // A higher limit makes room for requests in the queue.
+            actions.extend(self.fill(&service));
+        }
+        actions
+    }
+
+    /// Gives an upstream that is leaving no further work.
+    fn retire(&mut self, id: &UpstreamId) -> Vec<GateAction> {
+        let is_leaving = |upstream: &AnyUpstream| matches!(upstream, AnyUpstream::Leaving(_));
+        if self.upstreams.get(id).is_none_or(is_leaving) {
             return Vec::new();
         }
-        let service = upstream.common().service.clone();
-        let mut actions = vec![GateAction::ReportRateLimit { upstream: id, rate }];
-        // A higher limit makes room for requests in the queue.
-        actions.extend(self.fill(&service));
+        if let Some(upstream) = self.upstreams.swap_remove(id) {
+            self.upstreams.insert(id.clone(), upstream.retire());
+        }
+        let mut actions = vec![GateAction::ReportLeaving { upstream: id.clone() }];
+        actions.extend(self.publish());
         actions
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -91,6 +91,12 @@
         self.outlier.condition()
     }
 
+    /// Ends the lifetime, unless the upstream announces neither a generation nor a sequence: such an
+    /// upstream may serve again.
+    fn end_if_ordered(&mut self) {
+        self.ended = self.generation != 0 || self.sequence != 0;
+    }
+
     /// Returns the lifetime if the upstream ended it itself or a later lifetime superseded it.
     pub fn final_lifetime(&self) -> Option<Lifetime> {
         self.ended.then_some(Lifetime { generation: self.generation, sequence: self.sequence })
@@ -215,6 +221,14 @@
         self.leave()
     }
 
+    /// Applies the upstream's word in a response that it is leaving. Its announcements of this
+    /// lifetime do not bring it back.
+    #[must_use]
+    pub fn retire(mut self) -> Self {
+        self.common_mut().end_if_ordered();
+        self.leave()
+    }
+
     /// Returns whether an announcement belongs to a later lifetime.
     pub fn is_superseded_by(&self, announcement: &Announcement) -> bool {
         announcement.generation > self.common().generation
@@ -306,9 +320,7 @@
     fn advance(mut self, announcement: &Announcement, now: Instant) -> Self {
         let phase = announcement.phase;
         if matches!(phase, AnnouncedPhase::Leaving | AnnouncedPhase::Deregistered) {
-            // An upstream that announces neither a generation nor a sequence may serve again.
-            let common = self.common_mut();
-            common.ended = common.generation != 0 || common.sequence != 0;
+            self.common_mut().end_if_ordered();
         }
         match (self, phase) {
             (Self::Announced(upstream), AnnouncedPhase::Serving) => {
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -269,6 +269,7 @@
                 GateAction::Abandon { .. }
                 | GateAction::Publish
                 | GateAction::ReportGray { .. }
+                | GateAction::ReportLeaving { .. }
                 | GateAction::ReportRateLimit { .. } => {}
             }
         }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -461,7 +461,9 @@
                     self.schedule(NETWORK_DELAY, Event::Stuck(entry, request, attempt));
                 }
                 GateAction::Publish => self.publish(gate),
-                GateAction::ReportGray { .. } | GateAction::ReportRateLimit { .. } => {}
+                GateAction::ReportGray { .. }
+                | GateAction::ReportLeaving { .. }
+                | GateAction::ReportRateLimit { .. } => {}
             }
         }
     }
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -146,6 +146,9 @@
                 GateAction::ReportRateLimit { upstream, rate } => {
                     log::info!("event=rate-limit upstream={upstream} per_second={rate:?}");
                 }
+                GateAction::ReportLeaving { upstream } => {
+                    log::info!("event=upstream-leaving upstream={upstream}");
+                }
                 GateAction::ReportGray { upstream, likely_gray, probability } => {
                     log::info!(
                         "event=gray-failure upstream={upstream} likely={likely_gray} \
--- a/crates/lavenderflow/tests/limit.rs
+++ b/crates/lavenderflow/tests/limit.rs
@@ -36,3 +36,26 @@
     assert!(arrivals <= MAX_ARRIVALS, "{arrivals} requests, allowed are {MAX_ARRIVALS}");
     assert!(arrivals >= LIMIT as usize, "{arrivals} requests: the limit is not used");
 }
+
+#[test]
+fn an_upstream_that_says_in_a_response_that_it_leaves_gets_no_further_work() {
+    let deployment = Deployment::start(3);
+    let leaving = &deployment.upstreams[0];
+    leaving.set_response_headers(&[("Server-Leaving", "1")]).expect("an upstream");
+    let call = |index: usize, prefix: &str| {
+        let path = if index.is_multiple_of(2) { "/read/a" } else { "/write/a" };
+        let method = if index.is_multiple_of(2) { "GET" } else { "POST" };
+        deployment.call(index % 3, method, path, &format!("{prefix}{index}")).expect("a response")
+    };
+    let is_leaving = |index| call(index, "before").header("server-leaving") == "1";
+    assert!((0..200).any(is_leaving), "the leaving upstream answers");
+    let before = leaving.run_count().expect("a count");
+    // Its heartbeats still say that it is ready.
+    let end = Instant::now() + Duration::from_secs(1);
+    let mut index = 0;
+    while Instant::now() < end {
+        assert_eq!(call(index, "after").status, 200);
+        index += 1;
+    }
+    assert_eq!(leaving.run_count().expect("a count"), before);
+}
