--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -24,6 +24,8 @@
 const MAX_IDLE_CONNECTIONS: usize = 16;
 /// Idle time of a connection when the upstream does not announce one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(5);
+/// Longest idle time of a connection, whatever the upstream announces.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3600);
 /// Time before the announced end of a connection from which it is no longer used, so that a request
 /// does not race with the upstream's close.
 const IDLE_MARGIN: Duration = Duration::from_millis(1500);
@@ -103,7 +105,7 @@
         let mut parts = value.split(',').filter_map(|part| part.trim().split_once('='));
         parts.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?.1.parse().ok()
     });
-    seconds.map_or(DEFAULT_IDLE_TIME, Duration::from_secs)
+    seconds.map_or(DEFAULT_IDLE_TIME, Duration::from_secs).min(MAX_IDLE_TIME)
 }
 
 /// Idle connections by address, the most recently used last.
