Do not block an upstream whose limit falls after a burst

The requests of a burst at a high rate counted in full at the new one: 50 of them kept an upstream with a new limit of 0.5 a second idle for 100 s. At most one burst at the new rate counts now.

rate_limit.rs failed before (100 s).

--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -64,10 +64,12 @@
             self.limit = None;
             return;
         };
-        // Requests beyond the old rate count at the new one too.
+        // Requests beyond the old rate count at the new one too, but those of a burst at a high rate
+        // must not block an upstream whose limit falls.
         let unpaid = self.limit.as_ref().map_or(0.0, |old| {
             old.paid_until.saturating_duration_since(now).as_secs_f64() * old.rate
         });
+        let unpaid = unpaid.min((rate * BURST_TIME.as_secs_f64()).max(1.0));
         let paid_until = now + Duration::from_secs_f64(unpaid / rate);
         self.limit = Some(Limit { rate, paid_until });
     }
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -119,6 +119,18 @@
     }
 }
 
+#[test]
+fn a_limit_that_falls_after_a_burst_does_not_block_the_upstream() {
+    let now = Instant::now();
+    let mut limiter = RateLimiter::default();
+    limiter.set_rate(Some(50.0), now);
+    while limiter.wait(now).is_zero() {
+        limiter.record(now);
+    }
+    limiter.set_rate(Some(0.5), now);
+    assert!(limiter.wait(now) <= Duration::from_secs(2), "{:?}", limiter.wait(now));
+}
+
 #[test]
 fn a_limited_upstream_gets_its_limit_and_no_more_under_pressure() {
     for rate in [0.4, 1.0, 2.7, 8.0] {
