Never set the timer of the configuration check into the past

In release builds the timer would have been set to a time that never comes, and the node would have stopped checking its configuration.

Cause: a read that was overdue while another message arrived moved the timer to a time before the queue's own. The time to the next read is now never zero. freshness.rs has the case.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -13,6 +13,9 @@
 /// Most times that the interval between two reads is doubled while none succeeds.
 const MAX_DOUBLINGS: u32 = 2;
 
+/// Shortest time for which a timer is set.
+const MIN_TIMER: Duration = Duration::from_millis(1);
+
 /// Age of the last read of a source, by any node, as a peer reports it.
 pub type Confirmation = (SourceName, Duration);
 
@@ -101,9 +104,11 @@
         Some(now.saturating_duration_since(confirmed_at))
     }
 
-    /// Returns when the next source is to be read if nothing confirms it until then.
-    pub fn next_due(&self) -> Option<Instant> {
-        self.sources.values().map(|source| source.next_read).min()
+    /// Returns the time until the next source is to be read if nothing confirms it; never zero, so
+    /// that it can be set as a timer also when a read is overdue.
+    pub fn time_to_read(&self, now: Instant) -> Option<Duration> {
+        let next = self.sources.values().map(|source| source.next_read).min()?;
+        Some(next.saturating_duration_since(now).max(MIN_TIMER))
     }
 
     /// Returns the sources that this node is to read now.
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -135,3 +135,14 @@
     assert_eq!(freshness.age(SOURCE, now), Some(Duration::ZERO));
     assert_eq!(freshness.confirmations(now), [(SOURCE.into(), Duration::ZERO)]);
 }
+
+#[test]
+fn an_overdue_read_is_due_after_a_time_that_a_timer_accepts() {
+    let start = Instant::now();
+    let mut freshness = Freshness::new([(SOURCE.into(), MAX_AGE)], 0.0, start);
+    assert_eq!(freshness.time_to_read(start), Some(MAX_AGE));
+    let late = start + MAX_AGE * 3;
+    assert!(freshness.time_to_read(late).is_some_and(|time| !time.is_zero()));
+    assert_eq!(freshness.take_due(late).len(), 1);
+    assert_eq!(freshness.time_to_read(late), Some(MAX_AGE));
+}
--- a/crates/lavenderflow/src/actor/fleet/freshness.rs
+++ b/crates/lavenderflow/src/actor/fleet/freshness.rs
@@ -56,8 +56,9 @@
 
     /// Schedules the next check, unless an earlier one is already scheduled.
     pub(super) fn schedule_check(&mut self, cx: CX![]) {
-        if let Some(due) = self.freshness.next_due() {
-            timer_min!(&mut self.freshness_timer, due, [cx], check_freshness());
+        let now = cx.now();
+        if let Some(time) = self.freshness.time_to_read(now) {
+            timer_min!(&mut self.freshness_timer, now + time, [cx], check_freshness());
         }
     }
 
