Name entries of the store that another writer encoded wrongly

Such entries were left out without a word. The watcher and the registration now log their keys; the others are used as before. platform/tests/store.rs has the case.

--- a/crates/lavenderflow/src/store/registration.rs
+++ b/crates/lavenderflow/src/store/registration.rs
@@ -195,6 +195,9 @@
     fn search(&self, consistency: Consistency) -> Result<(), StoreError> {
         let listing = self.setup.store.list(NODE_KEY_PREFIX, consistency)?;
         let mut peers = Vec::new();
+        for key in &listing.unreadable {
+            log::warn!("event=entry-rejected key={key} fault=encoding");
+        }
         for entry in &listing.entries {
             match entry.value.parse() {
                 Ok(peer) => peers.push(peer),
--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -226,6 +226,11 @@
         }
         self.last_revision = Some(changes.revision);
         self.has_changed = !changes.entries.is_empty();
+        for key in &changes.unreadable {
+            log::warn!("event=value-rejected key={key} fault=encoding");
+            let count = Counter::Fault(Fault::Configuration);
+            self.setup.mailbox.send_blocking(Message::Count(count));
+        }
         if changes.entries.is_empty() && !is_all {
             return;
         }
