Believe a refusal only for the request that it names

Cause: a refusal without a request id was taken for the request at hand, and one with the id too, where the request had been refused on the same connection before and was sent there again.

A refusal that names no request is now believed only as the first response of a connection, and a connection that has carried a refusal does not carry the same request again.

faulty_upstream.rs failed before: request f0 ran and was answered as not run. Its second test, of responses that are cut in their heads, passed before and after: callers get 502, never a success.

--- a/crates/lavenderflow/src/http/native.rs
+++ b/crates/lavenderflow/src/http/native.rs
@@ -43,12 +43,13 @@
 
     fn classify_response(
         &self,
-        _: &str,
+        id: &str,
         status: u16,
         headers: &[(String, String)],
     ) -> ResponseClass {
         if status == 503 && find_header(headers, header::OUTCOME) == Some("not-run") {
-            ResponseClass::NotRun(Reason::Shed)
+            let is_named = find_header(headers, header::REQUEST_ID) == Some(id);
+            ResponseClass::NotRun { reason: Reason::Shed, is_named }
         } else {
             ResponseClass::Answer
         }
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -99,7 +99,7 @@
             tokio::select! {
                 call = call_receiver.recv() => {
                     let Some(call) = call else { return };
-                    let pooled = pool.take(call.address, call.idempotent);
+                    let pooled = pool.take(&call);
                     let clock = Arc::clone(&clock);
                     let task = CallTask {
                         clock,
@@ -213,13 +213,17 @@
         let (status, headers) = (parts.status.as_u16(), header::text_headers(&parts.headers));
         match self.dialect.classify_response(&call.id, status, &headers) {
             ResponseClass::Answer => {}
-            ResponseClass::NotRun(reason) => {
+            ResponseClass::NotRun { is_named: false, .. } if connection.is_reused() => {
+                return Err(CallFailure::Foreign);
+            }
+            ResponseClass::NotRun { reason, .. } => {
                 // Another refusal may come from another upstream at the same address.
                 if reason == Reason::Shed {
                     send(call, CallEvent::Signals(self.dialect.parse_signals(&headers))).await?;
                 }
                 // The connection can be reused when the refusal was read completely.
                 if drain(incoming, deadline).await {
+                    connection.refused = Some(call.id.clone());
                     self.return_connection(connection, &headers).await;
                 }
                 return Err(CallFailure::Refused(reason));
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -12,9 +12,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
-use super::CallFailure;
 use super::body::CallBody;
 use super::read_limit::{self, Progress};
+use super::{Call, CallFailure};
 use crate::http::header;
 use crate::prelude::{Duration, IndexMap};
 
@@ -42,7 +42,11 @@
     progress: Progress,
     /// How long the connection may stay idle; zero when it must not be reused.
     pub(super) idle_time: Duration,
+    /// Id of the last request that was refused on this connection. The refusal may be sent again, so
+    /// the connection must not carry that request once more.
+    pub(super) refused: Option<String>,
     idle_since: Instant,
+    is_reused: bool,
 }
 
 impl Drop for PooledConnection {
@@ -64,6 +68,11 @@
         response
     }
 
+    /// Returns whether the connection has carried an earlier request.
+    pub(super) fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Records that a part of the response body has arrived.
     pub(super) fn record_progress(&self) {
         self.progress.record();
@@ -91,7 +100,16 @@
     });
     let (idle_time, idle_since) = (Duration::ZERO, Instant::now());
     let driver = driver.abort_handle();
-    Ok(PooledConnection { address, sender, driver, progress, idle_time, idle_since })
+    Ok(PooledConnection {
+        address,
+        sender,
+        driver,
+        progress,
+        idle_time,
+        refused: None,
+        idle_since,
+        is_reused: false,
+    })
 }
 
 /// Returns how long the upstream keeps a connection after a response with these headers.
@@ -115,19 +133,17 @@
 }
 
 impl ConnectionPool {
-    /// Takes the most recently used connection, if it may still be used.
-    pub(super) fn take(
-        &mut self,
-        address: SocketAddr,
-        idempotent: bool,
-    ) -> Option<PooledConnection> {
+    /// Takes the most recently used connection that may carry a call.
+    pub(super) fn take(&mut self, call: &Call) -> Option<PooledConnection> {
         let now = Instant::now();
         self.expire(now);
-        let idle = self.idle.get_mut(&address)?;
-        let latest = idle.last()?;
-        (idempotent || now < latest.idle_since + MAX_NON_IDEMPOTENT_IDLE)
-            .then(|| idle.pop())
-            .flatten()
+        let idle = self.idle.get_mut(&call.address)?;
+        let may_carry = |connection: &PooledConnection| {
+            let is_recent = now < connection.idle_since + MAX_NON_IDEMPOTENT_IDLE;
+            (call.idempotent || is_recent) && connection.refused.as_ref() != Some(&call.id)
+        };
+        let place = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(place))
     }
 
     /// Adds a connection after its response has ended.
@@ -135,6 +151,7 @@
         let now = Instant::now();
         self.expire(now);
         connection.idle_since = now;
+        connection.is_reused = true;
         let idle = self.idle.entry(connection.address).or_default();
         if idle.len() < MAX_IDLE_CONNECTIONS && is_usable(&connection, now) {
             idle.push(connection);
--- a/crates/schema/src/dialect.rs
+++ b/crates/schema/src/dialect.rs
@@ -86,7 +86,13 @@
     /// The request ran, and this is its response.
     Answer,
     /// The request did not run and will not run.
-    NotRun(Reason),
+    NotRun {
+        /// Reason for the refusal.
+        reason: Reason,
+        /// Whether the response names the request. If it does not, it may repeat the refusal of an
+        /// earlier request on the same connection.
+        is_named: bool,
+    },
     /// The response does not verifiably belong to the request, which may have run.
     Foreign,
 }
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -45,6 +45,14 @@
     Disconnects,
     /// Refuses requests with status 503, marked as not executed.
     Sheds,
+    /// Refuses the first request of each connection, runs the others, and sends the refusal once
+    /// more before each of their responses.
+    RepeatsRefusal {
+        /// Whether refusals name their request.
+        named: bool,
+    },
+    /// Closes the connection in the middle of the response head.
+    TruncatesHead,
     /// Closes the connection in the middle of the response body.
     Truncates,
     /// Responds without a content length and closes the connection after the body.
@@ -309,6 +317,8 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
+    // The first refusal, by the mode that repeats it.
+    let mut refusal: Option<Vec<(&str, String)>> = None;
     while let Some(head) = RequestHead::read(&mut reader, peer)? {
         let id = head.header("lavenderflow-request-id").unwrap_or_default().to_owned();
         if head.header("lavenderflow-expect-instance") != Some(&settings.id) {
@@ -319,7 +329,16 @@
         let mode = state.ask(|state| state.mode)?;
         if mode == Mode::Sheds {
             head.read_body(&mut reader, peer)?;
-            respond(&mut writer, 503, &[("Lavenderflow-Not-Executed", "1")], "")?;
+            write_head(&mut writer, 503, &refusal_headers(Some(&id)), Some(0))?;
+            continue;
+        }
+        if let Mode::RepeatsRefusal { named } = mode
+            && refusal.is_none()
+        {
+            head.read_body(&mut reader, peer)?;
+            let headers = refusal_headers(named.then_some(&*id));
+            write_head(&mut writer, 503, &headers, Some(0))?;
+            refusal = Some(headers);
             continue;
         }
         let (name, headers) = (id.clone(), head.headers.clone());
@@ -357,6 +376,23 @@
             Mode::WrongRequestId => respond_signed(&mut writer, settings, "another", 200, state)?,
             Mode::Garbage => writer.write_all(b"\x00\x01 not an answer\r\n\r\n")?,
             Mode::Disconnects => return Ok(writer.shutdown(Shutdown::Both)?),
+            Mode::RepeatsRefusal { .. } => {
+                if let Some(headers) = &refusal {
+                    write_head(&mut writer, 503, headers, Some(0))?;
+                }
+                respond_signed(&mut writer, settings, &id, 200, state)?;
+            }
+            Mode::TruncatesHead => {
+                let mut head = Vec::new();
+                let body = response_body(&id);
+                let headers = signed_headers(settings, &id, state)?;
+                write_head(&mut head, 200, &headers, Some(body.len()))?;
+                // Each request is cut at another place, the last ones within the final empty line.
+                let runs = state.ask(|state| state.requests.len())?;
+                let length = head.len() - 1 - runs * 5 % (head.len() - 1);
+                writer.write_all(&head[..length])?;
+                return Ok(writer.shutdown(Shutdown::Both)?);
+            }
             Mode::Truncates => {
                 let body = response_body(&id);
                 write_head(
@@ -439,8 +475,14 @@
     Ok(writer.write_all(body.as_bytes())?)
 }
 
+/// Returns the headers of a refusal.
+fn refusal_headers(id: Option<&str>) -> Vec<(&'static str, String)> {
+    let id = id.map(|id| ("Lavenderflow-Request-Id", id.to_owned()));
+    std::iter::once(("Lavenderflow-Not-Executed", "1".to_owned())).chain(id).collect()
+}
+
 fn write_head(
-    writer: &mut TcpStream,
+    writer: &mut impl Write,
     status: u16,
     headers: &[(&str, String)],
     length: Option<usize>,
