Count what was sent before a limit was known as one burst

A gate that restarts starts up to all slots before the first response tells it the limit, and then one more burst: for limits below 0.5 a second that could exceed the allowance.

--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -41,9 +41,12 @@
 /// let now = Instant::now();
 /// let mut limiter = RateLimiter::default();
 /// limiter.set_rate(Some(0.5), now);
-/// assert!(limiter.wait(now).is_zero());
-/// limiter.record(now);
+/// // The requests before the limit count as one burst.
 /// assert_eq!(limiter.wait(now), Duration::from_secs(2));
+/// let next = now + Duration::from_secs(2);
+/// assert!(limiter.wait(next).is_zero());
+/// limiter.record(next);
+/// assert_eq!(limiter.wait(next), Duration::from_secs(2));
 /// limiter.set_rate(None, now);
 /// assert!(limiter.wait(now).is_zero());
 /// ```
@@ -64,12 +67,14 @@
             self.limit = None;
             return;
         };
-        // Requests beyond the old rate count at the new one too, but those of a burst at a high rate
-        // must not block an upstream whose limit falls.
-        let unpaid = self.limit.as_ref().map_or(0.0, |old| {
+        // Requests that were sent before count too, but no more than one burst, which must not block
+        // an upstream whose limit falls. How many were sent without a limit is not known: the node
+        // may have restarted.
+        let burst = (rate * BURST_TIME.as_secs_f64()).max(1.0);
+        let unpaid = self.limit.as_ref().map_or(burst, |old| {
             old.paid_until.saturating_duration_since(now).as_secs_f64() * old.rate
         });
-        let unpaid = unpaid.min((rate * BURST_TIME.as_secs_f64()).max(1.0));
+        let unpaid = unpaid.min(burst);
         let paid_until = now + Duration::from_secs_f64(unpaid / rate);
         self.limit = Some(Limit { rate, paid_until });
     }
