Refuse requests that wait at an upstream that leaves

Requests in the queue of a gate stayed there until their time in the queue was over when the last upstream of their service left, although none of them could be served there.

They are refused at once as leaving, which is not run and free of the retry budget, so their entries look elsewhere while there is time. leaving.rs failed before, for a response and for an announcement that says so.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -175,6 +175,7 @@
         actions.extend(self.update_likely_gray(now));
         self.remove_drained();
         actions.extend(self.expire(now));
+        actions.extend(self.refuse_waits_without_upstream(now));
         actions.extend(self.refuse_waits_on_gray(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
--- a/crates/core/src/gate/signals.rs
+++ b/crates/core/src/gate/signals.rs
@@ -34,6 +34,7 @@
         }
         if signals.leaving {
             actions.extend(self.retire(&id));
+            actions.extend(self.refuse_waits_without_upstream(now));
         }
         if rate != old {
             // A higher limit makes room for requests in the queue.
--- a/crates/core/src/gate/waiting.rs
+++ b/crates/core/src/gate/waiting.rs
@@ -56,6 +56,20 @@
         Some(self.refusal(&request, reason))
     }
 
+    /// Refuses the requests that wait for a service whose upstreams have all left.
+    pub(super) fn refuse_waits_without_upstream(&mut self, now: Instant) -> Vec<GateAction> {
+        let upstreams = &self.upstreams;
+        let is_open = |service: &ServiceName| {
+            upstreams.values().any(|u| u.common().service == *service && u.limit(now) > 0)
+        };
+        let left = self.services.iter_mut().filter(|(service, _)| !is_open(service));
+        let waiting: Vec<QueuedRequest> = left
+            .flat_map(|(_, state)| [state.short_queue.clear(), state.long_queue.clear()])
+            .flatten()
+            .collect();
+        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
+    }
+
     pub(super) fn expire(&mut self, now: Instant) -> Vec<GateAction> {
         let queues = self.services.values_mut();
         let expired: Vec<QueuedRequest> = queues
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -6,6 +6,7 @@
 
 use lavenderflow_core::gate::{GateAction, RateSignal, SlotRequest, UpstreamSignals};
 use lavenderflow_core::reason::Reason;
+use lavenderflow_core::upstream::AnnouncedPhase;
 use support::{announcement, attempt, clock, gate, service};
 
 const INCARNATION: u64 = 1;
@@ -59,3 +60,25 @@
     gate.announce(&heartbeat);
     assert!(is_started(&gate.submit(request(3))), "a later lifetime serves");
 }
+
+#[test]
+fn requests_that_wait_at_an_upstream_that_leaves_are_refused_at_once() {
+    for says_so_in_response in [true, false] {
+        let clock = clock();
+        let mut gate = gate(INCARNATION, &clock, 1);
+        assert!(is_started(&gate.submit(request(1))));
+        assert_eq!(gate.submit(request(2)), []);
+        let actions = if says_so_in_response {
+            gate.observe_signals(attempt(1), LEAVING)
+        } else {
+            let mut leaving = announcement("upstream", 1);
+            leaving.phase = AnnouncedPhase::Leaving;
+            gate.announce(&leaving)
+        };
+        let refused = actions.iter().find_map(|action| match action {
+            GateAction::Refuse { attempt, reason, .. } => Some((*attempt, *reason)),
+            _ => None,
+        });
+        assert_eq!(refused, Some((attempt(2), Reason::Leaving)));
+    }
+}
