--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -1,6 +1,8 @@
 //! The actor that owns the gate and the channels to the attempts that wait for its decision.
 
-use lavenderflow_core::gate::{Gate, GateAction, RunResult, ServiceOffer};
+use lavenderflow_core::gate::{
+    Gate, GateAction, RateSignal, RunResult, ServiceOffer, UpstreamSignals,
+};
 use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
 use tokio::sync::oneshot;
 
@@ -57,9 +59,9 @@
             }
             GateMessage::ResponseStarted(attempt, signals) => {
                 self.gate.response_started(attempt);
-                self.gate.observe_signals(attempt, signals)
+                self.observe_signals(attempt, signals)
             }
-            GateMessage::Signals(attempt, signals) => self.gate.observe_signals(attempt, signals),
+            GateMessage::Signals(attempt, signals) => self.observe_signals(attempt, signals),
             GateMessage::Finish(attempt, result, reply) => {
                 self.running.swap_remove(&attempt);
                 let (load, actions) = self.gate.finish(attempt, result);
@@ -110,6 +112,14 @@
         call!([counters], status(status, reply));
     }
 
+    fn observe_signals(&mut self, attempt: AttemptId, signals: UpstreamSignals) -> Vec<GateAction> {
+        if signals.rate == RateSignal::Unreadable {
+            let AttemptId { node, serial, .. } = attempt;
+            log::warn!("event=rate-limit-rejected entry={node:x} attempt={serial:x}");
+        }
+        self.gate.observe_signals(attempt, signals)
+    }
+
     fn tick(&mut self, cx: CX![]) {
         let actions = self.gate.tick();
         self.execute(actions);
--- a/crates/lavenderflow/tests/limit.rs
+++ b/crates/lavenderflow/tests/limit.rs
@@ -5,6 +5,9 @@
 use std::time::{Duration, Instant};
 
 use common::deployment::Deployment;
+use lavenderflow::http::native::NativeDialect;
+use lavenderflow_core::gate::{RateSignal, UpstreamSignals};
+use lavenderflow_schema::dialect::Dialect;
 
 /// Requests per second that the limited upstream takes.
 const LIMIT: u32 = 2;
@@ -59,3 +62,12 @@
     }
     assert_eq!(leaving.run_count().expect("a count"), before);
 }
+
+#[test]
+fn upstreams_of_native_nodes_ask_for_relief_with_headers_of_their_own() {
+    let headers = [("Lavenderflow-Rate-Limit", "2.5"), ("lavenderflow-leaving", "1")];
+    let headers: Vec<_> = headers.map(|(n, v)| (n.to_owned(), v.to_owned())).to_vec();
+    let signals = NativeDialect.parse_signals(&headers);
+    assert_eq!(signals, UpstreamSignals { rate: RateSignal::PerSecond(2.5), leaving: true });
+    assert_eq!(NativeDialect.parse_signals(&[]), UpstreamSignals::default());
+}
