Do not confirm the configuration from a store that must be read again

A watch whose response shows an older store than before, after a restore from a backup, counted as a confirmation although the entries had not been read anew.

--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -196,14 +196,14 @@
     }
 
     /// Reads all entries, or waits for changes. Returns a time at which the source contained
-    /// nothing newer; `None` if there was nothing to do.
+    /// nothing newer; `None` if there was nothing to do, or if all entries must be read again.
     fn step(&mut self, is_single_read: bool) -> Result<Option<Instant>, StoreError> {
         let source = self.setup.source;
         let started = self.setup.clock.now();
         if is_single_read || self.must_read() {
             let listing = self.setup.store.list(source.prefix, Consistency::Linearizable)?;
             self.publish(&listing, true);
-            return Ok(Some(started));
+            return Ok(self.last_revision.map(|_| started));
         }
         let Some(after) = self.last_revision.filter(|_| self.is_delegate) else {
             return Ok(None);
@@ -214,7 +214,8 @@
         self.publish(&changes, false);
         // The response may have been on its way for any time since the end of the wait.
         let is_full_wait = changes.entries.is_empty() && self.setup.clock.now() >= started + wait;
-        Ok(Some(if is_full_wait { started + wait } else { started }))
+        let time = if is_full_wait { started + wait } else { started };
+        Ok(self.last_revision.map(|_| time))
     }
 
     fn publish(&mut self, changes: &Changes, is_all: bool) {
