--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -101,7 +101,9 @@
     /// retry at the same time.
     fn retry_after(&mut self, reason: Reason) -> Duration {
         let base = match reason {
-            Reason::QueueFull | Reason::PatienceSpent | Reason::Shed => RETRY_AFTER_OVERLOAD,
+            Reason::QueueFull | Reason::PatienceSpent | Reason::RateLimited | Reason::Shed => {
+                RETRY_AFTER_OVERLOAD
+            }
             _ => RETRY_AFTER,
         };
         base.mul_f64(self.rng.random_range(0.5..1.5))
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -301,3 +301,19 @@
     }
     assert_eq!(first_conclusion(&actions).map(|c| c.outcome), Some(Outcome::Unknown));
 }
+
+#[test]
+fn callers_refused_for_the_rate_of_upstreams_return_as_late_as_those_of_full_queues() {
+    for reason in [Reason::QueueFull, Reason::RateLimited] {
+        let (mut entry, _) = entry_with_gates(3);
+        let times = (1..200).filter_map(|request| {
+            let mut actions = entry.begin(arrival(request, "GET", None));
+            while first_conclusion(&actions).is_none() {
+                actions = entry.report(request, AttemptReport::Refused(reason, None));
+            }
+            first_conclusion(&actions)?.retry_after
+        });
+        let longest = times.max().expect("refused requests");
+        assert!(longest > Duration::from_millis(700), "{reason:?}: {longest:?}");
+    }
+}
