--- a/review/standins/src/bin/lost_slots.rs
+++ b/review/standins/src/bin/lost_slots.rs
@@ -31,11 +31,16 @@
 /// Window of the rule.
 const WINDOW: Duration = Duration::from_secs(2);
 /// Requests a second in the first check; all endpoints together can run 1,500.
-const CHECK_RATE: u32 = 900;
-/// Requests a second in the checks after it, in relation to those that were served before.
-const CALM_FACTORS: [f64; 4] = [1.25, 1.4, 1.6, 1.8];
+const CHECK_RATE: u32 = 300;
+/// Requests a second in a check, at most.
+const HIGHEST_RATE: f64 = 1600.0;
+/// Checks after it, at most. Each one's rate lies between the last rate at which nearly all requests
+/// were served and the last one at which half of them were not, as the rule speaks of the time between.
+const CALM_CHECKS: u32 = 7;
+/// Shares of requests that aren't served between which the rule applies.
+const UNSERVED: std::ops::Range<f64> = 0.1..0.5;
 /// Time of the case after which no further crest begins.
-const LAST_CREST: Duration = Duration::from_secs(75);
+const LAST_CREST: Duration = Duration::from_secs(60);
 
 fn main() {
     let start = Instant::now();
@@ -98,12 +103,24 @@
         }
         // Twice `contact_s` without any disruption.
         thread::sleep(CONTACT * 2);
-        let base = check(&nodes, &endpoints, CHECK_RATE, "calm", crest_number, &record);
-        for factor in CALM_FACTORS {
-            let rate = ((base.served_rate * factor) as u32).max(20);
-            let name = format!("calm-{factor}");
-            is_broken |= check(&nodes, &endpoints, rate, &name, crest_number, &record).is_broken;
+        let mut result = check(&nodes, &endpoints, CHECK_RATE, "calm", crest_number, &record);
+        let (mut low, mut high) = (result.served_rate.max(20.0), HIGHEST_RATE);
+        for number in 1..=CALM_CHECKS {
+            if result.is_broken {
+                is_broken = true;
+                break;
+            }
+            let rate = (low * high).sqrt() as u32;
+            let name = format!("calm-{number}");
+            result = check(&nodes, &endpoints, rate, &name, crest_number, &record);
+            if result.unserved_share < UNSERVED.end {
+                low = f64::from(rate);
+            }
+            if result.unserved_share > UNSERVED.start {
+                high = f64::from(rate);
+            }
         }
+        is_broken |= result.is_broken;
         break;
     }
     println!("FLOOR: {}", if is_broken { "broken" } else { "held" });
@@ -147,6 +164,7 @@
     working: usize,
     /// Requests a second that were served.
     served_rate: f64,
+    unserved_share: f64,
     is_broken: bool,
 }
 
@@ -194,7 +212,7 @@
         .map(|endpoint| endpoint.settings.id.as_str())
         .collect();
     let is_below = !working.is_empty() && (working.len() as f64) < FLOOR_SHARE * ENDPOINTS as f64;
-    let is_broken = is_below && share > 0.1 && share < 0.5;
+    let is_broken = is_below && share > UNSERVED.start && share < UNSERVED.end;
     record.line(&format!(
         "check {name} after crest {number} at {rate} a second, window of 2 s: {} requests, {unserved} \
          not served ({refused} with 503), {} of {ENDPOINTS} endpoints got requests {working:?}, \
@@ -203,7 +221,7 @@
         working.len()
     ));
     let served_rate = (in_window.len() - unserved) as f64 / WINDOW.as_secs_f64();
-    CheckResult { working: working.len(), served_rate, is_broken }
+    CheckResult { working: working.len(), served_rate, unserved_share: share, is_broken }
 }
 
 /// Sends a request on a new connection; returns the status, 0 without an answer, and whether the
