Keep the ended lifetimes of upstreams in the store

Cause: which lifetimes have ended was known to one process only. A restarted node took a heartbeat that arrived late for news. The same held for an upstream that says in its responses that it leaves. Ruled out: the order of announcements itself (the same late heartbeat is ignored without the restart).

Change: a node writes the ended lifetimes of its upstreams under a lease before it acknowledges a leaving, and a starting node accepts heartbeats only after it has read them. Without the store it acknowledges after 0.7 s and writes later, and a starting node goes on after 2 s. Announcements that are ignored or refused are logged.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -95,7 +95,7 @@
     let clock = clock();
     let mut gate = Gate::new(1, Arc::clone(&clock) as SharedClock);
     for index in 0..OFFERS_PER_NODE {
-        gate.announce(&Announcement {
+        let announcement = Announcement {
             id: format!("upstream-{index}").into(),
             service: service(index),
             address: ([127, 0, 0, 1], 9).into(),
@@ -105,7 +105,8 @@
             warm_up: None,
             generation: 0,
             sequence: 0,
-        });
+        };
+        gate.announce(&announcement).expect("applied");
     }
     clock.advance(Duration::from_secs(10));
     gate.tick();
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::prelude::*;
+use crate::upstream::{EndedLifetime, Lifetime};
 
 /// A request for a slot.
 #[derive(Clone, Debug)]
@@ -111,6 +112,15 @@
     },
     /// Publish the current offers of the gate to the other nodes.
     Publish,
+    /// Store the ended lifetimes, so that a restarted node knows them.
+    StoreLifetimes(Vec<EndedLifetime>),
+    /// Log that an announcement was ignored, because it arrived late or its lifetime has ended.
+    ReportOutdated {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The lifetime and sequence number of the announcement.
+        announced: Lifetime,
+    },
     /// Log that an upstream has named another limit for its requests, or none.
     ReportRateLimit {
         /// The upstream.
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -17,7 +17,7 @@
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::{Queue, QueuedRequest};
-use crate::upstream::{AnyUpstream, Lifetime};
+use crate::upstream::{AnyUpstream, EndedLifetime, Lifetime};
 use crate::window::ReplayWindow;
 
 #[derive(Debug)]
@@ -50,6 +50,10 @@
     running: IndexMap<AttemptId, Running>,
     // Upstreams that ended their lifetime or were superseded, with their last lifetimes.
     ended_lifetimes: IndexMap<UpstreamId, Lifetime>,
+    // The ended lifetimes that were last passed on to be stored.
+    stored_lifetimes: Vec<EndedLifetime>,
+    // Time until which a started node awaits the lifetimes that had ended before.
+    recovery_end: Option<Instant>,
     window: ReplayWindow,
     draining: bool,
     published: Vec<ServiceOffer>,
@@ -66,6 +70,8 @@
             requests: IndexMap::new(),
             running: IndexMap::new(),
             ended_lifetimes: IndexMap::new(),
+            stored_lifetimes: Vec::new(),
+            recovery_end: None,
             window: ReplayWindow::default(),
             draining: false,
             published: Vec::new(),
--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -4,18 +4,63 @@
 use super::Gate;
 use crate::admission::GateAction;
 use crate::prelude::*;
-use crate::upstream::{AnnouncedPhase, Announcement, AnyUpstream, Lifetime};
+use crate::upstream::{
+    AnnouncedPhase, Announcement, AnnouncementRefusal, AnyUpstream, EndedLifetime, Lifetime,
+};
 
 /// Most upstreams whose ended lifetimes are remembered.
 const MAX_ENDED_LIFETIMES: usize = 64;
 
 impl Gate {
+    /// Accepts announcements of ordered lifetimes only after [`Gate::restore_lifetimes`], or after
+    /// `timeout`: before, a late one could bring an upstream back that has left.
+    pub fn await_lifetimes(&mut self, timeout: Duration) {
+        self.recovery_end = Some(self.clock.now() + timeout);
+    }
+
+    /// Takes over the lifetimes that had ended before the node started.
+    pub fn restore_lifetimes(&mut self, ended: Vec<EndedLifetime>) -> Vec<GateAction> {
+        self.recovery_end = None;
+        for EndedLifetime { upstream: id, lifetime } in ended {
+            if let Some(upstream) = self.upstreams.swap_remove(&id) {
+                let has_ended = lifetime.includes(upstream.common().lifetime());
+                let upstream = if has_ended { upstream.supersede() } else { upstream };
+                self.upstreams.insert(id.clone(), upstream);
+            }
+            if !self.ended_lifetimes.contains_key(&id) {
+                self.remember(id, lifetime);
+            }
+        }
+        self.tick()
+    }
+
     /// Applies an announcement, unless it is older than the known state.
-    pub fn announce(&mut self, announcement: &Announcement) -> Vec<GateAction> {
+    ///
+    /// # Errors
+    ///
+    /// The announcement must be repeated, as it cannot be applied yet.
+    pub fn announce(
+        &mut self,
+        announcement: &Announcement,
+    ) -> Result<Vec<GateAction>, AnnouncementRefusal> {
         let now = self.clock.now();
+        if self.is_recovering(now) && announcement.is_ordered() && !announcement.is_leaving() {
+            return Err(AnnouncementRefusal::Recovering);
+        }
         if self.is_outdated(announcement) {
-            return Vec::new();
+            let (upstream, announced) = (announcement.id.clone(), Lifetime::of(announcement));
+            return Ok(vec![GateAction::ReportOutdated { upstream, announced }]);
         }
+        let mut actions = self.apply(announcement, now);
+        actions.extend(self.store_lifetimes());
+        Ok(actions)
+    }
+
+    fn is_recovering(&self, now: Instant) -> bool {
+        self.recovery_end.is_some_and(|end| now < end)
+    }
+
+    fn apply(&mut self, announcement: &Announcement, now: Instant) -> Vec<GateAction> {
         if announcement.phase == AnnouncedPhase::Deregistered {
             self.deregister(announcement, now);
             return self.tick();
@@ -36,7 +81,7 @@
         let known = self.upstreams.get(&announcement.id);
         let ended = self.ended_lifetimes.get(&announcement.id);
         known.is_some_and(|upstream| upstream.is_outdated(announcement))
-            || ended.is_some_and(|last| last.covers(announcement))
+            || ended.is_some_and(|last| last.includes(Lifetime::of(announcement)))
             // The announcement is late: a later lifetime has taken over its address.
             || self.upstreams.values().any(|upstream| {
                 let common = upstream.common();
@@ -52,10 +97,39 @@
                 let upstream = upstream.renew(announcement, now);
                 self.upstreams.insert(announcement.id.clone(), upstream);
             }
-            None => self.remember(announcement.id.clone(), Lifetime::of(announcement)),
+            None if announcement.is_ordered() => {
+                self.remember(announcement.id.clone(), Lifetime::of(announcement));
+            }
+            None => {}
         }
     }
 
+    /// Returns the action that stores the ended lifetimes, if one has ended since the last call.
+    pub(super) fn store_lifetimes(&mut self) -> Option<GateAction> {
+        let ended = self.final_lifetimes();
+        let identity = |ended: &EndedLifetime| (ended.upstream.clone(), ended.lifetime.generation);
+        let known: IndexSet<_> = self.stored_lifetimes.iter().map(identity).collect();
+        let is_new = ended.iter().any(|ended| !known.contains(&identity(ended)));
+        if !is_new {
+            return None;
+        }
+        self.stored_lifetimes.clone_from(&ended);
+        Some(GateAction::StoreLifetimes(ended))
+    }
+
+    /// Returns the lifetimes that have ended, including those that still finish requests.
+    fn final_lifetimes(&self) -> Vec<EndedLifetime> {
+        let leaving = self.upstreams.iter().filter_map(|(id, upstream)| {
+            let lifetime = upstream.common().final_lifetime()?;
+            Some(EndedLifetime { upstream: id.clone(), lifetime })
+        });
+        let gone = self
+            .ended_lifetimes
+            .iter()
+            .map(|(id, lifetime)| EndedLifetime { upstream: id.clone(), lifetime: *lifetime });
+        gone.chain(leaving).filter(|ended| ended.lifetime.is_ordered()).collect()
+    }
+
     /// Remembers an ended lifetime, so that late announcements do not bring the upstream back.
     fn remember(&mut self, id: UpstreamId, lifetime: Lifetime) {
         if self.ended_lifetimes.len() >= MAX_ENDED_LIFETIMES {
--- a/crates/core/src/gate/signals.rs
+++ b/crates/core/src/gate/signals.rs
@@ -54,6 +54,7 @@
         }
         let mut actions = vec![GateAction::ReportLeaving { upstream: id.clone() }];
         actions.extend(self.publish());
+        actions.extend(self.store_lifetimes());
         actions
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -11,7 +11,9 @@
 
 use std::net::SocketAddr;
 
-pub use self::announcement::{AnnouncedPhase, Announcement, Lifetime};
+pub use self::announcement::{
+    AnnouncedPhase, Announcement, AnnouncementRefusal, EndedLifetime, Lifetime,
+};
 use crate::gray_failure::GrayFailureDetector;
 use crate::lease::{Held, Lease};
 use crate::outlier::OutlierDetector;
@@ -94,12 +96,17 @@
     /// Ends the lifetime, unless the upstream announces neither a generation nor a sequence: such an
     /// upstream may serve again.
     fn end_if_ordered(&mut self) {
-        self.ended = self.generation != 0 || self.sequence != 0;
+        self.ended = self.lifetime().is_ordered();
+    }
+
+    /// Returns the lifetime and its last sequence number.
+    pub fn lifetime(&self) -> Lifetime {
+        Lifetime { generation: self.generation, sequence: self.sequence }
     }
 
     /// Returns the lifetime if the upstream ended it itself or a later lifetime superseded it.
     pub fn final_lifetime(&self) -> Option<Lifetime> {
-        self.ended.then_some(Lifetime { generation: self.generation, sequence: self.sequence })
+        self.ended.then_some(self.lifetime())
     }
 }
 
@@ -319,7 +326,7 @@
 
     fn advance(mut self, announcement: &Announcement, now: Instant) -> Self {
         let phase = announcement.phase;
-        if matches!(phase, AnnouncedPhase::Leaving | AnnouncedPhase::Deregistered) {
+        if announcement.is_leaving() {
             self.common_mut().end_if_ordered();
         }
         match (self, phase) {
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -40,6 +40,18 @@
     pub sequence: u64,
 }
 
+impl Announcement {
+    /// Returns whether the upstream leaves its service.
+    pub fn is_leaving(&self) -> bool {
+        matches!(self.phase, AnnouncedPhase::Leaving | AnnouncedPhase::Deregistered)
+    }
+
+    /// Returns whether the announcement can be told from earlier and later ones.
+    pub fn is_ordered(&self) -> bool {
+        Lifetime::of(self).is_ordered()
+    }
+}
+
 /// The last known state of one lifetime of an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Lifetime {
@@ -49,17 +61,39 @@
     pub sequence: u64,
 }
 
+/// A lifetime of an upstream that has ended: the upstream serves again only in a later one.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndedLifetime {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The lifetime.
+    pub lifetime: Lifetime,
+}
+
+/// Why an announcement was not applied. The upstream must repeat it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum AnnouncementRefusal {
+    /// The node has started and does not know yet which lifetimes had ended before.
+    #[error("the node does not know yet which upstreams have left")]
+    Recovering,
+}
+
 impl Lifetime {
     /// Returns the lifetime that an announcement belongs to.
     pub fn of(announcement: &Announcement) -> Self {
         Self { generation: announcement.generation, sequence: announcement.sequence }
     }
 
-    /// Returns whether an announcement was made in this lifetime or before it. Without generations,
-    /// only the sequence number decides.
-    pub fn covers(&self, announcement: &Announcement) -> bool {
-        match (self.generation, announcement.generation) {
-            (0, _) | (_, 0) => announcement.sequence != 0 && announcement.sequence <= self.sequence,
+    /// Returns whether the lifetime can be told from earlier and later ones.
+    pub fn is_ordered(&self) -> bool {
+        self.generation != 0 || self.sequence != 0
+    }
+
+    /// Returns whether `other` is this lifetime, in an earlier or the same state, or an earlier one.
+    /// Without generations, only the sequence numbers decide.
+    pub fn includes(&self, other: Self) -> bool {
+        match (self.generation, other.generation) {
+            (0, _) | (_, 0) => other.sequence != 0 && other.sequence <= self.sequence,
             (own, other) => other <= own,
         }
     }
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -100,7 +100,7 @@
                 gate.submit(short(1));
                 let mut leaving = announcement("upstream", 2);
                 leaving.phase = AnnouncedPhase::Leaving;
-                gate.announce(&leaving);
+                gate.announce(&leaving).expect("applied");
             },
             short(99),
             Reason::Leaving,
@@ -201,7 +201,7 @@
     let clock = clock();
     let mut gate = Gate::new(INCARNATION, Arc::clone(&clock) as SharedClock);
     gate.set_profile(&service(), Profile::default());
-    gate.announce(&announcement("upstream", 8));
+    gate.announce(&announcement("upstream", 8)).expect("applied");
     let mut limits = Vec::new();
     for _ in 0..5 {
         limits.push(gate.load(&service()).slots);
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -43,21 +43,21 @@
     (heartbeat.generation, heartbeat.sequence) = (5, 1);
     // An upstream that announces its warm-up can use all of its slots meanwhile.
     heartbeat.warm_up = Some(Duration::ZERO);
-    gate.announce(&heartbeat);
+    gate.announce(&heartbeat).expect("applied");
     assert!(is_started(&gate.submit(request(1))));
     let actions = gate.observe_signals(attempt(1), LEAVING);
     assert!(actions.contains(&GateAction::ReportLeaving { upstream: "other".into() }));
     assert!(actions.contains(&GateAction::Publish), "the other nodes learn it at once");
     assert_eq!(gate.observe_signals(attempt(1), LEAVING), []);
     heartbeat.sequence = 2;
-    gate.announce(&heartbeat);
+    gate.announce(&heartbeat).expect("applied");
     let refused = gate.submit(request(2));
     assert!(
         matches!(refused[..], [GateAction::Refuse { reason: Reason::Leaving, .. }]),
         "{refused:?}"
     );
     (heartbeat.generation, heartbeat.sequence) = (6, 1);
-    gate.announce(&heartbeat);
+    gate.announce(&heartbeat).expect("applied");
     assert!(is_started(&gate.submit(request(3))), "a later lifetime serves");
 }
 
@@ -73,7 +73,7 @@
         } else {
             let mut leaving = announcement("upstream", 1);
             leaving.phase = AnnouncedPhase::Leaving;
-            gate.announce(&leaving)
+            gate.announce(&leaving).expect("applied")
         };
         let refused = actions.iter().find_map(|action| match action {
             GateAction::Refuse { attempt, reason, .. } => Some((*attempt, *reason)),
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -270,7 +270,9 @@
                 | GateAction::Publish
                 | GateAction::ReportGray { .. }
                 | GateAction::ReportLeaving { .. }
-                | GateAction::ReportRateLimit { .. } => {}
+                | GateAction::ReportOutdated { .. }
+                | GateAction::ReportRateLimit { .. }
+                | GateAction::StoreLifetimes(_) => {}
             }
         }
     }
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -263,10 +263,10 @@
     let mut gate = Gate::new(INCARNATION, Arc::clone(&clock) as SharedClock);
     let mut lifetime = announcement("upstream", 4);
     lifetime.generation = 1;
-    gate.announce(&lifetime);
+    gate.announce(&lifetime).expect("applied");
     assert!(is_started(&gate.submit(request(1, Duration::ZERO)), 1));
     lifetime.generation = 2;
-    gate.announce(&lifetime);
+    gate.announce(&lifetime).expect("applied");
     assert_eq!(gate.observe_signals(attempt(1), limit(1.0)), []);
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -95,7 +95,7 @@
 pub fn gate(incarnation: Incarnation, clock: &Arc<ManualClock>, slots: u32) -> Gate {
     let mut gate = Gate::new(incarnation, Arc::clone(clock) as SharedClock);
     gate.set_profile(&service(), Profile::default());
-    gate.announce(&announcement("upstream", slots));
+    gate.announce(&announcement("upstream", slots)).expect("applied");
     clock.advance(Duration::from_secs(10));
     gate.tick();
     gate
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -224,7 +224,7 @@
                 gate.set_profile(&service(), profile.clone());
                 let mut new = announcement(&format!("upstream-{index}"), workload.slots);
                 new.warm_up = Some(workload.cold_duration);
-                gate.announce(&new);
+                gate.announce(&new).expect("applied");
                 gate
             })
             .collect();
@@ -463,7 +463,9 @@
                 GateAction::Publish => self.publish(gate),
                 GateAction::ReportGray { .. }
                 | GateAction::ReportLeaving { .. }
-                | GateAction::ReportRateLimit { .. } => {}
+                | GateAction::ReportOutdated { .. }
+                | GateAction::ReportRateLimit { .. }
+                | GateAction::StoreLifetimes(_) => {}
             }
         }
     }
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -3,13 +3,15 @@
 use lavenderflow_core::gate::{
     Gate, GateAction, RateSignal, RunResult, ServiceOffer, UpstreamSignals,
 };
+use lavenderflow_core::upstream::{Announcement, Lifetime};
 use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
 use tokio::sync::oneshot;
 
 use super::counters::CountersActor;
-use crate::message::{AdmissionDecision, AttemptChannels, GateMessage};
+use crate::message::{AdmissionDecision, AnnouncementReply, AttemptChannels, GateMessage};
 use crate::prelude::*;
 use crate::status::{Status, UpstreamStatus, condition_name};
+use crate::store::LifetimeStore;
 
 /// Interval at which the gate's timers are advanced while attempts run or wait.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(40);
@@ -21,6 +23,7 @@
     gate: Gate,
     counters: Actor<CountersActor>,
     publish: Fwd<Vec<ServiceOffer>>,
+    lifetimes: LifetimeStore,
     waiting: IndexMap<AttemptId, AttemptChannels>,
     running: IndexMap<AttemptId, oneshot::Sender<()>>,
     published_offers: Vec<ServiceOffer>,
@@ -34,11 +37,13 @@
         gate: Gate,
         counters: Actor<CountersActor>,
         publish: Fwd<Vec<ServiceOffer>>,
+        lifetimes: LifetimeStore,
     ) -> Option<Self> {
         let mut actor = Self {
             gate,
             counters,
             publish,
+            lifetimes,
             waiting: IndexMap::new(),
             running: IndexMap::new(),
             published_offers: Vec::new(),
@@ -73,12 +78,11 @@
                 self.gate.cancel(attempt);
                 return;
             }
-            GateMessage::Announce(announcement, done) => {
-                let actions = self.gate.announce(&announcement);
-                // The send fails if the upstream has disconnected.
-                let _ = done.send(());
-                actions
+            GateMessage::Announce(announcement, reply) => {
+                self.announce(&announcement, reply);
+                return;
             }
+            GateMessage::RestoreLifetimes(ended) => self.gate.restore_lifetimes(ended),
         };
         self.execute(actions);
     }
@@ -112,6 +116,32 @@
         call!([counters], status(status, reply));
     }
 
+    fn announce(&mut self, announcement: &Announcement, reply: oneshot::Sender<AnnouncementReply>) {
+        let applied = match self.gate.announce(announcement) {
+            Ok(actions) => {
+                self.execute(actions);
+                let (stored, is_stored) = oneshot::channel();
+                if announcement.is_leaving() {
+                    self.lifetimes.confirm(stored);
+                } else {
+                    // Nothing has to last. The send fails if the upstream has disconnected.
+                    let _ = stored.send(());
+                }
+                Ok(is_stored)
+            }
+            Err(refusal) => {
+                let Announcement { id, generation, sequence, .. } = announcement;
+                log::info!(
+                    "event=announcement-refused upstream={id} generation={generation} \
+                     sequence={sequence} reason={refusal}"
+                );
+                Err(refusal)
+            }
+        };
+        // The send fails if the upstream has disconnected.
+        let _ = reply.send(applied);
+    }
+
     fn observe_signals(&mut self, attempt: AttemptId, signals: UpstreamSignals) -> Vec<GateAction> {
         if signals.rate == RateSignal::Unreadable {
             let AttemptId { node, serial, .. } = attempt;
@@ -153,6 +183,14 @@
                     let _ = abandon.map(|abandon| abandon.send(()));
                 }
                 GateAction::Publish => self.publish(),
+                GateAction::StoreLifetimes(ended) => self.lifetimes.write(ended),
+                GateAction::ReportOutdated { upstream, announced } => {
+                    let Lifetime { generation, sequence } = announced;
+                    log::info!(
+                        "event=announcement-outdated upstream={upstream} \
+                         generation={generation} sequence={sequence}"
+                    );
+                }
                 GateAction::ReportRateLimit { upstream, rate } => {
                     log::info!("event=rate-limit upstream={upstream} per_second={rate:?}");
                 }
--- a/crates/lavenderflow/src/http/announcements.rs
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -7,11 +7,12 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use lavenderflow_core::upstream::AnnouncedPhase;
+use lavenderflow_core::upstream::{AnnouncedPhase, AnnouncementRefusal};
 use lavenderflow_schema::convert::ConvertError;
 use lavenderflow_schema::dialect::Dialect;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use super::server::{self, ServerHandle};
 use crate::message::GateMessage;
@@ -19,6 +20,8 @@
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Longest wait until the store has what must outlast the node. An upstream waits for a second.
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why an announcement is rejected.
 #[derive(Debug, thiserror::Error)]
@@ -35,6 +38,9 @@
     /// The announced address is not that of the upstream on this VM.
     #[error("{0} is not the address of the upstream on this VM")]
     WrongAddress(SocketAddr),
+    /// The gate has not applied the announcement.
+    #[error(transparent)]
+    Refused(#[from] AnnouncementRefusal),
     /// The node is stopping.
     #[error("the node is stopping")]
     Stopping,
@@ -48,7 +54,7 @@
             Self::TruncatedBody | Self::Malformed(_) | Self::WrongAddress(_) => {
                 StatusCode::BAD_REQUEST
             }
-            Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -79,12 +85,13 @@
     response
 }
 
-/// Passes an announcement on to the gate; returns once the gate has applied it.
+/// Passes an announcement on to the gate; returns once the gate has applied it and, if the upstream
+/// leaves, once the store has that. Without the store, only this process knows it for the time being.
 ///
 /// # Errors
 ///
-/// The announcement cannot be read, is malformed or is of another VM's upstream, or the node is
-/// stopping.
+/// The announcement cannot be read, is malformed, is of another VM's upstream or cannot be applied
+/// yet, or the node is stopping.
 pub async fn accept(
     context: &AnnouncementContext,
     request: Request<Incoming>,
@@ -120,8 +127,13 @@
     if !is_local {
         return Err(AnnouncementError::WrongAddress(announcement.address));
     }
-    let (done, is_done) = oneshot::channel();
-    let message = GateMessage::Announce(announcement, done);
+    let id = announcement.id.clone();
+    let (reply, applied) = oneshot::channel();
+    let message = GateMessage::Announce(announcement, reply);
     context.mailbox.send(Message::Gate(message)).await;
-    is_done.await.map_err(|_| AnnouncementError::Stopping)
+    let is_stored = applied.await.map_err(|_| AnnouncementError::Stopping)??;
+    if !matches!(timeout(STORE_TIMEOUT, is_stored).await, Ok(Ok(()))) {
+        log::warn!("event=leaving-not-stored upstream={id} after={STORE_TIMEOUT:?}");
+    }
+    Ok(())
 }
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -4,7 +4,7 @@
 use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
-use lavenderflow_core::upstream::Announcement;
+use lavenderflow_core::upstream::{Announcement, AnnouncementRefusal, EndedLifetime};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::prelude::*;
@@ -52,6 +52,11 @@
     pub abandon: oneshot::Sender<()>,
 }
 
+/// The gate's reply to an announcement that it has applied, or why it has not.
+///
+/// The channel is notified once what the upstream has ended is in the store.
+pub type AnnouncementReply = Result<oneshot::Receiver<()>, AnnouncementRefusal>;
+
 /// A message to the gate actor.
 #[derive(Debug)]
 pub enum GateMessage {
@@ -65,8 +70,10 @@
     Finish(AttemptId, RunResult, oneshot::Sender<Load>),
     /// The entry has cancelled a queued attempt.
     Cancel(AttemptId),
-    /// An upstream sent an announcement; the sender is notified once the gate has applied it.
-    Announce(Announcement, oneshot::Sender<()>),
+    /// An upstream sent an announcement; the sender receives the gate's reply.
+    Announce(Announcement, oneshot::Sender<AnnouncementReply>),
+    /// The lifetimes that had ended before the node started were read from the store.
+    RestoreLifetimes(Vec<EndedLifetime>),
 }
 
 /// A message to the fleet actor.
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -37,11 +37,16 @@
 use crate::net::tls;
 use crate::prelude::*;
 use crate::reload::{ReloadableSettings, Reloader};
-use crate::store::{ConfigWatcher, Registration, RegistrationSetup, Store, WatcherSetup};
+use crate::store::{
+    ConfigWatcher, LifetimeSetup, LifetimeStore, Registration, RegistrationSetup, Store,
+    WatcherSetup,
+};
 use crate::work::WorkTracker;
 
 /// Longest sleep of the main loop.
 const MAX_SLEEP: Duration = Duration::from_secs(60);
+/// Longest wait for what an earlier process of this node has stored about its upstreams.
+const RECOVERY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time to finish writing responses at the end of a stop.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Divisor of the stop time that gives the time for finishing responses.
@@ -113,6 +118,12 @@
         clock: Arc::clone(&clock),
     };
     let registration = Registration::start(setup)?;
+    let lifetimes = LifetimeStore::start(LifetimeSetup {
+        store: store.clone(),
+        name: settings.name.clone(),
+        mailbox: mailbox.clone(),
+        clock: Arc::clone(&clock),
+    })?;
     let watchers = environment.sources.iter().map(|source| {
         let (store, mailbox, clock) = (store.clone(), mailbox.clone(), Arc::clone(&clock));
         ConfigWatcher::start(WatcherSetup { store, source: *source, mailbox, clock })
@@ -140,7 +151,7 @@
         settings.peers,
         env!("CARGO_PKG_VERSION")
     );
-    let mut main_loop = MainLoop::new(settings, &clock, fleet, statsd, work, is_ready);
+    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, statsd, work, is_ready);
     executor.run(main_loop.run(messages));
     executor.run(close(stop, &network, CLOSE_TIMEOUT.min(settings.stop / CLOSE_DIVISOR)));
     log::info!("event=ended node={}", settings.name);
@@ -257,6 +268,7 @@
         settings: &NodeSettings,
         clock: &SharedClock,
         fleet: fleet::FleetSetup,
+        lifetimes: LifetimeStore,
         statsd: cadence::StatsdClient,
         work: WorkTracker,
         is_ready: watch::Sender<bool>,
@@ -279,9 +291,10 @@
         let fleet = actor!(s, FleetActor::init(fleet, handle, count), ret_shutdown!(s));
         let publish =
             fwd_to!([fleet], set_offers() as (Vec<lavenderflow_core::gate::ServiceOffer>));
-        let gate = Gate::new(incarnation, Arc::clone(clock));
+        let mut gate = Gate::new(incarnation, Arc::clone(clock));
+        gate.await_lifetimes(RECOVERY_TIMEOUT);
         let count = counters.clone();
-        let gate = actor!(s, GateActor::init(gate, count, publish), ret_shutdown!(s));
+        let gate = actor!(s, GateActor::init(gate, count, publish, lifetimes), ret_shutdown!(s));
         let handle = gate.clone();
         call!([fleet], set_gate(handle));
         let actors = DrainActors { entry: entry.clone(), gate: gate.clone(), fleet: fleet.clone() };
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -1,11 +1,13 @@
 //! Access of nodes and operators to the platform's store.
 
+mod lifetimes;
 mod registration;
 mod watcher;
 
 use lavenderflow_core::catalog::Document;
 use lavenderflow_schema::convert::{ConvertError, configuration};
 
+pub use self::lifetimes::{LifetimeSetup, LifetimeStore};
 pub use self::registration::{Registration, RegistrationSetup, StoreRole};
 pub use self::watcher::{ConfigWatcher, WatcherSetup};
 pub use lavenderflow_platform::store::{
--- a/crates/schema/src/convert.rs
+++ b/crates/schema/src/convert.rs
@@ -3,6 +3,7 @@
 pub mod configuration;
 pub mod gossip;
 pub mod request;
+pub mod state;
 
 /// An error in a message or a stored value.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -18,6 +18,12 @@
     include!("generated/lavenderflow.configuration.rs");
 }
 
+/// State that nodes keep in the store.
+#[allow(clippy::all, clippy::doc_markdown, missing_docs, unused_qualifications)]
+pub mod state {
+    include!("generated/lavenderflow.state.rs");
+}
+
 /// Settings of a node.
 #[allow(clippy::doc_markdown)]
 pub mod settings {
