Order lifetimes of upstreams without trusting the time of day

Cause: lifetimes were ordered by their start times alone. After the time of day had gone back, all announcements of the next lifetime under the same id or address counted as late, for as long as the lease of the one before lasted, and without an end if that one had left. They were ignored, and acknowledged, since the reply did not depend on what the gate did with them. Ruled out: the leaving itself (the same one is applied without the jump).

Change: a lifetime with an earlier start time takes over once it has gone on to announce itself for two heartbeats while the other one was silent. Until then its announcements are answered with 503. Ended lifetimes are told by their exact start times. A leaving is applied however late it arrives.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -114,6 +114,14 @@
     Publish,
     /// Store the ended lifetimes, so that a restarted node knows them.
     StoreLifetimes(Vec<EndedLifetime>),
+    /// Log that a lifetime has taken over although it has an earlier start time than the one before:
+    /// the time of day went back.
+    ReportEarlierStart {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// The lifetime that has taken over.
+        announced: Lifetime,
+    },
     /// Log that an announcement was ignored, because it arrived late or its lifetime has ended.
     ReportOutdated {
         /// The upstream.
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -6,10 +6,12 @@
 mod gray_failure;
 mod health;
 mod lifetimes;
+mod order;
 mod report;
 mod signals;
 mod waiting;
 
+use self::order::Claim;
 use self::waiting::{expiry_reason, longest_rate_wait, queued_request};
 pub use crate::admission::{
     GateAction, RateSignal, RunResult, ServiceOffer, SlotRequest, UpstreamSignals,
@@ -17,7 +19,7 @@
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::{Queue, QueuedRequest};
-use crate::upstream::{AnyUpstream, EndedLifetime, Lifetime};
+use crate::upstream::{AnyUpstream, EndedLifetime};
 use crate::window::ReplayWindow;
 
 #[derive(Debug)]
@@ -48,8 +50,10 @@
     services: IndexMap<ServiceName, ServiceState>,
     requests: IndexMap<AttemptId, (SlotRequest, Instant)>,
     running: IndexMap<AttemptId, Running>,
-    // Upstreams that ended their lifetime or were superseded, with their last lifetimes.
-    ended_lifetimes: IndexMap<UpstreamId, Lifetime>,
+    // Lifetimes that the upstream has ended or that were superseded, and have finished requests.
+    ended_lifetimes: Vec<EndedLifetime>,
+    // Lifetimes that may have taken over although they have an earlier start time.
+    claims: IndexMap<UpstreamId, Claim>,
     // The ended lifetimes that were last passed on to be stored.
     stored_lifetimes: Vec<EndedLifetime>,
     // Time until which a started node awaits the lifetimes that had ended before.
@@ -69,7 +73,8 @@
             services: IndexMap::new(),
             requests: IndexMap::new(),
             running: IndexMap::new(),
-            ended_lifetimes: IndexMap::new(),
+            ended_lifetimes: Vec::new(),
+            claims: IndexMap::new(),
             stored_lifetimes: Vec::new(),
             recovery_end: None,
             window: ReplayWindow::default(),
--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -2,13 +2,14 @@
 //! remembers those that have ended.
 
 use super::Gate;
+use super::order::Order;
 use crate::admission::GateAction;
 use crate::prelude::*;
 use crate::upstream::{
     AnnouncedPhase, Announcement, AnnouncementRefusal, AnyUpstream, EndedLifetime, Lifetime,
 };
 
-/// Most upstreams whose ended lifetimes are remembered.
+/// Most ended lifetimes that are remembered.
 const MAX_ENDED_LIFETIMES: usize = 64;
 
 impl Gate {
@@ -27,9 +28,7 @@
                 let upstream = if has_ended { upstream.supersede() } else { upstream };
                 self.upstreams.insert(id.clone(), upstream);
             }
-            if !self.ended_lifetimes.contains_key(&id) {
-                self.remember(id, lifetime);
-            }
+            self.remember(id, lifetime);
         }
         self.tick()
     }
@@ -47,11 +46,24 @@
         if self.is_recovering(now) && announcement.is_ordered() && !announcement.is_leaving() {
             return Err(AnnouncementRefusal::Recovering);
         }
-        if self.is_outdated(announcement) {
-            let (upstream, announced) = (announcement.id.clone(), Lifetime::of(announcement));
-            return Ok(vec![GateAction::ReportOutdated { upstream, announced }]);
-        }
-        let mut actions = self.apply(announcement, now);
+        let (upstream, announced) = (announcement.id.clone(), Lifetime::of(announcement));
+        let mut actions = match self.order(announcement) {
+            Order::Outdated => return Ok(vec![GateAction::ReportOutdated { upstream, announced }]),
+            Order::Unclear if self.confirm_claim(announcement, now) => {
+                let mut actions = vec![GateAction::ReportEarlierStart { upstream, announced }];
+                actions.extend(self.apply(announcement, Order::Later, now));
+                actions
+            }
+            // It has never been given work, so it has left once that is remembered.
+            Order::Unclear
+                if announcement.is_leaving() && !self.upstreams.contains_key(&upstream) =>
+            {
+                self.remember(upstream, announced);
+                Vec::new()
+            }
+            Order::Unclear => return Err(AnnouncementRefusal::Unconfirmed),
+            order => self.apply(announcement, order, now),
+        };
         actions.extend(self.store_lifetimes());
         Ok(actions)
     }
@@ -60,16 +72,24 @@
         self.recovery_end.is_some_and(|end| now < end)
     }
 
-    fn apply(&mut self, announcement: &Announcement, now: Instant) -> Vec<GateAction> {
+    fn apply(
+        &mut self,
+        announcement: &Announcement,
+        order: Order,
+        now: Instant,
+    ) -> Vec<GateAction> {
+        self.claims.swap_remove(&announcement.id);
+        if order == Order::Later && announcement.generation != 0 {
+            self.end_replaced(announcement);
+        }
         if announcement.phase == AnnouncedPhase::Deregistered {
             self.deregister(announcement, now);
             return self.tick();
         }
         self.services.entry(announcement.service.clone()).or_default();
-        self.end_superseded(announcement);
         let known = self.upstreams.swap_remove(&announcement.id);
         let known = known.filter(|u| u.common().service == announcement.service);
-        let upstream = match known.filter(|u| !u.is_superseded_by(announcement)) {
+        let upstream = match known {
             Some(upstream) => upstream.renew(announcement, now),
             None => AnyUpstream::new(announcement, now),
         };
@@ -77,19 +97,6 @@
         self.tick()
     }
 
-    fn is_outdated(&self, announcement: &Announcement) -> bool {
-        let known = self.upstreams.get(&announcement.id);
-        let ended = self.ended_lifetimes.get(&announcement.id);
-        known.is_some_and(|upstream| upstream.is_outdated(announcement))
-            || ended.is_some_and(|last| last.includes(Lifetime::of(announcement)))
-            // The announcement is late: a later lifetime has taken over its address.
-            || self.upstreams.values().any(|upstream| {
-                let common = upstream.common();
-                common.address == announcement.address
-                    && announcement.generation < common.generation
-            })
-    }
-
     /// Applies the deregistration of an upstream.
     fn deregister(&mut self, announcement: &Announcement, now: Instant) {
         match self.upstreams.swap_remove(&announcement.id) {
@@ -123,19 +130,19 @@
             let lifetime = upstream.common().final_lifetime()?;
             Some(EndedLifetime { upstream: id.clone(), lifetime })
         });
-        let gone = self
-            .ended_lifetimes
-            .iter()
-            .map(|(id, lifetime)| EndedLifetime { upstream: id.clone(), lifetime: *lifetime });
+        let gone = self.ended_lifetimes.iter().cloned();
         gone.chain(leaving).filter(|ended| ended.lifetime.is_ordered()).collect()
     }
 
     /// Remembers an ended lifetime, so that late announcements do not bring the upstream back.
-    fn remember(&mut self, id: UpstreamId, lifetime: Lifetime) {
+    fn remember(&mut self, upstream: UpstreamId, lifetime: Lifetime) {
+        self.ended_lifetimes.retain(|ended| {
+            ended.upstream != upstream || ended.lifetime.generation != lifetime.generation
+        });
         if self.ended_lifetimes.len() >= MAX_ENDED_LIFETIMES {
-            self.ended_lifetimes.shift_remove_index(0);
+            self.ended_lifetimes.remove(0);
         }
-        self.ended_lifetimes.insert(id, lifetime);
+        self.ended_lifetimes.push(EndedLifetime { upstream, lifetime });
     }
 
     /// Removes upstreams that are leaving and have finished their requests.
@@ -151,17 +158,18 @@
         }
     }
 
-    /// Ends the upstreams whose address belongs to a later lifetime.
-    fn end_superseded(&mut self, announcement: &Announcement) {
+    /// Ends the earlier lifetime of an upstream, and the upstreams that had its address.
+    fn end_replaced(&mut self, announcement: &Announcement) {
+        let known = self.upstreams.swap_remove(&announcement.id);
+        let known = known.map(|upstream| upstream.common().lifetime());
+        if let Some(lifetime) = known.filter(|lifetime| lifetime.generation != 0) {
+            self.remember(announcement.id.clone(), lifetime);
+        }
         let upstreams = std::mem::take(&mut self.upstreams);
-        let is_superseded = |id: &UpstreamId, upstream: &AnyUpstream| {
-            *id != announcement.id
-                && upstream.common().address == announcement.address
-                && upstream.is_superseded_by(announcement)
-        };
+        let is_replaced = |u: &AnyUpstream| u.common().address == announcement.address;
         let upstreams = upstreams.into_iter();
         self.upstreams = upstreams
-            .map(|(id, u)| if is_superseded(&id, &u) { (id, u.supersede()) } else { (id, u) })
+            .map(|(id, u)| if is_replaced(&u) { (id, u.supersede()) } else { (id, u) })
             .collect();
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -68,6 +68,8 @@
     pub likely_gray: bool,
     /// Keeps the rate of its requests within the limit that it has named.
     pub rate: RateLimiter,
+    /// Time of its last announcement.
+    pub heard: Instant,
     /// Time at which it last started a request.
     pub last_start: Option<Instant>,
     /// Start time of its lifetime.
@@ -130,6 +132,7 @@
             gray_failure: GrayFailureDetector::new(now),
             likely_gray: false,
             rate: RateLimiter::default(),
+            heard: now,
             last_start: None,
             generation: announcement.generation,
             sequence: announcement.sequence,
@@ -203,6 +206,7 @@
     pub fn renew(mut self, announcement: &Announcement, now: Instant) -> Self {
         let common = self.common_mut();
         common.lease = Lease::grant(now, announcement.lease);
+        common.heard = now;
         common.sequence = common.sequence.max(announcement.sequence);
         if announcement.phase != AnnouncedPhase::Deregistered {
             common.slots = announcement.slots;
@@ -211,16 +215,6 @@
         self.advance(announcement, now)
     }
 
-    /// Returns whether an announcement of this upstream was sent before one that has been applied,
-    /// or by an earlier lifetime.
-    pub fn is_outdated(&self, announcement: &Announcement) -> bool {
-        let Common { generation, sequence, .. } = *self.common();
-        let is_late = announcement.sequence != 0 && announcement.sequence <= sequence;
-        let has_generation = announcement.generation != 0;
-        (has_generation && announcement.generation < generation)
-            || (announcement.generation == generation && is_late)
-    }
-
     /// Ends this lifetime because a later one has begun.
     #[must_use]
     pub fn supersede(mut self) -> Self {
@@ -236,11 +230,6 @@
         self.leave()
     }
 
-    /// Returns whether an announcement belongs to a later lifetime.
-    pub fn is_superseded_by(&self, announcement: &Announcement) -> bool {
-        announcement.generation > self.common().generation
-    }
-
     /// Ends a finished warm-up, raises a lowered limit and applies a lapsed lease.
     #[must_use]
     pub fn tick(mut self, now: Instant) -> Self {
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -76,6 +76,9 @@
     /// The node has started and does not know yet which lifetimes had ended before.
     #[error("the node does not know yet which upstreams have left")]
     Recovering,
+    /// Another lifetime has a later start time, and may still be alive.
+    #[error("another lifetime of the upstream or its address has a later start time")]
+    Unconfirmed,
 }
 
 impl Lifetime {
@@ -89,12 +92,17 @@
         self.generation != 0 || self.sequence != 0
     }
 
-    /// Returns whether `other` is this lifetime, in an earlier or the same state, or an earlier one.
-    /// Without generations, only the sequence numbers decide.
+    /// Returns whether `other` is this lifetime, in any state of it. Without generations, only the
+    /// sequence numbers decide.
     pub fn includes(&self, other: Self) -> bool {
         match (self.generation, other.generation) {
             (0, _) | (_, 0) => other.sequence != 0 && other.sequence <= self.sequence,
-            (own, other) => other <= own,
+            (own, other) => other == own,
         }
     }
+
+    /// Returns whether the start time is earlier than that of `other`; not so without generations.
+    pub fn starts_before(&self, other: Self) -> bool {
+        self.generation != 0 && self.generation < other.generation
+    }
 }
--- a/crates/core/tests/lifetimes.rs
+++ b/crates/core/tests/lifetimes.rs
@@ -86,3 +86,76 @@
     next.announce(&heartbeat(5, 1)).expect("late, but known to be");
     assert_eq!(slots(&next), 0);
 }
+
+/// Interval between the announcements of an upstream, a twentieth of its lease.
+const INTERVAL: Duration = Duration::from_millis(1500);
+
+fn with_lease(announcement: Announcement) -> Announcement {
+    Announcement { lease: INTERVAL * 20, ..announcement }
+}
+
+/// Guards against a leaving that is acknowledged and ignored, because the time of day went back
+/// between the starts of two lifetimes.
+#[test]
+fn a_lifetime_with_an_earlier_start_time_takes_over_and_leaves() {
+    for is_same_id in [true, false] {
+        let clock = clock();
+        let mut gate = Gate::new(INCARNATION, clock.clone() as SharedClock);
+        gate.announce(&with_lease(heartbeat(7, 2))).expect("applied");
+        let next = |announcement: Announcement| {
+            let id = if is_same_id { UPSTREAM } else { "next" };
+            with_lease(Announcement { id: id.into(), ..announcement })
+        };
+        let mut sequence = 1;
+        while gate.announce(&next(heartbeat(6, sequence))).is_err() {
+            clock.advance(INTERVAL);
+            sequence += 1;
+            assert!(sequence <= 4, "not applied after {sequence} heartbeats");
+        }
+        assert_eq!(slots(&gate), 2);
+        gate.announce(&next(leaving(6, sequence + 1))).expect("applied");
+        assert_eq!(slots(&gate), 0);
+        gate.announce(&with_lease(heartbeat(7, 3))).expect("late, but known to be");
+        gate.announce(&next(heartbeat(6, sequence))).expect("late, but known to be");
+        assert_eq!(slots(&gate), 0);
+    }
+}
+
+/// Guards against the same where the earlier lifetime had left before the time of day went back.
+#[test]
+fn a_lifetime_with_an_earlier_start_time_than_one_that_left_is_used() {
+    let clock = clock();
+    let mut gate = Gate::new(INCARNATION, clock.clone() as SharedClock);
+    gate.announce(&with_lease(heartbeat(7, 2))).expect("applied");
+    gate.announce(&with_lease(leaving(7, 3))).expect("applied");
+    for sequence in 1..=3 {
+        // Refused until it is clear that the announcement is not late.
+        let _ = gate.announce(&with_lease(heartbeat(6, sequence)));
+        clock.advance(INTERVAL);
+    }
+    assert_eq!(slots(&gate), 2);
+}
+
+#[test]
+fn late_announcements_of_an_earlier_lifetime_do_not_take_over() {
+    let clock = clock();
+    let mut gate = Gate::new(INCARNATION, clock.clone() as SharedClock);
+    for sequence in 1..=8 {
+        gate.announce(&with_lease(heartbeat(7, sequence))).expect("applied");
+        clock.advance(INTERVAL / 2);
+        for late in [heartbeat(6, sequence), leaving(6, sequence)] {
+            assert_eq!(
+                gate.announce(&with_lease(late)),
+                Err(AnnouncementRefusal::Unconfirmed),
+                "what was not applied must not be acknowledged"
+            );
+        }
+        clock.advance(INTERVAL / 2);
+        assert_eq!(slots(&gate), 2);
+    }
+    // Some that arrive together say nothing about how long their lifetime lasts.
+    clock.advance(INTERVAL * 4);
+    for sequence in 10..20 {
+        assert!(gate.announce(&with_lease(heartbeat(5, sequence))).is_err());
+    }
+}
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -268,6 +268,7 @@
                 }
                 GateAction::Abandon { .. }
                 | GateAction::Publish
+                | GateAction::ReportEarlierStart { .. }
                 | GateAction::ReportGray { .. }
                 | GateAction::ReportLeaving { .. }
                 | GateAction::ReportOutdated { .. }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -461,7 +461,8 @@
                     self.schedule(NETWORK_DELAY, Event::Stuck(entry, request, attempt));
                 }
                 GateAction::Publish => self.publish(gate),
-                GateAction::ReportGray { .. }
+                GateAction::ReportEarlierStart { .. }
+                | GateAction::ReportGray { .. }
                 | GateAction::ReportLeaving { .. }
                 | GateAction::ReportOutdated { .. }
                 | GateAction::ReportRateLimit { .. }
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -184,6 +184,13 @@
                 }
                 GateAction::Publish => self.publish(),
                 GateAction::StoreLifetimes(ended) => self.lifetimes.write(ended),
+                GateAction::ReportEarlierStart { upstream, announced } => {
+                    let Lifetime { generation, sequence } = announced;
+                    log::warn!(
+                        "event=lifetime-with-earlier-start upstream={upstream} \
+                         generation={generation} sequence={sequence}"
+                    );
+                }
                 GateAction::ReportOutdated { upstream, announced } => {
                     let Lifetime { generation, sequence } = announced;
                     log::info!(
