Let a starting node hold heartbeats back instead of refusing them

Cause: a node that has just started refused its upstream's first heartbeat with 503 until the store had answered, so that the upstream came 1.5 s later.

Change: the gate's actor keeps such an announcement and applies it once it knows which lifetimes had ended; the upstream waits for up to 0.7 s. What was read is not written again, and a stored value is bounded. restart.rs, platform.rs and core/tests/lifetimes.rs pass.

--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -22,6 +22,7 @@
     /// Takes over the lifetimes that had ended before the node started.
     pub fn restore_lifetimes(&mut self, ended: Vec<EndedLifetime>) -> Vec<GateAction> {
         self.recovery_end = None;
+        self.stored_lifetimes.extend(ended.iter().cloned());
         for EndedLifetime { upstream: id, lifetime } in ended {
             if let Some(upstream) = self.upstreams.swap_remove(&id) {
                 let has_ended = lifetime.includes(upstream.common().lifetime());
--- a/crates/core/tests/lifetimes.rs
+++ b/crates/core/tests/lifetimes.rs
@@ -77,8 +77,8 @@
     let mut next = Gate::new(INCARNATION + 1, clock as SharedClock);
     next.await_lifetimes(Duration::from_secs(2));
     next.restore_lifetimes(ended);
-    next.announce(&heartbeat(5, 1)).expect("late, but known to be");
-    assert_eq!(slots(&next), 0);
+    let actions = next.announce(&heartbeat(5, 1)).expect("late, but known to be");
+    assert_eq!((slots(&next), stored(&actions)), (0, None));
     // A deregistration without a body names no lifetime, and leaves the stored one in force.
     let mut unordered = announcement(UPSTREAM, 2);
     unordered.phase = AnnouncedPhase::Deregistered;
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -3,7 +3,7 @@
 use lavenderflow_core::gate::{
     Gate, GateAction, RateSignal, RunResult, ServiceOffer, UpstreamSignals,
 };
-use lavenderflow_core::upstream::{Announcement, Lifetime};
+use lavenderflow_core::upstream::{Announcement, AnnouncementRefusal, Lifetime};
 use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
 use tokio::sync::oneshot;
 
@@ -13,6 +13,8 @@
 use crate::status::{Status, UpstreamStatus, condition_name};
 use crate::store::LifetimeStore;
 
+/// Most announcements that are deferred.
+const MAX_DEFERRED: usize = 64;
 /// Interval at which the gate's timers are advanced while attempts run or wait.
 const BUSY_TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// The same while there are none.
@@ -24,6 +26,8 @@
     counters: Actor<CountersActor>,
     publish: Fwd<Vec<ServiceOffer>>,
     lifetimes: LifetimeStore,
+    // Announcements that await the lifetimes that had ended before the node started.
+    deferred: Vec<(Announcement, oneshot::Sender<AnnouncementReply>)>,
     waiting: IndexMap<AttemptId, AttemptChannels>,
     running: IndexMap<AttemptId, oneshot::Sender<()>>,
     published_offers: Vec<ServiceOffer>,
@@ -44,6 +48,7 @@
             counters,
             publish,
             lifetimes,
+            deferred: Vec::new(),
             waiting: IndexMap::new(),
             running: IndexMap::new(),
             published_offers: Vec::new(),
@@ -79,10 +84,17 @@
                 return;
             }
             GateMessage::Announce(announcement, reply) => {
-                self.announce(&announcement, reply);
+                self.announce(announcement, reply);
+                return;
+            }
+            GateMessage::RestoreLifetimes(ended) => {
+                let actions = self.gate.restore_lifetimes(ended);
+                self.execute(actions);
+                for (announcement, reply) in std::mem::take(&mut self.deferred) {
+                    self.announce(announcement, reply);
+                }
                 return;
             }
-            GateMessage::RestoreLifetimes(ended) => self.gate.restore_lifetimes(ended),
         };
         self.execute(actions);
     }
@@ -116,8 +128,12 @@
         call!([counters], status(status, reply));
     }
 
-    fn announce(&mut self, announcement: &Announcement, reply: oneshot::Sender<AnnouncementReply>) {
-        let applied = match self.gate.announce(announcement) {
+    fn announce(&mut self, announcement: Announcement, reply: oneshot::Sender<AnnouncementReply>) {
+        if reply.is_closed() {
+            // Nobody awaits the acknowledgement, so the upstream repeats it.
+            return;
+        }
+        let applied = match self.gate.announce(&announcement) {
             Ok(actions) => {
                 self.execute(actions);
                 let (stored, is_stored) = oneshot::channel();
@@ -129,6 +145,10 @@
                 }
                 Ok(is_stored)
             }
+            Err(AnnouncementRefusal::Recovering) if self.deferred.len() < MAX_DEFERRED => {
+                self.deferred.push((announcement, reply));
+                return;
+            }
             Err(refusal) => {
                 let Announcement { id, generation, sequence, .. } = announcement;
                 log::info!(
--- a/crates/lavenderflow/src/http/announcements.rs
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -20,7 +20,8 @@
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
-/// Longest wait until the store has what must outlast the node. An upstream waits for a second.
+/// Longest wait for the store: until it has what must outlast the node, or until a node that has just
+/// started knows what it had stored. An upstream waits for a second.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why an announcement is rejected.
@@ -131,7 +132,9 @@
     let (reply, applied) = oneshot::channel();
     let message = GateMessage::Announce(announcement, reply);
     context.mailbox.send(Message::Gate(message)).await;
-    let is_stored = applied.await.map_err(|_| AnnouncementError::Stopping)??;
+    let applied = timeout(STORE_TIMEOUT, applied).await;
+    let applied = applied.map_err(|_| AnnouncementRefusal::Recovering)?;
+    let is_stored = applied.map_err(|_| AnnouncementError::Stopping)??;
     if !matches!(timeout(STORE_TIMEOUT, is_stored).await, Ok(Ok(()))) {
         log::warn!("event=leaving-not-stored upstream={id} after={STORE_TIMEOUT:?}");
     }
--- a/crates/lavenderflow/src/store/lifetimes.rs
+++ b/crates/lavenderflow/src/store/lifetimes.rs
@@ -20,6 +20,8 @@
 const LIFETIMES_TTL: Duration = Duration::from_secs(600);
 /// Age of a lease from which a new one is used.
 const LEASE_REUSE_TIME: Duration = Duration::from_secs(60);
+/// Most lifetimes in a value.
+const MAX_STORED_LIFETIMES: usize = 128;
 /// Sleep without work; a command wakes the thread.
 const IDLE_WAIT: Duration = Duration::from_secs(3600);
 
@@ -191,7 +193,8 @@
         };
         let restored = self.restored.iter().flatten().filter(is_missing);
         let all: Vec<EndedLifetime> = restored.chain(ended).cloned().collect();
-        state::encode_ended(&all)
+        let oldest = all.len().saturating_sub(MAX_STORED_LIFETIMES);
+        state::encode_ended(&all[oldest..])
     }
 
     /// Returns a lease that lasts for most of the time for which lifetimes are kept.
