Answer all requests that a stopping node has accepted

Here, with real processes and 195 requests spread over a stop, some with bodies that arrive slowly (a trial, work of 0.2 s): - a body of up to 64 KB that ended after new requests were refused was refused too, although its request had been accepted and there was time: 503 in 9 of 9; - one that began to arrive later was read for as long as it took: of 14, 5 were refused then, 8 cut, and one that the actors never saw was answered with 502, as if it could have run. And, by a test: a request that its upstream needed longer for than the stop took lost its connection without an answer, if it had come before the signal: the limit of the stop held for later ones only. Requests that arrived whole were neither cut nor refused when they ran, as measured before.

Change: the stages of a stop are published to the tasks that serve requests. All requests in flight are answered by the same time; a request that began to arrive in time is served if it can still be on time; a body that a stopping node cannot use is refused after 0.1 s. Short grace times shorten the notice and the margins in proportion, and closing uses the latest settings (a stop with a grace time of 1 s took 1.11 s before).

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -190,12 +190,15 @@
         (!self.draining).then(|| self.ledger.issue(now))
     }
 
-    /// Sets the time by which new requests must have their answers, because the node stops then.
+    /// Sets the time by which all requests must have their answers, because the node stops then.
     pub fn limit_deadlines(&mut self, last: Instant) {
         self.last_deadline = Some(last);
+        for active in self.active_requests.values_mut() {
+            active.deadline = active.deadline.min(last);
+        }
     }
 
-    /// Refuses new requests from now on.
+    /// Refuses new requests from now on, except those that have begun to arrive before.
     pub fn drain(&mut self) {
         self.draining = true;
     }
@@ -325,8 +328,16 @@
         self.budgets.entry(service.clone()).or_insert_with(new)
     }
 
+    /// Returns whether a request that began to arrive before the node refused new ones can have its
+    /// answer in time.
+    fn can_finish(&self, active: &ActiveRequest) -> bool {
+        let remaining = active.deadline.saturating_duration_since(self.clock.now());
+        active.arrival.in_progress
+            && active.target_latency.is_none_or(|latency| remaining >= latency)
+    }
+
     fn refusal_reason(&self, active: &ActiveRequest) -> Option<Reason> {
-        if self.draining {
+        if self.draining && !self.can_finish(active) {
             return Some(Reason::Leaving);
         }
         let organisation = active.arrival.organisation.as_ref()?;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -28,6 +28,8 @@
     pub fingerprint: u64,
     /// Time until the caller's own deadline.
     pub timeout: Option<Duration>,
+    /// Whether it began to arrive before the node refused new requests.
+    pub in_progress: bool,
     /// Whether another entry forwarded the request to this one as the home of its ticket.
     pub forwarded: bool,
 }
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lavenderflow_core::clock::{ManualClock, SharedClock};
+use lavenderflow_core::clock::{Clock, ManualClock, SharedClock};
 use lavenderflow_core::entry::Entry;
 use lavenderflow_core::id::TicketId;
 use lavenderflow_core::load::{Condition, Load};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::request::{Arrival, AttemptReport, Conclusion, EntryAction};
+use lavenderflow_core::route::Route;
 use lavenderflow_core::ticket::StoredAnswer;
-use support::{arrival, clock, entry, first_dispatch, member, service_offer};
+use support::{arrival, clock, entry, first_dispatch, member, service, service_offer};
 
 fn entry_with_gates(gates: u64) -> (Entry, Arc<ManualClock>) {
     let clock = clock();
@@ -249,7 +250,7 @@
     let mut router = Router::default();
     router.insert(Route {
         prefix: "/".to_owned(),
-        service: support::service(),
+        service: service(),
         idempotency: Idempotency::ByMethod,
         attempts: Some(2),
         ..Route::default()
@@ -317,3 +318,32 @@
         assert!(longest > Duration::from_millis(700), "{reason:?}: {longest:?}");
     }
 }
+
+/// Guards against requests that are refused during a stop although they were accepted before, and
+/// against ones that a stop interrupts without an answer.
+#[test]
+fn a_stopping_entry_serves_requests_in_progress_while_there_is_time() {
+    let (mut entry, clock) = entry_with_gates(1);
+    let target_latency = Some(Duration::from_secs(1));
+    let route =
+        Route { prefix: "/".to_owned(), service: service(), target_latency, ..Route::default() };
+    entry.set_route(route, None);
+    let before = entry.begin(arrival(1, "GET", None));
+    assert!(first_dispatch(&before).is_some());
+    entry.limit_deadlines(clock.now() + Duration::from_secs(3));
+    entry.drain();
+    let in_progress = |request| Arrival { in_progress: true, ..arrival(request, "GET", None) };
+    assert!(first_dispatch(&entry.begin(in_progress(2))).is_some());
+    let new = entry.begin(arrival(3, "GET", None));
+    assert_eq!(first_conclusion(&new).map(|c| c.reason), Some(Reason::Leaving));
+    clock.advance(Duration::from_millis(2500));
+    let late = entry.begin(in_progress(4));
+    assert_eq!(
+        first_conclusion(&late).map(|c| c.reason),
+        Some(Reason::Leaving),
+        "too late for the target latency"
+    );
+    clock.advance(Duration::from_millis(500));
+    let ended = entry.report(1, AttemptReport::Lost(Reason::Lost));
+    assert!(first_dispatch(&ended).is_none(), "no retry after the last answer");
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -113,6 +113,7 @@
         body_buffered: true,
         fingerprint: 7,
         timeout: None,
+        in_progress: false,
         forwarded: false,
     }
 }
--- a/crates/lavenderflow/src/actor/lifecycle.rs
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -8,14 +8,17 @@
 use super::fleet::FleetActor;
 use super::gate::GateActor;
 use crate::prelude::*;
+use crate::shutdown::{StopSender, StopStage};
 use crate::status::Status;
 use crate::work::WorkTracker;
 
 /// Interval at which a stopping node checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time before the end of a stop by which requests that arrive during it must have their answers,
-/// so that these can still be written.
+/// Time before the end of a stop by which all requests must have their answers, so that these can
+/// still be written.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// Divisor of the stop time that limits that margin.
+const ANSWER_MARGIN_DIVISOR: u32 = 10;
 
 /// The actors that take part in a stop.
 #[derive(Clone)]
@@ -28,6 +31,14 @@
     pub fleet: Actor<FleetActor>,
 }
 
+/// What the actor publishes to the tasks that serve requests.
+pub struct PublishedStates {
+    /// Whether the node accepts new requests.
+    pub is_ready: watch::Sender<bool>,
+    /// The stage of a graceful stop.
+    pub stop_stage: StopSender,
+}
+
 /// Durations of the phases of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StopTimes {
@@ -45,7 +56,7 @@
     actors: DrainActors,
     work: WorkTracker,
     stop: StopTimes,
-    is_ready: watch::Sender<bool>,
+    states: PublishedStates,
     idle_since: Option<Instant>,
     requests: usize,
     running: usize,
@@ -53,21 +64,19 @@
 
 impl LifecycleActor {
     /// Starts the actor; a graceful stop waits until `work` is finished.
-    ///
-    /// `is_ready` publishes whether the node accepts new requests.
     pub fn init(
         _: CX![],
         actors: DrainActors,
         work: WorkTracker,
         stop: StopTimes,
-        is_ready: watch::Sender<bool>,
+        states: PublishedStates,
     ) -> Option<Self> {
         Some(Self {
             node: AnyNode::Starting(Node::new()),
             actors,
             work,
             stop,
-            is_ready,
+            states,
             idle_since: None,
             requests: 0,
             running: 0,
@@ -81,7 +90,7 @@
             other => other,
         });
         let is_serving = matches!(self.node, AnyNode::Serving(_));
-        if self.is_ready.send_replace(is_serving) != is_serving {
+        if self.states.is_ready.send_replace(is_serving) != is_serving {
             log::info!("event=ready is_ready={is_serving}");
         }
     }
@@ -103,22 +112,25 @@
             AnyNode::Serving(node) => AnyNode::Draining(node.drain(now)),
             AnyNode::Draining(node) => AnyNode::Draining(node),
         });
-        self.is_ready.send_replace(false);
+        self.states.is_ready.send_replace(false);
+        let margin = ANSWER_MARGIN.min(self.stop.timeout / ANSWER_MARGIN_DIVISOR);
+        let last_answer = now + self.stop.timeout - margin;
+        self.states.stop_stage.send_replace(StopStage::Noticed { last_answer });
         let DrainActors { entry, gate, fleet } = &self.actors;
-        let last = now + self.stop.timeout.saturating_sub(ANSWER_MARGIN);
-        call!([entry], limit_deadlines(last));
+        call!([entry], limit_deadlines(last_answer));
         call!([fleet], leave());
         call!([gate], drain());
         if self.stop.notice.is_zero() {
-            self.stop_accepting(cx);
+            self.stop_accepting(cx, last_answer);
         } else {
-            after!(self.stop.notice, [cx], stop_accepting());
+            after!(self.stop.notice, [cx], stop_accepting(last_answer));
         }
         after!(self.stop.timeout, [cx], stop_early());
     }
 
     /// Refuses new requests from now on and waits until the node is idle.
-    fn stop_accepting(&mut self, cx: CX![]) {
+    fn stop_accepting(&mut self, cx: CX![], last_answer: Instant) {
+        self.states.stop_stage.send_replace(StopStage::Refusing { last_answer });
         let entry = &self.actors.entry;
         call!([entry], drain());
         self.query_in_flight(cx);
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -30,6 +30,11 @@
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 /// Time for which the body of a refused request is read, so that the caller sees the response.
 const BODY_DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time within which the body of a request must arrive that a stopping node refuses anyway, so that
+/// it is refused by the rules for all requests.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time after which a caller may retry a request whose body a stopping node could not await.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Prefix of the paths that the node itself serves.
 const RESERVED_PREFIX: &str = "/.lavenderflow/";
 /// Path that issues tickets.
@@ -67,6 +72,8 @@
     Length,
     #[error("body: {0}")]
     Body(#[from] hyper::Error),
+    #[error("the node stops before the body has arrived")]
+    Stopping,
 }
 
 impl CallerError {
@@ -80,6 +87,7 @@
             | Self::Host
             | Self::Length
             | Self::Body(_) => Reason::BadRequest,
+            Self::Stopping => Reason::Leaving,
         }
     }
 }
@@ -140,11 +148,18 @@
     context.net.dialect.set_forward_headers(&mut headers, id);
     let limits = *context.limits.borrow();
     let parsed = match metadata {
-        Ok(metadata) => parse_request(request, headers, metadata, limits).await,
+        Ok(metadata) => parse_request(&context.net, request, headers, metadata, limits).await,
         Err(fault) => Err(fault.into()),
     };
     match parsed {
         Ok(parsed) => forward(context, parsed, id).await,
+        Err(fault @ CallerError::Stopping) => {
+            log::info!("event=body-too-late request={id} fault={fault}");
+            Reply {
+                retry_after: Some(STOPPING_RETRY_AFTER),
+                ..Reply::local(Outcome::NotRun, fault.reason(), None)
+            }
+        }
         Err(fault) => {
             log::info!("event=bad-request request={id} fault={fault:?}");
             send(context, Message::Count(Counter::Fault(Fault::Caller))).await;
@@ -186,11 +201,13 @@
 }
 
 async fn parse_request(
+    net: &NetworkContext,
     request: hyper::Request<Incoming>,
     headers: Headers,
     metadata: RequestMetadata,
     limits: RequestLimits,
 ) -> Result<ParsedRequest, CallerError> {
+    let in_progress = !net.stop.is_refusing();
     let size: usize = headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
     let target = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
     if size + target.len() > limits.header_bytes.unwrap_or(DEFAULT_HEADER_BYTES) {
@@ -215,8 +232,19 @@
     let mut unread_body = request.into_body();
     // A large body is not read until a gate has admitted the request.
     let is_large = declared.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
-    let (body, body_buffered) =
-        if is_large { (Bytes::new(), false) } else { buffer_body(&mut unread_body).await? };
+    let (body, body_buffered) = if is_large {
+        (Bytes::new(), false)
+    } else {
+        let received = tokio::select! {
+            received = buffer_body(&mut unread_body) => Some(received?),
+            () = body_is_too_late(net, in_progress) => None,
+        };
+        let Some(received) = received else {
+            tokio::spawn(drain_body(unread_body));
+            return Err(CallerError::Stopping);
+        };
+        received
+    };
     let length = if body_buffered { Some(body.len() as u64) } else { declared };
     let arrival = Arrival {
         request: random(),
@@ -226,6 +254,7 @@
         body_buffered,
         fingerprint: fingerprint(&method, &target, length, &body),
         timeout: metadata.timeout,
+        in_progress,
         forwarded: false,
         method,
         target,
@@ -279,6 +308,15 @@
     Ok((first.freeze(), false))
 }
 
+/// Waits until a stopping node can no longer serve a request whose body it is still reading.
+async fn body_is_too_late(net: &NetworkContext, in_progress: bool) {
+    if in_progress {
+        net.stop.last_answer(&net.clock).await;
+    } else {
+        tokio::time::sleep(REFUSED_BODY_TIMEOUT).await;
+    }
+}
+
 /// Serves a request, with a task that streams the rest of its body.
 async fn forward(context: &CallerContext, parsed: ParsedRequest, id: &str) -> Reply {
     let ParsedRequest { arrival, headers, body, unread_body } = parsed;
@@ -317,6 +355,11 @@
             }
         }
     }
+    drain_body(body).await;
+}
+
+/// Reads the rest of a body that nobody needs, for up to [`BODY_DRAIN_TIMEOUT`].
+async fn drain_body(mut body: Incoming) {
     let drain = async { while let Some(Ok(_)) = body.frame().await {} };
     let _ = timeout(BODY_DRAIN_TIMEOUT, drain).await;
 }
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod operator;
 pub mod prelude;
 pub mod reload;
+pub mod shutdown;
 pub mod status;
 pub mod store;
 pub mod upstream;
--- a/crates/lavenderflow/src/net/context.rs
+++ b/crates/lavenderflow/src/net/context.rs
@@ -8,6 +8,7 @@
 use super::connector::Connector;
 use super::link::{FrameSink, FrameSource};
 use crate::prelude::*;
+use crate::shutdown::StopWatch;
 use crate::upstream::CallSender;
 use crate::work::WorkTracker;
 
@@ -36,6 +37,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Counts the unfinished work that a graceful stop waits for.
     pub work: WorkTracker,
+    /// Follows a graceful stop.
+    pub stop: StopWatch,
     /// Interval between pings.
     pub ping_interval: Duration,
 }
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -96,12 +96,19 @@
     let mut held: Option<HeldResponse> = None;
     let mut hedged: Option<HedgedAttempt> = None;
     let mut wait = None;
+    let mut is_dispatched = false;
     loop {
         let Some(action) = next_action(context, id, &mut actions, wait.take()).await else {
             // The actors have ended: the node stopped during the request.
             guard.is_finished = true;
-            return Reply::local(Outcome::Unknown, Reason::Lost, None);
+            return if is_dispatched {
+                Reply::local(Outcome::Unknown, Reason::Lost, None)
+            } else {
+                Reply::local(Outcome::NotRun, Reason::Leaving, None)
+            };
         };
+        is_dispatched |=
+            matches!(action, EntryAction::Dispatch { .. } | EntryAction::Forward { .. });
         let result = match action {
             EntryAction::Dispatch {
                 attempt,
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -46,7 +46,13 @@
 
 impl HedgedAttempt {
     /// Starts waiting for the response to an attempt, up to `limit`.
-    fn start(sink: Option<FrameSink>, mut source: FrameSource, limit: Duration) -> Self {
+    fn start(
+        context: &NetworkContext,
+        sink: Option<FrameSink>,
+        mut source: FrameSource,
+        limit: Duration,
+    ) -> Self {
+        let context = context.clone();
         let (mut sender, receiver) = oneshot::channel();
         tokio::spawn(async move {
             // Keeps the sink open: the gate would take its end for a caller that disconnected.
@@ -63,6 +69,7 @@
             let answer = tokio::select! {
                 answer = timeout(limit, answer) => answer.ok().flatten(),
                 () = sender.closed() => return,
+                () = node_ends(&context) => return,
             };
             if let Some(answer) = answer {
                 // The receiver is gone when the other attempt has ended the request.
@@ -107,7 +114,11 @@
     let mut link =
         AttemptLink { context, id, sink: Some(sink), source, remaining, started, committed };
     let limit = remaining + DEADLINE_GRACE;
-    let ended = timeout(limit, link.run(request, first_frame_timeout.min(limit))).await;
+    let run = timeout(limit, link.run(request, first_frame_timeout.min(limit)));
+    let ended = tokio::select! {
+        ended = run => ended.map_err(|_| AttemptTimeout),
+        () = node_ends(context) => Err(AttemptTimeout),
+    };
     let committed = link.committed;
     if let (Ok(Err(_)) | Err(_), Some((connection, datagrams))) = (&ended, &link_connection) {
         context.connector.replace_if_silent(node, connection, *datagrams).await;
@@ -126,6 +137,15 @@
     report.into()
 }
 
+/// The deadline of an attempt has passed, or the node ends.
+struct AttemptTimeout;
+
+/// Waits until a stopping node must answer its requests.
+async fn node_ends(context: &NetworkContext) {
+    context.stop.last_answer(&context.clock).await;
+    tokio::time::sleep(DEADLINE_GRACE).await;
+}
+
 /// A connection and its datagram count before the attempt; `None` for a link within this node.
 type LinkConnection = Option<(Connection, DatagramCount)>;
 
@@ -221,7 +241,8 @@
     /// Continues the attempt in parallel with another one.
     fn hedge(&mut self) -> AttemptResult {
         let time_left = self.remaining.saturating_sub(self.started.elapsed()) + DEADLINE_GRACE;
-        let hedged = HedgedAttempt::start(self.sink.take(), self.take_source(), time_left);
+        let hedged =
+            HedgedAttempt::start(self.context, self.sink.take(), self.take_source(), time_left);
         AttemptResult { hedged: Some(hedged), ..AttemptReport::Lost(Reason::Stuck).into() }
     }
 
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -16,6 +16,7 @@
 use super::{ping, serve};
 use crate::error::NodeError;
 use crate::prelude::*;
+use crate::shutdown::StopWatch;
 use crate::upstream;
 use crate::work::WorkTracker;
 
@@ -67,6 +68,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Counts the unfinished work that a graceful stop waits for.
     pub work: WorkTracker,
+    /// Follows a graceful stop.
+    pub stop: StopWatch,
     /// Interval between pings.
     pub ping_interval: Duration,
 }
@@ -102,6 +105,7 @@
         mailbox: setup.mailbox.clone(),
         connector: Connector::start(endpoint.clone(), setup.mailbox),
         work: setup.work,
+        stop: setup.stop,
         ping_interval: setup.ping_interval,
     };
     let _ = bound.send(Ok(context.clone()));
--- a/crates/lavenderflow/src/net/serve/home.rs
+++ b/crates/lavenderflow/src/net/serve/home.rs
@@ -78,6 +78,7 @@
             body_buffered: !begin.body_follows,
             fingerprint: begin.fingerprint,
             timeout: Some(Duration::from_micros(begin.remaining_us)),
+            in_progress: false,
             forwarded: true,
             method: begin.method,
             target: begin.target,
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -24,7 +24,7 @@
 use crate::actor::entry::EntryActor;
 use crate::actor::fleet::{self, FleetActor};
 use crate::actor::gate::GateActor;
-use crate::actor::lifecycle::{DrainActors, LifecycleActor, StopTimes};
+use crate::actor::lifecycle::{DrainActors, LifecycleActor, PublishedStates, StopTimes};
 use crate::clock::SystemClock;
 use crate::counter;
 use crate::environment::{Environment, PeerTrust};
@@ -37,6 +37,7 @@
 use crate::net::tls;
 use crate::prelude::*;
 use crate::reload::{ReloadableSettings, Reloader};
+use crate::shutdown;
 use crate::store::{
     ConfigWatcher, LifetimeSetup, LifetimeStore, Registration, RegistrationSetup, Store,
     WatcherSetup,
@@ -66,6 +67,7 @@
     let (next_nodes, current_next_nodes) = watch::channel(String::new());
     let (limits, current_limits) = watch::channel(RequestLimits::default());
     let (is_ready, ready_state) = watch::channel(false);
+    let (stop_stage, stop_watch) = shutdown::channel();
     let (ready, becomes_ready) = oneshot::channel();
     let (stop, is_stopped) = oneshot::channel();
     let statsd = counter::statsd_client(settings.statsd.first().copied())?;
@@ -80,6 +82,7 @@
         mailbox: mailbox.clone(),
         dialect: Arc::clone(&environment.dialect),
         work: work.clone(),
+        stop: stop_watch,
         ping_interval: settings.ping,
     };
     let net = start_network(&executor, network_setup, commands)?;
@@ -151,9 +154,11 @@
         settings.peers,
         env!("CARGO_PKG_VERSION")
     );
-    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, statsd, work, is_ready);
+    let states = PublishedStates { is_ready, stop_stage };
+    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, statsd, work, states);
     executor.run(main_loop.run(messages));
-    executor.run(close(stop, &network, CLOSE_TIMEOUT.min(settings.stop / CLOSE_DIVISOR)));
+    let timeout = CLOSE_TIMEOUT.min(main_loop.stop_timeout / CLOSE_DIVISOR);
+    executor.run(close(stop, &network, timeout));
     log::info!("event=ended node={}", settings.name);
     Ok(())
 }
@@ -261,6 +266,8 @@
     gate: ActorOwn<GateActor>,
     fleet: ActorOwn<FleetActor>,
     lifecycle: ActorOwn<LifecycleActor>,
+    // By the latest settings.
+    stop_timeout: Duration,
 }
 
 impl MainLoop {
@@ -271,7 +278,7 @@
         lifetimes: LifetimeStore,
         statsd: cadence::StatsdClient,
         work: WorkTracker,
-        is_ready: watch::Sender<bool>,
+        states: PublishedStates,
     ) -> Self {
         let mut stakker = Stakker::new(clock.now());
         let s = &mut stakker;
@@ -301,10 +308,11 @@
         let NodeSettings { notice, linger, stop: timeout, .. } = *settings;
         let stop = StopTimes { notice, linger, timeout };
         let lifecycle =
-            actor!(s, LifecycleActor::init(actors, work, stop, is_ready), ret_shutdown!(s));
+            actor!(s, LifecycleActor::init(actors, work, stop, states), ret_shutdown!(s));
         let serve = fwd_to!([lifecycle], serve() as (()));
         call!([fleet], set_on_ready(serve));
-        Self { stakker, clock: Arc::clone(clock), counters, entry, gate, fleet, lifecycle }
+        let (clock, stop_timeout) = (Arc::clone(clock), timeout);
+        Self { stakker, clock, counters, entry, gate, fleet, lifecycle, stop_timeout }
     }
 
     /// Dispatches messages until an actor shuts the node down.
@@ -323,7 +331,7 @@
         }
     }
 
-    fn dispatch(&self, message: Message) {
+    fn dispatch(&mut self, message: Message) {
         let Self { counters, entry, gate, fleet, lifecycle, .. } = self;
         match message {
             Message::Entry(message) => call!([entry], handle(message)),
@@ -339,9 +347,10 @@
     }
 
     /// Applies changed settings.
-    fn apply_settings(&self, settings: ReloadableSettings) {
-        let Self { fleet, lifecycle, .. } = self;
+    fn apply_settings(&mut self, settings: ReloadableSettings) {
         let ReloadableSettings { profile, burst, stop } = settings;
+        self.stop_timeout = stop.timeout;
+        let Self { fleet, lifecycle, .. } = self;
         call!([fleet], apply_settings(profile, burst));
         call!([lifecycle], set_stop(stop));
     }
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -75,6 +75,11 @@
         Ok(Self { reader: BufReader::new(stream) })
     }
 
+    /// Returns a second handle of the connection, which must not be read from both.
+    pub fn try_clone(&self) -> std::io::Result<Self> {
+        Ok(Self { reader: BufReader::new(self.reader.get_ref().try_clone()?) })
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
         self.reader.get_mut().write_all(bytes)
     }
--- a/crates/lavenderflow/tests/reload.rs
+++ b/crates/lavenderflow/tests/reload.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use std::sync::mpsc::Receiver;
+use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Deployment, Vm};
+use common::deployment::{Caller, Deployment, Vm};
+use lavenderflow_standins::fleet::wait_until;
+use lavenderflow_standins::platform_upstream::Mode;
 use serde_json::{Value, json};
 
 /// Maximum time to wait for a log line.
@@ -72,9 +75,22 @@
     let mut deployment = Deployment::start(1);
     let lines = deployment.restart_logged(0);
     deployment.wait_ready();
-    // The shutdown gets 0.5 s, less than the time for which a stopping node accepts new requests.
+    deployment.upstreams[0].set_mode(Mode::Hangs).expect("an upstream");
+    let node = deployment.vms[0].outbound;
+    let caller = thread::spawn(move || {
+        Caller::connect(node).expect("a connection").request("POST", "/write/a", "hangs", b"")
+    });
+    wait_until("the request runs", || deployment.run_counts().contains_key("hangs"))
+        .expect("a run");
+    // Until then the request could take its two seconds, and the stop six.
     edit_settings(&deployment.vms[0], |value| value["bounds"]["grace_s"] = json!(1));
     wait_for_line(&lines, "event=reload changed=stop");
-    deployment.vms[0].process.terminate().expect("a signal");
-    wait_for_line(&lines, "event=stopped-early");
+    let process = &mut deployment.vms[0].process;
+    process.terminate().expect("a signal");
+    let signalled = Instant::now();
+    wait_until("the node has stopped", || process.exit_status().expect("a process").is_some())
+        .expect("a stop");
+    assert!(signalled.elapsed() < Duration::from_secs(1), "{:?}", signalled.elapsed());
+    let response = caller.join().expect("a caller").expect("an answer");
+    assert_eq!(response.status, 504);
 }
