Open a connection for each call that stores ended lifetimes

Cause: these calls are rare, so a connection kept for them can have gone silent since the call before; the call then took its time-out of 2 s, and the upstream had its acknowledgement before its leaving was stored.

--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -122,7 +122,8 @@
     };
     let registration = Registration::start(setup)?;
     let lifetimes = LifetimeStore::start(LifetimeSetup {
-        store: store.clone(),
+        // Its calls are rare, and an upstream awaits them.
+        store: Store::without_reuse(settings.store),
         name: settings.name.clone(),
         mailbox: mailbox.clone(),
         clock: Arc::clone(&clock),
