Test open connections that go silent for good

Seen to fail without the mechanisms: with silent connections not replaced, 503 after contact_s (3 s); with connections kept for ended lifetimes, a leaving was acknowledged before it was stored.

--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -12,6 +12,7 @@
 use lavenderflow_standins::platform_upstream::{PlatformUpstream, Settings};
 use lavenderflow_standins::process::Process;
 use lavenderflow_standins::store::StoreStandin;
+use lavenderflow_standins::tcp_proxy::TcpProxy;
 use serde_json::{Value, json};
 
 use super::binary;
@@ -39,6 +40,8 @@
     pub store: StoreStandin,
     pub vms: Vec<Vm>,
     pub upstreams: Vec<PlatformUpstream>,
+    /// Proxies through which the nodes reach the store, if any.
+    pub store_proxies: Vec<TcpProxy>,
     version: u32,
 }
 
@@ -182,14 +185,34 @@
     /// Starts VMs without a configuration; `apply_seconds` is the bound within which a change of
     /// the configuration must take effect.
     pub fn start_with_bound(count: usize, apply_seconds: u32) -> Self {
+        Self::start_with(count, apply_seconds, false)
+    }
+
+    /// Starts VMs whose nodes reach the store through proxies, and waits until all nodes are ready.
+    pub fn start_behind_proxies(count: usize) -> Self {
+        let mut deployment = Self::start_with(count, 2, true);
+        deployment.configure("work", "work");
+        deployment.wait_ready();
+        deployment
+    }
+
+    fn start_with(count: usize, apply_seconds: u32, is_proxied: bool) -> Self {
         let store = StoreStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a store");
+        let addresses = (0..count).map(|_| store.listen().expect("an address"));
+        let addresses: Vec<SocketAddr> = addresses.collect();
+        let start_proxy = |address: &SocketAddr| TcpProxy::start(*address).expect("a proxy");
+        let store_proxies: Vec<TcpProxy> =
+            if is_proxied { addresses.iter().map(start_proxy).collect() } else { Vec::new() };
         let number = NEXT_DEPLOYMENT.fetch_add(1, Ordering::Relaxed);
         let vms: Vec<Vm> = (0..count)
-            .map(|index| start_vm(&format!("vm-{number}-{index}"), index, &store, apply_seconds))
+            .map(|index| {
+                let address = store_proxies.get(index).map_or(addresses[index], TcpProxy::address);
+                start_vm(&format!("vm-{number}-{index}"), index, address, apply_seconds)
+            })
             .collect();
         let upstreams =
             vms.iter().map(|vm| start_upstream(vm, 1, Duration::from_millis(5))).collect();
-        Self { store, vms, upstreams, version: 0 }
+        Self { store, vms, upstreams, store_proxies, version: 0 }
     }
 
     /// Writes a newer version of the configuration; version numbers need not be consecutive.
@@ -285,8 +308,7 @@
     }
 }
 
-fn start_vm(name: &str, index: usize, store: &StoreStandin, apply_seconds: u32) -> Vm {
-    let store = store.listen().expect("an address");
+fn start_vm(name: &str, index: usize, store: SocketAddr, apply_seconds: u32) -> Vm {
     let port = || free_tcp_port().expect("a port");
     let (outbound, ready, control, upstream) = (port(), port(), port(), port());
     let first = free_port_pair();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod process;
 pub mod proxy;
 pub mod store;
+pub mod tcp_proxy;
 pub mod upstream;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A UDP proxy that drops or delays packets by peer and direction.
+//! A UDP proxy that drops or delays packets by peer, direction and QUIC connection.
 //!
 //! One thread owns the rules and forwards the packets; reader threads send it what they receive.
 
@@ -30,6 +30,7 @@
     Packet(SocketAddr, Direction, Vec<u8>),
     Cut(SocketAddr, Direction),
     CutAll,
+    SilenceOpen,
     Heal,
     ForwardedBytes(Sender<u64>),
     Delay(SocketAddr, Duration),
@@ -69,6 +70,8 @@
             flows: IndexMap::new(),
             cuts: IndexSet::new(),
             cut_all: false,
+            open: IndexSet::new(),
+            silent: IndexSet::new(),
             delays: IndexMap::new(),
             delayed: Vec::new(),
             forwarded_bytes: 0,
@@ -92,6 +95,11 @@
         let _ = self.commands.send(Command::CutAll);
     }
 
+    /// Drops the packets of the QUIC connections that are open now, and lets new ones work.
+    pub fn silence_open(&self) {
+        let _ = self.commands.send(Command::SilenceOpen);
+    }
+
     /// Returns how many bytes have been forwarded in both directions, including those delayed.
     ///
     /// # Errors
@@ -114,6 +122,16 @@
     }
 }
 
+/// The id that an endpoint has chosen for its side of a QUIC connection, of quinn's default length.
+type ConnectionId = [u8; 8];
+
+/// Returns the connection id in a packet of an established connection; others have a long header.
+fn connection_id(packet: &[u8]) -> Option<ConnectionId> {
+    let (first, rest) = packet.split_first()?;
+    let has_long_header = first & 0x80 != 0;
+    if has_long_header { None } else { rest.first_chunk().copied() }
+}
+
 struct DelayedPacket {
     due: Instant,
     peer: SocketAddr,
@@ -128,6 +146,9 @@
     flows: IndexMap<SocketAddr, UdpSocket>,
     cuts: IndexSet<(SocketAddr, Direction)>,
     cut_all: bool,
+    // Ids of the QUIC connections whose packets were seen, and of those that are silent.
+    open: IndexSet<ConnectionId>,
+    silent: IndexSet<ConnectionId>,
     delays: IndexMap<SocketAddr, Duration>,
     delayed: Vec<DelayedPacket>,
     forwarded_bytes: u64,
@@ -153,6 +174,12 @@
                 if self.cut_all || self.cuts.contains(&(peer, direction)) {
                     return;
                 }
+                if let Some(id) = connection_id(&packet) {
+                    if self.silent.contains(&id) {
+                        return;
+                    }
+                    self.open.insert(id);
+                }
                 self.forwarded_bytes += packet.len() as u64;
                 let delay = self.delays.get(&peer).copied().unwrap_or_default();
                 let due = Instant::now() + delay;
@@ -162,6 +189,7 @@
                 self.cuts.insert((peer, direction));
             }
             Command::CutAll => self.cut_all = true,
+            Command::SilenceOpen => self.silent.extend(self.open.drain(..)),
             Command::Heal => {
                 self.cuts.clear();
                 self.cut_all = false;
