--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -20,6 +20,22 @@
     }
 
     /// Takes over the lifetimes that had ended before the node started.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use lavenderflow_core::clock::ManualClock;
+    /// use lavenderflow_core::gate::Gate;
+    /// use lavenderflow_core::upstream::{EndedLifetime, Lifetime};
+    ///
+    /// let mut gate = Gate::new(1, Arc::new(ManualClock::new(Instant::now())));
+    /// gate.await_lifetimes(Duration::from_secs(2));
+    /// let lifetime = Lifetime { generation: 7, sequence: 2 };
+    /// gate.restore_lifetimes(vec![EndedLifetime { upstream: "i-1".into(), lifetime }]);
+    /// ```
     pub fn restore_lifetimes(&mut self, ended: Vec<EndedLifetime>) -> Vec<GateAction> {
         self.recovery_end = None;
         self.stored_lifetimes.extend(ended.iter().cloned());
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -94,6 +94,16 @@
 
     /// Returns whether `other` is this lifetime, in any state of it. Without generations, only the
     /// sequence numbers decide.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::upstream::Lifetime;
+    ///
+    /// let ended = Lifetime { generation: 7, sequence: 2 };
+    /// assert!(ended.includes(Lifetime { generation: 7, sequence: 3 }));
+    /// assert!(!ended.includes(Lifetime { generation: 6, sequence: 1 }));
+    /// ```
     pub fn includes(&self, other: Self) -> bool {
         match (self.generation, other.generation) {
             (0, _) | (_, 0) => other.sequence != 0 && other.sequence <= self.sequence,
@@ -102,6 +112,16 @@
     }
 
     /// Returns whether the start time is earlier than that of `other`; not so without generations.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::upstream::Lifetime;
+    ///
+    /// let known = Lifetime { generation: 7, sequence: 2 };
+    /// assert!(Lifetime { generation: 6, sequence: 9 }.starts_before(known));
+    /// assert!(!Lifetime { generation: 0, sequence: 9 }.starts_before(known));
+    /// ```
     pub fn starts_before(&self, other: Self) -> bool {
         self.generation != 0 && self.generation < other.generation
     }
--- a/crates/lavenderflow/src/shutdown.rs
+++ b/crates/lavenderflow/src/shutdown.rs
@@ -32,6 +32,19 @@
 pub struct StopWatch(watch::Receiver<StopStage>);
 
 /// Creates the channel that publishes the stages.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use lavenderflow::shutdown::{self, StopStage};
+///
+/// let (stage, stop) = shutdown::channel();
+/// assert!(!stop.is_refusing());
+/// stage.send_replace(StopStage::Refusing { last_answer: Instant::now() });
+/// assert!(stop.is_refusing());
+/// ```
 pub fn channel() -> (StopSender, StopWatch) {
     let (sender, receiver) = watch::channel(StopStage::default());
     (sender, StopWatch(receiver))
