Serve organisations: keys, names for upstreams and priorities

The entry identifies the organisation, refuses unknown keys with 401 on routes that are not public, removes the key before a request leaves the entry, and passes the name on; the gate sets the upstream's header.

--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -136,6 +136,8 @@
             degraded: false,
             kind: None,
             gray_tolerance: 1.0,
+            organisation: None,
+            organisation_rank: 0,
         };
         black_box(gate.submit(slot_request));
         gate.finish(attempt, RunResult::Success)
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -37,6 +37,10 @@
     pub kind: Option<WorkKind>,
     /// Highest gray failure probability at which an upstream may still get the request.
     pub gray_tolerance: f32,
+    /// Organisation that the request belongs to.
+    pub organisation: Option<OrganisationName>,
+    /// Priority of the organisation, which goes before `rank`; 0 is the highest.
+    pub organisation_rank: u32,
 }
 
 /// What a response says about the rate at which its upstream takes requests.
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::organisation::Organisation;
 use crate::prelude::*;
 use crate::route::Route;
 use crate::table::{Table, Versioned};
@@ -47,11 +48,13 @@
     pub body_bytes: Option<u64>,
 }
 
-/// All routes and limits, which take effect together.
+/// All routes, limits and organisations, which take effect together.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Deployment {
     /// Routes.
     pub routes: Vec<Route>,
+    /// Organisations.
+    pub organisations: Vec<Organisation>,
     /// Size limits for the requests of callers.
     pub limits: RequestLimits,
 }
@@ -65,8 +68,8 @@
     Service(ServiceName, ProfileName),
     /// A route.
     Route(Route),
-    /// An organisation and its limit of requests in flight per entry; 0 sets no limit.
-    Organisation(OrganisationName, u32),
+    /// An organisation.
+    Organisation(Organisation),
     /// All routes and limits together.
     Deployment(Deployment),
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -12,6 +12,7 @@
 use crate::budget::{RetryAllowance, RetryBudget};
 use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
+use crate::organisation::{Directory, Organisation, UnknownKeyError};
 use crate::prelude::*;
 use crate::request::{Arrival, EntryAction};
 use crate::roster::Member;
@@ -48,6 +49,7 @@
     // Whether an attempt may have run, so that the outcome cannot be `NotRun`.
     may_have_run: bool,
     rank: u32,
+    organisation_rank: u32,
     target_latency: Option<Duration>,
     kind: Option<WorkKind>,
 }
@@ -82,7 +84,7 @@
     ledger: Ledger,
     router: Router,
     profiles: IndexMap<ServiceName, Profile>,
-    organisation_limits: IndexMap<OrganisationName, u32>,
+    directory: Directory,
     budgets: IndexMap<ServiceName, RetryBudget>,
     allowance: Option<RetryAllowance>,
     service_levels: IndexMap<ServiceName, ServiceLevel>,
@@ -114,7 +116,7 @@
             identity,
             router: Router::default(),
             profiles: IndexMap::new(),
-            organisation_limits: IndexMap::new(),
+            directory: Directory::default(),
             budgets: IndexMap::new(),
             allowance: None,
             service_levels: IndexMap::new(),
@@ -141,6 +143,11 @@
         self.unconfigured = false;
     }
 
+    /// Sets the organisations.
+    pub fn set_directory(&mut self, directory: Directory) {
+        self.directory = directory;
+    }
+
     /// Sets the retries that each service may make in addition to the profile's share.
     pub fn set_allowance(&mut self, allowance: RetryAllowance) {
         self.allowance = Some(allowance);
@@ -162,13 +169,14 @@
         self.profiles.insert(service.clone(), profile);
     }
 
-    /// Sets an organisation's limit of requests in flight; 0 removes it.
-    pub fn set_limit(&mut self, organisation: &OrganisationName, limit: u32) {
-        if limit == 0 {
-            self.organisation_limits.swap_remove(organisation);
-        } else {
-            self.organisation_limits.insert(organisation.clone(), limit);
-        }
+    /// Adds or replaces an organisation.
+    pub fn set_organisation(&mut self, organisation: Organisation) {
+        self.directory.insert(organisation);
+    }
+
+    /// Returns the organisations.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
     }
 
     /// Records a node and the services that it offers; a leaving node offers none.
@@ -240,10 +248,11 @@
     }
 
     /// Decides on a new request.
-    pub fn begin(&mut self, arrival: Arrival) -> Vec<EntryAction> {
+    pub fn begin(&mut self, mut arrival: Arrival) -> Vec<EntryAction> {
         let route = self.router.find(&arrival.host, &arrival.target).cloned();
         let route = route.as_ref();
         let is_routed = route.is_some();
+        let identified = self.identify(&mut arrival, route);
         // Without a route the request does not run, but its ticket must still be revoked.
         let service = route.map_or_else(|| ServiceName::from(""), |route| self.service(route));
         let idempotent = route.is_none_or(|r| r.idempotency.is_idempotent(&arrival.method))
@@ -262,6 +271,7 @@
             ticket: arrival.ticket.filter(|_| !idempotent),
             limits: AttemptLimits::new(route, &profile),
             rank: route.map_or(0, |route| route.rank),
+            organisation_rank: identified.unwrap_or_default(),
             target_latency: route.and_then(|route| route.target_latency),
             kind: route
                 .filter(|route| route.attempts.is_some())
@@ -288,10 +298,31 @@
         match active.ticket {
             Some(ticket) if ticket.home != self.identity.node => self.forward(&active, ticket),
             ticket if !is_routed => self.refuse_arrival(&active, ticket, no_route_reason),
+            ticket if identified.is_err() => {
+                self.refuse_arrival(&active, ticket, Reason::UnknownKey)
+            }
             ticket => self.admit(active, ticket),
         }
     }
 
+    /// Sets the organisation that a request belongs to by its key, and returns the priority of the
+    /// organisation. Another entry that forwarded the request has checked the key.
+    fn identify(
+        &self,
+        arrival: &mut Arrival,
+        route: Option<&Route>,
+    ) -> Result<u32, UnknownKeyError> {
+        let organisation = if self.directory.needs_keys() && !arrival.forwarded {
+            let is_public = route.is_none_or(|route| route.public);
+            let identified = self.directory.identify(arrival.key, is_public);
+            arrival.organisation = identified.ok().flatten().map(|known| known.name.clone());
+            identified?
+        } else {
+            arrival.organisation.as_ref().and_then(|name| self.directory.get(name))
+        };
+        Ok(organisation.and_then(|known| known.rank).unwrap_or_default())
+    }
+
     fn service(&mut self, route: &Route) -> ServiceName {
         if route.service_weights.is_empty() {
             return route.service.clone();
@@ -341,8 +372,8 @@
             return Some(Reason::Leaving);
         }
         let organisation = active.arrival.organisation.as_ref()?;
-        let limit = self.organisation_limits.get(organisation)?;
+        let limit = self.directory.get(organisation)?.concurrency?;
         let in_flight = self.organisation_requests.get(organisation).copied().unwrap_or_default();
-        (in_flight >= *limit).then_some(Reason::OrganisationLimit)
+        (in_flight >= limit).then_some(Reason::OrganisationLimit)
     }
 }
--- a/crates/core/src/entry/claim.rs
+++ b/crates/core/src/entry/claim.rs
@@ -66,7 +66,14 @@
         }
         self.forwarded.insert(request);
         let remaining = active.deadline.saturating_duration_since(self.clock.now());
-        vec![EntryAction::Forward { request, home: ticket.home, ticket, remaining }]
+        vec![EntryAction::Forward {
+            request,
+            home: ticket.home,
+            ticket,
+            remaining,
+            organisation: active.arrival.organisation.clone(),
+            hides_key: self.directory.needs_keys(),
+        }]
     }
 
     pub(super) fn report_forwarded(
--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -116,7 +116,8 @@
         wants_ticket: bool,
     ) -> Vec<EntryAction> {
         let new_ticket = if wants_ticket { self.issue_ticket() } else { None };
-        let retry_after = Some(self.retry_after(reason));
+        // Time does not make a key known.
+        let retry_after = (reason != Reason::UnknownKey).then(|| self.retry_after(reason));
         let outcome = Outcome::NotRun;
         let conclusion = Conclusion { outcome, reason, answer: None, new_ticket, retry_after };
         vec![EntryAction::Conclude { request, conclusion }]
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -146,6 +146,9 @@
             target_latency: active.target_latency,
             kind: active.kind,
             gray_tolerance: gray_tolerance(&active),
+            organisation: active.arrival.organisation.clone(),
+            organisation_rank: active.organisation_rank,
+            hides_key: self.directory.needs_keys(),
         };
         let (request, ticket) = (active.arrival.request, active.ticket);
         self.active_requests.insert(request, active);
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -31,6 +31,8 @@
 pub type SourceName = Arc<str>;
 /// Names an organisation.
 pub type OrganisationName = Arc<str>;
+/// SHA-256 digest of a key that identifies an organisation.
+pub type KeyDigest = [u8; 32];
 
 /// Identifies one attempt to run a request on an upstream.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ledger;
 pub mod load;
 pub mod node;
+pub mod organisation;
 pub mod outlier;
 pub mod pending;
 pub mod pool;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -6,8 +6,8 @@
 
 pub use crate::clock::{Clock, SharedClock};
 pub use crate::id::{
-    AttemptId, Incarnation, NodeId, OrganisationName, ProfileName, RequestId, Revision, Serial,
-    ServiceName, TicketId, UpstreamId, Version, WorkKind, ZoneName,
+    AttemptId, Incarnation, KeyDigest, NodeId, OrganisationName, ProfileName, RequestId, Revision,
+    Serial, ServiceName, TicketId, UpstreamId, Version, WorkKind, ZoneName,
 };
 pub use crate::load::{Condition, Load};
 pub use crate::profile::Profile;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -89,6 +89,8 @@
     NoUpstream = "no-upstream", 503;
     /// The organisation has too many requests in flight.
     OrganisationLimit = "organisation-limit", 429;
+    /// The organisation has used up its allowance of requests per second.
+    OverAllowance = "over-allowance", 429;
     /// The queue timeout of the request expired before it got a slot.
     PatienceSpent = "patience-spent", 503;
     /// The expected wait for a slot exceeds the time that the request may wait.
@@ -107,6 +109,8 @@
     TicketMismatch = "ticket-mismatch", 422;
     /// The request with this ticket was refused before.
     TicketRefused = "ticket-refused", 409;
+    /// The key of the request belongs to no organisation, or the request has none.
+    UnknownKey = "unknown-key", 401;
     /// The gate cannot be reached.
     Unreachable = "unreachable", 503;
     /// The upstream failed after it may have started to run the request.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -16,8 +16,10 @@
     pub target: String,
     /// Host that the caller names.
     pub host: String,
-    /// Organisation that the caller names.
+    /// Organisation that the caller names, or to which its key belongs.
     pub organisation: Option<OrganisationName>,
+    /// Digest of the key that the caller sent.
+    pub key: Option<KeyDigest>,
     /// Ticket that the caller sent.
     pub ticket: Option<TicketId>,
     /// Length of the body in bytes, if known.
@@ -62,6 +64,12 @@
     pub kind: Option<WorkKind>,
     /// Highest probability of a gray failure at which an upstream may still get the request.
     pub gray_tolerance: f32,
+    /// Organisation that the request belongs to.
+    pub organisation: Option<OrganisationName>,
+    /// Priority of the organisation, which goes before `rank`; 0 is the highest.
+    pub organisation_rank: u32,
+    /// Whether the header with the caller's key is removed before the request is sent on.
+    pub hides_key: bool,
 }
 
 /// The end of a request for which there is no response of a gate to relay.
@@ -109,6 +117,10 @@
         ticket: TicketId,
         /// Time left until the deadline.
         remaining: Duration,
+        /// Organisation that the request belongs to.
+        organisation: Option<OrganisationName>,
+        /// Whether the header with the caller's key is removed before the request is sent on.
+        hides_key: bool,
     },
     /// Relay the reported response.
     Relay {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -70,6 +70,8 @@
     pub rank: u32,
     /// Latency within which a response has its full value.
     pub target_latency: Option<Duration>,
+    /// Whether requests need no key, even if there are organisations with keys.
+    pub public: bool,
 }
 
 impl Route {
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -32,6 +32,8 @@
         degraded: false,
         kind: None,
         gray_tolerance: 1.0,
+        organisation: None,
+        organisation_rank: 0,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/organisations.rs
@@ -0,0 +1,107 @@
+//! Tests which requests belong to an organisation, and what that decides.
+
+mod support;
+
+use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::entry::Entry;
+use lavenderflow_core::id::KeyDigest;
+use lavenderflow_core::load::Condition;
+use lavenderflow_core::organisation::{Directory, Organisation};
+use lavenderflow_core::reason::{Outcome, Reason};
+use lavenderflow_core::request::{Arrival, AttemptSpec, EntryAction};
+use lavenderflow_core::route::{Route, Router};
+use support::{arrival, clock, entry, member, service, service_offer};
+
+const ONE: KeyDigest = [1; 32];
+const TWO: KeyDigest = [2; 32];
+const UNKNOWN: KeyDigest = [9; 32];
+
+fn organisation(name: &str, key: KeyDigest, rank: Option<u32>) -> Organisation {
+    Organisation { name: name.into(), keys: vec![key], rank, ..Organisation::default() }
+}
+
+fn both() -> Directory {
+    Directory::new([organisation("one", ONE, Some(2)), organisation("two", TWO, None)])
+}
+
+/// Returns an entry with one gate, a route that needs a key and a public one.
+fn entry_with(directory: Directory) -> Entry {
+    let clock: SharedClock = clock();
+    let mut entry = entry(1, 1, &clock, 7);
+    let mut router = Router::default();
+    for (prefix, public) in [("/", false), ("/open/", true)] {
+        let (prefix, service) = (prefix.to_owned(), service());
+        router.insert(Route { prefix, service, public, rank: 3, ..Route::default() });
+    }
+    entry.set_router(router);
+    entry.set_directory(directory);
+    let offer = service_offer(40, Condition::Healthy, 0.0);
+    entry.set_node(&member(2, 2, vec![offer]), false);
+    entry
+}
+
+fn begin(entry: &mut Entry, target: &str, key: Option<KeyDigest>) -> Result<AttemptSpec, Reason> {
+    let request = entry.in_flight() as u64 + 1;
+    let target = target.to_owned();
+    // What callers claim to be must not count.
+    let organisation = Some("claimed".into());
+    let arrived = Arrival { target, key, organisation, ..arrival(request, "GET", None) };
+    match entry.begin(arrived).remove(0) {
+        EntryAction::Dispatch { spec, .. } => Ok(spec),
+        EntryAction::Conclude { conclusion, .. } => {
+            assert_eq!(conclusion.outcome, Outcome::NotRun);
+            Err(conclusion.reason)
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_key_names_the_organisation_and_its_priority() {
+    let mut entry = entry_with(both());
+    let one = begin(&mut entry, "/a", Some(ONE)).expect("a dispatch");
+    assert_eq!((one.organisation.as_deref(), one.organisation_rank, one.rank), (Some("one"), 2, 3));
+    assert!(one.hides_key);
+    let two = begin(&mut entry, "/a", Some(TWO)).expect("a dispatch");
+    assert_eq!((two.organisation.as_deref(), two.organisation_rank), (Some("two"), 0));
+}
+
+#[test]
+fn requests_without_a_known_key_run_only_on_public_routes() {
+    let mut entry = entry_with(both());
+    for key in [None, Some(UNKNOWN)] {
+        assert_eq!(begin(&mut entry, "/a", key).err(), Some(Reason::UnknownKey));
+        let public = begin(&mut entry, "/open/a", key).expect("a dispatch");
+        assert_eq!(public.organisation, None);
+        assert!(public.hides_key, "the key is not passed on by public routes either");
+    }
+}
+
+#[test]
+fn withdrawn_keys_are_unknown_from_the_next_version_on() {
+    let mut entry = entry_with(both());
+    assert!(begin(&mut entry, "/a", Some(TWO)).is_ok());
+    entry.set_directory(Directory::new([organisation("one", ONE, None)]));
+    assert_eq!(begin(&mut entry, "/a", Some(TWO)).err(), Some(Reason::UnknownKey));
+    // Organisations without keys still need some: nobody can use their routes.
+    entry
+        .set_directory(Directory::new([Organisation { name: "one".into(), ..Default::default() }]));
+    assert_eq!(begin(&mut entry, "/a", Some(ONE)).err(), Some(Reason::UnknownKey));
+}
+
+#[test]
+fn without_organisations_keys_mean_nothing() {
+    let mut entry = entry_with(Directory::default());
+    let spec = begin(&mut entry, "/a", Some(UNKNOWN)).expect("a dispatch");
+    assert_eq!((spec.organisation.as_deref(), spec.hides_key), (Some("claimed"), false));
+}
+
+#[test]
+fn a_key_of_two_organisations_belongs_to_the_first() {
+    let mut entry = entry_with(Directory::new([
+        organisation("one", ONE, None),
+        organisation("two", ONE, None),
+    ]));
+    let spec = begin(&mut entry, "/a", Some(ONE)).expect("a dispatch");
+    assert_eq!(spec.organisation.as_deref(), Some("one"));
+}
--- a/crates/core/tests/rate_limit.rs
+++ b/crates/core/tests/rate_limit.rs
@@ -56,6 +56,8 @@
         degraded: false,
         kind: Some(1),
         gray_tolerance: 1.0,
+        organisation: None,
+        organisation_rank: 0,
     }
 }
 
--- a/crates/core/tests/recovery.rs
+++ b/crates/core/tests/recovery.rs
@@ -28,6 +28,8 @@
         degraded: true,
         kind: Some(1),
         gray_tolerance: 1.0,
+        organisation: None,
+        organisation_rank: 0,
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -108,6 +108,7 @@
         target: "/invoices".to_owned(),
         host: "callers.example".to_owned(),
         organisation: None,
+        key: None,
         ticket,
         body_length: Some(0),
         body_buffered: true,
@@ -138,6 +139,8 @@
         degraded: spec.degraded,
         kind: spec.kind,
         gray_tolerance: spec.gray_tolerance,
+        organisation: spec.organisation.clone(),
+        organisation_rank: spec.organisation_rank,
     }
 }
 
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -30,6 +30,8 @@
         degraded: false,
         kind: Some(1),
         gray_tolerance: 1.0,
+        organisation: None,
+        organisation_rank: 0,
     }
 }
 
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -2,6 +2,7 @@
 
 use lavenderflow_core::budget::RetryAllowance;
 use lavenderflow_core::entry::Entry;
+use lavenderflow_core::organisation::{Directory, Organisation};
 use lavenderflow_core::pool::GateView;
 use lavenderflow_core::request::EntryAction;
 use lavenderflow_core::roster::Member;
@@ -80,9 +81,14 @@
         self.entry.set_profile(&service, profile);
     }
 
-    /// Sets the limit of an organisation.
-    pub fn set_limit(&mut self, _: CX![], organisation: OrganisationName, limit: u32) {
-        self.entry.set_limit(&organisation, limit);
+    /// Replaces all organisations.
+    pub fn set_directory(&mut self, _: CX![], directory: Directory) {
+        self.entry.set_directory(directory);
+    }
+
+    /// Adds or replaces an organisation.
+    pub fn set_organisation(&mut self, _: CX![], organisation: Organisation) {
+        self.entry.set_organisation(organisation);
     }
 
     /// Sets the time by which new requests must have their answers.
--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -1,6 +1,7 @@
 //! Applies configuration documents to the entry and the gate.
 
 use lavenderflow_core::catalog::{ApplyResult, ConfigItem, Deployment, Document};
+use lavenderflow_core::organisation::Directory;
 use lavenderflow_core::route::Router;
 use lavenderflow_schema::convert::configuration;
 use stakker::{CX, call};
@@ -86,7 +87,9 @@
             }
             (ConfigItem::Route(route), _) => call!([entry], set_route(route, None)),
             (ConfigItem::Deployment(deployment), _) => self.apply_deployment(deployment),
-            (ConfigItem::Organisation(name, limit), _) => call!([entry], set_limit(name, limit)),
+            (ConfigItem::Organisation(organisation), _) => {
+                call!([entry], set_organisation(organisation));
+            }
             (ConfigItem::Profile(_) | ConfigItem::Service(..), _) => {
                 let services: Vec<ServiceName> = self.profiles.keys().cloned().collect();
                 self.set_profiles(&services);
@@ -94,7 +97,7 @@
         }
     }
 
-    /// Replaces all routes and request limits.
+    /// Replaces all routes, request limits and organisations.
     fn apply_deployment(&mut self, deployment: Deployment) {
         let mut router = Router::default();
         for route in deployment.routes {
@@ -102,7 +105,9 @@
         }
         self.limits.send_replace(deployment.limits);
         let entry = &self.entry;
+        let directory = Directory::new(deployment.organisations);
         call!([entry], set_router(router));
+        call!([entry], set_directory(directory));
         self.set_ready();
     }
 
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -249,6 +249,7 @@
     let arrival = Arrival {
         request: random(),
         organisation: metadata.organisation,
+        key: metadata.key,
         ticket: metadata.ticket,
         body_length: length,
         body_buffered,
--- a/crates/lavenderflow/src/http/native.rs
+++ b/crates/lavenderflow/src/http/native.rs
@@ -6,9 +6,10 @@
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::upstream::Announcement;
 use lavenderflow_schema::convert::{ConvertError, configuration};
+use lavenderflow_schema::credential;
 use lavenderflow_schema::dialect::{
-    Completion, Dialect, HeaderError, Headers, RequestMetadata, ResponseClass, find_header,
-    parse_rate, set_header,
+    Completion, Dialect, HeaderError, Headers, RequestMetadata, ResponseClass, UpstreamCall,
+    find_header, parse_rate, set_header,
 };
 
 use super::header;
@@ -16,6 +17,9 @@
 /// Path to which upstreams send announcements.
 const ANNOUNCEMENTS_PATH: &str = "/v1/upstreams";
 
+/// Schemes of the `Authorization` header that carry a key.
+const KEY_SCHEMES: [&str; 2] = ["bearer", "token"];
+
 /// The dialect that is used where the platform has none of its own.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct NativeDialect;
@@ -30,6 +34,7 @@
             timeout: timeout.map(Duration::from_millis),
             ticket,
             organisation: find_header(headers, header::ORGANISATION).map(Into::into),
+            key: credential::key_digest(headers, &KEY_SCHEMES),
         })
     }
 
@@ -37,8 +42,12 @@
         set_header(headers, header::REQUEST_ID, id);
     }
 
-    fn set_upstream_headers(&self, headers: &mut Headers, _: &str, remaining: Duration) {
-        set_header(headers, header::DEADLINE, remaining.as_millis().to_string());
+    fn set_upstream_headers(&self, headers: &mut Headers, call: &UpstreamCall<'_>) {
+        set_header(headers, header::DEADLINE, call.remaining.as_millis().to_string());
+        headers.retain(|(name, _)| !name.eq_ignore_ascii_case(header::ORGANISATION));
+        if let Some(organisation) = call.organisation {
+            set_header(headers, header::ORGANISATION, organisation);
+        }
     }
 
     fn classify_response(
@@ -75,6 +84,9 @@
             let retry = completion.retry_after.unwrap_or(Duration::from_secs(1)).as_secs().max(1);
             set_header(headers, "retry-after", retry.to_string());
         }
+        if completion.reason == Reason::UnknownKey {
+            set_header(headers, "www-authenticate", "Bearer");
+        }
         if completion.reason == Reason::Leaving {
             set_header(headers, "connection", "close");
         }
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -137,8 +137,9 @@
                     run_attempt(context, &mut request, gate, begin, limit, FIRST_FRAME_TIMEOUT);
                 race_attempts(&mut hedged, next).await
             }
-            EntryAction::Forward { home, ticket, remaining, .. } => {
-                let begin = forward_frame(&request, ticket, remaining);
+            EntryAction::Forward { home, ticket, remaining, organisation, hides_key, .. } => {
+                let organisation = organisation.as_deref();
+                let begin = forward_frame(&request, ticket, remaining, organisation, hides_key);
                 run_attempt(context, &mut request, home, begin, remaining, remaining).await
             }
             EntryAction::Relay { ticket, .. } => {
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use lavenderflow_core::request::AttemptSpec;
 use lavenderflow_schema::convert::request::micros;
+use lavenderflow_schema::credential::KEY_HEADER;
 use lavenderflow_schema::wire::{Begin, Header, Purpose};
 
 use super::Request;
@@ -34,22 +35,31 @@
         // and committed the request: until then, a lost link proves that it did not run.
         on_commit: !spec.idempotent,
         body: if spec.idempotent { request.body.clone() } else { Bytes::new() },
-        ..common_frame(request)
+        organisation: spec.organisation.as_deref().unwrap_or_default().to_owned(),
+        organisation_rank: spec.organisation_rank,
+        ..common_frame(request, spec.hides_key)
     }
 }
 
-pub(super) fn forward_frame(request: &Request, ticket: TicketId, remaining: Duration) -> Begin {
+pub(super) fn forward_frame(
+    request: &Request,
+    ticket: TicketId,
+    remaining: Duration,
+    organisation: Option<&str>,
+    hides_key: bool,
+) -> Begin {
     Begin {
         purpose: Purpose::Forward.into(),
         ticket: Some(ticket.into()),
         remaining_us: micros(remaining),
-        organisation: request.arrival.organisation.as_deref().unwrap_or_default().to_owned(),
-        ..common_frame(request)
+        organisation: organisation.unwrap_or_default().to_owned(),
+        ..common_frame(request, hides_key)
     }
 }
 
-fn common_frame(request: &Request) -> Begin {
-    let headers = request.headers.iter();
+fn common_frame(request: &Request, hides_key: bool) -> Begin {
+    let is_hidden = |name: &str| hides_key && name.eq_ignore_ascii_case(KEY_HEADER);
+    let headers = request.headers.iter().filter(|(name, _)| !is_hidden(name));
     Begin {
         request_id: request.id.clone(),
         method: request.arrival.method.clone(),
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -71,6 +71,8 @@
         degraded: begin.strained,
         kind: begin.kind,
         gray_tolerance: begin.tolerance,
+        organisation: Some(begin.organisation.as_str()).filter(|o| !o.is_empty()).map(Into::into),
+        organisation_rank: begin.organisation_rank,
     };
     let (reply, decision) = oneshot::channel();
     let (abandon, abandoned) = oneshot::channel();
@@ -214,6 +216,7 @@
         address,
         upstream: "".into(),
         id: begin.request_id,
+        organisation: Some(begin.organisation).filter(|name| !name.is_empty()),
         deadline,
         idempotent: begin.idempotent,
         method: begin.method,
--- a/crates/lavenderflow/src/net/serve/home.rs
+++ b/crates/lavenderflow/src/net/serve/home.rs
@@ -73,6 +73,7 @@
         arrival: Arrival {
             request: random(),
             organisation: organisation.map(Into::into),
+            key: None,
             ticket: begin.ticket.map(Into::into),
             body_length: begin.body_length,
             body_buffered: !begin.body_follows,
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use lavenderflow_core::gate::{RunResult, UpstreamSignals};
-use lavenderflow_schema::dialect::{Dialect, Headers, ResponseClass};
+use lavenderflow_schema::dialect::{Dialect, Headers, ResponseClass, UpstreamCall};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
@@ -39,6 +39,8 @@
     pub upstream: Arc<str>,
     /// Id of the request.
     pub id: String,
+    /// Organisation that the request belongs to.
+    pub organisation: Option<String>,
     /// Time by which the call must have ended.
     pub deadline: std::time::Instant,
     /// Whether the request is idempotent.
@@ -285,7 +287,12 @@
     ) -> Result<Request<CallBody>, CallFailure> {
         let mut headers = call.headers.clone();
         headers.retain(|(name, _)| !header::is_hop_by_hop(name));
-        self.dialect.set_upstream_headers(&mut headers, &call.upstream, remaining);
+        let upstream_call = UpstreamCall {
+            upstream: &call.upstream,
+            remaining,
+            organisation: call.organisation.as_deref(),
+        };
+        self.dialect.set_upstream_headers(&mut headers, &upstream_call);
         let mut builder = Request::builder().method(call.method.as_str()).uri(call.target.as_str());
         if header::find_header(&headers, "host").is_none() {
             builder = builder.header("host", call.address.to_string());
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -6,12 +6,14 @@
 use lavenderflow_core::catalog::{
     ConfigItem, DEPLOYMENT_KEY_PREFIX, Deployment, Document, RequestLimits,
 };
+use lavenderflow_core::organisation::{Allowance, Organisation};
 use lavenderflow_core::profile::{Caution, Forgiveness, Patience, Profile};
 use lavenderflow_core::route::{Idempotency, Route, ServiceWeight};
 use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
 
 use super::ConvertError;
 use crate::configuration as stored;
+use crate::credential;
 
 /// Maximum duration in a profile or announcement: one day.
 const MAX_DURATION_MS: u32 = 24 * 60 * 60 * 1000;
@@ -54,10 +56,9 @@
         ("routes", stored::Stored { route: Some(value), .. }) => {
             (value.name.clone(), ConfigItem::Route(validate_route(&value)?))
         }
-        ("organisations", stored::Stored { organisation: Some(value), .. }) => (
-            value.name.clone(),
-            ConfigItem::Organisation(validate_name("name", &value.name)?.into(), value.concurrency),
-        ),
+        ("organisations", stored::Stored { organisation: Some(value), .. }) => {
+            (value.name.clone(), ConfigItem::Organisation(validate_organisation(&value)?))
+        }
         (DEPLOYMENT_KEY_PREFIX, stored::Stored { deployment: Some(value), .. }) => {
             (name.to_owned(), ConfigItem::Deployment(validate_deployment(&value)?))
         }
@@ -194,6 +195,30 @@
         attempts: Some(value.attempts).filter(|attempts| *attempts > 0),
         rank: value.rank,
         target_latency: optional(value.target_ms),
+        public: value.public,
+    })
+}
+
+fn validate_organisation(value: &stored::Organisation) -> Result<Organisation, ConvertError> {
+    let keys = value.key_digests.iter().map(|text| {
+        credential::parse_digest(text)
+            .ok_or_else(|| ConvertError::invalid("key_digests", text, "a SHA-256 digest"))
+    });
+    let is_amount = |amount: f64| amount.is_finite() && amount >= 0.0;
+    if !is_amount(value.rate_per_s) {
+        return Err(ConvertError::invalid("rate_per_s", &value.rate_per_s, "0 or above"));
+    }
+    if !is_amount(value.burst) {
+        return Err(ConvertError::invalid("burst", &value.burst, "0 or above"));
+    }
+    let allowance = Allowance { rate: value.rate_per_s, burst: value.burst.max(1.0) };
+    Ok(Organisation {
+        name: validate_name("name", &value.name)?.into(),
+        keys: keys.collect::<Result<_, _>>()?,
+        rank: value.rank,
+        // A burst without a rate is no limit: it could only ever be spent once.
+        allowance: Some(allowance).filter(|allowance| allowance.rate > 0.0),
+        concurrency: Some(value.concurrency).filter(|limit| *limit > 0),
     })
 }
 
@@ -202,6 +227,11 @@
     let header_bytes = usize::try_from(limits.header_bytes).ok().filter(|bytes| *bytes > 0);
     Ok(Deployment {
         routes: value.routes.iter().map(validate_route).collect::<Result<_, _>>()?,
+        organisations: value
+            .organisations
+            .iter()
+            .map(validate_organisation)
+            .collect::<Result<_, _>>()?,
         limits: RequestLimits {
             header_bytes,
             body_bytes: Some(limits.body_bytes).filter(|bytes| *bytes > 0),
--- a/crates/schema/src/dialect.rs
+++ b/crates/schema/src/dialect.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use lavenderflow_core::gate::{RateSignal, UpstreamSignals};
-use lavenderflow_core::id::{OrganisationName, TicketError, TicketId};
+use lavenderflow_core::id::{KeyDigest, OrganisationName, TicketError, TicketId};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::upstream::Announcement;
 
@@ -45,8 +45,10 @@
     pub timeout: Option<Duration>,
     /// Ticket that the request uses.
     pub ticket: Option<TicketId>,
-    /// Organisation that the caller belongs to.
+    /// Organisation that the caller says it belongs to.
     pub organisation: Option<OrganisationName>,
+    /// Digest of the key that identifies the caller's organisation.
+    pub key: Option<KeyDigest>,
 }
 
 /// An invalid header of a caller's request.
@@ -116,6 +118,17 @@
     pub relayed: bool,
 }
 
+/// What a gate tells an upstream about a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UpstreamCall<'a> {
+    /// Id of the upstream.
+    pub upstream: &'a str,
+    /// Time left until the deadline.
+    pub remaining: Duration,
+    /// Organisation that the request belongs to.
+    pub organisation: Option<&'a str>,
+}
+
 /// Converts HTTP headers and statuses.
 pub trait Dialect: Debug + Send + Sync {
     /// Parses the headers of a caller's request.
@@ -129,7 +142,7 @@
     fn set_forward_headers(&self, headers: &mut Headers, id: &str);
 
     /// Sets the headers that the gate adds to a request for an upstream.
-    fn set_upstream_headers(&self, headers: &mut Headers, upstream: &str, remaining: Duration);
+    fn set_upstream_headers(&self, headers: &mut Headers, call: &UpstreamCall<'_>);
 
     /// Classifies an upstream's response: whether it belongs to the request `id` and whether that
     /// request ran.
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -3,6 +3,7 @@
 //! The types are generated from the files in `schema/`; see `crates/schema-gen`.
 
 pub mod convert;
+pub mod credential;
 pub mod dialect;
 pub mod setting;
 
