--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::organisation::{Directory, Organisation, UnknownKeyError};
 use crate::prelude::*;
 use crate::request::{Arrival, EntryAction};
+use crate::response_size::ResponseSizes;
 use crate::roster::Member;
 use crate::route::{Route, Router};
 use crate::selector::GateSelector;
@@ -52,6 +53,7 @@
     organisation_rank: u32,
     target_latency: Option<Duration>,
     kind: Option<WorkKind>,
+    large_response: bool,
 }
 
 /// Identity of an entry's node.
@@ -88,6 +90,7 @@
     budgets: IndexMap<ServiceName, RetryBudget>,
     allowance: Option<RetryAllowance>,
     service_levels: IndexMap<ServiceName, ServiceLevel>,
+    response_sizes: ResponseSizes,
     organisation_requests: IndexMap<OrganisationName, u32>,
     active_requests: IndexMap<RequestId, ActiveRequest>,
     waiting: IndexMap<RequestId, TicketId>,
@@ -120,6 +123,7 @@
             budgets: IndexMap::new(),
             allowance: None,
             service_levels: IndexMap::new(),
+            response_sizes: ResponseSizes::default(),
             organisation_requests: IndexMap::new(),
             active_requests: IndexMap::new(),
             waiting: IndexMap::new(),
@@ -276,6 +280,7 @@
             kind: route
                 .filter(|route| route.attempts.is_some())
                 .map(|route| work_kind(route.host.as_deref().unwrap_or_default(), &route.prefix)),
+            large_response: route.is_some_and(|route| route.large_responses),
             arrival,
             service,
             profile,
--- a/crates/core/src/entry/claim.rs
+++ b/crates/core/src/entry/claim.rs
@@ -89,7 +89,7 @@
                 self.forwarded.insert(request);
                 vec![EntryAction::Relay { request, ticket: None }]
             }
-            AttemptReport::Completed(_) | AttemptReport::Truncated => Vec::new(),
+            AttemptReport::Completed { .. } | AttemptReport::Truncated => Vec::new(),
             _ => conclude(request, Outcome::Unknown, Reason::HomeLost),
         }
     }
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -98,7 +98,7 @@
                 degraded,
                 avoid_gray: active.kind.is_some(),
                 may_queue: active.stage != DispatchStage::FreeSlot,
-                body_bytes: active.arrival.body_length.unwrap_or(ASSUMED_BODY_BYTES),
+                body_bytes: self.expected_bytes(&active),
                 excluded: match active.stage {
                     DispatchStage::FreeSlot => &active.tried,
                     DispatchStage::Queue => &active.queued,
@@ -164,6 +164,13 @@
         }]
     }
 
+    /// Returns the length of the request's body, and of a large response, in bytes.
+    fn expected_bytes(&self, active: &ActiveRequest) -> u64 {
+        let response = active.kind.filter(|_| active.large_response);
+        let response = response.map_or(0, |kind| self.response_sizes.expected_bytes(kind));
+        active.arrival.body_length.unwrap_or(ASSUMED_BODY_BYTES).saturating_add(response)
+    }
+
     pub(super) fn may_retry(
         &mut self,
         active: &ActiveRequest,
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -43,7 +43,10 @@
             AttemptReport::Answered { status, answer, .. } => {
                 self.answered(active, status, answer, now)
             }
-            AttemptReport::Completed(_) => self.finish(&active, Outcome::Ran, None),
+            AttemptReport::Completed { bytes, .. } => {
+                self.record_size(&active, bytes);
+                self.finish(&active, Outcome::Ran, None)
+            }
             AttemptReport::Truncated => self.finish(&active, Outcome::Unknown, None),
             AttemptReport::Lost(reason) => self.retry_lost(active, reason, now),
             AttemptReport::CallerGone => self.end_unknown(&active, Reason::CallerGone),
@@ -61,7 +64,7 @@
         let Some(gate) = active.gate else { return };
         let load = match report {
             AttemptReport::Admitted(load) => Some(*load),
-            AttemptReport::Refused(_, load) | AttemptReport::Completed(load) => *load,
+            AttemptReport::Refused(_, load) | AttemptReport::Completed { load, .. } => *load,
             AttemptReport::Answered { load, .. } => *load,
             _ => None,
         };
@@ -81,6 +84,12 @@
         self.selector.observe_path(gate, observation, now, &active.profile);
     }
 
+    fn record_size(&mut self, active: &ActiveRequest, bytes: u64) {
+        if let Some(kind) = active.kind.filter(|_| active.large_response) {
+            self.response_sizes.record(kind, bytes);
+        }
+    }
+
     /// Relays a response, or retries a request that the upstream failed.
     fn answered(
         &mut self,
@@ -101,6 +110,9 @@
             self.active_requests.insert(request, active);
             return vec![relay];
         }
+        if let Some(answer) = &answer {
+            self.record_size(&active, answer.body.len() as u64);
+        }
         let mut actions = vec![relay];
         actions.extend(self.finish(&active, Outcome::Ran, answer));
         actions
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod rate_limit;
 pub mod reason;
 pub mod request;
+pub mod response_size;
 pub mod rings;
 pub mod roster;
 pub mod route;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -171,7 +171,12 @@
         answer: Option<Arc<StoredAnswer>>,
     },
     /// The body that followed the head is complete.
-    Completed(Option<Load>),
+    Completed {
+        /// Load of the service at the gate.
+        load: Option<Load>,
+        /// Length of the whole body in bytes.
+        bytes: u64,
+    },
     /// The body that followed the head was truncated.
     Truncated,
     /// The attempt may have run, and no response will come.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -72,6 +72,8 @@
     pub target_latency: Option<Duration>,
     /// Whether requests need no key, even if there are organisations with keys.
     pub public: bool,
+    /// Whether responses are large, so that their way to another zone counts.
+    pub large_responses: bool,
 }
 
 impl Route {
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -17,7 +17,7 @@
 /// Cost of a request to another zone, as the delay that it is worth, in seconds.
 const CROSS_ZONE_COST_S: f64 = 0.04;
 /// Cost of each byte of a body that is sent to another zone, in seconds: traffic between zones is
-/// billed, so an upload waits for a slot in its own zone.
+/// billed, so an upload or a download waits for a slot in its own zone.
 const CROSS_ZONE_BYTE_COST_S: f64 = 0.5 / 65_536.0;
 /// Largest cost of another zone, in seconds. It is below [`GRAY_COST_S`].
 const MAX_CROSS_ZONE_COST_S: f64 = 0.6;
@@ -46,7 +46,7 @@
     pub avoid_gray: bool,
     /// Whether the request may wait in the gate's queue for a slot.
     pub may_queue: bool,
-    /// Length of the body in bytes, or an estimate of it.
+    /// Length of the bodies of the request and of a large response in bytes, or an estimate of it.
     pub body_bytes: u64,
     /// Gates that are not selected, since the request was sent to them before.
     pub excluded: &'a [NodeId],
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -275,7 +275,8 @@
                     }
                 }
                 Ok(Some(Body::End(end))) if end.length == total => {
-                    return AttemptReport::Completed(end.load.map(Into::into));
+                    let load = end.load.map(Into::into);
+                    return AttemptReport::Completed { load, bytes: total };
                 }
                 _ => return AttemptReport::Truncated,
             }
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -196,6 +196,7 @@
         rank: value.rank,
         target_latency: optional(value.target_ms),
         public: value.public,
+        large_responses: value.large_responses,
     })
 }
 
