Handle rejections of upstreams that do not depend on their load

Change: a rejection at a lowered limit shows that concurrency is not the reason; the limit is then restored for some seconds. Load reports tell the share of rejected requests, which adds to the cost of a gate.

--- a/crates/core/src/gate/health.rs
+++ b/crates/core/src/gate/health.rs
@@ -80,8 +80,8 @@
 ) -> bool {
     let rules = &profile.forgiveness;
     let elapsed = now.saturating_duration_since(running.started);
-    if result == RunResult::Shed {
-        upstream.lower_limit(now);
+    if result != RunResult::Cancelled {
+        upstream.record_rejection(result == RunResult::Shed, now);
     }
     let outlier = &mut upstream.common_mut().outlier;
     if result == RunResult::Success && !running.long {
--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -64,7 +64,12 @@
 /// Adds an upstream to the load of its service.
 fn add(load: Option<Load>, upstream: &AnyUpstream, now: Instant) -> Load {
     let common = upstream.common();
-    let nothing = Load { condition: Condition::Ejected, evidence: f32::MAX, ..Load::default() };
+    let nothing = Load {
+        condition: Condition::Ejected,
+        evidence: f32::MAX,
+        rejected_share: 1.0,
+        ..Load::default()
+    };
     let mut load = load.unwrap_or(nothing);
     load.busy += common.short_running + common.long_running;
     load.slots += upstream.limit(now);
@@ -72,6 +77,7 @@
     let condition = common.condition();
     load.condition = best(load.condition, condition);
     load.evidence = load.evidence.min(common.outlier.evidence());
+    load.rejected_share = load.rejected_share.min(common.rejections.share(now) as f32);
     load
 }
 
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -33,4 +33,6 @@
     pub gray_probability: f32,
     /// Time until the upstreams that limit the rate of their requests take another one.
     pub rate_wait: Duration,
+    /// Share of the recent requests that the upstreams rejected without running them.
+    pub rejected_share: f32,
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -8,6 +8,7 @@
 use crate::prelude::*;
 use crate::selector::GateCriteria;
 use crate::subset::{self, SubsetSize};
+use crate::upstream::rejection;
 
 /// Interval at which the eligible gates are recomputed when no condition has changed.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
@@ -119,6 +120,13 @@
         }
     }
 
+    /// Estimates the share of requests that its upstreams reject, from the last load report and its
+    /// age.
+    pub fn rejected_share(&self, now: Instant) -> f64 {
+        let age = self.reported_at.map(|time| now.saturating_duration_since(time));
+        age.map_or(0.0, |age| f64::from(self.load.rejected_share) * rejection::decay(age))
+    }
+
     /// Returns whether its upstreams are ejected, on trial or likely gray.
     pub fn is_unhealthy(&self, now: Instant) -> bool {
         self.load.condition != Condition::Healthy
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -25,6 +25,9 @@
 const GRAY_COST_S: f64 = 1.0;
 /// Cost of a gray failure for an idempotent request, in seconds: it is abandoned early and retried.
 const RETRIED_GRAY_COST_S: f64 = 0.2;
+/// Cost of a rejection by the upstream, in seconds: another try takes a retry from the budget of the
+/// whole fleet, and the request is refused once that is spent.
+const REJECTION_COST_S: f64 = 0.6;
 /// Cost of a gate that has just failed to respond, in seconds.
 const UNRESPONSIVE_COST_S: f64 = 1.0;
 /// Time constant with which the cost of an unresponsive gate decays, in seconds.
@@ -252,8 +255,8 @@
     detector.map_or((Condition::Healthy, 0.0), |d| (d.condition(), d.evidence()))
 }
 
-/// Returns the gate with the least cost for a request. The cost adds up the probability of a gray
-/// failure, the expected wait, the zone and whether the gate is unresponsive.
+/// Returns the gate with the least cost for a request. The cost adds up the probabilities of a gray
+/// failure and of a rejection, the expected wait, the zone and whether the gate is unresponsive.
 fn least_cost(
     pool: &GatePool,
     indexes: &[usize],
@@ -286,7 +289,8 @@
         let wait = gate.known_wait(now).map_or(assumed_wait, seconds);
         // Among gates that are probably healthy the load decides, so that all of them get work.
         let gray_excess = (gate.gray_probability(now) - gray_failure::NEUTRAL_PROBABILITY).max(0.0);
-        let cost = gray_excess * gray_cost + wait + cross_zone + unresponsiveness;
+        let rejection = gate.rejected_share(now) * REJECTION_COST_S;
+        let cost = gray_excess * gray_cost + rejection + wait + cross_zone + unresponsiveness;
         (cost + rng.random_range(0.0..COST_JITTER_S), gate.node)
     });
     costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, node)| node)
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -8,6 +8,7 @@
 //! supersedes it.
 
 mod announcement;
+pub mod rejection;
 
 use std::net::SocketAddr;
 
@@ -19,13 +20,12 @@
 use crate::outlier::OutlierDetector;
 use crate::prelude::*;
 use crate::rate_limit::RateLimiter;
+use crate::upstream::rejection::Rejections;
 
 /// Interval at which the open slots of a warming upstream double.
 pub const WARM_UP_STEP: Duration = Duration::from_millis(500);
 /// Latency, relative to the usual one, that is assumed of an upstream that announces a warm-up.
 const COLD_LATENCY_FACTOR: u32 = 2;
-/// Interval at which a limit that was lowered by load shedding rises by one slot.
-const LIMIT_RAISE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// State of an upstream that has announced itself and takes no requests yet.
 #[derive(Debug)]
@@ -79,8 +79,7 @@
     // lifetime can serve again.
     ended: bool,
     lease: Lease<Held>,
-    shed_limit: Option<u32>,
-    limit_raised: Instant,
+    pub(crate) rejections: Rejections,
 }
 
 impl Common {
@@ -138,8 +137,7 @@
             sequence: announcement.sequence,
             ended: false,
             lease: Lease::grant(now, announcement.lease),
-            shed_limit: None,
-            limit_raised: now,
+            rejections: Rejections::new(now),
         };
         Self { common, state: Announced }
     }
@@ -234,24 +232,18 @@
     #[must_use]
     pub fn tick(mut self, now: Instant) -> Self {
         let common = self.common_mut();
-        if now >= common.limit_raised + LIMIT_RAISE_INTERVAL {
-            common.limit_raised = now;
-            common.shed_limit =
-                common.shed_limit.map(|limit| limit + 1).filter(|l| *l < common.slots);
-        }
+        common.rejections.tick(common.slots, now);
         if !common.lease.is_valid(now) {
             return self.leave();
         }
         self.finish_if_warm(now)
     }
 
-    /// Lowers the limit because the upstream shed a request, but not below half of its slots: an
-    /// upstream that sheds with few requests in flight does so for another reason than its load.
-    pub fn lower_limit(&mut self, now: Instant) {
+    /// Records whether the upstream rejected a finished request, whose slot is free again.
+    pub fn record_rejection(&mut self, is_rejected: bool, now: Instant) {
         let common = self.common_mut();
-        common.limit_raised = now;
-        let (busy, least) = (common.short_running + common.long_running, common.slots.div_ceil(2));
-        common.shed_limit = Some(busy.saturating_sub(1).max(least));
+        let others = common.short_running + common.long_running;
+        common.rejections.record(is_rejected, others, common.slots, now);
     }
 
     /// Returns the factor by which an announced warm-up lengthens the latency; 1 without one.
@@ -274,7 +266,7 @@
             Self::Warming(upstream) => upstream.open_slots(now),
             Self::Serving(upstream) => upstream.common.slots,
         };
-        self.common().shed_limit.map_or(open, |limit| limit.min(open))
+        self.common().rejections.limit(open)
     }
 
     /// Returns whether it is leaving and has finished all requests.
