Give back slots of upstreams on every path

Cause: a queued attempt waited for the gate's decision and for the end of its link, and dropped one at random when both were ready. A dropped decision had taken its slot, the cancellation that followed was ignored for running attempts, and no result was ever sent.

Change: the decision carries the granted slot as a value, which gives itself back when it is dropped without a result; a waiting attempt is such a value too. Gate::cancel ends running attempts. A duplicate of an idempotent attempt is refused, since it replaced the first one and took a second slot. The gate's actor forgets refused attempts; it had kept an entry for each. Running attempts whose slot has no owner are shown in the status, on the metrics page and in the log.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -97,6 +97,10 @@
         if !request.idempotent && !self.window.accept(request.attempt) {
             return vec![self.refusal(&request, Reason::Duplicate)];
         }
+        // A second entry under the same id would take a slot that no result frees.
+        if self.requests.contains_key(&request.attempt) {
+            return vec![self.refusal(&request, Reason::Duplicate)];
+        }
         let refusal =
             self.refusal_reason(&request, now).or_else(|| self.gray_refusal_reason(&request, now));
         if let Some(reason) = refusal {
@@ -127,10 +131,10 @@
         }
     }
 
-    /// Removes a queued attempt. A running attempt ends with [`Gate::finish`].
-    pub fn cancel(&mut self, attempt: AttemptId) {
+    /// Ends an attempt that nobody waits for any more: removes it from the queue, or frees its slot.
+    pub fn cancel(&mut self, attempt: AttemptId) -> Vec<GateAction> {
         if self.running.contains_key(&attempt) {
-            return;
+            return self.finish(attempt, RunResult::Cancelled).1;
         }
         if let Some((request, _)) = self.requests.swap_remove(&attempt)
             && let Some(state) = self.services.get_mut(&request.service)
@@ -138,6 +142,7 @@
             state.short_queue.remove(attempt);
             state.long_queue.remove(attempt);
         }
+        Vec::new()
     }
 
     /// Frees the slot of an attempt and records its result.
@@ -205,6 +210,16 @@
         waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
     }
 
+    /// Returns whether an attempt waits or runs.
+    pub fn holds(&self, attempt: AttemptId) -> bool {
+        self.requests.contains_key(&attempt)
+    }
+
+    /// Returns the attempts that run.
+    pub fn running(&self) -> impl Iterator<Item = AttemptId> {
+        self.running.keys().copied()
+    }
+
     /// Returns the number of running attempts.
     pub fn in_flight(&self) -> usize {
         self.running.len()
--- a/crates/lavenderflow/src/actor/counters.rs
+++ b/crates/lavenderflow/src/actor/counters.rs
@@ -24,6 +24,11 @@
         self.counters.add(counter);
     }
 
+    /// Sets the number of running attempts whose slot has no owner.
+    pub fn set_orphaned(&mut self, _: CX![], attempts: usize) {
+        self.counters.set_orphaned(attempts);
+    }
+
     /// Records the latency of a stage.
     pub fn record_latency(&mut self, _: CX![], stage: Stage, time: Duration) {
         self.counters.record_latency(stage, time);
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -1,15 +1,14 @@
 //! The actor that owns the gate and the channels to the attempts that wait for its decision.
 
-use lavenderflow_core::gate::{
-    Gate, GateAction, RateSignal, RunResult, ServiceOffer, UpstreamSignals,
-};
+use lavenderflow_core::gate::{Gate, GateAction, RateSignal, ServiceOffer, UpstreamSignals};
 use lavenderflow_core::upstream::{Announcement, AnnouncementRefusal, Lifetime};
 use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 use super::counters::CountersActor;
-use crate::message::{AdmissionDecision, AnnouncementReply, AttemptChannels, GateMessage};
+use crate::message::{AdmissionDecision, AnnouncementReply, GateMessage};
 use crate::prelude::*;
+use crate::slot::Slot;
 use crate::status::{Status, UpstreamStatus, condition_name};
 use crate::store::LifetimeStore;
 
@@ -20,16 +19,28 @@
 /// The same while there are none.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// What the actor uses beside its gate.
+pub struct GateLinks {
+    /// Keeps the ended lifetimes in the store.
+    pub lifetimes: LifetimeStore,
+    /// Carries the slots that are given back.
+    pub mailbox: Mailbox,
+}
+
 /// Admits attempts to the upstreams on this VM.
 pub struct GateActor {
     gate: Gate,
     counters: Actor<CountersActor>,
     publish: Fwd<Vec<ServiceOffer>>,
-    lifetimes: LifetimeStore,
+    links: GateLinks,
     // Announcements that await the lifetimes that had ended before the node started.
     deferred: Vec<(Announcement, oneshot::Sender<AnnouncementReply>)>,
-    waiting: IndexMap<AttemptId, AttemptChannels>,
-    running: IndexMap<AttemptId, oneshot::Sender<()>>,
+    waiting: IndexMap<AttemptId, oneshot::Sender<AdmissionDecision>>,
+    // Senders to the owners of the granted slots.
+    running: IndexMap<AttemptId, mpsc::Sender<()>>,
+    // Running attempts whose slot had no owner at the last tick, and how many had none at two.
+    ownerless: IndexSet<AttemptId>,
+    orphans: usize,
     published_offers: Vec<ServiceOffer>,
     tick_timer: MinTimerKey,
 }
@@ -41,16 +52,18 @@
         gate: Gate,
         counters: Actor<CountersActor>,
         publish: Fwd<Vec<ServiceOffer>>,
-        lifetimes: LifetimeStore,
+        links: GateLinks,
     ) -> Option<Self> {
         let mut actor = Self {
             gate,
             counters,
             publish,
-            lifetimes,
+            links,
             deferred: Vec::new(),
             waiting: IndexMap::new(),
             running: IndexMap::new(),
+            ownerless: IndexSet::new(),
+            orphans: 0,
             published_offers: Vec::new(),
             tick_timer: MinTimerKey::default(),
         };
@@ -61,8 +74,15 @@
     /// Handles a message.
     pub fn handle(&mut self, cx: CX![], message: GateMessage) {
         let actions = match message {
-            GateMessage::Submit(request, channels) => {
-                self.waiting.insert(request.attempt, channels);
+            GateMessage::Submit(request, reply) if self.gate.holds(request.attempt) => {
+                // The attempt under this id keeps its own channel.
+                self.count(Counter::GateRefused(Reason::Duplicate));
+                let load = self.gate.load(&request.service);
+                let _ = reply.send(AdmissionDecision::Refuse(Reason::Duplicate, load));
+                return;
+            }
+            GateMessage::Submit(request, reply) => {
+                self.waiting.insert(request.attempt, reply);
                 let actions = self.gate.submit(request);
                 self.schedule_tick(cx);
                 actions
@@ -78,11 +98,7 @@
                 let _ = reply.send(load);
                 actions
             }
-            GateMessage::Cancel(attempt) => {
-                self.waiting.swap_remove(&attempt);
-                self.gate.cancel(attempt);
-                return;
-            }
+            GateMessage::Cancel(attempt) => self.cancel(attempt),
             GateMessage::Announce(announcement, reply) => {
                 self.announce(announcement, reply);
                 return;
@@ -124,10 +140,41 @@
         reply: oneshot::Sender<Status>,
     ) {
         status.running = self.gate.in_flight();
+        status.orphaned = self.orphans;
         status.upstreams = self.upstreams();
         call!([counters], status(status, reply));
     }
 
+    /// Ends an attempt whose claim or slot was dropped. It does nothing while there is an owner: the
+    /// message then comes from a duplicate of the attempt.
+    fn cancel(&mut self, attempt: AttemptId) -> Vec<GateAction> {
+        let is_awaited = self.waiting.get(&attempt).is_some_and(|reply| !reply.is_closed());
+        let is_owned = self.running.get(&attempt).is_some_and(|owner| !owner.is_closed());
+        if is_awaited || is_owned {
+            return Vec::new();
+        }
+        self.waiting.swap_remove(&attempt);
+        self.running.swap_remove(&attempt);
+        self.gate.cancel(attempt)
+    }
+
+    /// Finds running attempts without an owner. The release of a slot may still be in the mailbox at
+    /// one tick, but not at the next.
+    fn find_orphans(&mut self) {
+        let is_owned =
+            |attempt: &AttemptId| self.running.get(attempt).is_some_and(|o| !o.is_closed());
+        let ownerless: IndexSet<AttemptId> =
+            self.gate.running().filter(|attempt| !is_owned(attempt)).collect();
+        let orphans = ownerless.intersection(&self.ownerless).count();
+        if orphans != self.orphans {
+            log::warn!("event=orphaned attempts={orphans}");
+            self.orphans = orphans;
+            let counters = &self.counters;
+            call!([counters], set_orphaned(orphans));
+        }
+        self.ownerless = ownerless;
+    }
+
     fn announce(&mut self, announcement: Announcement, reply: oneshot::Sender<AnnouncementReply>) {
         if reply.is_closed() {
             // Nobody awaits the acknowledgement, so the upstream repeats it.
@@ -138,7 +185,7 @@
                 self.execute(actions);
                 let (stored, is_stored) = oneshot::channel();
                 if announcement.is_leaving() {
-                    self.lifetimes.confirm(stored);
+                    self.links.lifetimes.confirm(stored);
                 } else {
                     // Nothing has to last. The send fails if the upstream has disconnected.
                     let _ = stored.send(());
@@ -173,6 +220,7 @@
     fn tick(&mut self, cx: CX![]) {
         let actions = self.gate.tick();
         self.execute(actions);
+        self.find_orphans();
         self.schedule_tick(cx);
     }
 
@@ -187,10 +235,11 @@
         for action in actions {
             match action {
                 GateAction::Start { attempt, upstream, address, deadline, load } => {
-                    self.send_decision(
-                        attempt,
-                        AdmissionDecision::Start { upstream, address, deadline, load },
-                    );
+                    let (slot, owner) = Slot::new(attempt, self.links.mailbox.clone());
+                    self.running.insert(attempt, owner);
+                    let start =
+                        AdmissionDecision::Start { upstream, address, deadline, load, slot };
+                    self.send_decision(attempt, start);
                 }
                 GateAction::Refuse { attempt, reason, load } => {
                     self.count(Counter::GateRefused(reason));
@@ -198,12 +247,11 @@
                 }
                 GateAction::Abandon { attempt } => {
                     self.count(Counter::GateRefused(Reason::Stuck));
-                    let abandon = self.running.swap_remove(&attempt);
                     // The send fails if the run has just ended; its response is then on the way.
-                    let _ = abandon.map(|abandon| abandon.send(()));
+                    let _ = self.running.get(&attempt).map(|owner| owner.try_send(()));
                 }
                 GateAction::Publish => self.publish(),
-                GateAction::StoreLifetimes(ended) => self.lifetimes.write(ended),
+                GateAction::StoreLifetimes(ended) => self.links.lifetimes.write(ended),
                 GateAction::ReportEarlierStart { upstream, announced } => {
                     let Lifetime { generation, sequence } = announced;
                     log::warn!(
@@ -235,16 +283,9 @@
     }
 
     fn send_decision(&mut self, attempt: AttemptId, decision: AdmissionDecision) {
-        let is_start = matches!(decision, AdmissionDecision::Start { .. });
-        let channels = self.waiting.swap_remove(&attempt);
-        let sent = channels.is_some_and(|AttemptChannels { reply, abandon }| {
-            self.running.insert(attempt, abandon);
-            reply.send(decision).is_ok()
-        });
-        // If nobody waits for the decision any more, nothing ran and the slot is freed.
-        if is_start && !sent {
-            let (_, actions) = self.gate.finish(attempt, RunResult::Cancelled);
-            self.execute(actions);
+        // If nobody waits for the decision any more, its slot gives itself back.
+        if let Some(reply) = self.waiting.swap_remove(&attempt) {
+            let _ = reply.send(decision);
         }
     }
 
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -2,7 +2,9 @@
 
 use std::net::UdpSocket;
 
-use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
+use cadence::{
+    CountedExt as _, Gauged as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink,
+};
 use hdrhistogram::Histogram;
 
 use crate::error::NodeError;
@@ -156,12 +158,13 @@
     client: StatsdClient,
     counts: IndexMap<Counter, u64>,
     latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
+    orphaned: usize,
 }
 
 impl Counters {
     /// Creates counters with the value zero.
     pub fn new(client: StatsdClient) -> Self {
-        Self { client, counts: IndexMap::new(), latencies: IndexMap::new() }
+        Self { client, counts: IndexMap::new(), latencies: IndexMap::new(), orphaned: 0 }
     }
 
     /// Increments a counter.
@@ -172,6 +175,14 @@
         }
     }
 
+    /// Sets the number of running attempts whose slot has no owner.
+    pub fn set_orphaned(&mut self, attempts: usize) {
+        self.orphaned = attempts;
+        if let Err(fault) = self.client.gauge("gate.orphaned", attempts as u64) {
+            log::debug!("event=metric-lost fault={fault:?}");
+        }
+    }
+
     /// Records the duration of a stage.
     pub fn record_latency(&mut self, stage: Stage, time: Duration) {
         if let Err(fault) = self.client.time(&format!("latency.{}", stage.name()), time) {
@@ -207,6 +218,9 @@
         for (name, count) in self.snapshot() {
             lines.push(format!("{METRIC_PREFIX}_events_total{{event=\"{name}\"}} {count}"));
         }
+        let orphaned = format!("{METRIC_PREFIX}_orphaned_attempts");
+        lines.push(format!("# TYPE {orphaned} gauge"));
+        lines.push(format!("{orphaned} {}", self.orphaned));
         let name = format!("{METRIC_PREFIX}_latency_seconds");
         lines.push(format!("# TYPE {name} summary"));
         for (stage, (histogram, sum)) in &self.latencies {
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod prelude;
 pub mod reload;
 pub mod shutdown;
+pub mod slot;
 pub mod status;
 pub mod store;
 pub mod upstream;
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -5,10 +5,13 @@
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
 use lavenderflow_core::upstream::{Announcement, AnnouncementRefusal, EndedLifetime};
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::prelude::*;
 use crate::reload::ReloadableSettings;
+use crate::slot::Slot;
 use crate::status::Status;
 
 /// Capacity of the mailbox, in messages.
@@ -26,7 +29,7 @@
 }
 
 /// The gate's decision on an attempt.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum AdmissionDecision {
     /// Run the attempt on this upstream.
     Start {
@@ -38,20 +41,13 @@
         deadline: Instant,
         /// Current load of the service.
         load: Load,
+        /// The slot, which is given back wherever the decision ends.
+        slot: Slot,
     },
     /// The attempt has not run and will not run.
     Refuse(Reason, Load),
 }
 
-/// Channels on which the gate replies to an attempt.
-#[derive(Debug)]
-pub struct AttemptChannels {
-    /// Receives the decision.
-    pub reply: oneshot::Sender<AdmissionDecision>,
-    /// Receives a message when the attempt is stuck, so that its entry stops waiting for it.
-    pub abandon: oneshot::Sender<()>,
-}
-
 /// The gate's reply to an announcement that it has applied, or why it has not.
 ///
 /// The channel is notified once what the upstream has ended is in the store.
@@ -60,15 +56,15 @@
 /// A message to the gate actor.
 #[derive(Debug)]
 pub enum GateMessage {
-    /// An attempt asks for a slot.
-    Submit(SlotRequest, AttemptChannels),
+    /// An attempt asks for a slot; the sender receives the decision.
+    Submit(SlotRequest, oneshot::Sender<AdmissionDecision>),
     /// The head of the response has arrived.
     ResponseStarted(AttemptId, UpstreamSignals),
     /// The upstream has refused the attempt.
     Signals(AttemptId, UpstreamSignals),
     /// A run has ended; the sender receives the load after it.
     Finish(AttemptId, RunResult, oneshot::Sender<Load>),
-    /// The entry has cancelled a queued attempt.
+    /// Nobody waits any more for the decision on an attempt, or nobody has its slot any more.
     Cancel(AttemptId),
     /// An upstream sent an announcement; the sender receives the gate's reply.
     Announce(Announcement, oneshot::Sender<AnnouncementReply>),
@@ -152,6 +148,17 @@
         let _ = self.0.send(message).await;
     }
 
+    /// Sends a message where nothing can wait, as when a value is dropped. While the mailbox is full, a
+    /// task of the async runtime waits instead.
+    pub fn send_detached(&self, message: Message) {
+        if let Err(TrySendError::Full(message)) = self.0.try_send(message)
+            && let Ok(runtime) = Handle::try_current()
+        {
+            let mailbox = self.clone();
+            runtime.spawn(async move { mailbox.send(message).await });
+        }
+    }
+
     /// Sends a message from a thread outside of the async runtime; waits while the mailbox is
     /// full.
     pub fn send_blocking(&self, message: Message) {
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use lavenderflow_core::gate::{RunResult, SlotRequest};
+use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_schema::wire::frame::Body;
 use lavenderflow_schema::wire::{self, Answer, Begin, Header, Purpose};
 use tokio::sync::{mpsc, oneshot};
@@ -14,8 +14,9 @@
 use super::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use super::context::NetworkContext;
 use super::link::{FrameSink, FrameSource, LinkError};
-use crate::message::{AdmissionDecision, AttemptChannels, GateMessage};
+use crate::message::{AdmissionDecision, GateMessage};
 use crate::prelude::*;
+use crate::slot::{Slot, SlotClaim};
 use crate::upstream::{Call, CallEvent};
 
 /// Time after which the entry is notified that an attempt is queued for a slot.
@@ -75,10 +76,10 @@
         organisation_rank: begin.organisation_rank,
     };
     let (reply, decision) = oneshot::channel();
-    let (abandon, abandoned) = oneshot::channel();
-    send_gate(context, GateMessage::Submit(slot_request, AttemptChannels { reply, abandon })).await;
-    match wait_for_slot(&mut sink, decision).await {
-        Some(AdmissionDecision::Start { upstream, address, deadline, load }) => {
+    let mut claim = SlotClaim::new(attempt, context.mailbox.clone(), decision);
+    send_gate(context, GateMessage::Submit(slot_request, reply)).await;
+    match wait_for_slot(&mut sink, &mut claim).await {
+        Some(AdmissionDecision::Start { upstream, address, deadline, load, slot }) => {
             log::info!(
                 "event=admitted request={} upstream={upstream} doubt={:.3} busy={} slots={}",
                 begin.request_id,
@@ -88,14 +89,11 @@
             );
             let load = Some(load.into());
             let admitted = wire::Verdict { admitted: true, load, ..wire::Verdict::default() };
-            if sink.send(Body::Verdict(admitted)).await.is_err() {
-                finish_attempt(context, attempt, RunResult::Cancelled).await;
-                return Err(LinkError::Closed);
-            }
+            sink.send(Body::Verdict(admitted)).await?;
             let (id, idempotent) = (begin.request_id.clone(), begin.idempotent);
             let Some((body, body_rest)) = request_body(&begin, source).await else {
                 log::info!("event=not-committed request={id}");
-                finish_attempt(context, attempt, RunResult::Cancelled).await;
+                slot.finish(RunResult::Cancelled).await;
                 sink.reset();
                 return Err(LinkError::Closed);
             };
@@ -106,13 +104,8 @@
                 upstream,
                 ..upstream_call(begin, address, deadline, events)
             };
-            if context.calls.send(call).await.is_err() {
-                finish_attempt(context, attempt, RunResult::Cancelled).await;
-                return Err(LinkError::Closed);
-            }
-            UpstreamRun { context, attempt, id, sink, idempotent }
-                .relay(event_receiver, abandoned)
-                .await
+            context.calls.send(call).await.map_err(|_| LinkError::Closed)?;
+            UpstreamRun { context, slot, id, sink, idempotent }.relay(event_receiver).await
         }
         Some(AdmissionDecision::Refuse(reason, load)) => {
             log::info!(
@@ -126,26 +119,20 @@
             );
             refuse(sink, reason, Some(load)).await
         }
-        None => {
-            send_gate(context, GateMessage::Cancel(attempt)).await;
-            Err(LinkError::Closed)
-        }
+        None => Err(LinkError::Closed),
     }
 }
 
 /// Waits for the gate's decision. Notifies the entry of a longer wait, so that it can distinguish a
-/// queue from a network partition.
-async fn wait_for_slot(
-    sink: &mut FrameSink,
-    mut decision: oneshot::Receiver<AdmissionDecision>,
-) -> Option<AdmissionDecision> {
-    if let Ok(decision) = timeout(QUEUED_NOTICE_DELAY, &mut decision).await {
-        return decision.ok();
+/// queue from a network partition. `None` when the entry no longer waits.
+async fn wait_for_slot(sink: &mut FrameSink, claim: &mut SlotClaim) -> Option<AdmissionDecision> {
+    if let Ok(decision) = timeout(QUEUED_NOTICE_DELAY, claim.decision()).await {
+        return decision;
     }
     let queued = wire::Verdict { queued: true, ..wire::Verdict::default() };
     sink.send(Body::Verdict(queued)).await.ok()?;
     tokio::select! {
-        decision = decision => decision.ok(),
+        decision = claim.decision() => decision,
         () = sink.closed() => None,
     }
 }
@@ -154,24 +141,6 @@
     context.mailbox.send(Message::Gate(message)).await;
 }
 
-async fn finish_attempt(
-    context: &NetworkContext,
-    attempt: AttemptId,
-    result: RunResult,
-) -> Option<Load> {
-    let (reply, load) = oneshot::channel();
-    send_gate(context, GateMessage::Finish(attempt, result, reply)).await;
-    let load = load.await.ok()?;
-    log::info!(
-        "event=ended entry={:x} attempt={:x} result={result:?} doubt={:.3} busy={}",
-        attempt.node,
-        attempt.serial,
-        load.gray_probability,
-        load.busy
-    );
-    Some(load)
-}
-
 async fn refuse(mut sink: FrameSink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
     let load = load.map(Into::into);
     let reason = reason.name().to_owned();
@@ -246,44 +215,36 @@
 /// A run of a request on an upstream.
 struct UpstreamRun<'a> {
     context: &'a NetworkContext,
-    attempt: AttemptId,
+    slot: Slot,
     id: String,
     sink: FrameSink,
     idempotent: bool,
 }
 
 impl UpstreamRun<'_> {
-    /// Relays the response and frees the slot when the run has ended.
-    async fn relay(
-        mut self,
-        mut events: mpsc::Receiver<CallEvent>,
-        mut abandoned: oneshot::Receiver<()>,
-    ) -> Result<(), LinkError> {
+    /// Relays the response and gives the slot back when the run has ended.
+    async fn relay(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
         let mut answer: Option<Answer> = None;
         let mut first = BytesMut::new();
         let mut total = 0;
-        let mut may_abandon = true;
         loop {
             let event = tokio::select! {
                 event = events.recv() => event,
                 () = self.sink.closed() => return self.finish_unwanted(events).await,
-                signal = &mut abandoned, if may_abandon => {
-                    may_abandon = false;
-                    if signal.is_ok() {
-                        log::info!("event=stuck request={}", self.id);
-                        let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
-                        self.send(Body::Verdict(stuck)).await?;
-                    }
+                () = self.slot.abandoned() => {
+                    log::info!("event=stuck request={}", self.id);
+                    let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
+                    self.sink.send(Body::Verdict(stuck)).await?;
                     continue;
                 }
             };
             match event {
                 Some(CallEvent::Signals(signals)) => {
-                    send_gate(self.context, GateMessage::Signals(self.attempt, signals)).await;
+                    self.send_signals(signals).await;
                 }
                 Some(CallEvent::Head { status, headers, signals }) => {
-                    send_gate(self.context, GateMessage::ResponseStarted(self.attempt, signals))
-                        .await;
+                    let attempt = self.slot.attempt();
+                    send_gate(self.context, GateMessage::ResponseStarted(attempt, signals)).await;
                     answer = Some(self.response_head(status, headers));
                 }
                 Some(CallEvent::Data(data)) => {
@@ -296,20 +257,18 @@
                         {
                             answer.body = first.split().freeze();
                             let head = answer.clone();
-                            self.send(Body::Answer(head)).await?;
+                            self.sink.send(Body::Answer(head)).await?;
                         }
                     } else {
-                        self.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
+                        let chunk = Body::Chunk(wire::Chunk { data, last: false });
+                        self.sink.send(chunk).await?;
                     }
                 }
                 Some(CallEvent::End) => return self.finish(answer, first.freeze(), total).await,
                 Some(CallEvent::Failed { result, not_run }) => {
                     return self.fail(answer, result, not_run).await;
                 }
-                None => {
-                    finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
-                    return Err(LinkError::Closed);
-                }
+                None => return Err(LinkError::Closed),
             }
         }
     }
@@ -322,13 +281,13 @@
         if self.idempotent && self.context.dialect.cancels_on_close() {
             drop(events);
             log::info!("event=cancelled request={}", self.id);
-            finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
+            self.slot.finish(RunResult::Cancelled).await;
             return Err(LinkError::Closed);
         }
         let result = loop {
             match events.recv().await {
                 Some(CallEvent::Signals(signals)) => {
-                    send_gate(self.context, GateMessage::Signals(self.attempt, signals)).await;
+                    self.send_signals(signals).await;
                 }
                 Some(CallEvent::End) => break RunResult::Success,
                 Some(CallEvent::Failed { result, .. }) => break result,
@@ -338,7 +297,7 @@
                 }
             }
         };
-        finish_attempt(self.context, self.attempt, result).await;
+        self.slot.finish(result).await;
         Err(LinkError::Closed)
     }
 
@@ -347,12 +306,8 @@
         Answer { request_id: self.id.clone(), status: status.into(), headers, ..Answer::default() }
     }
 
-    async fn send(&mut self, body: Body) -> Result<(), LinkError> {
-        let sent = self.sink.send(body).await;
-        if sent.is_err() {
-            finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
-        }
-        sent
+    async fn send_signals(&self, signals: UpstreamSignals) {
+        send_gate(self.context, GateMessage::Signals(self.slot.attempt(), signals)).await;
     }
 
     async fn finish(
@@ -364,7 +319,7 @@
         let answer = answer.unwrap_or_default();
         let failed = answer.status >= 500;
         let result = if failed { RunResult::ServerError } else { RunResult::Success };
-        let load = finish_attempt(self.context, self.attempt, result).await.map(Into::into);
+        let load = self.slot.finish(result).await.map(Into::into);
         let body = if answer.body.is_empty() {
             Body::Answer(Answer { body: first, whole: true, load, ..answer })
         } else {
@@ -381,7 +336,7 @@
         result: RunResult,
         not_run: Option<Reason>,
     ) -> Result<(), LinkError> {
-        let load = finish_attempt(self.context, self.attempt, result).await;
+        let load = self.slot.finish(result).await;
         if let Some(reason) = not_run
             && answer.is_none()
         {
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -23,7 +23,7 @@
 use crate::actor::counters::CountersActor;
 use crate::actor::entry::EntryActor;
 use crate::actor::fleet::{self, FleetActor};
-use crate::actor::gate::GateActor;
+use crate::actor::gate::{GateActor, GateLinks};
 use crate::actor::lifecycle::{DrainActors, LifecycleActor, PublishedStates, StopTimes};
 use crate::clock::SystemClock;
 use crate::counter;
@@ -156,7 +156,8 @@
         env!("CARGO_PKG_VERSION")
     );
     let states = PublishedStates { is_ready, stop_stage };
-    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, statsd, work, states);
+    let links = GateLinks { lifetimes, mailbox: mailbox.clone() };
+    let mut main_loop = MainLoop::new(settings, &clock, fleet, links, statsd, work, states);
     executor.run(main_loop.run(messages));
     let timeout = CLOSE_TIMEOUT.min(main_loop.stop_timeout / CLOSE_DIVISOR);
     executor.run(close(stop, &network, timeout));
@@ -276,7 +277,7 @@
         settings: &NodeSettings,
         clock: &SharedClock,
         fleet: fleet::FleetSetup,
-        lifetimes: LifetimeStore,
+        links: GateLinks,
         statsd: cadence::StatsdClient,
         work: WorkTracker,
         states: PublishedStates,
@@ -302,7 +303,7 @@
         let mut gate = Gate::new(incarnation, Arc::clone(clock));
         gate.await_lifetimes(RECOVERY_TIMEOUT);
         let count = counters.clone();
-        let gate = actor!(s, GateActor::init(gate, count, publish, lifetimes), ret_shutdown!(s));
+        let gate = actor!(s, GateActor::init(gate, count, publish, links), ret_shutdown!(s));
         let handle = gate.clone();
         call!([fleet], set_gate(handle));
         let actors = DrainActors { entry: entry.clone(), gate: gate.clone(), fleet: fleet.clone() };
--- a/crates/lavenderflow/src/status.rs
+++ b/crates/lavenderflow/src/status.rs
@@ -17,6 +17,9 @@
     pub requests: usize,
     /// Attempts that the gate runs on upstreams.
     pub running: usize,
+    /// Running attempts whose slot has no owner, and which therefore never end; always 0.
+    #[serde(default)]
+    pub orphaned: usize,
     /// Tickets in the ledger.
     pub tickets: usize,
     /// Upstreams on this VM.
@@ -120,7 +123,10 @@
     pub fn render(&self) -> String {
         let mut lines = vec![
             format!("node {} zone {} {}", self.node, self.zone, self.state),
-            format!("requests {} running {} tickets {}", self.requests, self.running, self.tickets),
+            format!(
+                "requests {} running {} orphaned {} tickets {}",
+                self.requests, self.running, self.orphaned, self.tickets
+            ),
             String::new(),
             format!("members {}", self.members.len()),
         ];
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -279,16 +279,23 @@
 
 /// Returns how many gates of the service `work` a node knows.
 fn gate_count(vm: &Vm) -> usize {
-    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
-    let call = ureq::get(format!("http://{admin}/v1/status"));
-    let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
-    let Ok(mut response) = call.call() else { return 0 };
-    let status: Value = response.body_mut().read_json().unwrap_or_default();
+    let status = status(vm);
     let services = status["services"].as_array().cloned().unwrap_or_default();
     let own = services.iter().find(|service| service["name"] == "work");
     own.and_then(|service| service["gates"].as_array().map(Vec::len)).unwrap_or(0)
 }
 
+/// Returns the status of a node; null if it does not respond.
+pub fn status(vm: &Vm) -> Value {
+    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
+    let call = ureq::get(format!("http://{admin}/v1/status"));
+    let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
+    call.call()
+        .ok()
+        .and_then(|mut response| response.body_mut().read_json().ok())
+        .unwrap_or_default()
+}
+
 fn admin_port(file: &std::path::Path) -> u16 {
     let text = std::fs::read(file).expect("a settings file");
     let value: Value = serde_json::from_slice(&text).expect("settings");
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -65,6 +65,7 @@
         state: "serving".to_owned(),
         requests: 3,
         running: 2,
+        orphaned: 0,
         tickets: 17,
         upstreams: vec![UpstreamStatus {
             id: "numbering-1".to_owned(),
