Share the slots of a gate fairly between organisations

Cause: a gate knew the organisation of a request and ignored it. Of seven organisations, one at 7.5 times its usual load crowded out the others: in a queue without names an organisation got down to 0.40 of its fair share within 5 s.

Change: fair_share.rs decides. Of the organisations whose requests wait, the one with the smallest sum of held slots and recent service (memory of 1 s) goes first; within a tenth of a fair share they count as equal, and the priority of the organisation decides, then the time left as before. A request that finds the queue full displaces the newest one of the organisation with the most waiting requests, if its own has fewer; the displaced one is refused as queue-full. The same holds where an upstream limits its rate. Requests without an organisation form one group, whose order is unchanged.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -16,6 +16,7 @@
 pub use crate::admission::{
     GateAction, RateSignal, RunResult, ServiceOffer, SlotRequest, UpstreamSignals,
 };
+use crate::fair_share::FairShare;
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::{Queue, QueuedRequest};
@@ -37,6 +38,7 @@
 struct ServiceState {
     short_queue: Queue,
     long_queue: Queue,
+    shares: FairShare,
     profile: Profile,
     latencies: IndexMap<WorkKind, LatencyDistribution>,
 }
@@ -101,11 +103,15 @@
         if self.requests.contains_key(&request.attempt) {
             return vec![self.refusal(&request, Reason::Duplicate)];
         }
+        let full = self.refusal_reason(&request, now);
+        let makes_room = matches!(full, Some(Reason::QueueFull | Reason::RateLimited))
+            && self.can_displace(&request);
         let refusal =
-            self.refusal_reason(&request, now).or_else(|| self.gray_refusal_reason(&request, now));
+            full.filter(|_| !makes_room).or_else(|| self.gray_refusal_reason(&request, now));
         if let Some(reason) = refusal {
             return vec![self.refusal(&request, reason)];
         }
+        let displaced = if makes_room { self.displace(&request) } else { None };
         let (attempt, service, long) = (request.attempt, request.service.clone(), request.long);
         let waits = !request.queue_timeout.is_zero();
         let waiting = queued_request(&request, now);
@@ -117,7 +123,8 @@
         } else {
             state.short_queue.push(waiting);
         }
-        let mut actions = self.fill(&service);
+        let mut actions = Vec::from_iter(displaced);
+        actions.extend(self.fill(&service));
         if !waits && !self.running.contains_key(&attempt) {
             actions.extend(self.refuse_without_wait(attempt));
         }
@@ -157,6 +164,9 @@
             return (Load::default(), Vec::new());
         };
         let profile = self.profile(&request.service);
+        if let Some(state) = self.services.get_mut(&request.service) {
+            state.shares.finish(&request.organisation, now);
+        }
         self.observe_run(&request, &running, result, now);
         let mut changed = false;
         let upstream = self.upstreams.get_mut(&running.upstream);
@@ -190,6 +200,7 @@
         let mut actions = self.review_running(now);
         actions.extend(self.update_likely_gray(now));
         self.remove_drained();
+        self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
         actions.extend(self.refuse_waits_without_upstream(now));
         actions.extend(self.refuse_waits_on_gray(now));
@@ -289,7 +300,11 @@
                 let queue = if long { &mut state.long_queue } else { &mut state.short_queue };
                 let is_limited =
                     self.upstreams.get(&id).is_some_and(|u| u.common().rate.rate().is_some());
-                let next = if is_limited { queue.pop_first_to_expire() } else { queue.pop(now) };
+                let next = if is_limited {
+                    queue.pop_first_to_expire(&state.shares, now)
+                } else {
+                    queue.pop(&state.shares, now)
+                };
                 let Some(waiting) = next else { break };
                 actions.extend(self.start(&waiting, &id, long, now));
             }
@@ -310,6 +325,9 @@
         let (request, deadline) = self.requests.get(&waiting.attempt)?;
         let (service, deadline) = (request.service.clone(), *deadline);
         let common = self.upstreams.get_mut(id)?.common_mut();
+        if let Some(state) = self.services.get_mut(&service) {
+            state.shares.start(&waiting.group, now);
+        }
         *(if long { &mut common.long_running } else { &mut common.short_running }) += 1;
         common.last_start = Some(now);
         common.rate.record(now);
--- a/crates/core/src/gate/waiting.rs
+++ b/crates/core/src/gate/waiting.rs
@@ -19,6 +19,22 @@
         Some(self.refusal(&request, Reason::QueueFull))
     }
 
+    /// Returns whether a request that may wait finds a place in a full queue.
+    pub(super) fn can_displace(&self, new: &SlotRequest) -> bool {
+        let Some(state) = self.services.get(&new.service) else { return false };
+        let queue = if new.long { &state.long_queue } else { &state.short_queue };
+        !new.queue_timeout.is_zero() && queue.displaced(&new.organisation).is_some()
+    }
+
+    /// Makes room for a request in a full queue: refuses a waiting request of the organisation with
+    /// the most of them, if the new one's organisation has fewer.
+    pub(super) fn displace(&mut self, new: &SlotRequest) -> Option<GateAction> {
+        let state = self.services.get_mut(&new.service)?;
+        let queue = if new.long { &mut state.long_queue } else { &mut state.short_queue };
+        let waiting = queue.displace(&new.organisation)?;
+        self.refuse_waiting(&waiting, Reason::QueueFull)
+    }
+
     /// Estimates the time in the queue of a new request from the requests ahead of it.
     pub(super) fn expected_wait(
         &self,
@@ -103,6 +119,8 @@
         expires_at,
         at_deadline: deadline <= queue_end,
         rank: request.rank,
+        group: request.organisation.clone(),
+        group_rank: request.organisation_rank,
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod change;
 pub mod clock;
 pub mod entry;
+pub mod fair_share;
 pub mod floor;
 pub mod freshness;
 pub mod gate;
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -2,13 +2,14 @@
 
 use std::collections::VecDeque;
 
+use crate::fair_share::{self, FairShare, Group};
 use crate::prelude::*;
 
 /// Head start of a request over one of the next lower priority.
 const RANK_HEAD_START: Duration = Duration::from_millis(250);
 
 /// A request that waits for a slot.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct QueuedRequest {
     /// The attempt.
     pub attempt: AttemptId,
@@ -23,6 +24,10 @@
     pub at_deadline: bool,
     /// Priority; 0 is the highest.
     pub rank: u32,
+    /// Organisation that the request belongs to.
+    pub group: Group,
+    /// Priority of the organisation, which goes before `rank`; 0 is the highest.
+    pub group_rank: u32,
 }
 
 /// The place of a request in the order in which a queue is served.
@@ -65,31 +70,58 @@
 
     /// Takes the next request to run.
     ///
-    /// Requests that can still be answered on time go first, those with the least time left first,
+    /// The organisation that has received the least service goes first, then the one with the highest
+    /// priority. Among the requests of one organisation, or of all if there are none, requests that can still be answered on time go first, those with the least time left first,
     /// so that urgent requests do not wait behind patient ones. The others follow, newest first, so
     /// that as many as possible are still served before their deadline. Requests of higher priority
     /// have a head start in both groups, but no rank starves another.
-    pub fn pop(&mut self, now: Instant) -> Option<QueuedRequest> {
+    pub fn pop(&mut self, shares: &FairShare, now: Instant) -> Option<QueuedRequest> {
+        let levels = shares.levels(self.groups(), now);
         let waiting = self.waiting.iter().enumerate();
         // Prefers the first position among equals on time, and the last one among late ones.
-        let next = waiting.min_by_key(|(place, w)| match w.turn(now) {
-            turn @ Turn::OnTime(_) => (turn, *place),
-            turn @ Turn::Late(_) => (turn, usize::MAX - place),
+        let next = waiting.min_by_key(|(place, w)| {
+            let turn = match w.turn(now) {
+                turn @ Turn::OnTime(_) => (turn, *place),
+                turn @ Turn::Late(_) => (turn, usize::MAX - place),
+            };
+            (levels.of(&w.group), w.group_rank, turn)
         });
         let place = next.map(|(place, _)| place)?;
         self.waiting.remove(place)
     }
 
-    /// Takes the request that leaves the queue first.
+    /// Takes the request that leaves the queue first, of the organisation that [`Queue::pop`] serves
+    /// next.
     ///
     /// In this order all requests start in time that were admitted when there was time for them
     /// after all others.
-    pub fn pop_first_to_expire(&mut self) -> Option<QueuedRequest> {
+    pub fn pop_first_to_expire(
+        &mut self,
+        shares: &FairShare,
+        now: Instant,
+    ) -> Option<QueuedRequest> {
+        let levels = shares.levels(self.groups(), now);
         let waiting = self.waiting.iter().enumerate();
-        let place = waiting.min_by_key(|(_, w)| w.expires_at).map(|(place, _)| place)?;
+        let next = waiting.min_by_key(|(_, w)| (levels.of(&w.group), w.group_rank, w.expires_at));
+        let place = next.map(|(place, _)| place)?;
+        self.waiting.remove(place)
+    }
+
+    /// Takes the request that gives way to a new one of a group when the queue is full.
+    pub fn displace(&mut self, new: &Group) -> Option<QueuedRequest> {
+        let place = self.displaced(new)?;
         self.waiting.remove(place)
     }
 
+    /// Returns the position of the request that gives way to a new one of a group.
+    pub fn displaced(&self, new: &Group) -> Option<usize> {
+        fair_share::displaced(new, self.groups())
+    }
+
+    fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.waiting.iter().map(|waiting| &waiting.group)
+    }
+
     /// Returns how many requests are at least as urgent as one that would join now. Priorities do
     /// not count: a lower one would hardly be admitted under overload. Late requests count, if they
     /// are no more patient, to keep the queue short under overload.
