Limit organisations over all nodes by lending tokens

Cause: `rate_per_s` and `burst` of an organisation were read but had no effect.

Change: a root per organisation holds the token bucket, up to four lenders per zone draw from it in batches, and entries draw from the lenders of their zone (`core::allowance`, an actor, the frames `Draw` and `Grant`). A request of an organisation with a rate needs a token before its ticket is claimed and before anything is dispatched; otherwise it is refused with 429. Tokens live for 300 ms from when the root was asked, at lenders and entries together. Organisations without a rate take the same path as before.

--- /dev/null
+++ b/crates/core/src/allowance/root.rs
@@ -0,0 +1,100 @@
+//! The root: holds the token bucket of an organisation for the whole fleet.
+
+use super::bucket::Bucket;
+use super::message::{Draw, Grant};
+use crate::organisation::Allowance;
+use crate::prelude::*;
+
+/// Time for which granted tokens can be used, at lenders and entries together. In a window of 5 s
+/// it adds the refill of this time to what runs, which is 6% of a tolerance of 10%.
+pub const TOKEN_LIFE: Duration = Duration::from_millis(300);
+/// Least capacity of a bucket, as refill time: lenders ask every 50 to 100 ms, and a smaller bucket
+/// would overflow in between. It adds 3% at most, and only where the burst is smaller.
+const MIN_CAPACITY_TIME: Duration = Duration::from_millis(150);
+/// Time from when a node becomes first in the order of roots until it grants tokens. By then the
+/// former root has learned of it and has stopped.
+const TAKEOVER_DELAY: Duration = Duration::from_millis(1500);
+/// Time for which a node that is no longer first still grants tokens, which the new root relays to.
+const HANDOVER_TIME: Duration = Duration::from_millis(1000);
+
+#[derive(Debug)]
+struct Tenure {
+    bucket: Bucket,
+    starts_at: Instant,
+    // Set once another node has become the root.
+    ends_at: Option<Instant>,
+}
+
+impl Tenure {
+    fn is_over(&self, now: Instant) -> bool {
+        self.ends_at.is_some_and(|end| now >= end)
+    }
+}
+
+/// The buckets of the organisations whose root this node is.
+#[derive(Debug, Default)]
+pub struct Root {
+    tenures: IndexMap<OrganisationName, Tenure>,
+}
+
+impl Root {
+    /// Begins, continues or ends being the root of an organisation. `stable_since` is when the
+    /// lenders last changed; `share` is the part of the allowance that this root may grant.
+    pub fn update(
+        &mut self,
+        organisation: &OrganisationName,
+        allowance: Option<(Allowance, f64)>,
+        stable_since: Instant,
+        now: Instant,
+    ) {
+        if self.tenures.get(organisation).is_some_and(|tenure| tenure.is_over(now)) {
+            self.tenures.swap_remove(organisation);
+        }
+        let Some((allowance, share)) = allowance else {
+            let tenure = self.tenures.get_mut(organisation);
+            if tenure.as_ref().is_some_and(|tenure| now < tenure.starts_at) {
+                self.tenures.swap_remove(organisation);
+            } else if let Some(tenure) = tenure {
+                tenure.ends_at.get_or_insert(now + HANDOVER_TIME);
+            }
+            return;
+        };
+        let (rate, capacity) = limits(allowance, share);
+        let tenure = self.tenures.entry(organisation.clone()).or_insert_with(|| {
+            let starts_at = now.max(stable_since + TAKEOVER_DELAY);
+            Tenure { bucket: Bucket::new(rate, capacity, starts_at), starts_at, ends_at: None }
+        });
+        tenure.ends_at = None;
+        tenure.bucket.set_limits(rate, capacity, now);
+    }
+
+    /// Forgets an organisation that has no allowance any more.
+    pub fn remove(&mut self, organisation: &str) {
+        self.tenures.swap_remove(organisation);
+    }
+
+    /// Returns the organisations whose buckets are here.
+    pub fn organisations(&self) -> impl Iterator<Item = &OrganisationName> {
+        self.tenures.keys()
+    }
+
+    /// Grants what the bucket has; `None` if this node does not act as the root.
+    pub fn grant(&mut self, draw: &Draw, now: Instant) -> Option<Grant> {
+        let tenure = self.tenures.get_mut(&draw.organisation)?;
+        if now < tenure.starts_at || tenure.is_over(now) {
+            return None;
+        }
+        let tokens = tenure.bucket.take(draw.wanted, now);
+        let is_short = tokens < draw.wanted;
+        let retry_after = if is_short { tenure.bucket.time_to_next(now) } else { Duration::ZERO };
+        let (serial, life) = (draw.serial, TOKEN_LIFE);
+        Some(Grant { serial, tokens, life, retry_after, unavailable: false })
+    }
+}
+
+/// Returns the rate and the capacity of a bucket.
+fn limits(allowance: Allowance, share: f64) -> (f64, f64) {
+    let rate = allowance.rate * share;
+    let least = (rate * MIN_CAPACITY_TIME.as_secs_f64()).max(1.0);
+    (rate, (allowance.burst * share).max(least))
+}
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry: takes callers' requests, dispatches them to gates and decides on their outcomes.
 
+mod allowance;
 mod claim;
 mod conclusion;
 mod dispatch;
@@ -91,6 +92,8 @@
     organisation_requests: IndexMap<OrganisationName, u32>,
     active_requests: IndexMap<RequestId, ActiveRequest>,
     waiting: IndexMap<RequestId, TicketId>,
+    // Requests that need a token of their organisation, with the tickets that they came with.
+    drawing: IndexMap<RequestId, (ActiveRequest, Option<TicketId>)>,
     forwarded: IndexSet<RequestId>,
     incarnations: IndexMap<NodeId, Incarnation>,
     next_attempt: Serial,
@@ -123,6 +126,7 @@
             organisation_requests: IndexMap::new(),
             active_requests: IndexMap::new(),
             waiting: IndexMap::new(),
+            drawing: IndexMap::new(),
             forwarded: IndexSet::new(),
             incarnations: IndexMap::new(),
             next_attempt: 1,
@@ -201,7 +205,8 @@
     /// Sets the time by which all requests must have their answers, because the node stops then.
     pub fn limit_deadlines(&mut self, last: Instant) {
         self.last_deadline = Some(last);
-        for active in self.active_requests.values_mut() {
+        let drawing = self.drawing.values_mut().map(|(active, _)| active);
+        for active in self.active_requests.values_mut().chain(drawing) {
             active.deadline = active.deadline.min(last);
         }
     }
@@ -213,7 +218,7 @@
 
     /// Returns the number of requests in flight, including forwarded and waiting ones.
     pub fn in_flight(&self) -> usize {
-        self.active_requests.len() + self.waiting.len() + self.forwarded.len()
+        self.active_requests.len() + self.waiting.len() + self.forwarded.len() + self.drawing.len()
     }
 
     /// Recomputes the eligible gates of all services where that is due.
@@ -331,11 +336,16 @@
     }
 
     /// Decides on a request without a ticket, or with a ticket whose home is this entry.
-    fn admit(&mut self, mut active: ActiveRequest, ticket: Option<TicketId>) -> Vec<EntryAction> {
-        let request = active.arrival.request;
-        if let Some(reason) = self.refusal_reason(&active) {
-            return self.refuse_arrival(&active, ticket, reason);
+    fn admit(&mut self, active: ActiveRequest, ticket: Option<TicketId>) -> Vec<EntryAction> {
+        match self.refusal_reason(&active) {
+            Some(reason) => self.refuse_arrival(&active, ticket, reason),
+            None => self.draw(active, ticket),
         }
+    }
+
+    /// Claims the ticket of an admitted request and dispatches the request.
+    fn start(&mut self, mut active: ActiveRequest, ticket: Option<TicketId>) -> Vec<EntryAction> {
+        let request = active.arrival.request;
         if !active.idempotent {
             let now = self.clock.now();
             let ticket = ticket.unwrap_or_else(|| self.ledger.issue(now));
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -19,6 +19,9 @@
         if self.forwarded.swap_remove(&request) {
             return self.report_forwarded(request, &report);
         }
+        if let Some((active, ticket)) = self.drawing.swap_remove(&request) {
+            return self.report_draw(active, ticket, &report);
+        }
         let Some(mut active) = self.active_requests.swap_remove(&request) else {
             return Vec::new();
         };
@@ -48,6 +51,11 @@
             AttemptReport::Lost(reason) => self.retry_lost(active, reason, now),
             AttemptReport::CallerGone => self.end_unknown(&active, Reason::CallerGone),
             AttemptReport::Resumed => self.dispatch(active, None),
+            // Only a request that awaits its draw gets these.
+            AttemptReport::Allowed | AttemptReport::OverAllowance(_) => {
+                self.active_requests.insert(request, active);
+                Vec::new()
+            }
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! has no sockets, threads or codecs.
 
 mod admission;
+pub mod allowance;
 pub mod budget;
 pub mod catalog;
 pub mod change;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -143,6 +143,14 @@
         /// Time to wait.
         time: Duration,
     },
+    /// Take a token of the organisation's allowance, and then report [`AttemptReport::Allowed`] or
+    /// [`AttemptReport::OverAllowance`].
+    Draw {
+        /// The request.
+        request: RequestId,
+        /// The organisation.
+        organisation: OrganisationName,
+    },
     /// Wait for the response to an earlier request with the same ticket.
     Wait {
         /// The request.
@@ -180,4 +188,8 @@
     CallerGone,
     /// The time of an [`EntryAction::Pause`] is over.
     Resumed,
+    /// The request has a token of its organisation's allowance.
+    Allowed,
+    /// The organisation has used up its allowance; there may be a token after this time.
+    OverAllowance(Duration),
 }
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -218,7 +218,9 @@
                 EntryAction::Wait { request, .. } => {
                     self.pending.push((request, self.home_incarnation));
                 }
-                EntryAction::Forward { .. } | EntryAction::Pause { .. } => {}
+                EntryAction::Forward { .. }
+                | EntryAction::Pause { .. }
+                | EntryAction::Draw { .. } => {}
             }
         }
     }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -389,7 +389,9 @@
                 EntryAction::Pause { request, time } => {
                     self.schedule(time, Event::Resume(entry, request));
                 }
-                EntryAction::Forward { .. } | EntryAction::Wait { .. } => {}
+                EntryAction::Forward { .. }
+                | EntryAction::Wait { .. }
+                | EntryAction::Draw { .. } => {}
             }
         }
     }
--- a/crates/lavenderflow/src/actor/counters.rs
+++ b/crates/lavenderflow/src/actor/counters.rs
@@ -24,6 +24,11 @@
         self.counters.add(counter);
     }
 
+    /// Increases a counter by `count`.
+    pub fn add_many(&mut self, _: CX![], counter: Counter, count: u64) {
+        self.counters.add_many(counter, count);
+    }
+
     /// Records the latency of a stage.
     pub fn record_latency(&mut self, _: CX![], stage: Stage, time: Duration) {
         self.counters.record_latency(stage, time);
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -10,6 +10,7 @@
 use stakker::{Actor, CX, Fwd, after, call};
 use tokio::sync::{mpsc, oneshot};
 
+use super::allowance::AllowanceActor;
 use super::counters::CountersActor;
 use super::gate::GateActor;
 use crate::message::EntryMessage;
@@ -23,6 +24,7 @@
 pub struct EntryActor {
     entry: Entry,
     counters: Actor<CountersActor>,
+    allowance: Option<Actor<AllowanceActor>>,
     requests: IndexMap<RequestId, mpsc::Sender<EntryAction>>,
 }
 
@@ -30,7 +32,7 @@
     /// Starts the actor.
     pub fn init(cx: CX![], entry: Entry, counters: Actor<CountersActor>) -> Option<Self> {
         after!(TICK_INTERVAL, [cx], tick());
-        Some(Self { entry, counters, requests: IndexMap::new() })
+        Some(Self { entry, counters, allowance: None, requests: IndexMap::new() })
     }
 
     /// Handles a message.
@@ -51,14 +53,25 @@
         }
     }
 
+    /// Sets the allowance actor, which starts after this one.
+    pub fn set_allowance(&mut self, _: CX![], allowance: Actor<AllowanceActor>) {
+        self.allowance = Some(allowance);
+    }
+
     /// Adds or updates a node.
     pub fn set_node(&mut self, _: CX![], member: Member, expelled: bool) {
         self.entry.set_node(&member, expelled);
+        if let Some(allowance) = &self.allowance {
+            call!([allowance], set_node(member, expelled));
+        }
     }
 
     /// Removes a node.
     pub fn remove_node(&mut self, _: CX![], node: NodeId) {
         self.entry.remove_node(node);
+        if let Some(allowance) = &self.allowance {
+            call!([allowance], remove_node(node));
+        }
     }
 
     /// Adds a route, or replaces an older one.
@@ -83,11 +96,19 @@
 
     /// Replaces all organisations.
     pub fn set_directory(&mut self, _: CX![], directory: Directory) {
+        if let Some(allowance) = &self.allowance {
+            let directory = directory.clone();
+            call!([allowance], set_directory(directory));
+        }
         self.entry.set_directory(directory);
     }
 
     /// Adds or replaces an organisation.
     pub fn set_organisation(&mut self, _: CX![], organisation: Organisation) {
+        if let Some(allowance) = &self.allowance {
+            let organisation = organisation.clone();
+            call!([allowance], set_organisation(organisation));
+        }
         self.entry.set_organisation(organisation);
     }
 
@@ -118,8 +139,9 @@
         status.requests = self.entry.in_flight();
         status.tickets = self.entry.ledger().len();
         status.services = self.services();
-        let counters = self.counters.clone();
-        call!([gate], status(status, counters, reply));
+        if let Some(allowance) = &self.allowance {
+            call!([allowance], status(status, gate, reply));
+        }
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -129,6 +151,12 @@
     }
 
     fn execute(&mut self, action: EntryAction) {
+        if let EntryAction::Draw { request, organisation } = action {
+            if let Some(allowance) = &self.allowance {
+                call!([allowance], request(request, organisation));
+            }
+            return;
+        }
         let (request, is_last) = match &action {
             EntryAction::Dispatch { request, retry_reason, .. } => {
                 if let Some(reason) = retry_reason {
@@ -137,6 +165,7 @@
                 (*request, false)
             }
             EntryAction::Forward { request, .. }
+            | EntryAction::Draw { request, .. }
             | EntryAction::Pause { request, .. }
             | EntryAction::Wait { request, .. } => (*request, false),
             EntryAction::Relay { request, .. } | EntryAction::Conclude { request, .. } => {
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -2,7 +2,7 @@
 
 use std::net::UdpSocket;
 
-use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
+use cadence::{Counted as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
 use hdrhistogram::Histogram;
 
 use crate::error::NodeError;
@@ -59,9 +59,45 @@
     }
 }
 
+/// An event of the fleet-wide allowances.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AllowanceEvent {
+    /// A draw that was sent to another node.
+    Draw,
+    /// A token that expired unused.
+    Expired,
+    /// A draw that no node answered in time.
+    Failed,
+    /// A draw that the fallback had to replace.
+    Fallback,
+    /// A grant that came from another node.
+    Grant,
+    /// A token that a bucket of this node granted.
+    Lent,
+}
+
+impl AllowanceEvent {
+    /// All variants.
+    pub const ALL: [Self; 6] =
+        [Self::Draw, Self::Expired, Self::Failed, Self::Fallback, Self::Grant, Self::Lent];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Draw => "draws",
+            Self::Expired => "expired",
+            Self::Failed => "draws-failed",
+            Self::Fallback => "fallback",
+            Self::Grant => "grants",
+            Self::Lent => "lent",
+        }
+    }
+}
+
 /// A counter.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Counter {
+    /// Events of the fleet-wide allowances.
+    Allowance(AllowanceEvent),
     /// Requests that ended with this outcome.
     Outcome(Outcome),
     /// Requests that ended without a response from an upstream, by reason.
@@ -91,6 +127,7 @@
     /// ```
     pub fn name(self) -> String {
         match self {
+            Self::Allowance(event) => format!("allowance.{}", event.name()),
             Self::Outcome(outcome) => format!("entry.outcome.{}", outcome.name()),
             Self::EntryRefused(reason) => format!("entry.refused.{}", reason.name()),
             Self::Retried(reason) => format!("entry.retried.{}", reason.name()),
@@ -166,8 +203,13 @@
 
     /// Increments a counter.
     pub fn add(&mut self, counter: Counter) {
-        *self.counts.entry(counter).or_default() += 1;
-        if let Err(fault) = self.client.incr(&counter.name()) {
+        self.add_many(counter, 1);
+    }
+
+    /// Increases a counter by `count`.
+    pub fn add_many(&mut self, counter: Counter, count: u64) {
+        *self.counts.entry(counter).or_default() += count;
+        if let Err(fault) = self.client.count(&counter.name(), count) {
             log::debug!("event=metric-lost fault={fault:?}");
         }
     }
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages that other threads send to the actors on the main thread.
 
+use lavenderflow_core::allowance::message::{Draw, DrawSerial, Grant};
 use lavenderflow_core::catalog::Document;
 use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
@@ -76,6 +77,17 @@
     RestoreLifetimes(Vec<EndedLifetime>),
 }
 
+/// A message to the allowance actor.
+#[derive(Debug)]
+pub enum AllowanceMessage {
+    /// Another node draws tokens; the grant goes to the sender.
+    Draw(Draw, oneshot::Sender<Grant>),
+    /// Another node has granted tokens.
+    Granted(Grant),
+    /// No grant came in time.
+    Failed(DrawSerial),
+}
+
 /// A message to the fleet actor.
 #[derive(Debug)]
 pub enum FleetMessage {
@@ -119,6 +131,8 @@
     Entry(EntryMessage),
     /// To the gate actor.
     Gate(GateMessage),
+    /// To the allowance actor.
+    Allowance(AllowanceMessage),
     /// To the fleet actor.
     Fleet(FleetMessage),
     /// Increments a counter.
--- a/crates/lavenderflow/src/net.rs
+++ b/crates/lavenderflow/src/net.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod connector;
 pub mod context;
+pub mod draw;
 pub mod drive;
 pub mod endpoint;
 pub mod link;
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -162,6 +162,8 @@
                 tokio::time::sleep(time).await;
                 AttemptReport::Resumed.into()
             }
+            // The entry's actor has the draw done and reports the result.
+            EntryAction::Draw { .. } => continue,
             EntryAction::Wait { remaining, .. } => {
                 wait = Some(remaining);
                 continue;
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use lavenderflow_core::allowance::message::Draw;
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::wire::frame::Body;
@@ -13,7 +14,7 @@
 use super::connector::Connector;
 use super::context::{self, LocalLink, NetworkContext};
 use super::link::{FrameSink, FrameSource, LinkError};
-use super::{ping, serve};
+use super::{draw, ping, serve};
 use crate::error::NodeError;
 use crate::prelude::*;
 use crate::shutdown::StopWatch;
@@ -28,6 +29,8 @@
 pub enum NetworkCommand {
     /// Ping a node with a gossip exchange.
     Ping(NodeId, Exchange, PeerCursor),
+    /// Send a draw of tokens to a node.
+    Draw(NodeId, Draw),
     /// Send a gossip exchange to a seed address.
     Contact(SocketAddr, Exchange),
     /// Set the address of a node's incarnation.
@@ -129,6 +132,9 @@
         NetworkCommand::Ping(node, exchange, cursor) => {
             tokio::spawn(ping::ping(context.clone(), node, exchange, cursor));
         }
+        NetworkCommand::Draw(node, draw) => {
+            tokio::spawn(draw::draw(context.clone(), node, draw));
+        }
         NetworkCommand::Contact(address, exchange) => {
             tokio::spawn(ping::contact(context.clone(), address, exchange));
         }
@@ -183,6 +189,7 @@
     match source.receive().await? {
         Some(Body::Begin(begin)) => serve::serve(context, begin, sink, source).await,
         Some(Body::Exchange(exchange)) => ping::respond(context, exchange, sink).await,
+        Some(Body::Draw(draw)) => draw::respond(context, draw, sink).await,
         Some(_) => Err(LinkError::Unexpected),
         None => Ok(()),
     }
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use lavenderflow_core::allowance::Allowances;
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::clock::SharedClock;
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
@@ -20,6 +21,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+use crate::actor::allowance::{AllowanceActor, AllowanceSetup};
 use crate::actor::counters::CountersActor;
 use crate::actor::entry::EntryActor;
 use crate::actor::fleet::{self, FleetActor};
@@ -263,6 +265,7 @@
     stakker: Stakker,
     clock: SharedClock,
     counters: ActorOwn<CountersActor>,
+    allowance: ActorOwn<AllowanceActor>,
     entry: ActorOwn<EntryActor>,
     gate: ActorOwn<GateActor>,
     fleet: ActorOwn<FleetActor>,
@@ -288,6 +291,11 @@
         let identity = Identity { node: local.node, incarnation, zone: local.zone.clone() };
         let answer_bytes = usize::try_from(settings.answers * 1024).unwrap_or(usize::MAX);
         let limits = TicketLimits { retention: settings.tickets, answer_bytes };
+        let setup = AllowanceSetup {
+            allowances: Allowances::new(local.node, local.zone.clone(), clock.now()),
+            clock: Arc::clone(clock),
+            network: fleet.network.clone(),
+        };
         let mut entry = Entry::new(identity, limits, Arc::clone(clock), random());
         if fleet.awaits_deployment {
             entry.await_routes();
@@ -296,6 +304,10 @@
         let count = counters.clone();
         let entry = actor!(s, EntryActor::init(entry, count), ret_shutdown!(s));
         let (handle, count) = (entry.clone(), counters.clone());
+        let allowance = actor!(s, AllowanceActor::init(setup, handle, count), ret_shutdown!(s));
+        let handle = allowance.clone();
+        call!([entry], set_allowance(handle));
+        let (handle, count) = (entry.clone(), counters.clone());
         let fleet = actor!(s, FleetActor::init(fleet, handle, count), ret_shutdown!(s));
         let publish =
             fwd_to!([fleet], set_offers() as (Vec<lavenderflow_core::gate::ServiceOffer>));
@@ -313,7 +325,7 @@
         let serve = fwd_to!([lifecycle], serve() as (()));
         call!([fleet], set_on_ready(serve));
         let (clock, stop_timeout) = (Arc::clone(clock), timeout);
-        Self { stakker, clock, counters, entry, gate, fleet, lifecycle, stop_timeout }
+        Self { stakker, clock, counters, allowance, entry, gate, fleet, lifecycle, stop_timeout }
     }
 
     /// Dispatches messages until an actor shuts the node down.
@@ -333,9 +345,10 @@
     }
 
     fn dispatch(&mut self, message: Message) {
-        let Self { counters, entry, gate, fleet, lifecycle, .. } = self;
+        let Self { counters, allowance, entry, gate, fleet, lifecycle, .. } = self;
         match message {
             Message::Entry(message) => call!([entry], handle(message)),
+            Message::Allowance(message) => call!([allowance], handle(message)),
             Message::Gate(message) => call!([gate], handle(message)),
             Message::Fleet(message) => call!([fleet], handle(message)),
             Message::Count(counter) => call!([counters], add(counter)),
--- a/crates/lavenderflow/src/status.rs
+++ b/crates/lavenderflow/src/status.rs
@@ -23,6 +23,9 @@
     pub upstreams: Vec<UpstreamStatus>,
     /// Services known to this entry.
     pub services: Vec<ServiceStatus>,
+    /// Organisations whose requests this node refuses, because they have used up their allowance.
+    #[serde(default)]
+    pub limited: Vec<LimitStatus>,
     /// All nodes of the fleet.
     pub members: Vec<MemberStatus>,
     /// Revision of each configuration key.
@@ -80,6 +83,17 @@
     pub suspicion: String,
 }
 
+/// An organisation that has used up its allowance, as seen by an entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitStatus {
+    /// Name.
+    pub organisation: String,
+    /// Time until a request may be allowed, in milliseconds.
+    pub retry_ms: u64,
+    /// Whether no lender can be reached, so that the entry uses the fallback.
+    pub fallback: bool,
+}
+
 /// A node, as seen by another node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MemberStatus {
@@ -139,6 +153,14 @@
             lines.push(String::new());
             lines.extend(render_service(service));
         }
+        if !self.limited.is_empty() {
+            lines.push(String::new());
+            lines.push(format!("organisations over their allowance {}", self.limited.len()));
+        }
+        for LimitStatus { organisation, retry_ms, fallback } in &self.limited {
+            let source = if *fallback { "fallback" } else { "lender" };
+            lines.push(format!("  {organisation:<16} retry in {retry_ms} ms, by {source}"));
+        }
         lines.push(String::new());
         lines.push("configuration".to_owned());
         lines.extend(self.revisions.iter().map(|(key, revision)| format!("  {key} {revision}")));
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -6,11 +6,11 @@
 use std::process::Command;
 
 use lavenderflow::command::CommandError;
-use lavenderflow::counter::{Counter, Fault};
+use lavenderflow::counter::{AllowanceEvent, Counter, Fault};
 use lavenderflow::error::NodeError;
 use lavenderflow::operator::{Assignment, OperatorError};
 use lavenderflow::status::{
-    GateStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
+    GateStatus, LimitStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
 };
 use lavenderflow::store::StoreError;
 use lavenderflow_core::reason::{Outcome, Reason};
@@ -26,7 +26,8 @@
     let outcomes = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown].map(Counter::Outcome);
     let faults = Fault::ALL.map(Counter::Fault);
     let others = [Counter::Ejected, Counter::Returned];
-    let counters = by_reason.chain(outcomes).chain(faults).chain(others);
+    let allowances = AllowanceEvent::ALL.map(Counter::Allowance);
+    let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(allowances);
     // The page lists counters by reason as a family and the reasons, in separate tables.
     let missing: BTreeSet<String> = counters
         .map(Counter::name)
@@ -86,6 +87,11 @@
                 gate("c3", true, "no observer can reach it"),
             ],
         }],
+        limited: vec![LimitStatus {
+            organisation: "publisher-7".to_owned(),
+            retry_ms: 120,
+            fallback: false,
+        }],
         members: vec![MemberStatus {
             id: "a1".to_owned(),
             name: "vm-1".to_owned(),
--- a/crates/schema/src/convert.rs
+++ b/crates/schema/src/convert.rs
@@ -1,5 +1,6 @@
 //! Conversions between messages and the types of the core crate.
 
+pub mod allowance;
 pub mod configuration;
 pub mod gossip;
 pub mod request;
