Keep allowances within their bound when nodes, links or roots fail

Change: a node that takes itself for isolated grants nothing as a root; a share is lowered at once and raised after the takeover delay; a new root relays to the former one; the fallback starts after the takeover delay and assumes at least 16 nodes; a process that stood still for 2 s starts its buckets again; a lender that gets no response from the root tries another way. Tokens are granted with a life of 4 s while half of the burst is left; they stay part of the bucket's capacity until then, so they add nothing to any window, and draws of rare organisations need no root on their way.

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -6,18 +6,19 @@
 
 pub mod borrower;
 pub mod bucket;
-mod clocks;
+pub mod clocks;
 pub mod demand;
 pub mod lender;
 pub mod message;
 pub mod placement;
 pub mod reserve;
 pub mod root;
+mod routing;
 
-use self::borrower::{Borrower, BorrowerStep, Decision, LimitedOrganisation};
-use self::clocks::ClockComparison;
-use self::lender::{Lender, LenderStep, Source};
-use self::message::{Draw, DrawRole, DrawSerial, Grant, ReplyId};
+use self::borrower::{Borrower, Decision, LimitedOrganisation};
+use self::clocks::{ClockComparison, ClockGap};
+use self::lender::{Lender, Source};
+use self::message::{Draw, DrawSerial, Grant, ReplyId};
 use self::placement::Placement;
 use self::root::Root;
 pub use crate::organisation::Allowance;
@@ -27,6 +28,9 @@
 /// Time for which a node that did not respond to a draw is not asked again.
 const SILENCE_TIME: Duration = Duration::from_secs(1);
 
+/// Nodes that a lender asks for the tokens of a root.
+const MAX_ROOTS: u32 = 2;
+
 /// An action for the owner of [`Allowances`] to execute.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AllowanceAction {
@@ -58,7 +62,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Origin {
     Borrower,
-    Lender,
+    // With the number of nodes that were asked before.
+    Lender(u32),
     Relay(Source, DrawSerial),
 }
 
@@ -67,6 +72,8 @@
     origin: Origin,
     organisation: OrganisationName,
     node: NodeId,
+    // Tokens to draw now and ahead.
+    wanted: (u32, u32),
     sent_at: Instant,
     // Whether the machine was suspended since, so that the age of the grant is unknown.
     is_void: bool,
@@ -95,7 +102,15 @@
     own: NodeId,
     next_serial: DrawSerial,
     placement: Placement,
+    started_at: Instant,
     lenders_changed_at: Instant,
+    // Share of the allowances that this node grants as a root. It is lowered at once and raised
+    // when the roots on the other side of a former partition have stopped.
+    share: f64,
+    raised_at: Instant,
+    is_isolated: bool,
+    // The present and the former root of each organisation.
+    roots: IndexMap<OrganisationName, (Option<NodeId>, Option<NodeId>)>,
     allowances: IndexMap<OrganisationName, Allowance>,
     root: Root,
     lender: Lender,
@@ -114,7 +129,12 @@
             own,
             next_serial: 1,
             placement: Placement::new(own, zone),
+            started_at: now,
             lenders_changed_at: now,
+            share: 1.0,
+            raised_at: now,
+            is_isolated: false,
+            roots: IndexMap::new(),
             allowances: IndexMap::new(),
             root: Root::default(),
             lender: Lender::default(),
@@ -127,30 +147,39 @@
         }
     }
 
-    /// Compares the clocks. After a suspension of the machine, which the monotonic clock may leave
-    /// out, all tokens are discarded: their age is unknown. Returns whether there was one.
-    pub fn compare_clocks(&mut self, now: Instant, system_time: SystemTime) -> bool {
-        let was_suspended = self.clocks.observe(now, system_time);
-        if was_suspended {
+    /// Compares the clocks; to be called before each event, and at least every second while there
+    /// are allowances. After a suspension, tokens are discarded, as the monotonic clock may not show
+    /// their age. After an absence, buckets start again, as another node may have become the root.
+    pub fn compare_clocks(&mut self, now: Instant, system_time: SystemTime) -> ClockGap {
+        let gap = self.clocks.observe(now, system_time);
+        if gap != ClockGap::None {
             self.borrower.clear();
             self.lender.clear();
             self.sent.values_mut().for_each(|sent| sent.is_void = true);
         }
-        was_suspended
+        if gap == ClockGap::Absent {
+            self.root.restart(now);
+        }
+        gap
     }
 
     /// Records a node; returns whether the lenders have changed.
     pub fn set_node(&mut self, member: &Member, expelled: bool, now: Instant) -> bool {
-        let share = self.placement.share();
         let has_changed = self.placement.set_node(member, expelled);
-        self.update_placement(has_changed, share, now)
+        self.update_placement(has_changed, now)
     }
 
     /// Removes a node; returns whether the lenders have changed.
     pub fn remove_node(&mut self, node: NodeId, now: Instant) -> bool {
-        let share = self.placement.share();
         let has_changed = self.placement.remove_node(node);
-        self.update_placement(has_changed, share, now)
+        self.update_placement(has_changed, now)
+    }
+
+    /// Sets whether this node is probably cut off from most others. It then grants nothing as a
+    /// root, since the others elect another one.
+    pub fn set_isolated(&mut self, is_isolated: bool, now: Instant) {
+        self.is_isolated = is_isolated;
+        self.update_placement(false, now);
     }
 
     /// Replaces the allowances of all organisations. Returns decisions on requests that waited for
@@ -162,6 +191,7 @@
     ) -> Vec<AllowanceAction> {
         let old = std::mem::replace(&mut self.allowances, allowances.into_iter().collect());
         for organisation in old.keys().filter(|name| !self.allowances.contains_key(*name)) {
+            self.roots.swap_remove(organisation);
             self.root.remove(organisation);
             self.lender.remove(organisation);
             let freed = self.borrower.remove(organisation);
@@ -218,10 +248,14 @@
 
     /// Handles that there is no grant for a draw in time.
     pub fn failed(&mut self, serial: DrawSerial, now: Instant) -> Vec<AllowanceAction> {
-        if let Some(SentDraw { origin, organisation, node, .. }) = self.sent.swap_remove(&serial) {
-            self.counts.failed += 1;
-            self.silent.insert(node, now + SILENCE_TIME);
-            self.fail(origin, &organisation, false, now);
+        let Some(sent) = self.sent.swap_remove(&serial) else { return Vec::new() };
+        self.counts.failed += 1;
+        self.silent.insert(sent.node, now + SILENCE_TIME);
+        match sent.origin {
+            Origin::Lender(tried) if tried + 1 < MAX_ROOTS => {
+                self.draw_from_root(&sent.organisation, sent.wanted, tried + 1, now);
+            }
+            origin => self.fail(origin, &sent.organisation, false, now),
         }
         std::mem::take(&mut self.actions)
     }
@@ -231,6 +265,11 @@
         self.borrower.limited(now)
     }
 
+    /// Returns whether any organisation has an allowance.
+    pub fn has_limits(&self) -> bool {
+        !self.allowances.is_empty()
+    }
+
     /// Returns the lenders that this node asks, and the number of organisations whose root it is.
     pub fn roles(&self) -> (Vec<NodeId>, usize) {
         (self.placement.lenders(""), self.root.organisations().count())
@@ -242,167 +281,4 @@
         let expired = self.borrower.take_expired() + self.lender.take_expired();
         AllowanceCounts { expired, ..std::mem::take(&mut self.counts) }
     }
-
-    fn update_placement(&mut self, has_changed: bool, share: f64, now: Instant) -> bool {
-        if has_changed {
-            self.lenders_changed_at = now;
-        }
-        if has_changed || (self.placement.share() - share).abs() > f64::EPSILON {
-            self.update_roots(now);
-        }
-        has_changed
-    }
-
-    fn update_roots(&mut self, now: Instant) {
-        let share = self.placement.share();
-        for (organisation, allowance) in &self.allowances {
-            let is_root = self.placement.roots(organisation).first() == Some(&self.own);
-            let allowance = is_root.then_some((*allowance, share));
-            self.root.update(organisation, allowance, self.lenders_changed_at, now);
-        }
-    }
-
-    fn receive(&mut self, source: Source, draw: Draw, now: Instant) {
-        if draw.role == DrawRole::Lender {
-            let organisation = draw.organisation.clone();
-            let step = self.lender.draw(source, draw, now);
-            self.follow_lender(&organisation, step, now);
-            return;
-        }
-        if let Some(grant) = self.root.grant(&draw, now) {
-            self.counts.lent += u64::from(grant.tokens);
-            self.answer(source, grant, now);
-            return;
-        }
-        let roots = self.placement.roots(&draw.organisation);
-        let others = roots.into_iter().filter(|node| *node != self.own);
-        let next = others.take(1).find(|node| !self.is_silent(*node, now));
-        match next.filter(|_| draw.role == DrawRole::Root) {
-            Some(node) => {
-                let origin = Origin::Relay(source, draw.serial);
-                let Draw { organisation, wanted, .. } = draw;
-                self.send(node, origin, DrawRole::FinalRoot, &organisation, wanted, now);
-            }
-            None => self.answer(source, Grant { serial: draw.serial, ..Grant::unavailable() }, now),
-        }
-    }
-
-    fn answer(&mut self, source: Source, grant: Grant, now: Instant) {
-        match source {
-            Source::Peer(reply) => self.actions.push(AllowanceAction::Reply(reply, grant)),
-            Source::Own => self.settle(grant, now),
-        }
-    }
-
-    /// Passes a grant on to the part of this node that drew it.
-    fn settle(&mut self, grant: Grant, now: Instant) {
-        let Some(sent) = self.sent.swap_remove(&grant.serial) else { return };
-        let SentDraw { origin, organisation, sent_at, is_void, .. } = sent;
-        if grant.unavailable || is_void {
-            return self.fail(origin, &organisation, true, now);
-        }
-        let deadline = sent_at + grant.life;
-        match origin {
-            Origin::Borrower => {
-                let step = self.borrower.granted(&organisation, grant, deadline, now);
-                self.follow_borrower(&organisation, step, now);
-            }
-            Origin::Lender => {
-                let step = self.lender.granted(&organisation, grant, deadline, now);
-                self.follow_lender(&organisation, step, now);
-            }
-            Origin::Relay(source, serial) => {
-                let life = deadline.saturating_duration_since(now);
-                self.answer(source, Grant { serial, life, ..grant }, now);
-            }
-        }
-    }
-
-    fn fail(
-        &mut self,
-        origin: Origin,
-        organisation: &OrganisationName,
-        has_responded: bool,
-        now: Instant,
-    ) {
-        match origin {
-            Origin::Borrower => {
-                let limit = (self.allowances.get(organisation).copied(), self.placement.size());
-                let step = self.borrower.failed(organisation, has_responded, limit, now);
-                self.counts.fallbacks += u64::from(step.wanted.is_none());
-                self.follow_borrower(organisation, step, now);
-            }
-            Origin::Lender => {
-                let step = self.lender.granted(organisation, Grant::unavailable(), now, now);
-                self.follow_lender(organisation, step, now);
-            }
-            Origin::Relay(source, serial) => {
-                self.answer(source, Grant { serial, ..Grant::unavailable() }, now);
-            }
-        }
-    }
-
-    fn follow_borrower(
-        &mut self,
-        organisation: &OrganisationName,
-        step: BorrowerStep,
-        now: Instant,
-    ) {
-        let decisions = step.decisions.into_iter();
-        self.actions.extend(decisions.map(|(r, d)| AllowanceAction::Decide(r, d)));
-        let Some(wanted) = step.wanted else { return };
-        let lenders = self.placement.lenders(organisation);
-        match lenders.into_iter().find(|node| !self.is_silent(*node, now)) {
-            Some(node) => {
-                self.send(node, Origin::Borrower, DrawRole::Lender, organisation, wanted, now);
-            }
-            None => self.fail(Origin::Borrower, organisation, true, now),
-        }
-    }
-
-    fn follow_lender(&mut self, organisation: &OrganisationName, step: LenderStep, now: Instant) {
-        if let Some(wanted) = step.wanted {
-            // Another node than the root passes the draw on, if it can reach the root.
-            let roots = self.placement.roots(organisation);
-            let mut candidates = roots.into_iter().enumerate();
-            let usable = candidates.find(|(index, node)| {
-                !self.is_silent(*node, now) && (*index == 0 || *node != self.own)
-            });
-            match usable {
-                Some((_, node)) => {
-                    self.send(node, Origin::Lender, DrawRole::Root, organisation, wanted, now);
-                }
-                None => self.fail(Origin::Lender, organisation, true, now),
-            }
-        }
-        for (source, grant) in step.grants {
-            self.answer(source, grant, now);
-        }
-    }
-
-    fn send(
-        &mut self,
-        node: NodeId,
-        origin: Origin,
-        role: DrawRole,
-        organisation: &OrganisationName,
-        wanted: u32,
-        now: Instant,
-    ) {
-        let (serial, organisation) = (self.next_serial, organisation.clone());
-        self.next_serial += 1;
-        let draw = Draw { serial, organisation: organisation.clone(), wanted, role };
-        let sent = SentDraw { origin, organisation, node, sent_at: now, is_void: false };
-        self.sent.insert(serial, sent);
-        if node == self.own {
-            self.receive(Source::Own, draw, now);
-        } else {
-            self.counts.draws += 1;
-            self.actions.push(AllowanceAction::Send(node, draw));
-        }
-    }
-
-    fn is_silent(&self, node: NodeId, now: Instant) -> bool {
-        self.silent.get(&node).is_some_and(|end| now < *end)
-    }
 }
--- a/crates/core/src/allowance/borrower.rs
+++ b/crates/core/src/allowance/borrower.rs
@@ -17,7 +17,8 @@
 /// Time for which requests use the fallback before the lenders are asked again. Each question
 /// can cost a request the time-outs of two draws.
 const FALLBACK_TIME: Duration = Duration::from_millis(500);
-/// Least time after which an entry asks again when a grant was smaller than what it wanted.
+/// Least time after which an entry asks again when a grant was smaller than what it wanted, and
+/// least retry time of a refusal.
 const MIN_REFUSAL_TIME: Duration = Duration::from_millis(10);
 /// Longest time that a refusal by the fallback names, because the lenders may return before.
 const MAX_FALLBACK_RETRY: Duration = Duration::from_secs(1);
@@ -34,6 +35,17 @@
     Over(Duration),
 }
 
+/// What the fallback goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Fallback {
+    /// Allowance of the organisation.
+    pub allowance: Allowance,
+    /// Number of nodes among which it is divided.
+    pub nodes: usize,
+    /// Earliest time from which the bucket refills.
+    pub starts_at: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Account {
     reserve: Reserve,
@@ -135,8 +147,17 @@
         }
         let waiting = std::mem::take(&mut account.waiting);
         let (allowed, rest) = waiting.split_at((grant.tokens as usize).min(waiting.len()));
+        let is_late = !allowed.is_empty() && account.reserve.available(now) == 0;
+        if is_late && account.failed < MAX_LENDERS {
+            // All tokens have expired on the way.
+            account.failed += 1;
+            account.refused_until = None;
+            account.waiting = waiting;
+            account.is_drawing = true;
+            step.wanted = Some(account.wanted(now));
+            return step;
+        }
         for request in allowed {
-            // Tokens that came too late have expired.
             step.decisions.push(match account.reserve.take(1, now) {
                 Some(_) => (*request, Decision::Allowed),
                 None => account.refuse(*request, MIN_REFUSAL_TIME, now),
@@ -161,7 +182,7 @@
         &mut self,
         organisation: &OrganisationName,
         has_responded: bool,
-        (allowance, nodes): (Option<Allowance>, usize),
+        fallback: Option<Fallback>,
         now: Instant,
     ) -> BorrowerStep {
         let mut step = BorrowerStep::default();
@@ -173,7 +194,7 @@
         }
         account.is_drawing = false;
         let waiting = std::mem::take(&mut account.waiting);
-        let Some(allowance) = allowance else {
+        let Some(Fallback { allowance, nodes, starts_at }) = fallback else {
             // The limit was removed meanwhile.
             step.decisions.extend(waiting.into_iter().map(|request| (request, Decision::Allowed)));
             return step;
@@ -185,7 +206,7 @@
                 bucket.set_limits(rate, capacity, now);
                 bucket
             }
-            None => Bucket::new(rate, capacity, now),
+            None => Bucket::new(rate, capacity, now.max(starts_at)),
         };
         account.fallback = Some((bucket, now + FALLBACK_TIME));
         account.refused_until = None;
@@ -242,6 +263,8 @@
         time: Duration,
         now: Instant,
     ) -> (RequestId, Decision) {
+        // Callers that are told to retry at once would only repeat the refusal.
+        let time = time.max(MIN_REFUSAL_TIME);
         self.refusals += 1;
         self.last_refusal = Some((now, time));
         (request, Decision::Over(time))
--- a/crates/core/src/allowance/bucket.rs
+++ b/crates/core/src/allowance/bucket.rs
@@ -39,6 +39,12 @@
         self.level = self.level.min(capacity);
     }
 
+    /// Returns the number of tokens.
+    pub fn level(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
     /// Takes up to `wanted` tokens and returns how many there were.
     pub fn take(&mut self, wanted: u32, now: Instant) -> u32 {
         self.refill(now);
--- a/crates/core/src/allowance/lender.rs
+++ b/crates/core/src/allowance/lender.rs
@@ -5,12 +5,17 @@
 use super::demand::Demand;
 use super::message::{Draw, Grant};
 use super::reserve::Reserve;
+use super::root::TOKEN_LIFE;
 use crate::prelude::*;
 
 /// Time whose demand a batch covers. Longer would let more tokens expire when demand shifts.
 const BATCH_TIME: Duration = Duration::from_millis(200);
 /// Time whose demand the reserve must cover, or the next batch is drawn ahead.
 const AHEAD_TIME: Duration = Duration::from_millis(30);
+/// Time whose demand is asked for ahead, which the root adds only with a long life.
+const LONG_BATCH_TIME: Duration = Duration::from_secs(2);
+/// Least life of tokens that are granted: less would end on the way to the entry.
+const MIN_GRANTED_LIFE: Duration = Duration::from_millis(20);
 /// Least time between two draws from a root that has no tokens left.
 const ROOT_INTERVAL: Duration = Duration::from_millis(50);
 /// Least time after which an entry asks again when there was no token.
@@ -43,6 +48,8 @@
     draws: Demand,
     waiters: VecDeque<Waiter>,
     is_drawing: bool,
+    // Whether the last tokens had a long life, so that drawing ahead loses none.
+    is_calm: bool,
     empty_until: Option<Instant>,
 }
 
@@ -53,13 +60,31 @@
 
     /// Returns the grant for a draw from the reserve; `None` without a token.
     fn grant(&mut self, draw: &Draw, now: Instant) -> Option<Grant> {
-        let (tokens, deadline) = self.reserve.take(draw.wanted, now)?;
+        let (tokens, deadline) = self.reserve.take(draw.wanted, now + MIN_GRANTED_LIFE)?;
         let is_empty = tokens < draw.wanted;
         let retry_after = if is_empty { self.entry_interval(now) } else { Duration::ZERO };
         let life = deadline.saturating_duration_since(now);
         Some(Grant { serial: draw.serial, tokens, life, retry_after, unavailable: false })
     }
 
+    fn available(&mut self, now: Instant) -> u32 {
+        self.reserve.available(now + MIN_GRANTED_LIFE)
+    }
+
+    /// Begins to draw from the root if the reserve is low; returns the tokens to draw now and ahead.
+    fn start_draw(&mut self, now: Instant) -> Option<(u32, u32)> {
+        let ahead = self.demand.expected(AHEAD_TIME, now).max(self.is_calm.into());
+        let is_low = !self.waiters.is_empty() || self.available(now) < ahead;
+        if !is_low || self.is_drawing {
+            return None;
+        }
+        self.is_drawing = true;
+        let waiting = self.waiters.iter().map(|waiter| waiter.draw.wanted);
+        let waiting = waiting.fold(0, u32::saturating_add);
+        let batch = self.demand.expected(BATCH_TIME, now).max(1);
+        Some((waiting.max(batch), self.demand.expected(LONG_BATCH_TIME, now)))
+    }
+
     /// Returns when an entry that got no token may ask again. Without any wait for the root, the
     /// next draw may find tokens at once.
     fn entry_interval(&self, now: Instant) -> Duration {
@@ -75,8 +100,8 @@
 pub struct LenderStep {
     /// Grants for entries.
     pub grants: Vec<(Source, Grant)>,
-    /// Tokens to draw from the root.
-    pub wanted: Option<u32>,
+    /// Tokens to draw from the root now, and ahead.
+    pub wanted: Option<(u32, u32)>,
 }
 
 /// The reserves of a lender, by organisation.
@@ -102,13 +127,8 @@
         } else {
             account.waiters.push_back(Waiter { source, draw });
         }
-        let ahead = account.demand.expected(AHEAD_TIME, now);
-        let is_low = !account.waiters.is_empty() || account.reserve.available(now) < ahead;
-        if is_low && empty.is_none() && !account.is_drawing {
-            account.is_drawing = true;
-            let waiting: u32 =
-                account.waiters.iter().fold(0, |sum, w| sum.saturating_add(w.draw.wanted));
-            step.wanted = Some(waiting.max(account.demand.expected(BATCH_TIME, now)).max(1));
+        if empty.is_none() {
+            step.wanted = account.start_draw(now);
         }
         step
     }
@@ -133,10 +153,17 @@
             return step;
         }
         account.reserve.add(grant.tokens, deadline);
+        account.is_calm = grant.life > TOKEN_LIFE;
         if !grant.retry_after.is_zero() {
             account.empty_until = Some(now + grant.retry_after.max(ROOT_INTERVAL));
         }
         while let Some(Waiter { source, draw }) = account.waiters.pop_front() {
+            if grant.retry_after.is_zero() && account.available(now) == 0 {
+                // It arrived after the draw, which was granted in full.
+                account.waiters.push_front(Waiter { source, draw });
+                step.wanted = account.start_draw(now);
+                break;
+            }
             let refusal = Grant {
                 serial: draw.serial,
                 retry_after: account.entry_interval(now).max(ROOT_INTERVAL),
--- a/crates/core/src/allowance/message.rs
+++ b/crates/core/src/allowance/message.rs
@@ -25,8 +25,10 @@
     pub serial: DrawSerial,
     /// Organisation.
     pub organisation: OrganisationName,
-    /// Number of tokens.
+    /// Number of tokens needed now.
     pub wanted: u32,
+    /// Further tokens that a root may add while the organisation is well below its allowance.
+    pub ahead: u32,
     /// Role of the receiver.
     pub role: DrawRole,
 }
@@ -36,7 +38,7 @@
 pub struct Grant {
     /// Number of the draw.
     pub serial: DrawSerial,
-    /// Number of tokens, at most those wanted.
+    /// Number of tokens.
     pub tokens: u32,
     /// Time for which the tokens can be used, counted from when the draw was sent.
     pub life: Duration,
--- a/crates/core/src/allowance/placement.rs
+++ b/crates/core/src/allowance/placement.rs
@@ -67,6 +67,11 @@
         order
     }
 
+    /// Returns whether a node is known and not expelled.
+    pub fn is_reachable(&self, node: NodeId) -> bool {
+        self.nodes.get(&node).is_some_and(|place| !place.expelled)
+    }
+
     /// Returns the number of nodes that may serve callers, reachable or not.
     pub fn size(&self) -> usize {
         self.nodes.values().filter(|place| !place.leaving).count().max(1)
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -315,7 +315,7 @@
 
     /// Returns whether pings to most live subjects fail, so that the local node is probably the one
     /// without a connection.
-    fn is_isolated(&self) -> bool {
+    pub fn is_isolated(&self) -> bool {
         let subjects = self.subjects();
         let live: Vec<&NodeId> = subjects.iter().filter(|node| !self.is_expelled(**node)).collect();
         let failing = live.iter().filter(|node| {
--- a/crates/core/tests/organisations.rs
+++ b/crates/core/tests/organisations.rs
@@ -2,13 +2,15 @@
 
 mod support;
 
+use std::time::Duration;
+
 use lavenderflow_core::clock::SharedClock;
 use lavenderflow_core::entry::Entry;
-use lavenderflow_core::id::KeyDigest;
+use lavenderflow_core::id::{KeyDigest, RequestId, TicketId};
 use lavenderflow_core::load::Condition;
-use lavenderflow_core::organisation::{Directory, Organisation};
+use lavenderflow_core::organisation::{Allowance, Directory, Organisation};
 use lavenderflow_core::reason::{Outcome, Reason};
-use lavenderflow_core::request::{Arrival, AttemptSpec, EntryAction};
+use lavenderflow_core::request::{Arrival, AttemptReport, AttemptSpec, EntryAction};
 use lavenderflow_core::route::{Route, Router};
 use support::{arrival, clock, entry, member, service, service_offer};
 
@@ -105,3 +107,68 @@
     let spec = begin(&mut entry, "/a", Some(ONE)).expect("a dispatch");
     assert_eq!(spec.organisation.as_deref(), Some("one"));
 }
+
+/// Returns an entry in which the organisation `one` has an allowance and `two` has none.
+fn entry_with_allowance() -> Entry {
+    let allowance = Some(Allowance { rate: 10.0, burst: 5.0 });
+    let one = Organisation { allowance, ..organisation("one", ONE, None) };
+    entry_with(Directory::new([one, organisation("two", TWO, None)]))
+}
+
+fn keyed(request: RequestId, method: &str, key: KeyDigest, ticket: Option<TicketId>) -> Arrival {
+    Arrival { key: Some(key), ..arrival(request, method, ticket) }
+}
+
+#[test]
+fn only_requests_with_an_allowance_wait_for_a_token_and_run_when_they_have_it() {
+    let mut entry = entry_with_allowance();
+    let actions = entry.begin(keyed(1, "GET", TWO, None));
+    assert!(matches!(actions.as_slice(), [EntryAction::Dispatch { .. }]), "{actions:?}");
+    let actions = entry.begin(keyed(2, "GET", ONE, None));
+    assert_eq!(actions, [EntryAction::Draw { request: 2, organisation: "one".into() }]);
+    let actions = entry.report(2, AttemptReport::Allowed);
+    assert!(matches!(actions.as_slice(), [EntryAction::Dispatch { request: 2, .. }]));
+}
+
+#[test]
+fn a_request_over_the_allowance_is_refused_with_the_retry_time_and_its_ticket_is_revoked() {
+    let mut entry = entry_with_allowance();
+    let ticket = entry.issue_ticket().expect("a ticket");
+    entry.begin(keyed(1, "POST", ONE, Some(ticket)));
+    let time = Duration::from_millis(350);
+    let actions = entry.report(1, AttemptReport::OverAllowance(time));
+    let [EntryAction::Conclude { conclusion, .. }] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+    assert_eq!(conclusion.outcome, Outcome::NotRun);
+    assert_eq!((conclusion.reason, conclusion.reason.status()), (Reason::OverAllowance, 429));
+    assert_eq!(conclusion.retry_after, Some(time));
+    assert!(conclusion.new_ticket.is_some());
+    assert_eq!(entry.in_flight(), 0);
+    // The refusal said that it does not run, so it must not run later under the same ticket.
+    entry.begin(keyed(2, "POST", ONE, Some(ticket)));
+    let actions = entry.report(2, AttemptReport::Allowed);
+    assert!(matches!(actions.as_slice(), [EntryAction::Conclude { .. }]), "{actions:?}");
+}
+
+#[test]
+fn a_caller_that_leaves_before_the_token_arrives_leaves_nothing_behind() {
+    let mut entry = entry_with_allowance();
+    entry.begin(keyed(1, "POST", ONE, None));
+    assert_eq!(entry.in_flight(), 1);
+    entry.report(1, AttemptReport::CallerGone);
+    assert_eq!(entry.in_flight(), 0);
+    assert!(entry.report(1, AttemptReport::Allowed).is_empty());
+}
+
+#[test]
+fn a_node_that_begins_to_stop_refuses_a_request_that_has_just_got_its_token() {
+    let mut entry = entry_with_allowance();
+    entry.begin(keyed(1, "GET", ONE, None));
+    entry.drain();
+    let actions = entry.report(1, AttemptReport::Allowed);
+    let [EntryAction::Conclude { conclusion, .. }] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+    assert_eq!((conclusion.outcome, conclusion.reason), (Outcome::NotRun, Reason::Leaving));
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod allowance_fleet;
 pub mod simulation;
 
 use std::net::SocketAddr;
--- a/crates/lavenderflow/src/actor/allowance.rs
+++ b/crates/lavenderflow/src/actor/allowance.rs
@@ -1,6 +1,7 @@
 //! The actor that owns this node's part of the fleet-wide allowances.
 
 use lavenderflow_core::allowance::borrower::{Decision, LimitedOrganisation};
+use lavenderflow_core::allowance::clocks::ClockGap;
 use lavenderflow_core::allowance::message::{Draw, DrawSerial, Grant, ReplyId};
 use lavenderflow_core::allowance::{Allowance, AllowanceAction, AllowanceCounts, Allowances};
 use lavenderflow_core::organisation::{Directory, Organisation};
@@ -20,6 +21,8 @@
 
 /// Interval at which counts and refusals are reported while there are any.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the clocks are compared while there are allowances.
+const CLOCK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What the actor works with.
 pub struct AllowanceSetup {
@@ -41,6 +44,7 @@
     replies: IndexMap<ReplyId, oneshot::Sender<Grant>>,
     next_reply: ReplyId,
     is_reporting: bool,
+    is_checking: bool,
     used_fallback: bool,
 }
 
@@ -62,6 +66,7 @@
             replies: IndexMap::new(),
             next_reply: 1,
             is_reporting: false,
+            is_checking: false,
             used_fallback: false,
         })
     }
@@ -96,6 +101,11 @@
         }
     }
 
+    /// Sets whether this node is probably cut off from most others.
+    pub fn set_isolated(&mut self, cx: CX![], is_isolated: bool) {
+        self.allowances.set_isolated(is_isolated, cx.now());
+    }
+
     /// Removes a node.
     pub fn remove_node(&mut self, cx: CX![], node: NodeId) {
         if self.allowances.remove_node(node, cx.now()) {
@@ -108,6 +118,7 @@
         let limits = directory.iter().filter_map(|o| Some((o.name.clone(), o.allowance?)));
         let limits: Vec<(OrganisationName, Allowance)> = limits.collect();
         let actions = self.allowances.set_allowances(limits, cx.now());
+        self.start_clock_checks(cx);
         self.execute(cx, actions);
     }
 
@@ -115,6 +126,7 @@
     pub fn set_organisation(&mut self, cx: CX![], organisation: Organisation) {
         let Organisation { name, allowance, .. } = organisation;
         let actions = self.allowances.set_allowance(&name, allowance, cx.now());
+        self.start_clock_checks(cx);
         self.execute(cx, actions);
     }
 
@@ -138,12 +150,29 @@
 
     fn compare_clocks(&mut self, cx: CX![]) -> Instant {
         let now = cx.now();
-        if self.allowances.compare_clocks(now, self.clock.system_time()) {
-            log::warn!("event=suspended");
+        let gap = self.allowances.compare_clocks(now, self.clock.system_time());
+        if gap != ClockGap::None {
+            log::warn!("event=suspended gap={gap:?}");
         }
         now
     }
 
+    /// Observes the clocks from now on if there is an allowance.
+    fn start_clock_checks(&mut self, cx: CX![]) {
+        if self.allowances.has_limits() && !self.is_checking {
+            self.is_checking = true;
+            self.check_clocks(cx);
+        }
+    }
+
+    fn check_clocks(&mut self, cx: CX![]) {
+        self.compare_clocks(cx);
+        self.is_checking = self.allowances.has_limits();
+        if self.is_checking {
+            after!(CLOCK_INTERVAL, [cx], check_clocks());
+        }
+    }
+
     fn execute(&mut self, cx: CX![], actions: Vec<AllowanceAction>) {
         if !actions.is_empty() && !self.is_reporting {
             self.is_reporting = true;
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Sets whether this node is probably cut off from most others.
+    pub fn set_isolated(&mut self, _: CX![], is_isolated: bool) {
+        if let Some(allowance) = &self.allowance {
+            call!([allowance], set_isolated(is_isolated));
+        }
+    }
+
     /// Removes a node.
     pub fn remove_node(&mut self, _: CX![], node: NodeId) {
         self.entry.remove_node(node);
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -97,6 +97,9 @@
     profiles: IndexMap<ServiceName, Profile>,
     pinging: IndexSet<NodeId>,
     known_expelled: IndexSet<NodeId>,
+    is_isolated: bool,
+    // Whether this process has known at least half of the nodes that the store listed.
+    has_joined: bool,
     ping_rounds: u32,
     flush_timer: MinTimerKey,
     flushed_at: Option<Instant>,
@@ -137,6 +140,8 @@
             profiles: IndexMap::new(),
             pinging: IndexSet::new(),
             known_expelled: IndexSet::new(),
+            is_isolated: false,
+            has_joined: false,
             ping_rounds: 0,
             flush_timer: MinTimerKey::default(),
             flushed_at: None,
@@ -231,6 +236,21 @@
             }
         }
         self.update_store_role();
+        self.update_isolation();
+    }
+
+    /// Tells the entry when this node becomes isolated: it reaches few of its subjects, or has not
+    /// met half of the nodes that were registered in the store when it started.
+    fn update_isolation(&mut self) {
+        let registered = self.registered_peers.len();
+        let has_met_half = self.roster.members().len() * 2 > registered;
+        self.has_joined |= registered > 0 && has_met_half;
+        let is_isolated = (!self.has_joined && !has_met_half) || self.roster.is_isolated();
+        if is_isolated != self.is_isolated {
+            self.is_isolated = is_isolated;
+            let entry = &self.entry;
+            call!([entry], set_isolated(is_isolated));
+        }
     }
 
     fn remove_node(&mut self, node: NodeId) {
@@ -320,6 +340,7 @@
             }
         }
         self.known_expelled = expelled;
+        self.update_isolation();
         self.update_store_role();
         self.update_retry_allowance();
         nodes.iter().for_each(|node| self.set_new_profiles(*node));
--- a/crates/lavenderflow/src/net/draw.rs
+++ b/crates/lavenderflow/src/net/draw.rs
@@ -15,13 +15,19 @@
 /// Longest wait for a root. The first draw may have to open a connection, whose 8 ms of processor
 /// time take 80 ms on a tenth of a core.
 const ROOT_TIMEOUT: Duration = Duration::from_millis(120);
-/// Longest wait for a lender, which may wait for a root.
-const LENDER_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest wait for a root by a node that passes a draw on, whose sender waits for longer.
+const FINAL_ROOT_TIMEOUT: Duration = Duration::from_millis(80);
+/// Longest wait for a lender, which may try two ways to the root.
+const LENDER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Sends a draw to a node and reports the grant, or that there was none in time.
 pub async fn draw(context: NetworkContext, node: NodeId, draw: Draw) {
     let (serial, role) = (draw.serial, draw.role);
-    let limit = if role == DrawRole::Lender { LENDER_TIMEOUT } else { ROOT_TIMEOUT };
+    let limit = match role {
+        DrawRole::Lender => LENDER_TIMEOUT,
+        DrawRole::Root => ROOT_TIMEOUT,
+        DrawRole::FinalRoot => FINAL_ROOT_TIMEOUT,
+    };
     let message = match timeout(limit, exchange(&context, node, draw)).await {
         Ok(Ok(grant)) if grant.serial == serial => AllowanceMessage::Granted(grant),
         _ => AllowanceMessage::Failed(serial),
--- a/crates/schema/src/convert/allowance.rs
+++ b/crates/schema/src/convert/allowance.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lavenderflow_core::allowance::message::{Draw, DrawRole, Grant};
-use lavenderflow_core::allowance::root::TOKEN_LIFE;
+use lavenderflow_core::allowance::root::LONG_TOKEN_LIFE;
 
 use super::ConvertError;
 use super::request::micros;
@@ -24,6 +24,7 @@
             serial: draw.serial,
             organisation: draw.organisation.to_string(),
             wanted: draw.wanted,
+            ahead: draw.ahead,
             role: role.into(),
         }
     }
@@ -40,7 +41,8 @@
             wire::DrawRole::Unspecified => return Err(ConvertError::Missing("role")),
         };
         let organisation = draw.organisation.into();
-        Ok(Self { serial: draw.serial, organisation, wanted: draw.wanted, role })
+        let (serial, wanted, ahead) = (draw.serial, draw.wanted, draw.ahead);
+        Ok(Self { serial, organisation, wanted, ahead, role })
     }
 }
 
@@ -62,7 +64,7 @@
             serial: grant.serial,
             tokens: grant.tokens,
             // No token lives longer, whatever a peer says.
-            life: Duration::from_micros(grant.life_us).min(TOKEN_LIFE),
+            life: Duration::from_micros(grant.life_us).min(LONG_TOKEN_LIFE),
             retry_after: Duration::from_micros(grant.retry_after_us).min(MAX_RETRY_AFTER),
             unavailable: grant.unavailable,
         }
