--- a/crates/core/src/upstream/rejection.rs
+++ b/crates/core/src/upstream/rejection.rs
@@ -8,7 +8,7 @@
 
 /// Interval at which a lowered limit is raised by one.
 const RAISE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which rejections do not lower the limit after they were seen at a lowered one.
+/// Time for which rejections do not lower the limit after they were seen at the least one.
 const INDEPENDENT_TIME: Duration = Duration::from_secs(4);
 /// Time constant of the share of rejected requests, in seconds.
 const DECAY_S: f64 = 3.0;
@@ -29,8 +29,10 @@
 /// // Rejected with seven others in flight: six are tried from now on.
 /// rejections.record(true, 7, 8, now);
 /// assert_eq!(rejections.limit(8), 6);
-/// // Rejected with two others in flight: the concurrency is not the reason.
-/// rejections.record(true, 2, 8, now);
+/// rejections.record(true, 5, 8, now);
+/// assert_eq!(rejections.limit(8), 4);
+/// // Rejected again with half of the slots in use: the concurrency is not the reason.
+/// rejections.record(true, 3, 8, now);
 /// assert_eq!(rejections.limit(8), 8);
 /// assert!(rejections.share(now) > 0.4);
 /// assert!(rejections.share(now + Duration::from_secs(30)) < 0.01);
@@ -68,11 +70,12 @@
             return;
         }
         self.changed_at = now;
-        if self.lowered.is_some_and(|limit| others < limit) {
+        let least = slots.div_ceil(2);
+        if self.lowered == Some(least) && others < least {
             self.lowered = None;
             self.independent_until = Some(now + INDEPENDENT_TIME);
         } else {
-            self.lowered = Some(others.saturating_sub(1).max(slots.div_ceil(2)));
+            self.lowered = Some(others.saturating_sub(1).max(least));
         }
     }
 
