--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -176,23 +176,51 @@
 }
 
 #[test]
-fn a_root_that_was_frozen_until_another_one_replaced_it_does_not_grant_beside_it() {
-    for (seed, is_suspended) in [(18, false), (19, true)] {
-        let mut fleet = overloaded(seed);
+fn a_reserve_is_not_used_after_its_life() {
+    for is_suspended in [false, true] {
+        let mut fleet = Fleet::start(NODES, ZONES, vec![LIMIT], 20);
+        fleet.run(3 * SECOND);
+        let node = (fleet.root() + 1) % NODES;
+        fleet.spread_demand(&[node], LIMIT.rate * 0.5);
+        fleet.run(2 * SECOND);
+        fleet.partition(&[node], &except(&[node]));
+        let before = fleet.allowed.len();
+        if is_suspended {
+            fleet.suspend(node, 5 * SECOND);
+        } else {
+            fleet.spread_demand(&[], 0.0);
+        }
+        fleet.run(5 * SECOND);
+        fleet.spread_demand(&[node], LIMIT.rate);
+        fleet.run(SECOND);
+        let old = fleet.allowed.len() - before;
+        assert!(old <= 1, "{old} requests, of which the fallback allows one");
+    }
+}
+
+#[test]
+fn a_root_that_was_frozen_until_another_one_replaced_it_does_not_grant_a_second_burst() {
+    let limit = Allowance { rate: 100.0, burst: 300.0 };
+    for is_suspended in [false, true] {
+        let mut fleet = Fleet::start(NODES, ZONES, vec![limit], 18);
+        fleet.run(10 * SECOND);
         let root = fleet.root();
         let others = except(&[root]);
-        let time = DETECTION_TIME + 4 * SECOND;
+        let time = 12 * SECOND;
         if is_suspended {
             fleet.suspend(root, time);
         } else {
             fleet.freeze(root, time);
         }
         fleet.see(&others, &[root], (true, false), DETECTION_TIME);
-        // The others learn of its return a while later.
-        fleet.see(&others, &[root], (false, false), time + 700 * MILLISECOND);
-        fleet.run(14 * SECOND);
+        fleet.see(&others, &[root], (false, false), time + 200 * MILLISECOND);
+        fleet.run(time - 500 * MILLISECOND);
+        // The other root grants its burst now, and the former one returns with its own.
+        fleet.spread_demand(&all(), limit.rate * OVERLOAD);
+        fleet.run(10 * SECOND);
         assert_usable(&fleet, SECOND, 0.95);
-        assert_bound(&fleet);
+        let (peak, bound) = (fleet.peak(), bound(limit));
+        assert!(peak as f64 <= bound, "{peak} requests within 5 s, bound {bound}");
     }
 }
 
