Let lenders grant a part of the allowance while no root can be reached

Cause: after the death of a root its organisations depended on the fallback of each entry for about 4.5 s. Its part is one token in seconds with many nodes, wherever the demand is, and it began only 1.5 s after the start of a process.

Change: a lender that reaches no root grants a quarter of the even share of its zone's nodes. Entries keep their own part for when they reach no lender, from the start on.

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -8,6 +8,7 @@
 pub mod bucket;
 pub mod clocks;
 pub mod demand;
+pub mod fallback;
 pub mod lender;
 pub mod message;
 pub mod placement;
@@ -62,8 +63,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Origin {
     Borrower,
-    // With the number of nodes that were asked before.
-    Lender(u32),
+    // With the number of nodes that were asked before, and the tokens to draw now and ahead.
+    Lender { tried: u32, wanted: (u32, u32) },
     Relay(Source, DrawSerial),
 }
 
@@ -72,8 +73,6 @@
     origin: Origin,
     organisation: OrganisationName,
     node: NodeId,
-    // Tokens to draw now and ahead.
-    wanted: (u32, u32),
     sent_at: Instant,
     // Whether the machine was suspended since, so that the age of the grant is unknown.
     is_void: bool,
@@ -102,7 +101,6 @@
     own: NodeId,
     next_serial: DrawSerial,
     placement: Placement,
-    started_at: Instant,
     lenders_changed_at: Instant,
     // Share of the allowances that this node grants as a root. It is lowered at once and raised
     // when the roots on the other side of a former partition have stopped.
@@ -129,7 +127,6 @@
             own,
             next_serial: 1,
             placement: Placement::new(own, zone),
-            started_at: now,
             lenders_changed_at: now,
             share: 1.0,
             raised_at: now,
@@ -252,8 +249,8 @@
         self.counts.failed += 1;
         self.silent.insert(sent.node, now + SILENCE_TIME);
         match sent.origin {
-            Origin::Lender(tried) if tried + 1 < MAX_ROOTS => {
-                self.draw_from_root(&sent.organisation, sent.wanted, tried + 1, now);
+            Origin::Lender { tried, wanted } if tried + 1 < MAX_ROOTS => {
+                self.draw_from_root(&sent.organisation, wanted, tried + 1, now);
             }
             origin => self.fail(origin, &sent.organisation, false, now),
         }
--- a/crates/core/src/allowance/borrower.rs
+++ b/crates/core/src/allowance/borrower.rs
@@ -2,9 +2,9 @@
 
 use super::bucket::Bucket;
 use super::demand::Demand;
+use super::fallback::FallbackLimits;
 use super::message::Grant;
 use super::reserve::Reserve;
-use crate::organisation::Allowance;
 use crate::prelude::*;
 
 /// Time whose demand the reserve covers. An entry that serves an organisation less than five times
@@ -22,10 +22,6 @@
 const MIN_REFUSAL_TIME: Duration = Duration::from_millis(10);
 /// Longest time that a refusal by the fallback names, because the lenders may return before.
 const MAX_FALLBACK_RETRY: Duration = Duration::from_secs(1);
-/// Divisor of an even share of the allowance that the fallback uses. Until the root has learned
-/// that nodes are cut off, about 2.5 s, it still grants all of the allowance to the others.
-const FALLBACK_DIVISOR: f64 = 4.0;
-
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Decision {
@@ -35,17 +31,6 @@
     Over(Duration),
 }
 
-/// What the fallback goes by.
-#[derive(Clone, Copy, Debug)]
-pub struct Fallback {
-    /// Allowance of the organisation.
-    pub allowance: Allowance,
-    /// Number of nodes among which it is divided.
-    pub nodes: usize,
-    /// Earliest time from which the bucket refills.
-    pub starts_at: Instant,
-}
-
 #[derive(Debug, Default)]
 struct Account {
     reserve: Reserve,
@@ -182,7 +167,7 @@
         &mut self,
         organisation: &OrganisationName,
         has_responded: bool,
-        fallback: Option<Fallback>,
+        fallback: Option<FallbackLimits>,
         now: Instant,
     ) -> BorrowerStep {
         let mut step = BorrowerStep::default();
@@ -194,19 +179,17 @@
         }
         account.is_drawing = false;
         let waiting = std::mem::take(&mut account.waiting);
-        let Some(Fallback { allowance, nodes, starts_at }) = fallback else {
+        let Some(FallbackLimits { rate, capacity }) = fallback else {
             // The limit was removed meanwhile.
             step.decisions.extend(waiting.into_iter().map(|request| (request, Decision::Allowed)));
             return step;
         };
-        let share = 1.0 / (FALLBACK_DIVISOR * nodes as f64);
-        let (rate, capacity) = (allowance.rate * share, (allowance.burst * share).max(1.0));
         let bucket = match account.fallback.take() {
             Some((mut bucket, _)) => {
                 bucket.set_limits(rate, capacity, now);
                 bucket
             }
-            None => Bucket::new(rate, capacity, now.max(starts_at)),
+            None => Bucket::new(rate, capacity, now),
         };
         account.fallback = Some((bucket, now + FALLBACK_TIME));
         account.refused_until = None;
--- a/crates/core/src/allowance/lender.rs
+++ b/crates/core/src/allowance/lender.rs
@@ -2,7 +2,9 @@
 
 use std::collections::VecDeque;
 
+use super::bucket::Bucket;
 use super::demand::Demand;
+use super::fallback::FallbackLimits;
 use super::message::{Draw, Grant};
 use super::reserve::Reserve;
 use super::root::TOKEN_LIFE;
@@ -51,6 +53,8 @@
     // Whether the last tokens had a long life, so that drawing ahead loses none.
     is_calm: bool,
     empty_until: Option<Instant>,
+    // Replaces the root while it cannot be reached.
+    fallback: Option<Bucket>,
 }
 
 impl Account {
@@ -133,6 +137,33 @@
         step
     }
 
+    /// Grants what the zone's part of the allowance allows while no root can be reached.
+    pub fn grant_fallback(
+        &mut self,
+        organisation: &OrganisationName,
+        limits: FallbackLimits,
+        wanted: u32,
+        now: Instant,
+    ) -> LenderStep {
+        let Some(account) = self.accounts.get_mut(organisation) else {
+            return LenderStep::default();
+        };
+        let FallbackLimits { rate, capacity } = limits;
+        let bucket = account.fallback.get_or_insert_with(|| Bucket::new(rate, capacity, now));
+        bucket.set_limits(rate, capacity, now);
+        let tokens = bucket.take(wanted, now);
+        let is_short = tokens < wanted;
+        let retry_after = if is_short { bucket.time_to_next(now) } else { Duration::ZERO };
+        let bucket = account.fallback.take();
+        let life = TOKEN_LIFE;
+        let grant = Grant { tokens, life, retry_after, ..Grant::default() };
+        let step = self.granted(organisation, grant, now + life, now);
+        if let Some(account) = self.accounts.get_mut(organisation) {
+            account.fallback = bucket;
+        }
+        step
+    }
+
     /// Credits the root's grant and passes it on to the entries that wait for it.
     pub fn granted(
         &mut self,
@@ -144,6 +175,7 @@
         let mut step = LenderStep::default();
         let Some(account) = self.accounts.get_mut(organisation) else { return step };
         account.is_drawing = false;
+        account.fallback = None;
         if grant.unavailable {
             let waiters = account.waiters.drain(..);
             step.grants.extend(waiters.map(|waiter| {
--- a/crates/core/src/allowance/placement.rs
+++ b/crates/core/src/allowance/placement.rs
@@ -77,6 +77,12 @@
         self.nodes.values().filter(|place| !place.leaving).count().max(1)
     }
 
+    /// Returns the number of such nodes in this node's zone.
+    pub fn zone_size(&self) -> usize {
+        let places = self.nodes.values();
+        places.filter(|place| !place.leaving && place.zone == self.zone).count().max(1)
+    }
+
     /// Returns the share of the allowances that this node may grant as a root. Behind a partition,
     /// the nodes on the other side may grant the rest.
     pub fn share(&self) -> f64 {
--- a/crates/core/src/allowance/routing.rs
+++ b/crates/core/src/allowance/routing.rs
@@ -1,15 +1,13 @@
 //! Routes draws and grants between the borrower, the lender and the root of a node and other nodes.
 
-use super::borrower::{BorrowerStep, Fallback};
+use super::borrower::BorrowerStep;
+use super::fallback::FallbackLimits;
 use super::lender::{LenderStep, Source};
 use super::message::{Draw, DrawRole, Grant};
 use super::root::TAKEOVER_DELAY;
 use super::{AllowanceAction, Allowances, Origin, SentDraw};
 use crate::prelude::*;
 
-/// Fleet size that the fallback assumes until more nodes are known.
-const MIN_FLEET_NODES: usize = 16;
-
 impl Allowances {
     pub(super) fn update_placement(&mut self, has_changed: bool, now: Instant) -> bool {
         if has_changed {
@@ -99,7 +97,7 @@
                 let step = self.borrower.granted(&organisation, grant, deadline, now);
                 self.follow_borrower(&organisation, step, now);
             }
-            Origin::Lender(_) => {
+            Origin::Lender { .. } => {
                 let step = self.lender.granted(&organisation, grant, deadline, now);
                 self.follow_lender(&organisation, step, now);
             }
@@ -119,17 +117,22 @@
     ) {
         match origin {
             Origin::Borrower => {
-                let fallback = self.allowances.get(organisation).map(|allowance| Fallback {
-                    allowance: *allowance,
-                    nodes: self.placement.size().max(MIN_FLEET_NODES),
-                    starts_at: self.started_at + TAKEOVER_DELAY,
-                });
-                let step = self.borrower.failed(organisation, has_responded, fallback, now);
+                let limits = self.fallback_limits(organisation, 1);
+                let step = self.borrower.failed(organisation, has_responded, limits, now);
                 self.counts.fallbacks += u64::from(step.wanted.is_none());
                 self.follow_borrower(organisation, step, now);
             }
-            Origin::Lender(_) => {
-                let step = self.lender.granted(organisation, Grant::unavailable(), now, now);
+            Origin::Lender { wanted, .. } => {
+                let nodes = self.placement.zone_size();
+                let limits = self.fallback_limits(organisation, nodes);
+                // The others of the zone have another lender if this one is cut off alone.
+                let step = match limits.filter(|_| !self.is_isolated) {
+                    Some(limits) => {
+                        self.counts.fallbacks += 1;
+                        self.lender.grant_fallback(organisation, limits, wanted.0, now)
+                    }
+                    None => self.lender.granted(organisation, Grant::unavailable(), now, now),
+                };
                 self.follow_lender(organisation, step, now);
             }
             Origin::Relay(source, serial) => {
@@ -138,6 +141,15 @@
         }
     }
 
+    fn fallback_limits(
+        &self,
+        organisation: &OrganisationName,
+        nodes: usize,
+    ) -> Option<FallbackLimits> {
+        let allowance = self.allowances.get(organisation)?;
+        Some(FallbackLimits::new(*allowance, nodes, self.placement.size()))
+    }
+
     pub(super) fn follow_borrower(
         &mut self,
         organisation: &OrganisationName,
@@ -183,7 +195,7 @@
         let usable = candidates.find(|(index, node)| {
             !self.is_silent(*node, now) && (*index == 0 || *node != self.own)
         });
-        let origin = Origin::Lender(tried);
+        let origin = Origin::Lender { tried, wanted };
         match usable {
             Some((_, node)) => self.send(node, origin, DrawRole::Root, organisation, wanted, now),
             None => self.fail(origin, organisation, true, now),
@@ -202,14 +214,7 @@
         let (serial, organisation) = (self.next_serial, organisation.clone());
         self.next_serial += 1;
         let draw = Draw { serial, organisation: organisation.clone(), wanted, ahead, role };
-        let sent = SentDraw {
-            origin,
-            organisation,
-            node,
-            wanted: (wanted, ahead),
-            sent_at: now,
-            is_void: false,
-        };
+        let sent = SentDraw { origin, organisation, node, sent_at: now, is_void: false };
         self.sent.insert(serial, sent);
         if node == self.own {
             self.receive(Source::Own, draw, now);
