Report requests that reached no upstream as not run

Cause: an entry treats an idempotent request as committed from the start, since its gate runs it on admission. One that was still queued at its deadline, or whose frame was not even sent whole, ended as lost (504 or 502). A gate that gave up waiting for a commit reset the link instead of saying so.

Changed, each with its proof: - the entry withdraws a queued idempotent attempt at its deadline and when its node ends; the gate drops its claim and only then confirms. Without confirmation it stays lost. - a request whose first frame was not sent whole: the gate cannot decode it. - a commit that does not arrive, and a call that no task takes: the gate's task ends without a call. - a new connection to an upstream that closes before the HTTP library has written the request. - a node whose actors end: the driver of the request knows what its attempts have reported. One false "not run" is gone: a duplicate that waits for the response to its original was reported as not run when its node stopped.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -181,3 +181,26 @@
     /// The time of an [`EntryAction::Pause`] is over.
     Resumed,
 }
+
+impl AttemptReport {
+    /// Returns whether the request may have run, as far as this report tells.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::reason::Reason;
+    /// use lavenderflow_core::request::AttemptReport;
+    ///
+    /// assert!(!AttemptReport::Refused(Reason::QueueFull, None).may_have_run());
+    /// // Another copy of the attempt may have run.
+    /// assert!(AttemptReport::Refused(Reason::Duplicate, None).may_have_run());
+    /// assert!(AttemptReport::Lost(Reason::Lost).may_have_run());
+    /// ```
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Refused(reason, _) => matches!(reason, Reason::Duplicate | Reason::Outdated),
+            Self::Unreachable | Self::Resumed => false,
+            _ => true,
+        }
+    }
+}
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -22,6 +22,8 @@
 /// Longest wait for a gate's first frame, after which the gate counts as lost. A gate also sends a
 /// frame when it queues an attempt.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which a caller may retry at another node when this one has stopped.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Actions that the channel of one request buffers.
 const ACTION_CAPACITY: usize = 4;
 
@@ -96,19 +98,18 @@
     let mut held: Option<HeldResponse> = None;
     let mut hedged: Option<HedgedAttempt> = None;
     let mut wait = None;
-    let mut is_dispatched = false;
+    let mut may_have_run = false;
     loop {
         let Some(action) = next_action(context, id, &mut actions, wait.take()).await else {
             // The actors have ended: the node stopped during the request.
             guard.is_finished = true;
-            return if is_dispatched {
+            return if may_have_run {
                 Reply::local(Outcome::Unknown, Reason::Lost, None)
             } else {
-                Reply::local(Outcome::NotRun, Reason::Leaving, None)
+                let retry_after = Some(STOPPED_RETRY_AFTER);
+                Reply { retry_after, ..Reply::local(Outcome::NotRun, Reason::Leaving, None) }
             };
         };
-        is_dispatched |=
-            matches!(action, EntryAction::Dispatch { .. } | EntryAction::Forward { .. });
         let result = match action {
             EntryAction::Dispatch {
                 attempt,
@@ -138,6 +139,8 @@
                 race_attempts(&mut hedged, next).await
             }
             EntryAction::Forward { home, ticket, remaining, organisation, hides_key, .. } => {
+                // An earlier copy under the same ticket may have run.
+                may_have_run = true;
                 let organisation = organisation.as_deref();
                 let begin = forward_frame(&request, ticket, remaining, organisation, hides_key);
                 run_attempt(context, &mut request, home, begin, remaining, remaining).await
@@ -163,10 +166,13 @@
                 AttemptReport::Resumed.into()
             }
             EntryAction::Wait { remaining, .. } => {
+                // The request with the same ticket may run.
+                may_have_run = true;
                 wait = Some(remaining);
                 continue;
             }
         };
+        may_have_run |= result.report.may_have_run();
         if result.held.is_some() {
             held = result.held;
         }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -19,6 +19,9 @@
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
+/// Part of this time after which the entry withdraws an attempt that is still queued. The rest is for
+/// the gate's confirmation, with a round trip of up to 11 ms between zones.
+const WITHDRAWAL_DELAY: Duration = Duration::from_millis(10);
 
 /// A received response, held until the entry decides what to do with it.
 pub(super) struct HeldResponse {
@@ -102,17 +105,25 @@
         }
     };
     let on_commit = begin.on_commit;
+    // A frame that was not sent whole cannot be decoded, so no gate has seen the request.
     if let Err(fault) = sink.send(Body::Begin(begin)).await {
         log::info!("event=attempt-lost request={} gate={node:x} fault={fault:?}", request.id);
-        let report =
-            if on_commit { AttemptReport::Unreachable } else { AttemptReport::Lost(Reason::Lost) };
-        return report.into();
+        return AttemptReport::Unreachable.into();
     }
     let id = request.arrival.request;
     let committed = !on_commit;
     let started = Instant::now();
-    let mut link =
-        AttemptLink { context, id, sink: Some(sink), source, remaining, started, committed };
+    let mut link = AttemptLink {
+        context,
+        id,
+        sink: Some(sink),
+        source,
+        remaining,
+        started,
+        committed,
+        is_queued: false,
+        is_withdrawn: false,
+    };
     let limit = remaining + DEADLINE_GRACE;
     let run = timeout(limit, link.run(request, first_frame_timeout.min(limit)));
     let ended = tokio::select! {
@@ -173,6 +184,9 @@
     started: Instant,
     // Whether the gate may have run the request.
     committed: bool,
+    // Whether the gate has queued the request and not yet decided on it.
+    is_queued: bool,
+    is_withdrawn: bool,
 }
 
 impl AttemptLink<'_> {
@@ -186,9 +200,10 @@
         let mut frame = first.unwrap_or(Err(LinkError::Closed))?;
         loop {
             match frame.take() {
-                Some(Body::Verdict(verdict)) if verdict.queued => {}
+                Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
                 Some(Body::Verdict(verdict)) if verdict.stuck => return Ok(self.hedge()),
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
+                    self.is_queued = false;
                     let load = verdict.load.unwrap_or_default().into();
                     send_report(self.context, self.id, AttemptReport::Admitted(load)).await;
                     self.commit(request).await?;
@@ -206,7 +221,31 @@
                 Some(_) => return Err(LinkError::Unexpected),
                 None => return Err(LinkError::Closed),
             }
-            frame = self.source.receive().await?;
+            frame = self.next_frame().await?;
+        }
+    }
+
+    /// Receives the next frame. At the deadline, or when the node ends, it withdraws an attempt that
+    /// is still queued: the gate then confirms that the request has not run and will not run.
+    async fn next_frame(&mut self) -> Result<Option<Body>, LinkError> {
+        // Until it is committed, an attempt needs no confirmation.
+        let mut may_withdraw = self.is_queued && self.committed && !self.is_withdrawn;
+        let Self { context, sink, source, remaining, started, .. } = self;
+        let withdrawal = *started + *remaining + WITHDRAWAL_DELAY;
+        let frame = source.receive();
+        tokio::pin!(frame);
+        loop {
+            tokio::select! {
+                frame = &mut frame => return frame,
+                () = tokio::time::sleep_until(withdrawal), if may_withdraw => {}
+                () = context.stop.last_answer(&context.clock), if may_withdraw => {}
+            }
+            may_withdraw = false;
+            self.is_withdrawn = true;
+            if let Some(sink) = sink {
+                let reason = Reason::DeadlinePast.name().to_owned();
+                sink.send(Body::Cut(wire::Cut { reason, ..wire::Cut::default() })).await?;
+            }
         }
     }
 
@@ -215,7 +254,8 @@
     async fn commit(&mut self, request: &mut Request) -> Result<(), LinkError> {
         let gate_waits = !std::mem::replace(&mut self.committed, true);
         let rest = request.body_rest.take();
-        if !gate_waits && rest.is_none() {
+        // The gate has read or will read the withdrawal instead of a body.
+        if self.is_withdrawn || (!gate_waits && rest.is_none()) {
             return Ok(());
         }
         let Some(mut sink) = self.sink.take() else { return Ok(()) };
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -54,7 +54,7 @@
     context: &NetworkContext,
     begin: Begin,
     mut sink: FrameSink,
-    source: FrameSource,
+    mut source: FrameSource,
 ) -> Result<(), LinkError> {
     let attempt: AttemptId = begin.attempt.ok_or(LinkError::Unexpected)?.into();
     let slot_request = SlotRequest {
@@ -78,8 +78,8 @@
     let (reply, decision) = oneshot::channel();
     let mut claim = SlotClaim::new(attempt, context.mailbox.clone(), decision);
     send_gate(context, GateMessage::Submit(slot_request, reply)).await;
-    match wait_for_slot(&mut sink, &mut claim).await {
-        Some(AdmissionDecision::Start { upstream, address, deadline, load, slot }) => {
+    match wait_for_slot(&mut sink, &mut source, &mut claim).await {
+        SlotWait::Decided(AdmissionDecision::Start { upstream, address, deadline, load, slot }) => {
             log::info!(
                 "event=admitted request={} upstream={upstream} doubt={:.3} busy={} slots={}",
                 begin.request_id,
@@ -93,9 +93,9 @@
             let (id, idempotent) = (begin.request_id.clone(), begin.idempotent);
             let Some((body, body_rest)) = request_body(&begin, source).await else {
                 log::info!("event=not-committed request={id}");
-                slot.finish(RunResult::Cancelled).await;
-                sink.reset();
-                return Err(LinkError::Closed);
+                let load = slot.finish(RunResult::Cancelled).await;
+                // The commit may be on its way, and is not read any more.
+                return refuse(sink, Reason::Unreachable, load).await;
             };
             let (events, event_receiver) = mpsc::channel(BODY_CHANNEL_CAPACITY);
             let call = Call {
@@ -104,10 +104,14 @@
                 upstream,
                 ..upstream_call(begin, address, deadline, events)
             };
-            context.calls.send(call).await.map_err(|_| LinkError::Closed)?;
+            if context.calls.send(call).await.is_err() {
+                // The node ends: nobody has received the call.
+                let load = slot.finish(RunResult::Cancelled).await;
+                return refuse(sink, Reason::Leaving, load).await;
+            }
             UpstreamRun { context, slot, id, sink, idempotent }.relay(event_receiver).await
         }
-        Some(AdmissionDecision::Refuse(reason, load)) => {
+        SlotWait::Decided(AdmissionDecision::Refuse(reason, load)) => {
             log::info!(
                 "event=refused request={} reason={} doubt={:.3} busy={} slots={} queued={}",
                 begin.request_id,
@@ -119,21 +123,56 @@
             );
             refuse(sink, reason, Some(load)).await
         }
-        None => Err(LinkError::Closed),
+        SlotWait::Withdrawn => {
+            // Only this task can run the request, and without the claim it gets no slot.
+            drop(claim);
+            log::info!("event=withdrawn request={}", begin.request_id);
+            refuse(sink, Reason::DeadlinePast, None).await
+        }
+        SlotWait::Closed => Err(LinkError::Closed),
+    }
+}
+
+/// How the wait for a slot ended.
+enum SlotWait {
+    /// The gate has decided.
+    Decided(AdmissionDecision),
+    /// The entry asks not to run the request.
+    Withdrawn,
+    /// The entry no longer waits, or the gate has ended.
+    Closed,
+}
+
+impl From<Option<AdmissionDecision>> for SlotWait {
+    fn from(decision: Option<AdmissionDecision>) -> Self {
+        decision.map_or(Self::Closed, Self::Decided)
     }
 }
 
 /// Waits for the gate's decision. Notifies the entry of a longer wait, so that it can distinguish a
-/// queue from a network partition. `None` when the entry no longer waits.
-async fn wait_for_slot(sink: &mut FrameSink, claim: &mut SlotClaim) -> Option<AdmissionDecision> {
+/// queue from a network partition.
+async fn wait_for_slot(
+    sink: &mut FrameSink,
+    source: &mut FrameSource,
+    claim: &mut SlotClaim,
+) -> SlotWait {
     if let Ok(decision) = timeout(QUEUED_NOTICE_DELAY, claim.decision()).await {
-        return decision;
+        return decision.into();
     }
     let queued = wire::Verdict { queued: true, ..wire::Verdict::default() };
-    sink.send(Body::Verdict(queued)).await.ok()?;
+    if sink.send(Body::Verdict(queued)).await.is_err() {
+        return SlotWait::Closed;
+    }
+    // Before the admission an entry sends nothing but a withdrawal, so no other frame is lost here.
+    let withdrawal = async {
+        if !matches!(source.receive().await, Ok(Some(Body::Cut(_)))) {
+            std::future::pending::<()>().await;
+        }
+    };
     tokio::select! {
-        decision = claim.decision() => decision,
-        () = sink.closed() => None,
+        decision = claim.decision() => decision.into(),
+        () = sink.closed() => SlotWait::Closed,
+        () = withdrawal => SlotWait::Withdrawn,
     }
 }
 
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -132,6 +132,8 @@
     Connect(std::io::Error),
     #[error("cannot connect to the upstream in time")]
     ConnectTimeout,
+    #[error("the connection was closed before the request was sent")]
+    Unsent,
     #[error("the upstream did not respond in time")]
     Timeout,
     #[error("the response does not belong to the request")]
@@ -153,7 +155,7 @@
             Self::Connect(fault) if is_local_error(fault) => {
                 (RunResult::Cancelled, Some(Reason::ConnectFailed))
             }
-            Self::Connect(_) | Self::ConnectTimeout => {
+            Self::Connect(_) | Self::ConnectTimeout | Self::Unsent => {
                 (RunResult::ConnectFailed, Some(Reason::ConnectFailed))
             }
             Self::Timeout => (RunResult::TimedOut, None),
@@ -265,7 +267,11 @@
         match timeout_at(deadline, connection.send(request)).await {
             Err(_) => Err(CallFailure::Timeout),
             Ok(Ok(response)) => Ok((connection, response)),
-            Ok(Err(fault)) => Err(fault.into_error().into()),
+            // The HTTP library returns a request of which it has written nothing.
+            Ok(Err(mut fault)) => match fault.take_message() {
+                Some(_) => Err(CallFailure::Unsent),
+                None => Err(fault.into_error().into()),
+            },
         }
     }
 
