Serve a configuration as far as it can be read

Cause: any entry of a deployment that could not be read kept the whole new version out, also where no other entry depends on it; a version that failed to decode was counted and logged but missing in the status; serde's error texts could show a key (`"api_keys": "k-1"`).

Change: the conversion reads entry by entry and field by field and records all errors. An organisation that cannot be read, or is out of range, keeps its last good version (or has no keys) while the rest takes effect; routes, limits and entries of unreadable type still keep the last good version of the whole, see docs/design/configuration.md. Rejected versions and entries are in the status and in the gauge configuration.rejected. Values that may contain a key are not shown. A sum of weights above 32 bits no longer overflows.

Tests: the cases of organisations_have_keys_priorities_and_allowances that expected the whole to be rejected for one organisation are replaced by an_organisation_that_cannot_be_read_..., which expects the others served, the field named and no key shown. Cases that expected the word JSON now expect the entry and the field.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -57,6 +57,52 @@
     pub organisations: Vec<Organisation>,
     /// Size limits for the requests of callers.
     pub limits: RequestLimits,
+    /// Organisations whose entries could not be read.
+    pub unreadable: Vec<UnreadableOrganisation>,
+}
+
+/// An organisation whose entry in a deployment could not be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableOrganisation {
+    /// Name.
+    pub name: OrganisationName,
+    /// The error.
+    pub fault: String,
+}
+
+impl Deployment {
+    /// Keeps the organisations that could not be read as they were in the previous version.
+    ///
+    /// An organisation that was not in it has no keys, so that its requests are refused. It still
+    /// counts as an organisation: otherwise requests of a deployment with no readable organisation
+    /// would need no key.
+    pub fn keep_unreadable(&mut self, previous: Option<&Self>) {
+        for unreadable in &self.unreadable {
+            let name = &unreadable.name;
+            if self.organisations.iter().any(|organisation| organisation.name == *name) {
+                continue;
+            }
+            let known = previous.and_then(|previous| {
+                previous.organisations.iter().find(|organisation| organisation.name == *name)
+            });
+            let kept = known
+                .cloned()
+                .unwrap_or_else(|| Organisation { name: name.clone(), ..Organisation::default() });
+            // Behind the readable ones, which go first if one of them has the same key.
+            self.organisations.push(kept);
+        }
+    }
+}
+
+/// A configuration that is not in force, or an entry of one, and why.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rejection {
+    /// Key of the document, and of the entry if the others are in force.
+    pub key: String,
+    /// Revision of the document; 0 if it cannot be read.
+    pub revision: Revision,
+    /// The error.
+    pub fault: String,
 }
 
 /// A validated configuration item.
@@ -116,17 +162,28 @@
         source: Option<NodeId>,
     ) -> ApplyResult {
         let (key, revision) = (document.key.clone(), document.revision);
-        let item = match checked {
+        let mut item = match checked {
             Ok(item) => item,
             Err(error) => {
                 self.rejected.insert(key, (revision, error.to_string()));
                 return ApplyResult::Rejected;
             }
         };
+        // A peer may still send the last good version of a document that cannot be read.
+        let is_current = |rejected: &(Revision, String)| source.is_none() || revision >= rejected.0;
+        if self.rejected.get(&key).is_some_and(is_current) {
+            self.rejected.swap_remove(&key);
+        }
         if !self.documents.merge(key.clone(), document, source) {
             return ApplyResult::Unchanged;
         }
-        self.rejected.swap_remove(&key);
+        if let ConfigItem::Deployment(deployment) = &mut item {
+            let previous = match self.items.get(&key) {
+                Some(ConfigItem::Deployment(previous)) => Some(previous),
+                _ => None,
+            };
+            deployment.keep_unreadable(previous);
+        }
         if let ConfigItem::Profile(profile) = &item {
             self.profiles.insert(profile.name.clone(), profile.clone());
         }
@@ -148,8 +205,31 @@
         self.profiles.get(&name).unwrap_or(&self.fallback).clone()
     }
 
-    /// Returns the malformed documents: key, revision and error.
-    pub fn rejected(&self) -> impl Iterator<Item = (&DocumentKey, Revision, &str)> {
-        self.rejected.iter().map(|(key, (revision, fault))| (key, *revision, fault.as_str()))
+    /// Records a document that cannot be read; the last good version stays in force.
+    pub fn reject(&mut self, rejection: Rejection) {
+        let Rejection { key, revision, fault } = rejection;
+        self.rejected.insert(key.into(), (revision, fault));
+    }
+
+    /// Returns the documents that are not in force, and the organisations whose entries are not.
+    pub fn rejected(&self) -> Vec<Rejection> {
+        let documents = self.rejected.iter().map(|(key, (revision, fault))| Rejection {
+            key: key.to_string(),
+            revision: *revision,
+            fault: fault.clone(),
+        });
+        let entries = self.items.iter().flat_map(|(key, item)| {
+            let unreadable = match item {
+                ConfigItem::Deployment(deployment) => deployment.unreadable.as_slice(),
+                _ => &[],
+            };
+            let revision = self.documents.get(key).map_or(0, |document| document.revision);
+            unreadable.iter().map(move |entry| Rejection {
+                key: format!("{key}/organisations/{}", entry.name),
+                revision,
+                fault: entry.fault.clone(),
+            })
+        });
+        documents.chain(entries).collect()
     }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -89,8 +89,8 @@
     /// assert_eq!(&*route.pick_service(0.95), "b");
     /// ```
     pub fn pick_service(&self, sample: f64) -> ServiceName {
-        let total: u32 = self.service_weights.iter().map(|weighted| weighted.weight).sum();
-        let mut left = sample * f64::from(total);
+        let weights = self.service_weights.iter().map(|weighted| f64::from(weighted.weight));
+        let mut left = sample * weights.sum::<f64>();
         for weighted in &self.service_weights {
             left -= f64::from(weighted.weight);
             if left < 0.0 {
--- a/crates/lavenderflow/src/actor/counters.rs
+++ b/crates/lavenderflow/src/actor/counters.rs
@@ -29,6 +29,11 @@
         self.counters.record_latency(stage, time);
     }
 
+    /// Sets the number of configuration documents and entries that are not in force.
+    pub fn set_rejected(&mut self, _: CX![], count: usize) {
+        self.counters.set_rejected(count);
+    }
+
     /// Renders the metrics page.
     pub fn metrics(&mut self, _: CX![], reply: oneshot::Sender<String>) {
         // The send fails if the operator has disconnected.
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -88,6 +88,7 @@
     limits: watch::Sender<RequestLimits>,
     awaits_deployment: bool,
     burst: u64,
+    rejected_count: usize,
     fleet_size: usize,
     ready: Option<oneshot::Sender<()>>,
     entry: Actor<EntryActor>,
@@ -128,6 +129,7 @@
             limits: setup.limits,
             awaits_deployment: setup.awaits_deployment,
             burst: setup.burst,
+            rejected_count: 0,
             fleet_size: 0,
             ready: Some(setup.ready),
             entry,
@@ -177,7 +179,8 @@
                     self.merge_exchange(cx, exchange);
                 }
             }
-            FleetMessage::StoreRead { documents, is_complete } => {
+            FleetMessage::StoreRead { documents, rejected, is_complete } => {
+                rejected.into_iter().for_each(|rejection| self.catalog.reject(rejection));
                 self.merge_stored(cx, documents, is_complete);
             }
             FleetMessage::StoreConfirmed { prefix, time } => {
--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -33,6 +33,7 @@
                 .filter(|(key, document)| !seen.contains(*key) && !document.is_deployment());
             outdated.extend(missing.map(|(_, document)| document.clone()));
         }
+        self.update_rejected();
         for document in outdated {
             log::warn!("event=store-outdated key={} revision={}", document.key, document.revision);
             self.watchers.iter().for_each(|watcher| watcher.restore(document.clone()));
@@ -62,7 +63,11 @@
             ApplyResult::Applied(item, replaced) => {
                 let origin = origin(source);
                 log::info!("event=configuration key={key} revision={revision} origin={origin}");
+                if let ConfigItem::Deployment(deployment) = &*item {
+                    log_unreadable(&key, revision, deployment);
+                }
                 self.apply_item(*item, replaced.map(|item| *item));
+                self.update_rejected();
                 true
             }
             ApplyResult::Unchanged => false,
@@ -73,11 +78,22 @@
                 );
                 let counters = &self.counters;
                 call!([counters], add(Counter::Fault(Fault::Configuration)));
+                self.update_rejected();
                 false
             }
         }
     }
 
+    /// Updates the metric of what is not in force as it cannot be read.
+    fn update_rejected(&mut self) {
+        let count = self.catalog.rejected().len();
+        if self.rejected_count != count {
+            self.rejected_count = count;
+            let counters = &self.counters;
+            call!([counters], set_rejected(count));
+        }
+    }
+
     /// Applies an item at the entry and the gate.
     pub(super) fn apply_item(&mut self, item: ConfigItem, replaced: Option<ConfigItem>) {
         let entry = &self.entry;
@@ -151,6 +167,21 @@
     }
 }
 
+/// Logs the organisations of a deployment whose entries could not be read, and what is in force
+/// instead: the last good version, or no keys.
+fn log_unreadable(key: &str, revision: Revision, deployment: &Deployment) {
+    for entry in &deployment.unreadable {
+        let (name, fault) = (&entry.name, &entry.fault);
+        let mut organisations = deployment.organisations.iter();
+        let is_known = organisations.any(|o| o.name == *name && !o.keys.is_empty());
+        let kept = if is_known { "last-good" } else { "no-keys" };
+        log::warn!(
+            "event=entry-rejected key={key} revision={revision} organisation={name:?} kept={kept} \
+             fault={fault}"
+        );
+    }
+}
+
 /// Names where a document came from: a peer, or the store.
 fn origin(source: Option<NodeId>) -> String {
     source.map_or_else(|| "store".to_owned(), |node| format!("{node:x}"))
--- a/crates/lavenderflow/src/actor/fleet/status.rs
+++ b/crates/lavenderflow/src/actor/fleet/status.rs
@@ -1,5 +1,6 @@
 //! The fleet actor's part of the node status.
 
+use lavenderflow_core::catalog::Rejection;
 use stakker::{Actor, CX, call};
 use tokio::sync::oneshot;
 
@@ -24,10 +25,11 @@
             .map(|(key, document)| (key.to_string(), document.revision))
             .collect();
         revisions.sort_keys();
-        let rejected = self.catalog.rejected().map(|(key, revision, fault)| RejectedStatus {
-            key: key.to_string(),
+        let rejected = self.catalog.rejected().into_iter();
+        let rejected = rejected.map(|Rejection { key, revision, fault }| RejectedStatus {
+            key,
             revision,
-            fault: fault.to_owned(),
+            fault,
         });
         let status = Status {
             node: self.roster.local().name.clone(),
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -2,7 +2,9 @@
 
 use std::net::UdpSocket;
 
-use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
+use cadence::{
+    CountedExt as _, Gauged as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink,
+};
 use hdrhistogram::Histogram;
 
 use crate::error::NodeError;
@@ -156,12 +158,13 @@
     client: StatsdClient,
     counts: IndexMap<Counter, u64>,
     latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
+    rejected: usize,
 }
 
 impl Counters {
     /// Creates counters with the value zero.
     pub fn new(client: StatsdClient) -> Self {
-        Self { client, counts: IndexMap::new(), latencies: IndexMap::new() }
+        Self { client, counts: IndexMap::new(), latencies: IndexMap::new(), rejected: 0 }
     }
 
     /// Increments a counter.
@@ -172,6 +175,16 @@
         }
     }
 
+    /// Sets the number of configuration documents and entries that cannot be read, so that their last
+    /// good versions are in force.
+    pub fn set_rejected(&mut self, count: usize) {
+        self.rejected = count;
+        let value = u64::try_from(count).unwrap_or(u64::MAX);
+        if let Err(fault) = self.client.gauge("configuration.rejected", value) {
+            log::debug!("event=metric-lost fault={fault:?}");
+        }
+    }
+
     /// Records the duration of a stage.
     pub fn record_latency(&mut self, stage: Stage, time: Duration) {
         if let Err(fault) = self.client.time(&format!("latency.{}", stage.name()), time) {
@@ -207,6 +220,9 @@
         for (name, count) in self.snapshot() {
             lines.push(format!("{METRIC_PREFIX}_events_total{{event=\"{name}\"}} {count}"));
         }
+        let name = format!("{METRIC_PREFIX}_configuration_rejected");
+        lines.push(format!("# TYPE {name} gauge"));
+        lines.push(format!("{name} {}", self.rejected));
         let name = format!("{METRIC_PREFIX}_latency_seconds");
         lines.push(format!("# TYPE {name} summary"));
         for (stage, (histogram, sum)) in &self.latencies {
--- a/crates/lavenderflow/src/environment.rs
+++ b/crates/lavenderflow/src/environment.rs
@@ -5,13 +5,14 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use lavenderflow_core::catalog::{Document, Rejection};
 use lavenderflow_platform::deployment;
 use lavenderflow_platform::node_file::NodeFile;
 use lavenderflow_schema::dialect::Dialect;
 
 use crate::http::native::NativeDialect;
 use crate::prelude::*;
-use crate::store::{ConfigSource, OPERATOR_SOURCE};
+use crate::store::{ConfigSource, Entry, OPERATOR_SOURCE};
 
 /// Time within which a change of a profile must be in force on the platform.
 const PROFILE_APPLY_LIMIT: Duration = Duration::from_secs(40);
@@ -69,7 +70,7 @@
     pub fn platform(path: PathBuf, node_file: &NodeFile) -> Self {
         let deployment = ConfigSource {
             prefix: deployment::STORE_KEY,
-            decode: |entry| deployment::decode(entry.value.as_bytes()),
+            decode: decode_deployment,
             is_read_early: true,
             is_restorable: false,
             apply_limit: node_file.apply_limit,
@@ -95,3 +96,12 @@
         }
     }
 }
+
+fn decode_deployment(entry: &Entry) -> Result<Document, Rejection> {
+    let text = entry.value.as_bytes();
+    deployment::decode(text).map_err(|fault| Rejection {
+        key: deployment::DOCUMENT_KEY.to_owned(),
+        revision: deployment::read(text).revision,
+        fault: fault.to_string(),
+    })
+}
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages that other threads send to the actors on the main thread.
 
-use lavenderflow_core::catalog::Document;
+use lavenderflow_core::catalog::{Document, Rejection};
 use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
@@ -89,6 +89,8 @@
     StoreRead {
         /// The documents.
         documents: Vec<Document>,
+        /// What could not be read.
+        rejected: Vec<Rejection>,
         /// Whether the list is complete, so that any other document is missing in the store.
         is_complete: bool,
     },
--- a/crates/lavenderflow/src/status.rs
+++ b/crates/lavenderflow/src/status.rs
@@ -27,7 +27,8 @@
     pub members: Vec<MemberStatus>,
     /// Revision of each configuration key.
     pub revisions: IndexMap<String, Revision>,
-    /// Malformed configuration documents; the previous valid ones stay active.
+    /// Configuration documents that cannot be read, and organisations of a deployment whose entries
+    /// cannot; the last good versions stay active.
     pub rejected: Vec<RejectedStatus>,
     /// Nonzero counters.
     pub counters: IndexMap<String, u64>,
@@ -95,7 +96,7 @@
     pub state: String,
 }
 
-/// A malformed configuration document.
+/// A configuration document, or an entry of one, that cannot be read.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RejectedStatus {
     /// Key.
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -4,8 +4,8 @@
 mod registration;
 mod watcher;
 
-use lavenderflow_core::catalog::Document;
-use lavenderflow_schema::convert::{ConvertError, configuration};
+use lavenderflow_core::catalog::{Document, Rejection};
+use lavenderflow_schema::convert::configuration;
 
 pub use self::lifetimes::{LifetimeSetup, LifetimeStore};
 pub use self::registration::{Registration, RegistrationSetup, StoreRole};
@@ -30,8 +30,8 @@
 pub struct ConfigSource {
     /// Prefix of the keys.
     pub prefix: &'static str,
-    /// Decodes an entry; returns an error if it is not configuration at all.
-    pub decode: fn(&Entry) -> Result<Document, ConvertError>,
+    /// Decodes an entry; returns why it is rejected if it cannot be read.
+    pub decode: fn(&Entry) -> Result<Document, Rejection>,
     /// Whether a node reads the entries when it starts. Otherwise only delegates read them, and the
     /// others receive them from their peers.
     pub is_read_early: bool,
@@ -63,7 +63,7 @@
     apply_limit: OPERATOR_APPLY_LIMIT,
 };
 
-fn decode_operator_value(entry: &Entry) -> Result<Document, ConvertError> {
+fn decode_operator_value(entry: &Entry) -> Result<Document, Rejection> {
     // A value that cannot be parsed gets revision 0 and is rejected by the validation.
     let revision = configuration::parse(entry.value.as_bytes()).map_or(0, |stored| stored.revision);
     let key = entry.key.strip_prefix(CONFIG_KEY_PREFIX).unwrap_or(&entry.key);
--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -6,7 +6,7 @@
 
 use lavenderflow_core::catalog::Document;
 
-use super::{Backoff, Changes, ConfigSource, Consistency, Store, StoreError, StoreRevision};
+use super::{Backoff, Changes, ConfigSource, Consistency, Entry, Store, StoreError, StoreRevision};
 use crate::error::NodeError;
 use crate::message::FleetMessage;
 use crate::prelude::*;
@@ -232,16 +232,23 @@
             let count = Counter::Fault(Fault::Configuration);
             self.setup.mailbox.send_blocking(Message::Count(count));
         }
-        if changes.entries.is_empty() && !is_all {
+        if changes.entries.is_empty() && changes.unreadable.is_empty() && !is_all {
             return;
         }
-        let mut documents = Vec::new();
-        for entry in &changes.entries {
-            match (self.setup.source.decode)(entry) {
+        let (mut documents, mut rejected) = (Vec::new(), Vec::new());
+        // A value whose encoding cannot be read is rejected like one without content.
+        let unreadable = changes.unreadable.iter().map(|key| Entry {
+            key: key.clone(),
+            revision: changes.revision,
+            value: String::new(),
+        });
+        for entry in changes.entries.iter().cloned().chain(unreadable) {
+            match (self.setup.source.decode)(&entry) {
                 Ok(document) => documents.push(document),
-                Err(fault) => {
-                    let (key, revision) = (&entry.key, entry.revision);
+                Err(rejection) => {
+                    let (key, revision, fault) = (&entry.key, entry.revision, &rejection.fault);
                     log::warn!("event=value-rejected key={key} store={revision} fault={fault}");
+                    rejected.push(rejection);
                     let count = Counter::Fault(Fault::Configuration);
                     self.setup.mailbox.send_blocking(Message::Count(count));
                 }
@@ -249,6 +256,7 @@
         }
         let message = FleetMessage::StoreRead {
             documents,
+            rejected,
             is_complete: is_all && self.setup.source.is_restorable,
         };
         self.setup.mailbox.send_blocking(Message::Fleet(message));
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -277,13 +277,18 @@
     sent.is_ok() && caller.read().is_some_and(|response| response.status == 200)
 }
 
-/// Returns how many gates of the service `work` a node knows.
-fn gate_count(vm: &Vm) -> usize {
+/// Returns a page of a node's interface for operators.
+pub fn admin_get(vm: &Vm, path: &str) -> Option<String> {
     let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
-    let call = ureq::get(format!("http://{admin}/v1/status"));
+    let call = ureq::get(format!("http://{admin}{path}"));
     let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
-    let Ok(mut response) = call.call() else { return 0 };
-    let status: Value = response.body_mut().read_json().unwrap_or_default();
+    call.call().ok()?.body_mut().read_to_string().ok()
+}
+
+/// Returns how many gates of the service `work` a node knows.
+fn gate_count(vm: &Vm) -> usize {
+    let Some(text) = admin_get(vm, "/v1/status") else { return 0 };
+    let status: Value = serde_json::from_str(&text).unwrap_or_default();
     let services = status["services"].as_array().cloned().unwrap_or_default();
     let own = services.iter().find(|service| service["name"] == "work");
     own.and_then(|service| service["gates"].as_array().map(Vec::len)).unwrap_or(0)
--- a/crates/schema-gen/src/messages.rs
+++ b/crates/schema-gen/src/messages.rs
@@ -23,6 +23,11 @@
         .field_attribute(
             ".lavenderflow.configuration.Stored",
             "#[serde(skip_serializing_if = \"crate::is_default\")]",
+        )
+        // Nodes of earlier versions reject documents with fields that they do not know.
+        .field_attribute(
+            ".lavenderflow.configuration.Deployment.unreadable",
+            "#[serde(skip_serializing_if = \"crate::is_default\")]",
         );
     config.compile_fds(files)?;
     Ok(())
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -3,17 +3,13 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
-use lavenderflow_core::catalog::{
-    ConfigItem, DEPLOYMENT_KEY_PREFIX, Deployment, Document, RequestLimits,
-};
-use lavenderflow_core::organisation::{Allowance, Organisation};
+use lavenderflow_core::catalog::{ConfigItem, DEPLOYMENT_KEY_PREFIX, Document};
 use lavenderflow_core::profile::{Caution, Forgiveness, Patience, Profile};
-use lavenderflow_core::route::{Idempotency, Route, ServiceWeight};
 use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
 
 use super::ConvertError;
+use super::deployment::{check_organisation, check_route, first_fault, validate_deployment};
 use crate::configuration as stored;
-use crate::credential;
 
 /// Maximum duration in a profile or announcement: one day.
 const MAX_DURATION_MS: u32 = 24 * 60 * 60 * 1000;
@@ -54,10 +50,10 @@
             ),
         ),
         ("routes", stored::Stored { route: Some(value), .. }) => {
-            (value.name.clone(), ConfigItem::Route(validate_route(&value)?))
+            (value.name.clone(), ConfigItem::Route(first_fault(check_route(&value))?))
         }
         ("organisations", stored::Stored { organisation: Some(value), .. }) => {
-            (value.name.clone(), ConfigItem::Organisation(validate_organisation(&value)?))
+            (value.name.clone(), ConfigItem::Organisation(first_fault(check_organisation(&value))?))
         }
         (DEPLOYMENT_KEY_PREFIX, stored::Stored { deployment: Some(value), .. }) => {
             (name.to_owned(), ConfigItem::Deployment(validate_deployment(&value)?))
@@ -162,84 +158,10 @@
     })
 }
 
-fn validate_route(value: &stored::Route) -> Result<Route, ConvertError> {
-    let idempotency = match value.idempotent.as_str() {
-        "" | "auto" => Idempotency::ByMethod,
-        "yes" => Idempotency::Yes,
-        "no" => Idempotency::No,
-        other => return Err(ConvertError::invalid("idempotent", other, "auto, yes or no")),
-    };
-    if !value.prefix.starts_with('/') {
-        return Err(ConvertError::invalid("prefix", &value.prefix, "a path"));
-    }
-    let service_weights = value.parts.iter().map(|part| {
-        let service = validate_name("parts.service", &part.service)?.into();
-        Ok(ServiceWeight { service, weight: part.weight })
-    });
-    let service_weights: Vec<ServiceWeight> =
-        service_weights.collect::<Result<_, ConvertError>>()?;
-    if !service_weights.is_empty() && service_weights.iter().all(|part| part.weight == 0) {
-        return Err(ConvertError::invalid("parts.weight", &0, "above 0 for at least one service"));
-    }
-    let service =
-        if service_weights.is_empty() { validate_name("service", &value.service)? } else { "" };
-    let optional = |ms: u32| (ms > 0).then(|| Duration::from_millis(u64::from(ms)));
-    Ok(Route {
-        prefix: value.prefix.clone(),
-        service: service.into(),
-        idempotency,
-        long: value.long,
-        host: Some(value.host.clone()).filter(|host| !host.is_empty()),
-        service_weights,
-        timeout: optional(value.timeout_ms),
-        attempts: Some(value.attempts).filter(|attempts| *attempts > 0),
-        rank: value.rank,
-        target_latency: optional(value.target_ms),
-        public: value.public,
-    })
-}
-
-fn validate_organisation(value: &stored::Organisation) -> Result<Organisation, ConvertError> {
-    let keys = value.key_digests.iter().map(|text| {
-        credential::parse_digest(text)
-            .ok_or_else(|| ConvertError::invalid("key_digests", text, "a SHA-256 digest"))
-    });
-    let is_amount = |amount: f64| amount.is_finite() && amount >= 0.0;
-    if !is_amount(value.rate_per_s) {
-        return Err(ConvertError::invalid("rate_per_s", &value.rate_per_s, "0 or above"));
-    }
-    if !is_amount(value.burst) {
-        return Err(ConvertError::invalid("burst", &value.burst, "0 or above"));
-    }
-    let allowance = Allowance { rate: value.rate_per_s, burst: value.burst.max(1.0) };
-    Ok(Organisation {
-        name: validate_name("name", &value.name)?.into(),
-        keys: keys.collect::<Result<_, _>>()?,
-        rank: value.rank,
-        // A burst without a rate is no limit: it could only ever be spent once.
-        allowance: Some(allowance).filter(|allowance| allowance.rate > 0.0),
-        concurrency: Some(value.concurrency).filter(|limit| *limit > 0),
-    })
-}
-
-fn validate_deployment(value: &stored::Deployment) -> Result<Deployment, ConvertError> {
-    let limits = value.limits.unwrap_or_default();
-    let header_bytes = usize::try_from(limits.header_bytes).ok().filter(|bytes| *bytes > 0);
-    Ok(Deployment {
-        routes: value.routes.iter().map(validate_route).collect::<Result<_, _>>()?,
-        organisations: value
-            .organisations
-            .iter()
-            .map(validate_organisation)
-            .collect::<Result<_, _>>()?,
-        limits: RequestLimits {
-            header_bytes,
-            body_bytes: Some(limits.body_bytes).filter(|bytes| *bytes > 0),
-        },
-    })
-}
-
-fn validate_name<'a>(field: &'static str, name: &'a str) -> Result<&'a str, ConvertError> {
+pub(super) fn validate_name<'a>(
+    field: &'static str,
+    name: &'a str,
+) -> Result<&'a str, ConvertError> {
     let allowed = |c: char| c.is_alphanumeric() || matches!(c, '-' | '_' | '.');
     if !name.is_empty() && name.len() <= MAX_NAME_BYTES && name.chars().all(allowed) {
         Ok(name)
