--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -54,7 +54,8 @@
     ///
     /// # Errors
     ///
-    /// The announcement must be repeated, as it cannot be applied yet.
+    /// The announcement must be repeated, as it cannot be applied yet, or it contradicts an earlier
+    /// one.
     pub fn announce(
         &mut self,
         announcement: &Announcement,
@@ -64,8 +65,12 @@
             return Err(AnnouncementRefusal::Recovering);
         }
         let (upstream, announced) = (announcement.id.clone(), Lifetime::of(announcement));
-        let mut actions = match self.order(announcement) {
-            Order::Outdated => return Ok(vec![GateAction::ReportOutdated { upstream, announced }]),
+        let order = self.order(announcement);
+        if order == Order::Outdated {
+            return Ok(vec![GateAction::ReportOutdated { upstream, announced }]);
+        }
+        self.check_unchanged(announcement)?;
+        let mut actions = match order {
             Order::Unclear if self.confirm_claim(announcement, now) => {
                 let mut actions = vec![GateAction::ReportEarlierStart { upstream, announced }];
                 actions.extend(self.apply(announcement, Order::Later, now));
@@ -104,9 +109,7 @@
             return self.tick();
         }
         self.services.entry(announcement.service.clone()).or_default();
-        let known = self.upstreams.swap_remove(&announcement.id);
-        let known = known.filter(|u| u.common().service == announcement.service);
-        let upstream = match known {
+        let upstream = match self.upstreams.swap_remove(&announcement.id) {
             Some(upstream) => upstream.renew(announcement, now),
             None => AnyUpstream::new(announcement, now),
         };
--- a/crates/core/src/gate/order.rs
+++ b/crates/core/src/gate/order.rs
@@ -6,7 +6,7 @@
 
 use super::Gate;
 use crate::prelude::*;
-use crate::upstream::{Announcement, AnyUpstream, Lifetime};
+use crate::upstream::{AnnouncedPhase, Announcement, AnnouncementRefusal, AnyUpstream, Lifetime};
 
 /// Share of an upstream's lease for which a lifetime with an earlier start time must go on to
 /// announce itself, as a divisor: two of the platform's heartbeats.
@@ -61,6 +61,39 @@
         }
     }
 
+    /// Checks that an announcement of a known upstream changes only what may change.
+    ///
+    /// A service is never changed: work of the known service may be on its way to the upstream, and
+    /// another writer's announcement must not hand it work of a service that it does not run. It may
+    /// be another one once the known upstream has left.
+    ///
+    /// # Errors
+    ///
+    /// A field contradicts what the upstream has announced.
+    pub(super) fn check_unchanged(
+        &self,
+        announcement: &Announcement,
+    ) -> Result<(), AnnouncementRefusal> {
+        let Some(known) = self.upstreams.get(&announcement.id) else { return Ok(()) };
+        if announcement.phase == AnnouncedPhase::Deregistered {
+            // It only names the upstream.
+            return Ok(());
+        }
+        let known = known.common();
+        let is_same_process = announcement.generation == known.generation;
+        let field = if announcement.service != known.service {
+            "service"
+        } else if announcement.generation == 0 && known.generation != 0 {
+            "born"
+        } else if is_same_process && known.generation != 0 && announcement.address != known.address
+        {
+            "address"
+        } else {
+            return Ok(());
+        };
+        Err(AnnouncementRefusal::Contradiction(field))
+    }
+
     /// Returns the other upstreams with the announced address.
     fn rivals<'a>(
         &'a self,
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -70,7 +70,7 @@
     pub lifetime: Lifetime,
 }
 
-/// Why an announcement was not applied. The upstream must repeat it.
+/// Why an announcement was not applied.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum AnnouncementRefusal {
     /// The node has started and does not know yet which lifetimes had ended before.
@@ -79,6 +79,10 @@
     /// Another lifetime has a later start time, and may still be alive.
     #[error("another lifetime of the upstream or its address has a later start time")]
     Unconfirmed,
+    /// The field differs from what the upstream has announced, and may not change. What it has
+    /// announced stays in force.
+    #[error("field {0} contradicts what the upstream has announced before")]
+    Contradiction(&'static str),
 }
 
 impl Lifetime {
--- a/crates/lavenderflow/src/http/announcements.rs
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -55,6 +55,7 @@
             Self::TruncatedBody | Self::Malformed(_) | Self::WrongAddress(_) => {
                 StatusCode::BAD_REQUEST
             }
+            Self::Refused(AnnouncementRefusal::Contradiction(_)) => StatusCode::CONFLICT,
             Self::Refused(_) | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/crates/lavenderflow/tests/odd_input.rs
+++ b/crates/lavenderflow/tests/odd_input.rs
@@ -7,7 +7,7 @@
 
 use common::deployment::{Caller, Deployment};
 use lavenderflow_standins::fleet::wait_until;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Depth at which a recursive parser would run out of stack.
 const NESTING_DEPTH: usize = 200_000;
@@ -21,6 +21,12 @@
     response.is_some_and(|response| response.status == 200)
 }
 
+/// Returns a whole announcement of a lifetime that starts later than those of the deployment.
+fn heartbeat(address: &str) -> Value {
+    json!({"service": "work", "address": address, "zone": "zone-a", "version": "v1", "slots": 4,
+        "state": "ready", "cold_remaining_s": 0, "sequence": 1, "born": 1_800_000_000_000_u64})
+}
+
 /// Sends an announcement; returns the status of the response.
 fn announce(deployment: &Deployment, id: &str, text: &str) -> Option<u16> {
     let mut caller = Caller::connect(deployment.vms[0].control).ok()?;
@@ -38,8 +44,7 @@
 fn odd_announcements_end_no_node() {
     let mut deployment = Deployment::start(2);
     let address = deployment.vms[0].upstream.to_string();
-    let heartbeat = json!({"service": "work", "address": address, "slots": 4, "state": "ready",
-        "cold_remaining_s": 0, "sequence": 1, "born": 1_800_000_000_000_u64});
+    let heartbeat = heartbeat(&address);
     let with = |field: &str, value: &str| {
         let mut odd = heartbeat.clone();
         odd[field] = json!("ODD");
@@ -109,3 +114,38 @@
         assert!(serves(&deployment, &format!("c{index}")), "after {keep_alive}");
     }
 }
+
+/// Guards against an upstream that runs requests of another service, because an announcement of
+/// another writer was used in part (review case 2).
+#[test]
+fn announcements_of_another_writer_change_no_service_of_a_known_upstream() {
+    let mut deployment = Deployment::start(2);
+    deployment.configure("work", "foreign");
+    let own = deployment.vms[0].upstream.to_string();
+    let (vm, lifetime) = (deployment.vms[0].name.clone(), 1);
+    let id = format!("i-{vm}-{lifetime}");
+    let mut odd = heartbeat(&own);
+    odd["service"] = json!("foreign");
+    let whole = odd.clone();
+    let mut texts = vec![whole.clone()];
+    for field in ["zone", "version", "cold_remaining_s"] {
+        let mut odd = whole.clone();
+        odd.as_object_mut().expect("an object").remove(field);
+        texts.push(odd);
+    }
+    let mut unordered = whole.clone();
+    unordered.as_object_mut().expect("an object").remove("born");
+    unordered["sequence"] = json!(1_000_000);
+    texts.push(unordered);
+    for (index, text) in texts.iter().enumerate() {
+        let status = announce(&deployment, &id, &text.to_string());
+        assert!(matches!(status, Some(400 | 409)), "{status:?} for {text}");
+        for request in 0..5 {
+            let request_id = format!("foreign-{index}-{request}");
+            let response = deployment.call(0, "POST", "/write/a", &request_id);
+            assert_eq!(response.map(|response| response.status), Some(503), "after {text}");
+        }
+        assert!(serves(&deployment, &format!("own-{index}")), "after {text}");
+    }
+    assert!(!deployment.run_counts().keys().any(|id| id.starts_with("foreign")));
+}
