Name the service of the current settings to upstreams

Change: a reload publishes the dialect over a watch channel before it logs changed=service; a request takes it once, when its head has been read, so requests under way keep their name. The upstream's address and the interval of its announcements still wait for the next start.

--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for callers: checks their requests and sends them the responses.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -8,7 +9,7 @@
 use hyper::{Response, Version};
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::request::Arrival;
-use lavenderflow_schema::dialect::{Completion, HeaderError, Headers, RequestMetadata};
+use lavenderflow_schema::dialect::{Completion, Dialect, HeaderError, Headers, RequestMetadata};
 use rand::random;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -49,6 +50,8 @@
     pub net: NetworkContext,
     /// Other nodes that refused callers are told to try.
     pub next_nodes: watch::Receiver<String>,
+    /// Converts headers and statuses of requests that begin now; names the service of this VM.
+    pub dialect: watch::Receiver<Arc<dyn Dialect>>,
     /// Limits on the size of requests.
     pub limits: watch::Receiver<RequestLimits>,
     /// Limit of concurrent requests.
@@ -104,7 +107,9 @@
     let guard = context.net.work.begin();
     let arrived = context.net.clock.now();
     let headers = header::text_headers(request.headers());
-    let metadata = context.net.dialect.parse_request(&headers);
+    // A request keeps the dialect that it began with.
+    let dialect = Arc::clone(&context.dialect.borrow());
+    let metadata = dialect.parse_request(&headers);
     let id = metadata.as_ref().ok().and_then(|metadata| metadata.id.clone());
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
     let line = format!("{} {}", request.method(), request.uri().path());
@@ -113,6 +118,8 @@
     } else if request.uri().path().starts_with(RESERVED_PREFIX) {
         serve_reserved(&context, request.uri().path()).await
     } else {
+        let mut headers = headers;
+        dialect.set_forward_headers(&mut headers, &id);
         serve_routed(&context, request, headers, metadata, &id).await
     };
     count_outcome(&context, &reply).await;
@@ -135,17 +142,16 @@
         retry_after: reply.retry_after,
         relayed: reply.relayed,
     };
-    response::build_response(reply, &completion, context.net.dialect.as_ref(), guard)
+    response::build_response(reply, &completion, dialect.as_ref(), guard)
 }
 
 async fn serve_routed(
     context: &CallerContext,
     request: hyper::Request<Incoming>,
-    mut headers: Headers,
+    headers: Headers,
     metadata: Result<RequestMetadata, HeaderError>,
     id: &str,
 ) -> Reply {
-    context.net.dialect.set_forward_headers(&mut headers, id);
     let limits = *context.limits.borrow();
     let parsed = match metadata {
         Ok(metadata) => parse_request(&context.net, request, headers, metadata, limits).await,
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -66,6 +66,7 @@
     let (network, commands) = endpoint::channel();
     let (next_nodes, current_next_nodes) = watch::channel(String::new());
     let (limits, current_limits) = watch::channel(RequestLimits::default());
+    let (dialect, current_dialect) = watch::channel(Arc::clone(&environment.dialect));
     let (is_ready, ready_state) = watch::channel(false);
     let (stop_stage, stop_watch) = shutdown::channel();
     let (ready, becomes_ready) = oneshot::channel();
@@ -94,6 +95,7 @@
             name,
             net,
             next_nodes: current_next_nodes,
+            dialect: current_dialect,
             limits: current_limits,
             max_requests,
         },
@@ -105,7 +107,7 @@
     start_http(&executor, http_setup)?;
     let reloader = match &environment.node_file {
         Some((path, node_file)) => {
-            Some(Reloader::start(path.clone(), node_file.clone(), mailbox.clone())?)
+            Some(Reloader::start(path.clone(), node_file.clone(), dialect, mailbox.clone())?)
         }
         None => None,
     };
--- a/crates/lavenderflow/src/reload.rs
+++ b/crates/lavenderflow/src/reload.rs
@@ -4,11 +4,14 @@
 //! logged and take effect at the next start. An invalid file changes nothing.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 
 use lavenderflow_platform::node_file::{self, NodeFile};
+use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::settings::NodeSettings;
+use tokio::sync::watch;
 
 use crate::actor::lifecycle::StopTimes;
 use crate::error::NodeError;
@@ -45,14 +48,20 @@
 pub struct Reloader(Sender<()>);
 
 impl Reloader {
-    /// Starts the thread that reads the file; `known` is its content at the start of the node.
+    /// Starts the thread that reads the file; `known` is its content at the start of the node, and
+    /// `dialect` names the service of this VM in requests that begin.
     ///
     /// # Errors
     ///
     /// The thread cannot be started.
-    pub fn start(path: PathBuf, known: NodeFile, mailbox: Mailbox) -> Result<Self, NodeError> {
+    pub fn start(
+        path: PathBuf,
+        known: NodeFile,
+        dialect: watch::Sender<Arc<dyn Dialect>>,
+        mailbox: Mailbox,
+    ) -> Result<Self, NodeError> {
         let (sender, requests) = channel();
-        let mut watch = SettingsWatch { path, known, fault: None, mailbox };
+        let mut watch = SettingsWatch { path, known, fault: None, dialect, mailbox };
         let builder = thread::Builder::new().name("settings".to_owned());
         builder.spawn(move || watch.run(&requests)).map_err(NodeError::Thread)?;
         Ok(Self(sender))
@@ -71,6 +80,7 @@
     known: NodeFile,
     // The error of the last read, if it failed.
     fault: Option<String>,
+    dialect: watch::Sender<Arc<dyn Dialect>>,
     mailbox: Mailbox,
 }
 
@@ -113,6 +123,7 @@
             ("profile", old.profile != new.profile),
             ("burst", old.burst != new.burst),
             ("stop", old.stop != new.stop),
+            ("service", self.known.dialect.service != node_file.dialect.service),
         ]);
         let (before, after) = (&self.known, &node_file);
         let deferred = join_names(&[
@@ -121,8 +132,10 @@
             ("apply-limit", before.apply_limit != after.apply_limit),
             ("name", before.settings.name != after.settings.name),
             ("zone", before.settings.zone != after.settings.zone),
-            ("upstream", (&before.dialect, before.upstream) != (&after.dialect, after.upstream)),
+            ("upstream", upstream(before) != upstream(after)),
         ]);
+        // Before the log line, so that requests that begin after it name the service.
+        self.dialect.send_replace(Arc::new(node_file.dialect.clone()));
         log::info!("event=reload changed={changed} at_next_start={deferred}");
         self.known = node_file;
         if old != new {
@@ -137,6 +150,10 @@
     (settings.callers, settings.peers, settings.admin, ready, announcements)
 }
 
+fn upstream(node_file: &NodeFile) -> impl PartialEq {
+    (node_file.upstream, node_file.dialect.heartbeat_interval)
+}
+
 /// Joins the names whose flag is set with commas; returns `none` if there are none.
 fn join_names(flags: &[(&str, bool)]) -> String {
     let set: Vec<&str> =
--- a/crates/lavenderflow/tests/reload.rs
+++ b/crates/lavenderflow/tests/reload.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, Vm};
+use common::deployment::{Caller, Deployment, Vm, admin_get, request_head};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::Mode;
 use serde_json::{Value, json};
@@ -94,3 +94,55 @@
     let response = caller.join().expect("a caller").expect("an answer");
     assert_eq!(response.status, 504);
 }
+
+/// Returns the service that a request named as its caller when it ran.
+fn caller_service(deployment: &Deployment, id: &str) -> Option<String> {
+    deployment.upstreams.iter().find_map(|upstream| {
+        let requests = upstream.requests().expect("an upstream");
+        let record = requests.get(id)?;
+        record.header("lavenderflow-caller-service").map(str::to_owned)
+    })
+}
+
+fn requests_in_flight(vm: &Vm) -> u64 {
+    let status = admin_get(vm, "/v1/status").unwrap_or_default();
+    let status: Value = serde_json::from_str(&status).unwrap_or_default();
+    status["requests"].as_u64().unwrap_or(0)
+}
+
+/// Guards against a node that names the service that its VM had before (review case 5).
+#[test]
+fn requests_name_the_service_of_the_settings_at_their_start() {
+    let mut deployment = Deployment::start(2);
+    let lines = deployment.restart_logged(0);
+    deployment.wait_ready();
+    let vm = &deployment.vms[0];
+    deployment.call(0, "POST", "/write/a", "before").expect("an answer");
+    assert_eq!(caller_service(&deployment, "before").as_deref(), Some("work"));
+
+    // So long that the request is routed before its body is complete.
+    let body = vec![b'x'; 200 * 1024];
+    let mut under_way = Caller::connect(vm.outbound).expect("a connection");
+    let head = request_head("POST", "/write/a", "under-way", body.len(), 5000);
+    under_way.send(&head).and_then(|()| under_way.send(&body[..100 * 1024])).expect("a request");
+    wait_until("the request is under way", || requests_in_flight(&deployment.vms[0]) == 1)
+        .expect("a request");
+    for (service, signals) in [("other", true), ("third", false)] {
+        edit_settings(vm, |value| value["service"] = json!(service));
+        if signals {
+            vm.process.reload().expect("a signal");
+        }
+        wait_for_line(&lines, "event=reload changed=service at_next_start=none");
+        for index in 0..5 {
+            let id = format!("{service}-{index}");
+            deployment.call(0, "POST", "/write/a", &id).expect("an answer");
+            assert_eq!(caller_service(&deployment, &id).as_deref(), Some(service));
+        }
+    }
+    under_way.send(&body[100 * 1024..]).expect("the rest of the body");
+    assert_eq!(under_way.read().map(|response| response.status), Some(200));
+    assert_eq!(caller_service(&deployment, "under-way").as_deref(), Some("work"));
+    // Another VM's settings have not changed.
+    deployment.call(1, "POST", "/write/a", "elsewhere").expect("an answer");
+    assert_eq!(caller_service(&deployment, "elsewhere").as_deref(), Some("work"));
+}
