Add the command check FILE for configurations

Cause: a mistake in a configuration was only seen once nodes had rejected it, one error at a time, and one that nodes accept, such as a route that never matches, not at all.

Change: lavenderflow check FILE reads a configuration in the platform's or the product's format by the conversion that nodes use, which now reports all errors (profiles as well) with entry, field and line. Without FILE the command checks a node's settings and keys as before.

--- a/crates/lavenderflow/src/command.rs
+++ b/crates/lavenderflow/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+pub mod check;
 pub mod configure;
 pub mod explain;
 pub mod keys;
@@ -28,7 +29,8 @@
 /// A proxy fleet for upstreams with gray failures.
 #[derive(Debug, FromArgs)]
 #[argh(note = "Exit codes: 0 done, 1 wrong usage, 2 invalid settings or values, 3 conflict with \
-    another change, 4 the store failed, 5 the node cannot be reached, 6 the node cannot start.")]
+    another change, 4 the store failed, 5 the node cannot be reached, 6 the node cannot start. \
+    check FILE: 0 no findings, 1 warnings only, 2 errors.")]
 pub struct CommandLine {
     #[argh(subcommand)]
     action: Action,
@@ -106,6 +108,14 @@
         /// The I/O error.
         fault: std::io::Error,
     },
+    /// A configuration cannot be read.
+    #[error("{path}: {fault}")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The I/O error.
+        fault: std::io::Error,
+    },
     /// No log has lines about the request.
     #[error("no log has lines about request {0}")]
     UnknownRequest(String),
@@ -121,6 +131,7 @@
             Self::Settings(_)
             | Self::NodeFile(_)
             | Self::Key(_)
+            | Self::File { .. }
             | Self::Log { .. }
             | Self::UnknownRequest(_) => 2,
             Self::Operator(error) => match error {
@@ -145,7 +156,7 @@
         log.flush();
     }
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(status) => ExitCode::from(status),
         Err(error) => {
             eprintln!("lavenderflow: {error}");
             ExitCode::from(error.exit_code())
@@ -167,9 +178,10 @@
     }
 }
 
-fn run(action: Action) -> Result<(), CommandError> {
-    match action {
-        Action::Check(args) => node::check(&args),
+/// Runs the command; returns the exit status.
+fn run(action: Action) -> Result<u8, CommandError> {
+    let result = match action {
+        Action::Check(args) => return check::run(&args),
         Action::Node(args) => node::run(&args),
         Action::Keys(args) => Ok(keys::run(&args)?),
         Action::Explain(args) => args.run(),
@@ -180,7 +192,8 @@
         Action::Profile(args) => args.run(),
         Action::Route(args) => args.run(),
         Action::Service(args) => args.run(),
-    }
+    };
+    result.map(|()| 0)
 }
 
 fn status(args: &StatusArgs) -> Result<(), CommandError> {
--- a/crates/lavenderflow/src/command/node.rs
+++ b/crates/lavenderflow/src/command/node.rs
@@ -1,4 +1,4 @@
-//! The commands `node` and `check`.
+//! The command `node`, and the check of its settings.
 
 use std::env;
 
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -19,7 +19,7 @@
 /// Timeout for reading the headers of a request, which includes the idle time before it.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
 /// Size limit of the buffer per connection and direction, in bytes.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Delay after a failed accept before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -4,6 +4,7 @@
 //! the tasks and threads that own sockets, and the typed messages between them.
 
 pub mod actor;
+pub mod check;
 pub mod clock;
 pub mod command;
 pub mod counter;
--- a/crates/schema-gen/src/settings.rs
+++ b/crates/schema-gen/src/settings.rs
@@ -8,6 +8,17 @@
 
 use crate::error::Error;
 
+/// Help of the command `check`.
+const CHECK_HELP: &str = "check a configuration, or without FILE the settings and keys of a node";
+/// Arguments of the command `check` that are no settings.
+const CHECK_FIELDS: &str = "    /// configuration in the product's or the platform's format\n    \
+    #[argh(positional)]\n    pub file: Option<std::path::PathBuf>,\n    \
+    /// settings file of a node on the platform, to check the configuration with\n    \
+    #[argh(option)]\n    pub settings: Option<std::path::PathBuf>,\n    \
+    /// the active version of the configuration, to show what changes\n    \
+    #[argh(option)]\n    pub against: Option<std::path::PathBuf>,\n    \
+    /// print JSON\n    #[argh(switch)]\n    pub json: bool,\n";
+
 struct Setting {
     name: String,
     help: String,
@@ -106,8 +117,9 @@
     let mut out = String::from("// Generated from schema/settings.proto. Do not edit.\n\n");
     out.push_str("use crate::setting::{Reader, SettingKind, SettingSpec, SettingsError};\n\n");
     render_table(&mut out, settings);
-    render_arguments(&mut out, settings, "NodeArgs", "node", "run a node until it is stopped");
-    render_arguments(&mut out, settings, "CheckArgs", "check", "check the settings and stop");
+    let (node, check) = ("run a node until it is stopped", CHECK_HELP);
+    render_arguments(&mut out, settings, ("NodeArgs", "node", node), "");
+    render_arguments(&mut out, settings, ("CheckArgs", "check", check), CHECK_FIELDS);
     render_struct(&mut out, settings);
     out
 }
@@ -142,7 +154,12 @@
     out.push_str("];\n\n");
 }
 
-fn render_arguments(out: &mut String, settings: &[Setting], name: &str, command: &str, help: &str) {
+fn render_arguments(
+    out: &mut String,
+    settings: &[Setting],
+    (name, command, help): (&str, &str, &str),
+    fields: &str,
+) {
     let _ = writeln!(
         out,
         "/// {help}\n#[derive(Clone, Debug, Default, argh::FromArgs)]\n\
@@ -157,6 +174,7 @@
             setting.name
         );
     }
+    out.push_str(fields);
     let _ = writeln!(
         out,
         "}}\n\nimpl {name} {{\n    /// Returns the value given for the named setting.\n    \
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -8,7 +8,9 @@
 use lavenderflow_core::upstream::{AnnouncedPhase, Announcement};
 
 use super::ConvertError;
-use super::deployment::{check_organisation, check_route, first_fault, validate_deployment};
+use super::deployment::{
+    EntryFault, check_deployment, check_organisation, check_route, first_fault, validate_deployment,
+};
 use crate::configuration as stored;
 
 /// Maximum duration in a profile or announcement: one day.
@@ -63,38 +65,98 @@
     if found == name { Ok(item) } else { Err(ConvertError::KeyMismatch(document.key.to_string())) }
 }
 
+/// Checks a document as [`validate`] does, and returns all errors instead of the first one.
+///
+/// # Examples
+///
+/// ```
+/// use lavenderflow_core::catalog::Document;
+/// use lavenderflow_schema::convert::configuration::check;
+///
+/// let text = br#"{"revision": 1, "route": {"name": "a", "prefix": "b", "idempotent": "c"}}"#;
+/// let document = Document { key: "routes/a".into(), revision: 1, text: text.as_slice().into() };
+/// assert_eq!(check(&document).len(), 3);
+/// ```
+pub fn check(document: &Document) -> Vec<ConvertError> {
+    let Err(fault) = validate(document) else {
+        // Organisations of a valid deployment may still be unreadable.
+        let value = parse(&document.text).ok().and_then(|value| value.deployment);
+        return value.map(|value| deployment_faults(&value)).unwrap_or_default();
+    };
+    let Ok(value) = parse(&document.text) else { return vec![fault] };
+    let mut faults = Vec::new();
+    faults.extend(value.route.iter().flat_map(|value| check_route(value).1));
+    faults.extend(value.organisation.iter().flat_map(|value| check_organisation(value).1));
+    faults.extend(value.profile.iter().flat_map(|value| check_profile(value).1));
+    faults.extend(value.deployment.iter().flat_map(deployment_faults));
+    if !faults.contains(&fault) {
+        faults.insert(0, fault);
+    }
+    faults
+}
+
+fn deployment_faults(value: &stored::Deployment) -> Vec<ConvertError> {
+    check_deployment(value).1.into_iter().map(EntryFault::into_error).collect()
+}
+
 /// Validates a profile.
 ///
 /// # Errors
 ///
 /// Returns an error that names the first field that is missing or out of range.
 pub fn validate_profile(value: &stored::Profile) -> Result<Profile, ConvertError> {
-    let patience = value.patience.as_ref().ok_or(ConvertError::Missing("patience"))?;
-    let caution = value.caution.as_ref().ok_or(ConvertError::Missing("caution"))?;
-    let forgiveness = value.forgiveness.as_ref().ok_or(ConvertError::Missing("forgiveness"))?;
-    Ok(Profile {
-        name: validate_name("name", &value.name)?.into(),
+    first_fault(check_profile(value))
+}
+
+/// Checks a profile; it can be used if there are no errors.
+fn check_profile(value: &stored::Profile) -> (Profile, Vec<ConvertError>) {
+    let mut faults = Vec::new();
+    let missing = [
+        ("patience", value.patience.is_none()),
+        ("caution", value.caution.is_none()),
+        ("forgiveness", value.forgiveness.is_none()),
+    ];
+    if let Some((field, _)) = missing.iter().find(|(_, is_missing)| *is_missing) {
+        return (Profile::default(), vec![ConvertError::Missing(field)]);
+    }
+    let patience = value.patience.unwrap_or_default();
+    let caution = value.caution.unwrap_or_default();
+    let forgiveness = value.forgiveness.unwrap_or_default();
+    let list = &mut faults;
+    let profile = Profile {
+        name: take(list, validate_name("name", &value.name)).into(),
         patience: Patience {
-            queue: duration("patience.queue_ms", patience.queue_ms, 0..=MAX_DURATION_MS)?,
-            deadline: duration("patience.deadline_ms", patience.deadline_ms, 1..=MAX_DURATION_MS)?,
-            long: duration("patience.long_ms", patience.long_ms, 1..=MAX_DURATION_MS)?,
+            queue: take(list, duration("patience.queue_ms", patience.queue_ms, 0)),
+            deadline: take(list, duration("patience.deadline_ms", patience.deadline_ms, 1)),
+            long: take(list, duration("patience.long_ms", patience.long_ms, 1)),
         },
         caution: Caution {
-            floor: share("caution.floor_percent", caution.floor_percent, 0..=100)?,
-            long_share: share("caution.long_percent", caution.long_percent, 1..=100)?,
+            floor: take(list, share("caution.floor_percent", caution.floor_percent, 0..=100)),
+            long_share: take(list, share("caution.long_percent", caution.long_percent, 1..=100)),
             long_body: u64::from(caution.long_kb) * 1024,
-            long_after: duration(
-                "caution.long_after_ms",
-                caution.long_after_ms,
-                1..=MAX_DURATION_MS,
-            )?,
+            long_after: take(list, duration("caution.long_after_ms", caution.long_after_ms, 1)),
         },
         forgiveness: Forgiveness {
-            retries: share("forgiveness.retry_percent", forgiveness.retry_percent, 0..=100)?,
-            attempts: in_range("forgiveness.attempts", forgiveness.attempts, 1..=10)?,
-            ejection: duration("forgiveness.eject_ms", forgiveness.eject_ms, 1..=MAX_DURATION_MS)?,
-            errors: share("forgiveness.error_percent", forgiveness.error_percent, 0..=20)?,
+            retries: take(
+                list,
+                share("forgiveness.retry_percent", forgiveness.retry_percent, 0..=100),
+            ),
+            attempts: take(list, in_range("forgiveness.attempts", forgiveness.attempts, 1..=10)),
+            ejection: take(list, duration("forgiveness.eject_ms", forgiveness.eject_ms, 1)),
+            errors: take(
+                list,
+                share("forgiveness.error_percent", forgiveness.error_percent, 0..=20),
+            ),
         },
+    };
+    (profile, faults)
+}
+
+/// Returns a value, or records why there is none and returns the default.
+fn take<T: Default>(faults: &mut Vec<ConvertError>, result: Result<T, ConvertError>) -> T {
+    result.unwrap_or_else(|fault| {
+        faults.push(fault);
+        T::default()
     })
 }
 
@@ -151,7 +213,7 @@
         })?,
         slots: in_range("slots", value.slots, 1..=MAX_SLOTS)?,
         phase,
-        lease: duration("lease_ms", value.lease_ms, 100..=MAX_DURATION_MS)?,
+        lease: duration("lease_ms", value.lease_ms, 100)?,
         warm_up: None,
         generation: 0,
         sequence: 0,
@@ -182,12 +244,8 @@
     }
 }
 
-fn duration(
-    field: &'static str,
-    value: u32,
-    range: RangeInclusive<u32>,
-) -> Result<Duration, ConvertError> {
-    in_range(field, value, range).map(|ms| Duration::from_millis(u64::from(ms)))
+fn duration(field: &'static str, value: u32, min: u32) -> Result<Duration, ConvertError> {
+    in_range(field, value, min..=MAX_DURATION_MS).map(|ms| Duration::from_millis(u64::from(ms)))
 }
 
 fn share(field: &'static str, value: u32, range: RangeInclusive<u32>) -> Result<f64, ConvertError> {
--- a/crates/schema/src/convert/deployment.rs
+++ b/crates/schema/src/convert/deployment.rs
@@ -59,16 +59,26 @@
 }
 
 impl EntryFault {
+    /// Returns the kind and name of the entry, such as `routes/r-1`.
+    pub fn entry(&self) -> String {
+        entry_name(self.kind, &self.name)
+    }
+
     /// Returns the error with the kind and name of the entry.
     pub fn into_error(self) -> ConvertError {
-        match (self.kind, self.name.as_str()) {
-            (EntryKind::Document, "") => self.fault,
-            (kind, "") => self.fault.in_entry(kind.name()),
-            (kind, name) => self.fault.in_entry(format!("{}/{name}", kind.name())),
+        if self.kind == EntryKind::Document && self.name.is_empty() {
+            return self.fault;
         }
+        let entry = self.entry();
+        self.fault.in_entry(entry)
     }
 }
 
+/// Returns the kind and name of an entry, such as `routes/r-1`, or the kind of one without a name.
+pub fn entry_name(kind: EntryKind, name: &str) -> String {
+    if name.is_empty() { kind.name().to_owned() } else { format!("{}/{name}", kind.name()) }
+}
+
 /// Checks all entries of a deployment; returns what can be used and all errors.
 ///
 /// # Examples
