Wait for the route in the test of foreign announcements

Cause: announcements_of_another_writer_... called the route of the other service before its configuration was active on the node, and got 200 from the known service; seen once in a run of the workspace. Change: it waits for the 503 that nobody runs the service.

--- a/crates/lavenderflow/tests/odd_input.rs
+++ b/crates/lavenderflow/tests/odd_input.rs
@@ -121,6 +121,11 @@
 fn announcements_of_another_writer_change_no_service_of_a_known_upstream() {
     let mut deployment = Deployment::start(2);
     deployment.configure("work", "foreign");
+    wait_until("nobody runs the other service", || {
+        let response = deployment.call(0, "POST", "/write/a", "configured");
+        response.is_some_and(|response| response.status == 503)
+    })
+    .expect("a change");
     let own = deployment.vms[0].upstream.to_string();
     let (vm, lifetime) = (deployment.vms[0].name.clone(), 1);
     let id = format!("i-{vm}-{lifetime}");
