--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -196,12 +196,14 @@
     counts: IndexMap<Counter, u64>,
     latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
     orphaned: usize,
+    rejected: usize,
 }
 
 impl Counters {
     /// Creates counters with the value zero.
     pub fn new(client: StatsdClient) -> Self {
-        Self { client, counts: IndexMap::new(), latencies: IndexMap::new(), orphaned: 0 }
+        let (counts, latencies) = (IndexMap::new(), IndexMap::new());
+        Self { client, counts, latencies, orphaned: 0, rejected: 0 }
     }
 
     /// Increments a counter.
@@ -225,6 +227,16 @@
         }
     }
 
+    /// Sets the number of configuration documents and entries that cannot be read, so that their last
+    /// good versions are in force.
+    pub fn set_rejected(&mut self, count: usize) {
+        self.rejected = count;
+        let value = u64::try_from(count).unwrap_or(u64::MAX);
+        if let Err(fault) = self.client.gauge("configuration.rejected", value) {
+            log::debug!("event=metric-lost fault={fault:?}");
+        }
+    }
+
     /// Records the duration of a stage.
     pub fn record_latency(&mut self, stage: Stage, time: Duration) {
         if let Err(fault) = self.client.time(&format!("latency.{}", stage.name()), time) {
@@ -263,6 +275,9 @@
         let orphaned = format!("{METRIC_PREFIX}_orphaned_attempts");
         lines.push(format!("# TYPE {orphaned} gauge"));
         lines.push(format!("{orphaned} {}", self.orphaned));
+        let name = format!("{METRIC_PREFIX}_configuration_rejected");
+        lines.push(format!("# TYPE {name} gauge"));
+        lines.push(format!("{name} {}", self.rejected));
         let name = format!("{METRIC_PREFIX}_latency_seconds");
         lines.push(format!("# TYPE {name} summary"));
         for (stage, (histogram, sum)) in &self.latencies {
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages that other threads send to the actors on the main thread.
 
 use lavenderflow_core::allowance::message::{Draw, DrawSerial, Grant};
-use lavenderflow_core::catalog::Document;
+use lavenderflow_core::catalog::{Document, Rejection};
 use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
@@ -97,6 +97,8 @@
     StoreRead {
         /// The documents.
         documents: Vec<Document>,
+        /// What could not be read.
+        rejected: Vec<Rejection>,
         /// Whether the list is complete, so that any other document is missing in the store.
         is_complete: bool,
     },
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -277,6 +277,14 @@
     sent.is_ok() && caller.read().is_some_and(|response| response.status == 200)
 }
 
+/// Returns a page of a node's interface for operators.
+pub fn admin_get(vm: &Vm, path: &str) -> Option<String> {
+    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
+    let call = ureq::get(format!("http://{admin}{path}"));
+    let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
+    call.call().ok()?.body_mut().read_to_string().ok()
+}
+
 /// Returns how many gates of the service `work` a node knows.
 fn gate_count(vm: &Vm) -> usize {
     let status = status(vm);
