Add the settings of bounded hedging

Cause: only attempts that their gates report as stuck got a second copy, and an operator could not say how much extra work is acceptable.

Change: `forgiveness.hedge_percent` in profiles and the node setting `hedge` (`LAVENDERFLOW_HEDGE`), which is the default of services without a stored profile. The default is 0.

A stored profile that was written with this version has the new field, which older nodes reject, as with every field before: update the nodes first.

--- a/crates/core/src/profile.rs
+++ b/crates/core/src/profile.rs
@@ -52,6 +52,9 @@
     pub ejection: Duration,
     /// Failure rate that counts as normal, 0 to 1.
     pub errors: f64,
+    /// Largest share of the requests that may get a second copy while the first attempt is slow,
+    /// 0 to 1. With 0, only attempts that their gates report as stuck get one, without this limit.
+    pub hedges: f64,
 }
 
 impl Default for Profile {
@@ -74,6 +77,7 @@
                 attempts: 3,
                 ejection: Duration::from_secs(2),
                 errors: 0.03,
+                hedges: 0.0,
             },
         }
     }
--- a/crates/lavenderflow/src/command/node.rs
+++ b/crates/lavenderflow/src/command/node.rs
@@ -12,7 +12,7 @@
 /// Runs a node until it is stopped.
 pub fn run(args: &NodeArgs) -> Result<(), CommandError> {
     let settings = read(|name| args.value(name))?;
-    Ok(crate::node::run(&settings, &Environment::native())?)
+    Ok(crate::node::run(&settings, &Environment::native(&settings))?)
 }
 
 /// Checks settings and keys without starting a node.
--- a/crates/lavenderflow/src/environment.rs
+++ b/crates/lavenderflow/src/environment.rs
@@ -5,9 +5,11 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use lavenderflow_core::profile::Forgiveness;
 use lavenderflow_platform::deployment;
 use lavenderflow_platform::node_file::NodeFile;
 use lavenderflow_schema::dialect::Dialect;
+use lavenderflow_schema::settings::NodeSettings;
 
 use crate::http::native::NativeDialect;
 use crate::prelude::*;
@@ -51,7 +53,11 @@
 
 impl Environment {
     /// Returns the environment of a node that is configured by settings and operators' commands.
-    pub fn native() -> Self {
+    pub fn native(settings: &NodeSettings) -> Self {
+        let default = Profile::default();
+        let hedges = settings.hedge as f64 / 100.0;
+        let profile =
+            Profile { forgiveness: Forgiveness { hedges, ..default.forgiveness }, ..default };
         Self {
             dialect: Arc::new(NativeDialect),
             trust: PeerTrust::Certificates,
@@ -60,7 +66,7 @@
             upstream_address: None,
             sources: vec![OPERATOR_SOURCE],
             awaits_deployment: false,
-            profile: Profile::default(),
+            profile,
             node_file: None,
         }
     }
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -98,6 +98,7 @@
             attempts: in_range("forgiveness.attempts", forgiveness.attempts, 1..=10)?,
             ejection: duration("forgiveness.eject_ms", forgiveness.eject_ms, 1..=MAX_DURATION_MS)?,
             errors: share("forgiveness.error_percent", forgiveness.error_percent, 0..=20)?,
+            hedges: share("forgiveness.hedge_percent", forgiveness.hedge_percent, 0..=100)?,
         },
     })
 }
@@ -126,6 +127,7 @@
             attempts: forgiveness.attempts,
             eject_ms: millis(forgiveness.ejection),
             error_percent: percent(forgiveness.errors),
+            hedge_percent: percent(forgiveness.hedges),
         }),
     }
 }
