Send second copies of slow requests, within a limit

Cause: a few slow responses spoil the latency of requests that may be repeated, and an attempt was hedged only when its gate reported it as stuck, without a limit.

Change: `core::hedge` decides when a copy starts (95th percentile of the recent latencies of the route) and whether the limit, the load and the time left allow it; `entry::hedging` applies that to requests, with the retry budget and the route's attempts. A copy goes to one gate, with queue timeout zero, in the own zone if a gate there is likely to have a slot. The entry that learns that a gate has become likely gray sends copies of its attempts there at once. `net::drive::hedge` runs both attempts; the first usable response wins and the other attempt is dropped, which cancels it. With the limit 0 no state is kept and no decision differs. With a limit, an attempt reported as stuck gets a copy within it, and otherwise one that replaces it: the stuck one is cancelled once the new one has a slot, so that the limit holds and a gray failure costs no more than before.

An entry now ignores a second response to a request whose response is being streamed.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -3,13 +3,16 @@
 mod claim;
 mod conclusion;
 mod dispatch;
+mod hedging;
 mod report;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use self::dispatch::{AttemptLimits, DispatchStage};
+use self::hedging::RequestHedge;
 use crate::budget::{RetryAllowance, RetryBudget};
+use crate::hedge::HedgePolicy;
 use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
 use crate::organisation::{Directory, Organisation, UnknownKeyError};
@@ -52,6 +55,7 @@
     organisation_rank: u32,
     target_latency: Option<Duration>,
     kind: Option<WorkKind>,
+    hedge: RequestHedge,
 }
 
 /// Identity of an entry's node.
@@ -88,6 +92,7 @@
     budgets: IndexMap<ServiceName, RetryBudget>,
     allowance: Option<RetryAllowance>,
     service_levels: IndexMap<ServiceName, ServiceLevel>,
+    hedges: IndexMap<ServiceName, HedgePolicy>,
     organisation_requests: IndexMap<OrganisationName, u32>,
     active_requests: IndexMap<RequestId, ActiveRequest>,
     waiting: IndexMap<RequestId, TicketId>,
@@ -120,6 +125,7 @@
             budgets: IndexMap::new(),
             allowance: None,
             service_levels: IndexMap::new(),
+            hedges: IndexMap::new(),
             organisation_requests: IndexMap::new(),
             active_requests: IndexMap::new(),
             waiting: IndexMap::new(),
@@ -276,6 +282,7 @@
             kind: route
                 .filter(|route| route.attempts.is_some())
                 .map(|route| work_kind(route.host.as_deref().unwrap_or_default(), &route.prefix)),
+            hedge: RequestHedge::new(route),
             arrival,
             service,
             profile,
@@ -350,6 +357,7 @@
         }
         let share = active.profile.forgiveness.retries;
         self.budget(&active.service).deposit(share);
+        self.count_for_hedging(&active);
         self.dispatch(active, None)
     }
 
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -79,9 +79,6 @@
         if now >= active.deadline {
             return self.refuse(&active, Reason::DeadlinePast);
         }
-        let retryable = active.idempotent
-            && active.admitted + 1 < active.limits.upstreams
-            && self.budget(&active.service).has_token(now);
         if active.tried.len() + 1 >= active.limits.gates as usize {
             active.stage = DispatchStage::AnyGate;
         } else if active.tried.len() >= PROBED_GATES {
@@ -90,7 +87,7 @@
         if active.tried.len() == PROBED_GATES {
             self.selector.grow_subset(&active.service, now);
         }
-        let degraded = self.service_levels.get(&active.service).is_some_and(|s| s.is_degraded(now));
+        let degraded = self.is_degraded(&active.service, now);
         let gate = loop {
             let criteria = GateCriteria {
                 profile: &active.profile,
@@ -120,12 +117,7 @@
         let Some(gate) = gate else {
             return self.pause_or_refuse(active, retry_reason.unwrap_or(Reason::NoGate), now);
         };
-        let attempt = AttemptId {
-            node: self.identity.node,
-            incarnation: self.identity.incarnation,
-            serial: self.next_attempt,
-        };
-        self.next_attempt += 1;
+        let attempt = self.new_attempt();
         self.selector.record_dispatch(&active.service, gate);
         active.gate = Some(gate);
         active.unreported = true;
@@ -133,23 +125,9 @@
         if active.stage != DispatchStage::FreeSlot {
             active.queued.push(gate);
         }
-        let spec = AttemptSpec {
-            retryable,
-            degraded,
-            service: active.service.clone(),
-            long: active.long,
-            idempotent: active.idempotent,
-            queue_timeout: queue_time(&active, now),
-            remaining: active.deadline - now,
-            median_latency: self.selector.median_latency(&active.service),
-            rank: active.rank,
-            target_latency: active.target_latency,
-            kind: active.kind,
-            gray_tolerance: gray_tolerance(&active),
-            organisation: active.arrival.organisation.clone(),
-            organisation_rank: active.organisation_rank,
-            hides_key: self.directory.needs_keys(),
-        };
+        let spec = self.attempt_spec(&active, now);
+        let hedge_delay = self.hedge_delay(&active, now);
+        let replaces_stuck = active.hedge.replaces_stuck;
         let (request, ticket) = (active.arrival.request, active.ticket);
         self.active_requests.insert(request, active);
         let incarnation = self.incarnations.get(&gate).copied().unwrap_or_default();
@@ -161,9 +139,47 @@
             incarnation,
             spec,
             retry_reason,
+            hedge_delay,
+            replaces_stuck,
         }]
     }
 
+    /// Returns the parameters of the next attempt of a request.
+    pub(super) fn attempt_spec(&mut self, active: &ActiveRequest, now: Instant) -> AttemptSpec {
+        let retryable = active.idempotent
+            && active.admitted + 1 < active.limits.upstreams
+            && self.budget(&active.service).has_token(now);
+        AttemptSpec {
+            retryable,
+            degraded: self.is_degraded(&active.service, now),
+            service: active.service.clone(),
+            long: active.long,
+            idempotent: active.idempotent,
+            queue_timeout: queue_time(active, now),
+            remaining: active.deadline - now,
+            median_latency: self.selector.median_latency(&active.service),
+            rank: active.rank,
+            target_latency: active.target_latency,
+            kind: active.kind,
+            gray_tolerance: gray_tolerance(active),
+            organisation: active.arrival.organisation.clone(),
+            organisation_rank: active.organisation_rank,
+            hides_key: self.directory.needs_keys(),
+        }
+    }
+
+    /// Returns the id of a new attempt.
+    pub(super) fn new_attempt(&mut self) -> AttemptId {
+        let serial = self.next_attempt;
+        self.next_attempt += 1;
+        AttemptId { node: self.identity.node, incarnation: self.identity.incarnation, serial }
+    }
+
+    /// Returns whether a service leaves requests unserved.
+    pub(super) fn is_degraded(&self, service: &ServiceName, now: Instant) -> bool {
+        self.service_levels.get(service).is_some_and(|level| level.is_degraded(now))
+    }
+
     pub(super) fn may_retry(
         &mut self,
         active: &ActiveRequest,
@@ -261,6 +277,12 @@
     }
 }
 
+/// Returns the highest probability of a gray failure that a second copy tolerates. It is sent to
+/// one gate only, so it tolerates what a first attempt does at its last free slot.
+pub(super) fn hedge_tolerance(active: &ActiveRequest) -> f32 {
+    if active.kind.is_some() { IDEMPOTENT_TOLERANCE[PROBED_GATES - 1] } else { 1.0 }
+}
+
 /// Returns how long a request may wait in a gate's queue. A request that looks for a free slot does
 /// not wait.
 fn queue_time(active: &ActiveRequest, now: Instant) -> Duration {
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::conclusion::{conclude, lost_reason};
+use super::hedging::{can_hedge, failed_run};
 use super::{ActiveRequest, Entry};
 use crate::outlier::Observation;
 use crate::prelude::*;
@@ -22,9 +23,37 @@
         let Some(mut active) = self.active_requests.swap_remove(&request) else {
             return Vec::new();
         };
+        // A streamed response has begun and is never replaced.
+        if active.streaming && matches!(report, AttemptReport::Answered { .. }) {
+            self.active_requests.insert(request, active);
+            return Vec::new();
+        }
+        if let AttemptReport::Copy(report) = report {
+            return self.report_copy(active, *report, now);
+        }
         self.update_selector(&mut active, &report, now);
+        let mut actions = self.hedge_by_load(&active, &report, now);
+        if let Some(may_have_run) = failed_run(&report) {
+            match self.continue_with_copy(active, may_have_run) {
+                Some(own) => active = own,
+                None => return actions,
+            }
+        }
+        actions.extend(self.report_first(active, report, now));
+        actions
+    }
+
+    /// Handles a report on the only attempt of a request, or on the first one of two.
+    fn report_first(
+        &mut self,
+        mut active: ActiveRequest,
+        report: AttemptReport,
+        now: Instant,
+    ) -> Vec<EntryAction> {
+        let request = active.arrival.request;
         match report {
-            AttemptReport::Admitted(_) => {
+            AttemptReport::Admitted(load) => {
+                active.hedge.admit(load, now);
                 active.admitted += 1;
                 // A body that is not buffered is streamed to this gate from now on.
                 active.body_sent = !active.arrival.body_buffered;
@@ -41,18 +70,31 @@
             }
             AttemptReport::Unreachable => self.retry_refused(active, Reason::Unreachable, now),
             AttemptReport::Answered { status, answer, .. } => {
-                self.answered(active, status, answer, now)
+                let is_answered = status < 500 || answer.is_none();
+                let ended = self.end_hedging(&mut active, is_answered, now);
+                let mut actions = self.answered(active, status, answer, now);
+                actions.extend(ended);
+                actions
             }
             AttemptReport::Completed(_) => self.finish(&active, Outcome::Ran, None),
             AttemptReport::Truncated => self.finish(&active, Outcome::Unknown, None),
+            AttemptReport::Lost(Reason::Stuck) if can_hedge(&active) => self.stuck(active, now),
             AttemptReport::Lost(reason) => self.retry_lost(active, reason, now),
-            AttemptReport::CallerGone => self.end_unknown(&active, Reason::CallerGone),
+            AttemptReport::CallerGone => {
+                let ended = self.end_hedging(&mut active, false, now);
+                let mut actions = self.end_unknown(&active, Reason::CallerGone);
+                actions.extend(ended);
+                actions
+            }
             AttemptReport::Resumed => self.dispatch(active, None),
+            AttemptReport::Overdue => self.overdue(active, now),
+            // Handled before.
+            AttemptReport::Copy(_) => Vec::new(),
         }
     }
 
     /// Records the gate's load and the observation of the path to it.
-    fn update_selector(
+    pub(super) fn update_selector(
         &mut self,
         active: &mut ActiveRequest,
         report: &AttemptReport,
@@ -82,7 +124,7 @@
     }
 
     /// Relays a response, or retries a request that the upstream failed.
-    fn answered(
+    pub(super) fn answered(
         &mut self,
         mut active: ActiveRequest,
         status: u16,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod gray_failure;
+pub mod hedge;
 pub mod id;
 pub mod latency;
 pub mod lease;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,6 +17,9 @@
 const EXPELLED_EVIDENCE: f32 = 50.0;
 /// Age from which a load report no longer tells how busy a gate is.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(250);
+/// Age up to which a load report says how many slots are free. Hedging looks at all gates of the
+/// subset, each of which one entry hears from only now and then; a load peak lasts for seconds.
+const MAX_FREE_SLOT_AGE: Duration = Duration::from_secs(1);
 /// Latency of short requests that is assumed before the first load report.
 const INITIAL_LATENCY: Duration = Duration::from_millis(5);
 /// Least interval between two trial requests from this entry to one gate.
@@ -274,6 +277,19 @@
         (&self.same_zone, &self.subset)
     }
 
+    /// Returns the share of free slots at the gates of the subset with recent load reports, or
+    /// `None` if there is no such gate.
+    pub fn free_share(&self, now: Instant) -> Option<f64> {
+        let gates = self.subset.iter().map(|index| &self.gates[*index]);
+        let seen = gates
+            .filter(|gate| gate.reported_at.is_some_and(|time| now < time + MAX_FREE_SLOT_AGE));
+        let (free, slots) = seen.fold((0, 0), |(free, slots), gate| {
+            let busy = gate.load.busy + gate.load.queued + gate.unreported;
+            (free + gate.slots.saturating_sub(busy), slots + gate.slots)
+        });
+        (slots > 0).then(|| f64::from(free) / f64::from(slots))
+    }
+
     /// Returns the gate at an index from [`GatePool::subset`].
     pub fn gate(&self, index: usize) -> &GateView {
         &self.gates[index]
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::hedge::{HedgeEvent, Suppression};
 use crate::prelude::*;
 use crate::ticket::StoredAnswer;
 
@@ -106,7 +107,37 @@
         spec: AttemptSpec,
         /// Why the previous attempt ended, if this one is a retry.
         retry_reason: Option<Reason>,
+        /// When hedging is enabled, the time after its admission at which the attempt is to be
+        /// reported as [`AttemptReport::Overdue`].
+        hedge_delay: Option<Duration>,
+        /// Whether a stuck attempt that still runs is to be cancelled once this one has a slot,
+        /// since the limit of hedging does not allow both to run.
+        replaces_stuck: bool,
     },
+    /// Send a second copy of the request to another gate, while the first attempt goes on. The
+    /// first response ends the other attempt; reports on the copy are wrapped in
+    /// [`AttemptReport::Copy`].
+    Hedge {
+        /// The request.
+        request: RequestId,
+        /// The attempt that is the copy.
+        attempt: AttemptId,
+        /// The gate.
+        gate: NodeId,
+        /// The incarnation of the gate's node that the attempt is addressed to.
+        incarnation: Incarnation,
+        /// The parameters for the gate.
+        spec: AttemptSpec,
+    },
+    /// Go on with the attempt that was reported as overdue, without a copy.
+    KeepWaiting {
+        /// The request.
+        request: RequestId,
+        /// Why there is no copy.
+        suppression: Suppression,
+    },
+    /// Count what happened to a copy.
+    RecordHedge(HedgeEvent),
     /// Forward the request to the home of its ticket.
     Forward {
         /// The request.
@@ -180,4 +211,11 @@
     CallerGone,
     /// The time of an [`EntryAction::Pause`] is over.
     Resumed,
+    /// The attempt has run for its hedge delay without a response. The reply is one
+    /// [`EntryAction::Hedge`] or [`EntryAction::KeepWaiting`].
+    Overdue,
+    /// A report on the second copy of the request. The copy and the first attempt are reported in
+    /// the order in which they end. The first of them to end without a usable response gets no
+    /// reply, since the request goes on with the other one.
+    Copy(Box<AttemptReport>),
 }
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -150,6 +150,38 @@
         best.or_else(|| best_of(pool, all, criteria.excluded, now))
     }
 
+    /// Selects a gate for a second copy of a request: one that is healthy, likely to have a free
+    /// slot and not excluded, in another zone only if the entry's own zone has none.
+    pub fn pick_idle(
+        &mut self,
+        service: &ServiceName,
+        criteria: &GateCriteria<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<NodeId> {
+        let pool = self.pools.get_mut(service)?;
+        let paths = &self.paths;
+        let floor = criteria.profile.caution.floor;
+        pool.refresh(self.entry, now, floor, |node| path_evidence(paths, node));
+        let is_idle = |index: &&usize| {
+            let gate = pool.gate(**index);
+            let wait = gate.known_wait(now).unwrap_or_default();
+            wait.is_zero()
+                && !gate.is_unhealthy(now)
+                && path_evidence(paths, gate.node).0 == Condition::Healthy
+        };
+        let (same_zone, all) = pool.subset();
+        [same_zone, all].into_iter().find_map(|indexes| {
+            let idle: Vec<usize> = indexes.iter().filter(is_idle).copied().collect();
+            least_cost(pool, &idle, &self.unresponsive, criteria, now, rng)
+        })
+    }
+
+    /// Returns the share of free slots that recent load reports of a service's gates show.
+    pub fn free_share(&self, service: &ServiceName, now: Instant) -> Option<f64> {
+        self.pools.get(service)?.free_share(now)
+    }
+
     /// Adds gates to those that requests for a service are sent to.
     pub fn grow_subset(&mut self, service: &ServiceName, now: Instant) {
         if let Some(pool) = self.pools.get_mut(service) {
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -219,6 +219,10 @@
                     self.pending.push((request, self.home_incarnation));
                 }
                 EntryAction::Forward { .. } | EntryAction::Pause { .. } => {}
+                // No profile of this test enables hedging.
+                EntryAction::Hedge { .. }
+                | EntryAction::KeepWaiting { .. }
+                | EntryAction::RecordHedge(_) => unreachable!("{action:?}"),
             }
         }
     }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -11,7 +11,8 @@
 use lavenderflow_core::budget::RetryAllowance;
 use lavenderflow_core::clock::{ManualClock, SharedClock};
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
-use lavenderflow_core::gate::{Gate, GateAction, RunResult};
+use lavenderflow_core::gate::{Gate, GateAction, RunResult, SlotRequest};
+use lavenderflow_core::hedge::{HedgeEvent, Suppression};
 use lavenderflow_core::id::{AttemptId, NodeId, RequestId};
 use lavenderflow_core::profile::{Forgiveness, Profile};
 use lavenderflow_core::reason::{Outcome, Reason};
@@ -34,6 +35,12 @@
 const ACTIVITY_WINDOW: Duration = Duration::from_secs(2);
 /// Factor by which runs take longer on a cold upstream.
 const COLD_SLOWDOWN: f64 = 2.0;
+/// Factor by which the runs in the tail take longer.
+const TAIL_FACTOR: f64 = 8.0;
+/// Factor by which all runs take longer while upstreams are slow.
+const SLOW_FACTOR: f64 = 4.0;
+/// Factor by which more requests arrive in a load peak.
+const PEAK_FACTOR: f64 = 7.5;
 /// Path prefix of idempotent requests.
 const IDEMPOTENT_PREFIX: &str = "/lookup/";
 /// Path prefix of non-idempotent requests.
@@ -64,6 +71,14 @@
     /// Time from the start for which all upstreams are cold, so that runs take [`COLD_SLOWDOWN`]
     /// times as long.
     pub cold_duration: Duration,
+    /// Largest share of the requests that may get a second copy.
+    pub hedges: f64,
+    /// Share of the runs that take [`TAIL_FACTOR`] times as long.
+    pub tail_share: f64,
+    /// Time from which all runs take [`SLOW_FACTOR`] times as long.
+    pub slow_from: Option<Duration>,
+    /// Time from which [`PEAK_FACTOR`] times as many requests arrive.
+    pub peak_from: Option<Duration>,
     pub duration: Duration,
     pub seed: u64,
 }
@@ -83,6 +98,10 @@
             gray_interval: Duration::from_secs(9),
             shed_share: 0.0,
             cold_duration: Duration::ZERO,
+            hedges: 0.0,
+            tail_share: 0.0,
+            slow_from: None,
+            peak_from: None,
             duration: Duration::from_secs(40),
             seed: 1,
         }
@@ -126,6 +145,14 @@
     pub duplicate_runs: u32,
     /// Lowest share of the upstreams that got work within [`ACTIVITY_WINDOW`].
     pub active_share: f64,
+    /// Copies that were sent, with their times.
+    pub copies: Vec<Duration>,
+    /// Copies that were not sent, with their times.
+    pub suppressed: Vec<(Suppression, Duration)>,
+    /// Latencies of the idempotent requests that were served, with the times of their arrival.
+    pub latencies: Vec<(Duration, Duration)>,
+    /// Most runs of one idempotent request.
+    pub most_starts: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -141,6 +168,8 @@
     Finish(usize, AttemptId, RunResult),
     /// The pause of a request's search for a gate is over.
     Resume(usize, RequestId),
+    /// An attempt has run for its hedge delay.
+    Overdue(usize, RequestId, AttemptId),
     /// An entry receives the report that an attempt is stuck.
     Stuck(usize, RequestId, AttemptId),
 }
@@ -150,8 +179,9 @@
     entry: usize,
     request: RequestId,
     gate: usize,
-    slot_request: lavenderflow_core::gate::SlotRequest,
+    slot_request: SlotRequest,
     is_finished: bool,
+    is_copy: bool,
 }
 
 #[derive(Debug)]
@@ -178,6 +208,10 @@
     attempts: IndexMap<AttemptId, Attempt>,
     requests: IndexMap<(usize, RequestId), Request>,
     hedged: IndexMap<(usize, RequestId), AttemptId>,
+    // When attempts are overdue, and whether they replace stuck ones.
+    hedge_delays: IndexMap<AttemptId, (Option<Duration>, bool)>,
+    // All attempts of the requests in flight.
+    sent: IndexMap<(usize, RequestId), Vec<AttemptId>>,
     last_start: Vec<Duration>,
     result: SimulationResult,
 }
@@ -215,7 +249,11 @@
         router.insert(route(IDEMPOTENT_PREFIX, Idempotency::Yes, 2));
         router.insert(route(NON_IDEMPOTENT_PREFIX, Idempotency::No, 1));
         let profile = Profile {
-            forgiveness: Forgiveness { retries: 0.15, ..Profile::default().forgiveness },
+            forgiveness: Forgiveness {
+                retries: 0.15,
+                hedges: workload.hedges,
+                ..Profile::default().forgiveness
+            },
             ..Profile::default()
         };
         let mut gates: Vec<Gate> = (0..workload.gates)
@@ -256,12 +294,18 @@
             attempts: IndexMap::new(),
             requests: IndexMap::new(),
             hedged: IndexMap::new(),
+            hedge_delays: IndexMap::new(),
+            sent: IndexMap::new(),
             result: SimulationResult {
                 non_idempotent: RequestCounts::default(),
                 idempotent: RequestCounts::default(),
                 extra_starts: 0,
                 duplicate_runs: 0,
                 active_share: 1.0,
+                copies: Vec::new(),
+                suppressed: Vec::new(),
+                latencies: Vec::new(),
+                most_starts: 0,
             },
         };
         for gate in 0..simulation.gates.len() {
@@ -309,6 +353,15 @@
                 let actions = self.entries[entry].report(request, AttemptReport::Resumed);
                 self.execute_entry_actions(entry, actions);
             }
+            Event::Overdue(entry, request, attempt) => {
+                let is_first = self.attempts.get(&attempt).is_some_and(|a| !a.is_finished);
+                if is_first && self.copy_of(entry, request).is_none() {
+                    let actions = self.entries[entry].report(request, AttemptReport::Overdue);
+                    self.execute_entry_actions(entry, actions);
+                }
+            }
+            // An attempt with a copy goes on.
+            Event::Stuck(entry, request, _) if self.copy_of(entry, request).is_some() => {}
             Event::Stuck(entry, request, attempt) => {
                 self.hedged.insert((entry, request), attempt);
                 let actions =
@@ -322,7 +375,9 @@
         if self.now >= self.workload.duration {
             return;
         }
-        let pause = -(1.0 - self.rng.random::<f64>()).ln() / self.workload.rate;
+        let is_peak = self.workload.peak_from.is_some_and(|time| self.now >= time);
+        let rate = self.workload.rate * if is_peak { PEAK_FACTOR } else { 1.0 };
+        let pause = -(1.0 - self.rng.random::<f64>()).ln() / rate;
         self.schedule(Duration::from_secs_f64(pause), Event::Arrive);
         let entry = self.rng.random_range(0..self.entries.len());
         let request = self.next_id;
@@ -371,13 +426,29 @@
     fn execute_entry_actions(&mut self, entry: usize, actions: Vec<EntryAction>) {
         for action in actions {
             match action {
-                EntryAction::Dispatch { request, attempt, gate, incarnation, spec, .. } => {
+                EntryAction::Dispatch {
+                    request,
+                    attempt,
+                    gate,
+                    incarnation,
+                    spec,
+                    hedge_delay,
+                    replaces_stuck,
+                    ..
+                } => {
                     let slot_request = slot_request(attempt, incarnation, &spec);
-                    let gate = usize::try_from(gate - gate_node(0)).expect("a gate");
-                    let new = Attempt { entry, request, gate, slot_request, is_finished: false };
-                    self.attempts.insert(attempt, new);
-                    self.schedule(NETWORK_DELAY, Event::Submit(gate, attempt));
+                    self.send(entry, request, gate, slot_request, false);
+                    self.hedge_delays.insert(attempt, (hedge_delay, replaces_stuck));
+                }
+                EntryAction::Hedge { request, attempt, gate, incarnation, spec } => {
+                    let slot_request = slot_request(attempt, incarnation, &spec);
+                    self.send(entry, request, gate, slot_request, true);
+                    self.result.copies.push(self.now);
+                }
+                EntryAction::RecordHedge(HedgeEvent::Suppressed(reason)) => {
+                    self.result.suppressed.push((reason, self.now));
                 }
+                EntryAction::KeepWaiting { .. } | EntryAction::RecordHedge(_) => {}
                 EntryAction::Conclude { request, conclusion } => {
                     let is_hedged = self.hedged.contains_key(&(entry, request));
                     // The first attempt still runs and decides when there is no second one.
@@ -394,6 +465,31 @@
         }
     }
 
+    fn send(
+        &mut self,
+        entry: usize,
+        request: RequestId,
+        gate: NodeId,
+        slot_request: SlotRequest,
+        is_copy: bool,
+    ) {
+        let attempt = slot_request.attempt;
+        let gate = usize::try_from(gate - gate_node(0)).expect("a gate");
+        let is_finished = false;
+        let new = Attempt { entry, request, gate, slot_request, is_finished, is_copy };
+        self.attempts.insert(attempt, new);
+        self.sent.entry((entry, request)).or_default().push(attempt);
+        self.schedule(NETWORK_DELAY, Event::Submit(gate, attempt));
+    }
+
+    /// Returns the copy of a request that has not ended.
+    fn copy_of(&self, entry: usize, request: RequestId) -> Option<AttemptId> {
+        let is_running = |attempt: &&AttemptId| {
+            self.attempts.get(*attempt).is_some_and(|known| known.is_copy && !known.is_finished)
+        };
+        self.sent.get(&(entry, request))?.iter().find(is_running).copied()
+    }
+
     fn conclude(&mut self, entry: usize, request: RequestId, outcome: Outcome) {
         let Some(known) = self.requests.get_mut(&(entry, request)) else { return };
         if std::mem::replace(&mut known.is_finished, true) {
@@ -406,6 +502,12 @@
             &mut self.result.idempotent
         };
         counts.total += 1;
+        if !known.non_idempotent {
+            self.result.most_starts = self.result.most_starts.max(known.starts);
+            if outcome == Outcome::Ran {
+                self.result.latencies.push((known.arrived, elapsed));
+            }
+        }
         match outcome {
             Outcome::Ran if elapsed <= TARGET_LATENCY => counts.on_time += 1,
             Outcome::Ran => counts.late += 1,
@@ -418,6 +520,12 @@
         if let Some(attempt) = self.hedged.swap_remove(&(entry, request)) {
             self.cancel(attempt);
         }
+        // Attempts that the entry still counts on end with the request.
+        if self.workload.hedges > 0.0 {
+            for attempt in self.sent.swap_remove(&(entry, request)).unwrap_or_default() {
+                self.cancel(attempt);
+            }
+        }
     }
 
     fn cancel(&mut self, attempt: AttemptId) {
@@ -440,6 +548,17 @@
                 GateAction::Start { attempt, deadline, load, .. } => {
                     let Some(known) = self.attempts.get(&attempt) else { continue };
                     let (entry, request) = (known.entry, known.request);
+                    let (delay, replaces_stuck) =
+                        self.hedge_delays.swap_remove(&attempt).unwrap_or_default();
+                    if let Some(delay) = delay {
+                        let overdue = Event::Overdue(entry, request, attempt);
+                        self.schedule(NETWORK_DELAY + delay, overdue);
+                    }
+                    if replaces_stuck
+                        && let Some(stuck) = self.hedged.swap_remove(&(entry, request))
+                    {
+                        self.cancel(stuck);
+                    }
                     self.schedule(
                         NETWORK_DELAY,
                         Event::Report(entry, request, attempt, AttemptReport::Admitted(load)),
@@ -496,6 +615,12 @@
         }
         let hangs = self.gray[gate] && self.rng.random_bool(self.workload.hang_share);
         let slowdown = if self.now < self.workload.cold_duration { COLD_SLOWDOWN } else { 1.0 };
+        let is_slow = self.workload.slow_from.is_some_and(|time| self.now >= time);
+        let slowdown = slowdown * if is_slow { SLOW_FACTOR } else { 1.0 };
+        // No number is drawn where there is no tail, so that other workloads stay as they are.
+        let tail_share = self.workload.tail_share;
+        let is_tail = tail_share > 0.0 && self.rng.random_bool(tail_share);
+        let slowdown = slowdown * if is_tail { TAIL_FACTOR } else { 1.0 };
         let work =
             if hangs { remaining } else { Duration::from_secs_f64(self.draw_work() * slowdown) };
         let (time, result) = if work < remaining {
@@ -519,6 +644,10 @@
             return;
         }
         let (entry, request) = (known.entry, known.request);
+        // A cancelled attempt may still wait for a slot.
+        if result == RunResult::Cancelled {
+            self.gates[gate].cancel(attempt);
+        }
         let (load, actions) = self.gates[gate].finish(attempt, result);
         let stored = StoredAnswer { status: 200, headers: Vec::new(), body: Vec::new().into() };
         let report = match result {
@@ -555,6 +684,8 @@
             }
             return;
         }
+        let is_copy = self.attempts.get(&attempt).is_some_and(|known| known.is_copy);
+        let report = if is_copy { AttemptReport::Copy(Box::new(report)) } else { report };
         let actions = self.entries[entry].report(request, report);
         let is_gone = actions.is_empty() && is_answer;
         self.execute_entry_actions(entry, actions);
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -136,7 +136,14 @@
                 }
                 (*request, false)
             }
+            EntryAction::RecordHedge(event) => {
+                let counters = &self.counters;
+                call!([counters], add(Counter::Hedge(*event)));
+                return;
+            }
             EntryAction::Forward { request, .. }
+            | EntryAction::Hedge { request, .. }
+            | EntryAction::KeepWaiting { request, .. }
             | EntryAction::Pause { request, .. }
             | EntryAction::Wait { request, .. } => (*request, false),
             EntryAction::Relay { request, .. } | EntryAction::Conclude { request, .. } => {
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -4,6 +4,7 @@
 
 use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
 use hdrhistogram::Histogram;
+use lavenderflow_core::hedge::HedgeEvent;
 
 use crate::error::NodeError;
 use crate::prelude::*;
@@ -74,6 +75,8 @@
     Ejected,
     /// Returns of a service's upstreams after an ejection.
     Returned,
+    /// Second copies of slow attempts.
+    Hedge(HedgeEvent),
     /// Invalid input and failures in the communication between processes.
     Fault(Fault),
 }
@@ -97,11 +100,22 @@
             Self::GateRefused(reason) => format!("gate.refused.{}", reason.name()),
             Self::Ejected => "gate.ejected".to_owned(),
             Self::Returned => "gate.returned".to_owned(),
+            Self::Hedge(event) => hedge_name(event),
             Self::Fault(fault) => format!("fault.{}", fault.name()),
         }
     }
 }
 
+fn hedge_name(event: HedgeEvent) -> String {
+    match event {
+        HedgeEvent::Started => "entry.hedge.started".to_owned(),
+        HedgeEvent::Won => "entry.hedge.won".to_owned(),
+        HedgeEvent::Lost => "entry.hedge.lost".to_owned(),
+        HedgeEvent::Refused => "entry.hedge.refused".to_owned(),
+        HedgeEvent::Suppressed(reason) => format!("entry.hedge.suppressed.{}", reason.name()),
+    }
+}
+
 /// A stage of a request whose duration is recorded.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Stage {
--- a/crates/lavenderflow/src/explain.rs
+++ b/crates/lavenderflow/src/explain.rs
@@ -105,7 +105,7 @@
         lines.extend(entry.map(|log| trace_line(&log.name, line, false)));
         let gate = field(line, "gate").and_then(|gate| NodeId::from_str_radix(gate, 16).ok());
         let attempt = field(line, "attempt");
-        if field(line, "event") == Some("dispatched")
+        if matches!(field(line, "event"), Some("dispatched" | "hedge-started"))
             && let Some(gate_lines) = gate.and_then(|gate| gates.get_mut(&gate))
         {
             let entry = entry.map(|log| node_id(&log.name)).unwrap_or_default();
@@ -164,7 +164,11 @@
 /// Returns whether a node logged a line as the entry of a request.
 fn is_entry_line(line: &str) -> bool {
     let event = field(line, "event").unwrap_or_default();
-    matches!(event, "answered" | "attempt-lost" | "bad-request" | "dispatched" | "field-dropped")
+    event.starts_with("hedge-")
+        || matches!(
+            event,
+            "answered" | "attempt-lost" | "bad-request" | "dispatched" | "field-dropped"
+        )
 }
 
 fn trace_line(node: &str, line: &str, is_gate: bool) -> TraceLine {
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod frame;
+mod hedge;
 
 use bytes::Bytes;
 use lavenderflow_core::request::{Arrival, AttemptReport, Conclusion, EntryAction};
@@ -11,8 +12,9 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use self::attempt::{AttemptResult, HedgedAttempt, HeldResponse, run_attempt};
+use self::attempt::{Admission, HedgedAttempt, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
+use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts, TruncatedResponse};
 use super::context::NetworkContext;
 use super::link::FrameSource;
@@ -40,6 +42,19 @@
     pub body_rest: Option<BodyRequest>,
 }
 
+impl Request {
+    /// Returns a copy of a request whose body is buffered.
+    fn duplicate(&self) -> Self {
+        Self {
+            arrival: self.arrival.clone(),
+            id: self.id.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            body_rest: None,
+        }
+    }
+}
+
 /// The body of a response.
 #[derive(Debug)]
 pub enum ReplyBody {
@@ -97,6 +112,7 @@
     let mut hedged: Option<HedgedAttempt> = None;
     let mut wait = None;
     let mut is_dispatched = false;
+    let mut is_answered = false;
     loop {
         let Some(action) = next_action(context, id, &mut actions, wait.take()).await else {
             // The actors have ended: the node stopped during the request.
@@ -117,6 +133,8 @@
                 spec,
                 ticket,
                 retry_reason,
+                hedge_delay,
+                replaces_stuck,
                 ..
             } => {
                 log::info!(
@@ -133,14 +151,46 @@
                 let begin =
                     Begin { incarnation, ..dispatch_frame(&request, attempt, ticket, &spec) };
                 let limit = spec.remaining;
-                let next =
-                    run_attempt(context, &mut request, gate, begin, limit, FIRST_FRAME_TIMEOUT);
-                race_attempts(&mut hedged, next).await
+                let spare = hedge_delay.map(|delay| (delay, request.duplicate()));
+                let (admission, admitted) = Admission::first();
+                let next = run_attempt(
+                    context,
+                    &mut request,
+                    gate,
+                    begin,
+                    limit,
+                    FIRST_FRAME_TIMEOUT,
+                    admission,
+                );
+                if let Some((delay, request)) = spare {
+                    let hedge = HedgeContext { context, request, held: &mut held };
+                    hedge.run(next, admitted, delay, &mut actions).await
+                } else {
+                    let admitted = replaces_stuck.then_some(admitted);
+                    race_attempts(&mut hedged, admitted, next).await
+                }
             }
+            // The response that ends the request has been reported since.
+            EntryAction::Hedge { .. } if is_answered => continue,
+            EntryAction::Hedge { attempt, gate, incarnation, spec, .. } => {
+                let request = request.duplicate();
+                let hedge = HedgeContext { context, request, held: &mut held };
+                let order = CopyOrder { attempt, gate, incarnation, spec };
+                match hedged.take() {
+                    Some(stuck) => {
+                        let first: FirstAttempt<'_, NoAttempt> = FirstAttempt::Stuck(stuck);
+                        hedge.race(first, order).await
+                    }
+                    None => hedge.run_alone(order).await,
+                }
+            }
+            EntryAction::KeepWaiting { .. } | EntryAction::RecordHedge(_) => continue,
             EntryAction::Forward { home, ticket, remaining, organisation, hides_key, .. } => {
                 let organisation = organisation.as_deref();
                 let begin = forward_frame(&request, ticket, remaining, organisation, hides_key);
-                run_attempt(context, &mut request, home, begin, remaining, remaining).await
+                let admission = Admission::default();
+                run_attempt(context, &mut request, home, begin, remaining, remaining, admission)
+                    .await
             }
             EntryAction::Relay { ticket, .. } => {
                 guard.is_finished = true;
@@ -173,29 +223,11 @@
         if result.hedged.is_some() {
             hedged = result.hedged;
         }
+        is_answered = is_usable(&result.report);
         send_report(context, id, result.report).await;
     }
 }
 
-/// Waits for a new attempt or for the hedged one, whichever responds first.
-async fn race_attempts(
-    hedged: &mut Option<HedgedAttempt>,
-    next: impl Future<Output = AttemptResult>,
-) -> AttemptResult {
-    let Some(first) = hedged else { return next.await };
-    tokio::pin!(next);
-    tokio::select! {
-        result = &mut next => return result,
-        response = first.response() => {
-            *hedged = None;
-            if let Some(result) = response {
-                return result;
-            }
-        }
-    }
-    next.await
-}
-
 async fn send_report(context: &NetworkContext, id: RequestId, report: AttemptReport) {
     context.mailbox.send(Message::Entry(EntryMessage::Report(id, report))).await;
 }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -15,7 +15,7 @@
 use crate::net::connector::{DatagramCount, PeerError};
 use crate::net::context::NetworkContext;
 use crate::net::link::{self, FrameSink, FrameSource, LinkError};
-use crate::prelude::{Duration, NodeId, Reason, RequestId};
+use crate::prelude::{Duration, Load, NodeId, Reason, RequestId};
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
@@ -41,7 +41,7 @@
     }
 }
 
-/// A slow attempt that continues in parallel with another one. Dropping it abandons the attempt.
+/// A stuck attempt that continues in parallel with another one. Dropping it abandons the attempt.
 pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
 
 impl HedgedAttempt {
@@ -85,6 +85,37 @@
     }
 }
 
+/// How the admission of an attempt is reported.
+#[derive(Default)]
+pub(super) struct Admission {
+    is_copy: bool,
+    notify: Option<oneshot::Sender<()>>,
+}
+
+impl Admission {
+    /// Returns the admission of a request's only or first attempt, and a receiver that is notified
+    /// of it.
+    pub(super) fn first() -> (Self, oneshot::Receiver<()>) {
+        let (notify, admitted) = oneshot::channel();
+        (Self { is_copy: false, notify: Some(notify) }, admitted)
+    }
+
+    /// Returns the admission of a second copy of a request.
+    pub(super) fn copy() -> Self {
+        Self { is_copy: true, notify: None }
+    }
+
+    async fn report(&mut self, context: &NetworkContext, id: RequestId, load: Load) {
+        let report = AttemptReport::Admitted(load);
+        let report = if self.is_copy { AttemptReport::Copy(Box::new(report)) } else { report };
+        send_report(context, id, report).await;
+        if let Some(notify) = self.notify.take() {
+            // The receiver is gone when nothing waits for the admission.
+            let _ = notify.send(());
+        }
+    }
+}
+
 /// Makes one attempt: sends the request to a node and waits for the response headers.
 pub(super) async fn run_attempt(
     context: &NetworkContext,
@@ -93,6 +124,7 @@
     begin: Begin,
     remaining: Duration,
     first_frame_timeout: Duration,
+    admission: Admission,
 ) -> AttemptResult {
     let (link_connection, (mut sink, source)) = match open(context, node).await {
         Ok(link) => link,
@@ -111,8 +143,16 @@
     let id = request.arrival.request;
     let committed = !on_commit;
     let started = Instant::now();
-    let mut link =
-        AttemptLink { context, id, sink: Some(sink), source, remaining, started, committed };
+    let mut link = AttemptLink {
+        context,
+        id,
+        sink: Some(sink),
+        source,
+        remaining,
+        started,
+        committed,
+        admission,
+    };
     let limit = remaining + DEADLINE_GRACE;
     let run = timeout(limit, link.run(request, first_frame_timeout.min(limit)));
     let ended = tokio::select! {
@@ -173,6 +213,7 @@
     started: Instant,
     // Whether the gate may have run the request.
     committed: bool,
+    admission: Admission,
 }
 
 impl AttemptLink<'_> {
@@ -190,7 +231,7 @@
                 Some(Body::Verdict(verdict)) if verdict.stuck => return Ok(self.hedge()),
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
                     let load = verdict.load.unwrap_or_default().into();
-                    send_report(self.context, self.id, AttemptReport::Admitted(load)).await;
+                    self.admission.report(self.context, self.id, load).await;
                     self.commit(request).await?;
                 }
                 // The request was never committed here, so this gate cannot have run it.
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -13,6 +13,7 @@
     GateStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
 };
 use lavenderflow::store::StoreError;
+use lavenderflow_core::hedge::{HedgeEvent, Suppression};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_schema::convert::ConvertError;
 use lavenderflow_schema::settings::{NodeSettings, SETTINGS};
@@ -26,7 +27,10 @@
     let outcomes = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown].map(Counter::Outcome);
     let faults = Fault::ALL.map(Counter::Fault);
     let others = [Counter::Ejected, Counter::Returned];
-    let counters = by_reason.chain(outcomes).chain(faults).chain(others);
+    let hedges = [HedgeEvent::Started, HedgeEvent::Won, HedgeEvent::Lost, HedgeEvent::Refused];
+    let suppressed = Suppression::ALL.map(HedgeEvent::Suppressed);
+    let hedges = hedges.into_iter().chain(suppressed).map(Counter::Hedge);
+    let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(hedges);
     // The page lists counters by reason as a family and the reasons, in separate tables.
     let missing: BTreeSet<String> = counters
         .map(Counter::name)
@@ -34,6 +38,9 @@
             Some((family @ ("entry.refused" | "entry.retried"), reason)) => {
                 vec![format!("{family}.REASON"), reason.to_owned()]
             }
+            Some((family @ "entry.hedge.suppressed", cause)) => {
+                vec![format!("{family}.CAUSE"), cause.to_owned()]
+            }
             _ => vec![name],
         })
         .filter(|name| !OPERATING_PAGE.contains(&format!("`{name}`")))
