--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -126,7 +126,7 @@
             active.queued.push(gate);
         }
         let spec = self.attempt_spec(&active, now);
-        let hedge_delay = self.hedge_delay(&active, now);
+        let hedge_delay = self.hedge_delay(&mut active, now);
         let replaces_stuck = active.hedge.replaces_stuck;
         let (request, ticket) = (active.arrival.request, active.ticket);
         self.active_requests.insert(request, active);
--- a/crates/core/src/entry/hedging.rs
+++ b/crates/core/src/entry/hedging.rs
@@ -63,7 +63,13 @@
 
     /// Returns the time after its admission at which an attempt is to be reported as overdue. While
     /// the usual latency is unknown it is the deadline, so that only a gray failure starts a copy.
-    pub(super) fn hedge_delay(&mut self, active: &ActiveRequest, now: Instant) -> Option<Duration> {
+    pub(super) fn hedge_delay(
+        &mut self,
+        active: &mut ActiveRequest,
+        now: Instant,
+    ) -> Option<Duration> {
+        // The slot of an attempt before says nothing about the one that is dispatched now.
+        active.hedge.admitted_at = None;
         if !can_hedge(active) || active.hedge.is_used {
             return None;
         }
--- a/crates/lavenderflow/tests/explain.rs
+++ b/crates/lavenderflow/tests/explain.rs
@@ -9,6 +9,8 @@
 
 use common::binary;
 use common::deployment::{Caller, Deployment, request_head};
+use lavenderflow::explain::{NodeLog, explain};
+use lavenderflow_core::id::node_id;
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::Mode;
 
@@ -127,3 +129,39 @@
         String::from_utf8_lossy(&output.stderr).contains("no log has lines about request nobody")
     );
 }
+
+#[test]
+fn a_request_with_a_copy_is_traced_through_both_gates() {
+    let entry = "event=started node=vm-1\n\
+        event=dispatched request=r1 attempt=1 gate=GATE2 service=work\n\
+        event=hedge-started request=r1 attempt=2 gate=GATE3 service=work\n\
+        event=hedge-ended request=r1 used=copy\n\
+        event=answered request=r1 outcome=ran reason=answered";
+    let name = |vm: &str| format!("{:x}", node_id(vm));
+    let entry = entry.replace("GATE2", &name("vm-2")).replace("GATE3", &name("vm-3"));
+    let gate = |vm: &str, attempt: u32, result: &str| {
+        let entry = name("vm-1");
+        let text = format!(
+            "event=started node={vm}\nevent=admitted request=r1 upstream={vm}\n\
+             event=ended entry={entry} attempt={attempt} result={result}"
+        );
+        NodeLog::parse(&text, vm)
+    };
+    let logs =
+        [NodeLog::parse(&entry, "entry"), gate("vm-2", 1, "Cancelled"), gate("vm-3", 2, "Success")];
+    let trace = explain("r1", &logs).expect("a trace");
+    let lines = trace.lines.iter();
+    let events: Vec<&str> = lines.filter_map(|line| line.text.split_whitespace().next()).collect();
+    let expected = [
+        "event=dispatched",
+        "event=admitted",
+        "event=ended",
+        "event=hedge-started",
+        "event=admitted",
+        "event=ended",
+        "event=hedge-ended",
+        "event=answered",
+    ];
+    assert_eq!(events, expected, "{trace}");
+    assert!(trace.lines[2].text.contains("Cancelled"), "{trace}");
+}
