--- a/crates/core/tests/hedge_limit.rs
+++ b/crates/core/tests/hedge_limit.rs
@@ -277,3 +277,24 @@
     assert!((20 + 13..=20 + 17).contains(&started), "{started} copies");
     assert!(suppressed.iter().all(|reason| *reason == Suppression::Budget), "{suppressed:?}");
 }
+
+#[test]
+fn slow_first_attempts_count_as_slow_although_copies_won() {
+    let (mut entry, clock) = hedging_entry();
+    for request in 1..=4 {
+        entry.begin(arrival(request, "GET", None));
+        entry.report(request, AttemptReport::Admitted(load()));
+        clock.advance(10 * LATENCY);
+        entry.report(request, AttemptReport::Overdue);
+        entry.report(request, copy(AttemptReport::Admitted(load())));
+        clock.advance(LATENCY / 2);
+        entry.report(request, copy(answered(200)));
+    }
+    // Of 38 latencies, the last two decide. Without those of the first attempts, the delay would
+    // stay at 10 ms, and each copy that wins would make the next ones start earlier.
+    let actions = entry.begin(arrival(5, "GET", None));
+    let [EntryAction::Dispatch { hedge_delay, .. }] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+    assert_eq!(*hedge_delay, Some(10 * LATENCY + LATENCY / 2));
+}
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -36,7 +36,8 @@
             Self::Running(attempt) => attempt.as_mut().await,
             Self::Stuck(attempt) => match attempt.response().await {
                 Some(result) => result,
-                None => AttemptReport::Lost(Reason::Lost).into(),
+                // It had a slot, so its end is no evidence against the path to its gate.
+                None => AttemptReport::Lost(Reason::DeadlinePast).into(),
             },
         }
     }
