--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -4,13 +4,16 @@
 mod claim;
 mod conclusion;
 mod dispatch;
+mod hedging;
 mod report;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use self::dispatch::{AttemptLimits, DispatchStage};
+use self::hedging::RequestHedge;
 use crate::budget::{RetryAllowance, RetryBudget};
+use crate::hedge::HedgePolicy;
 use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
 use crate::organisation::{Directory, Organisation, UnknownKeyError};
@@ -55,6 +58,7 @@
     target_latency: Option<Duration>,
     kind: Option<WorkKind>,
     large_response: bool,
+    hedge: RequestHedge,
 }
 
 /// Identity of an entry's node.
@@ -92,6 +96,7 @@
     allowance: Option<RetryAllowance>,
     service_levels: IndexMap<ServiceName, ServiceLevel>,
     response_sizes: ResponseSizes,
+    hedges: IndexMap<ServiceName, HedgePolicy>,
     organisation_requests: IndexMap<OrganisationName, u32>,
     active_requests: IndexMap<RequestId, ActiveRequest>,
     waiting: IndexMap<RequestId, TicketId>,
@@ -127,6 +132,7 @@
             allowance: None,
             service_levels: IndexMap::new(),
             response_sizes: ResponseSizes::default(),
+            hedges: IndexMap::new(),
             organisation_requests: IndexMap::new(),
             active_requests: IndexMap::new(),
             waiting: IndexMap::new(),
@@ -286,6 +292,7 @@
                 .filter(|route| route.attempts.is_some())
                 .map(|route| work_kind(route.host.as_deref().unwrap_or_default(), &route.prefix)),
             large_response: route.is_some_and(|route| route.large_responses),
+            hedge: RequestHedge::new(route),
             arrival,
             service,
             profile,
@@ -365,6 +372,7 @@
         }
         let share = active.profile.forgiveness.retries;
         self.budget(&active.service).deposit(share);
+        self.count_for_hedging(&active);
         self.dispatch(active, None)
     }
 
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -221,6 +221,10 @@
                 EntryAction::Forward { .. }
                 | EntryAction::Pause { .. }
                 | EntryAction::Draw { .. } => {}
+                // No profile of this test enables hedging.
+                EntryAction::Hedge { .. }
+                | EntryAction::KeepWaiting { .. }
+                | EntryAction::RecordHedge(_) => unreachable!("{action:?}"),
             }
         }
     }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -15,7 +15,7 @@
 use crate::net::connector::{DatagramCount, PeerError};
 use crate::net::context::NetworkContext;
 use crate::net::link::{self, FrameSink, FrameSource, LinkError};
-use crate::prelude::{Duration, NodeId, Reason, RequestId};
+use crate::prelude::{Duration, Load, NodeId, Reason, RequestId};
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
@@ -44,7 +44,7 @@
     }
 }
 
-/// A slow attempt that continues in parallel with another one. Dropping it abandons the attempt.
+/// A stuck attempt that continues in parallel with another one. Dropping it abandons the attempt.
 pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
 
 impl HedgedAttempt {
@@ -88,6 +88,37 @@
     }
 }
 
+/// How the admission of an attempt is reported.
+#[derive(Default)]
+pub(super) struct Admission {
+    is_copy: bool,
+    notify: Option<oneshot::Sender<()>>,
+}
+
+impl Admission {
+    /// Returns the admission of a request's only or first attempt, and a receiver that is notified
+    /// of it.
+    pub(super) fn first() -> (Self, oneshot::Receiver<()>) {
+        let (notify, admitted) = oneshot::channel();
+        (Self { is_copy: false, notify: Some(notify) }, admitted)
+    }
+
+    /// Returns the admission of a second copy of a request.
+    pub(super) fn copy() -> Self {
+        Self { is_copy: true, notify: None }
+    }
+
+    async fn report(&mut self, context: &NetworkContext, id: RequestId, load: Load) {
+        let report = AttemptReport::Admitted(load);
+        let report = if self.is_copy { AttemptReport::Copy(Box::new(report)) } else { report };
+        send_report(context, id, report).await;
+        if let Some(notify) = self.notify.take() {
+            // The receiver is gone when nothing waits for the admission.
+            let _ = notify.send(());
+        }
+    }
+}
+
 /// Makes one attempt: sends the request to a node and waits for the response headers.
 pub(super) async fn run_attempt(
     context: &NetworkContext,
@@ -96,6 +127,7 @@
     begin: Begin,
     remaining: Duration,
     first_frame_timeout: Duration,
+    admission: Admission,
 ) -> AttemptResult {
     let (link_connection, (mut sink, source)) = match open(context, node).await {
         Ok(link) => link,
@@ -123,6 +155,7 @@
         committed,
         is_queued: false,
         is_withdrawn: false,
+        admission,
     };
     let limit = remaining + DEADLINE_GRACE;
     let run = timeout(limit, link.run(request, first_frame_timeout.min(limit)));
@@ -187,6 +220,7 @@
     // Whether the gate has queued the request and not yet decided on it.
     is_queued: bool,
     is_withdrawn: bool,
+    admission: Admission,
 }
 
 impl AttemptLink<'_> {
@@ -205,7 +239,7 @@
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
                     self.is_queued = false;
                     let load = verdict.load.unwrap_or_default().into();
-                    send_report(self.context, self.id, AttemptReport::Admitted(load)).await;
+                    self.admission.report(self.context, self.id, load).await;
                     self.commit(request).await?;
                 }
                 // The request was never committed here, so this gate cannot have run it.
--- a/crates/lavenderflow/tests/not_run.rs
+++ b/crates/lavenderflow/tests/not_run.rs
@@ -129,6 +129,8 @@
             incarnation: 1,
             spec: spec(idempotent),
             retry_reason: None,
+            hedge_delay: None,
+            replaces_stuck: false,
         };
         self.actions.send(dispatch).await.expect("a request");
     }
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -147,6 +147,10 @@
                 list,
                 share("forgiveness.error_percent", forgiveness.error_percent, 0..=20),
             ),
+            hedges: take(
+                list,
+                share("forgiveness.hedge_percent", forgiveness.hedge_percent, 0..=100),
+            ),
         },
     };
     (profile, faults)
@@ -184,6 +188,7 @@
             attempts: forgiveness.attempts,
             eject_ms: millis(forgiveness.ejection),
             error_percent: percent(forgiveness.errors),
+            hedge_percent: percent(forgiveness.hedges),
         }),
     }
 }
