Ask again within a second however far away the next token is

Cause: lenders and entries refused without asking until the time that the root had named. With a rate of one request in 100 s, a raised limit would have taken effect only after that time, and a lender that had used its fallback would have gone on refusing after the root was back.

Change: the time to the next token is still what callers are told; lenders and entries ask again after a second at most.

--- a/crates/core/src/allowance/borrower.rs
+++ b/crates/core/src/allowance/borrower.rs
@@ -20,6 +20,8 @@
 /// Least time after which an entry asks again when a grant was smaller than what it wanted, and
 /// least retry time of a refusal.
 const MIN_REFUSAL_TIME: Duration = Duration::from_millis(10);
+/// Greatest such time, as the limit may be raised before there would be another token.
+const MAX_REFUSAL_TIME: Duration = Duration::from_secs(1);
 /// Longest time that a refusal by the fallback names, because the lenders may return before.
 const MAX_FALLBACK_RETRY: Duration = Duration::from_secs(1);
 /// Whether a request may run.
@@ -39,7 +41,8 @@
     is_drawing: bool,
     // Lenders that did not respond to the present draw.
     failed: u32,
-    refused_until: Option<Instant>,
+    // Until when no lender is asked again, and when there will be another token.
+    refused_until: Option<(Instant, Instant)>,
     // When the response was received that refusals are based on.
     informed_at: Option<Instant>,
     // The last refusal, and how many there were since they were last read.
@@ -92,14 +95,14 @@
         let account = self.accounts.entry(organisation.clone()).or_default();
         account.demand.add(1, now);
         let mut step = BorrowerStep::default();
-        let refused = account.refused_until.filter(|time| now < *time);
+        let refused = account.refused_until.filter(|(end, _)| now < *end);
         if account.reserve.take(1, now).is_some() {
             step.decisions.push((request, Decision::Allowed));
         } else if let Some(decision) = account.decide_by_fallback(request, now) {
             step.decisions.push(decision);
             return step;
-        } else if let Some(time) = refused {
-            step.decisions.push(account.refuse(request, time - now, now));
+        } else if let Some((_, token_at)) = refused {
+            step.decisions.push(account.refuse(request, token_at - now, now));
         } else {
             account.waiting.push(request);
         }
@@ -127,7 +130,8 @@
         account.fallback = None;
         account.reserve.add(grant.tokens, deadline);
         if !grant.retry_after.is_zero() {
-            account.refused_until = Some(now + grant.retry_after.max(MIN_REFUSAL_TIME));
+            let time = grant.retry_after.max(MIN_REFUSAL_TIME);
+            account.refused_until = Some((now + time.min(MAX_REFUSAL_TIME), now + time));
             account.informed_at = Some(now);
         }
         let waiting = std::mem::take(&mut account.waiting);
--- a/crates/core/src/allowance/lender.rs
+++ b/crates/core/src/allowance/lender.rs
@@ -20,6 +20,9 @@
 const MIN_GRANTED_LIFE: Duration = Duration::from_millis(20);
 /// Least time between two draws from a root that has no tokens left.
 const ROOT_INTERVAL: Duration = Duration::from_millis(50);
+/// Greatest such time. The limit may be raised, or the root may be reached again, before there would
+/// be another token.
+const MAX_ROOT_INTERVAL: Duration = Duration::from_secs(1);
 /// Least time after which an entry asks again when there was no token.
 const ENTRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Greatest such time, when many entries ask.
@@ -52,7 +55,10 @@
     is_drawing: bool,
     // Whether the last tokens had a long life, so that drawing ahead loses none.
     is_calm: bool,
+    // Until when the root is not asked again.
     empty_until: Option<Instant>,
+    // When the root will have another token.
+    token_at: Option<Instant>,
     // Replaces the root while it cannot be reached.
     fallback: Option<Bucket>,
 }
@@ -95,7 +101,9 @@
         let Some(empty) = self.empty_time(now) else { return Duration::ZERO };
         let draws = self.draws.expected(ENTRY_INTERVAL, now);
         let stretched = ENTRY_INTERVAL * draws.max(DRAWS_PER_INTERVAL) / DRAWS_PER_INTERVAL;
-        empty.max(stretched.min(MAX_ENTRY_INTERVAL))
+        let token =
+            self.token_at.map_or(Duration::ZERO, |time| time.saturating_duration_since(now));
+        empty.max(token).max(stretched.min(MAX_ENTRY_INTERVAL))
     }
 }
 
@@ -153,7 +161,8 @@
         bucket.set_limits(rate, capacity, now);
         let tokens = bucket.take(wanted, now);
         let is_short = tokens < wanted;
-        let retry_after = if is_short { bucket.time_to_next(now) } else { Duration::ZERO };
+        let time = bucket.time_to_next(now).min(MAX_ROOT_INTERVAL);
+        let retry_after = if is_short { time } else { Duration::ZERO };
         let bucket = account.fallback.take();
         let life = TOKEN_LIFE;
         let grant = Grant { tokens, life, retry_after, ..Grant::default() };
@@ -187,7 +196,9 @@
         account.reserve.add(grant.tokens, deadline);
         account.is_calm = grant.life > TOKEN_LIFE;
         if !grant.retry_after.is_zero() {
-            account.empty_until = Some(now + grant.retry_after.max(ROOT_INTERVAL));
+            let interval = grant.retry_after.clamp(ROOT_INTERVAL, MAX_ROOT_INTERVAL);
+            account.empty_until = Some(now + interval);
+            account.token_at = Some(now + grant.retry_after);
         }
         while let Some(Waiter { source, draw }) = account.waiters.pop_front() {
             if grant.retry_after.is_zero() && account.available(now) == 0 {
--- a/crates/core/tests/allowances.rs
+++ b/crates/core/tests/allowances.rs
@@ -313,6 +313,12 @@
     fleet.set_limits(vec![Some(LIMIT)]);
     fleet.run(2 * SECOND);
     assert_usable(&fleet, SECOND, 0.95);
+    fleet.set_limits(vec![Some(Allowance { rate: 0.01, burst: 1.0 })]);
+    fleet.run(6 * SECOND);
+    // The next token was 100 s away.
+    fleet.set_limits(vec![Some(LIMIT)]);
+    fleet.run(4 * SECOND);
+    assert_usable(&fleet, SECOND, 0.95);
     fleet.set_limits(vec![None]);
     fleet.run(500 * MILLISECOND);
     let (refused, messages) = (fleet.refused.len(), fleet.messages);
