Refuse queued requests that are too late, and derive Retry-After from the drain rate

Cause: a request stayed in the queue until its deadline or its queue timeout even when no run could finish in the time left. Callers that were refused got a retry time of 0.25 to 0.75 s, whatever the length of the queue and the time that they had left.

A gate measures how fast its queue drains and reports with its load the time until it is empty; refused callers get a time around this one (half to one and a half), between 0.1 s and a third of the time that they have left.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -50,6 +50,8 @@
     may_have_run: bool,
     rank: u32,
     organisation_rank: u32,
+    // Time in which the queue of the last gate drains; zero if that is not known.
+    drain_time: Duration,
     target_latency: Option<Duration>,
     kind: Option<WorkKind>,
 }
@@ -292,6 +294,7 @@
             searches: 0,
             admitted: 0,
             may_have_run: false,
+            drain_time: Duration::ZERO,
         };
         let no_route_reason =
             if self.unconfigured { Reason::NotConfigured } else { Reason::NoRoute };
--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -12,6 +12,10 @@
 
 /// Time after which a gate that was not available may be available again.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Least time after which a caller may retry where the drain rate of the queue is known.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Part of the time left that this time may take.
+const RETRY_TIME_DIVISOR: u32 = 3;
 /// Time after which a queue that was full may have room again.
 const RETRY_AFTER_OVERLOAD: Duration = Duration::from_millis(500);
 
@@ -25,7 +29,18 @@
         self.release(active);
         let waiters = active.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
         let wants_ticket = !active.idempotent;
-        let mut actions = self.conclude_not_run(active.arrival.request, reason, wants_ticket);
+        let retry_after =
+            self.drained_after(active, reason).unwrap_or_else(|| self.retry_after(reason));
+        let new_ticket = if wants_ticket { self.issue_ticket() } else { None };
+        let conclusion = Conclusion {
+            outcome: Outcome::NotRun,
+            reason,
+            answer: None,
+            new_ticket,
+            retry_after: Some(retry_after),
+        };
+        let request = active.arrival.request;
+        let mut actions = vec![EntryAction::Conclude { request, conclusion }];
         for request in waiters.into_iter().flatten() {
             if self.waiting.swap_remove(&request).is_some() {
                 actions.extend(self.conclude_not_run(request, reason, wants_ticket));
@@ -109,6 +124,27 @@
         base.mul_f64(self.rng.random_range(0.5..1.5))
     }
 
+    /// Returns the time after which a caller that a queue had no room for may retry, from the measured
+    /// rate at which the queue drains. It is randomised, and lies between [`MIN_RETRY_AFTER`] and a part
+    /// of the time that the caller has left, so that there is time for another try.
+    fn drained_after(&mut self, active: &ActiveRequest, reason: Reason) -> Option<Duration> {
+        let from_queue = matches!(
+            reason,
+            Reason::QueueFull | Reason::PatienceSpent | Reason::TooLate | Reason::DeadlinePast
+        );
+        if !from_queue || active.drain_time.is_zero() {
+            return None;
+        }
+        let left = active.deadline.saturating_duration_since(self.clock.now());
+        let longest = (left / RETRY_TIME_DIVISOR).max(MIN_RETRY_AFTER);
+        let drained = active.drain_time.clamp(MIN_RETRY_AFTER, longest);
+        let earliest = (drained / 2).max(MIN_RETRY_AFTER);
+        // Callers with hardly any time left are spread too.
+        let has_time = longest > MIN_RETRY_AFTER;
+        let latest = if has_time { (drained * 3 / 2).min(longest) } else { earliest * 3 / 2 };
+        Some(earliest + (latest - earliest).mul_f64(self.rng.random_range(0.0..1.0)))
+    }
+
     pub(super) fn conclude_not_run(
         &mut self,
         request: RequestId,
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -35,8 +35,13 @@
             AttemptReport::Refused(reason @ (Reason::Duplicate | Reason::Outdated), _) => {
                 self.retry_lost(active, reason, now)
             }
-            AttemptReport::Refused(reason, _) => {
+            AttemptReport::Refused(reason, load) => {
                 active.refused_as_gray |= reason == Reason::Doubtful;
+                active.drain_time = load.map_or(Duration::ZERO, |load| load.drain_time);
+                if reason == Reason::TooLate {
+                    // No gate can serve it in time.
+                    return self.refuse(&active, reason);
+                }
                 self.retry_refused(active, reason, now)
             }
             AttemptReport::Unreachable => self.retry_refused(active, Reason::Unreachable, now),
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -16,6 +16,7 @@
 pub use crate::admission::{
     GateAction, RateSignal, RunResult, ServiceOffer, SlotRequest, UpstreamSignals,
 };
+use crate::drain_rate::DrainRate;
 use crate::fair_share::FairShare;
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
@@ -39,6 +40,7 @@
     short_queue: Queue,
     long_queue: Queue,
     shares: FairShare,
+    drain_rate: DrainRate,
     profile: Profile,
     latencies: IndexMap<WorkKind, LatencyDistribution>,
 }
@@ -125,8 +127,12 @@
         }
         let mut actions = Vec::from_iter(displaced);
         actions.extend(self.fill(&service));
-        if !waits && !self.running.contains_key(&attempt) {
-            actions.extend(self.refuse_without_wait(attempt));
+        if !self.running.contains_key(&attempt) {
+            if !waits {
+                actions.extend(self.refuse_queued(attempt, Reason::QueueFull));
+            } else if self.is_too_late(attempt, now) {
+                actions.extend(self.refuse_queued(attempt, Reason::TooLate));
+            }
         }
         actions
     }
@@ -202,6 +208,7 @@
         self.remove_drained();
         self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
+        actions.extend(self.refuse_late(now));
         actions.extend(self.refuse_waits_without_upstream(now));
         actions.extend(self.refuse_waits_on_gray(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
@@ -273,17 +280,6 @@
         (wait > request.queue_timeout).then_some(Reason::QueueFull)
     }
 
-    /// Returns whether a request that may not be queued finds a free slot. An upstream that has
-    /// just started keeps some of its slots for requests that would have to wait elsewhere.
-    fn has_free_slot(&self, service: &ServiceName, now: Instant) -> bool {
-        let mut own = self.upstreams.values().filter(|u| u.common().service == *service);
-        own.any(|u| {
-            let common = u.common();
-            let busy = common.short_running + common.long_running;
-            busy < u.on_time_limit(now) && common.rate.wait(now).is_zero()
-        })
-    }
-
     fn refusal(&self, request: &SlotRequest, reason: Reason) -> GateAction {
         GateAction::Refuse { attempt: request.attempt, reason, load: self.load(&request.service) }
     }
@@ -322,11 +318,18 @@
         if now >= waiting.expires_at {
             return self.refuse_waiting(waiting, expiry_reason(waiting));
         }
+        let has_waited = now > waiting.queued_at;
+        if has_waited && self.is_too_late(waiting.attempt, now) {
+            return self.refuse_waiting(waiting, Reason::TooLate);
+        }
         let (request, deadline) = self.requests.get(&waiting.attempt)?;
         let (service, deadline) = (request.service.clone(), *deadline);
         let common = self.upstreams.get_mut(id)?.common_mut();
         if let Some(state) = self.services.get_mut(&service) {
             state.shares.start(&waiting.group, now);
+            if has_waited {
+                state.drain_rate.record(now);
+            }
         }
         *(if long { &mut common.long_running } else { &mut common.short_running }) += 1;
         common.last_start = Some(now);
--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -22,6 +22,8 @@
             .filter(|upstream| upstream.common().service == *service && upstream.limit(now) > 0);
         let waits = open.map(|upstream| upstream.common().rate.wait_behind(load.queued, now));
         load.rate_wait = waits.min().unwrap_or_default();
+        let drain_time = queues.and_then(|state| state.drain_rate.time_for(load.queued + 1, now));
+        load.drain_time = drain_time.unwrap_or_default();
         load
     }
 
--- a/crates/core/src/gate/waiting.rs
+++ b/crates/core/src/gate/waiting.rs
@@ -9,14 +9,29 @@
 const TARGET_QUEUE_SHARE: f64 = 0.5;
 
 impl Gate {
-    /// Refuses a request that found no free slot and may not be queued.
-    pub(super) fn refuse_without_wait(&mut self, attempt: AttemptId) -> Option<GateAction> {
+    /// Returns whether a request that may not be queued finds a free slot. An upstream that has
+    /// just started keeps some of its slots for requests that would have to wait elsewhere.
+    pub(super) fn has_free_slot(&self, service: &ServiceName, now: Instant) -> bool {
+        let mut own = self.upstreams.values().filter(|u| u.common().service == *service);
+        own.any(|u| {
+            let common = u.common();
+            let busy = common.short_running + common.long_running;
+            busy < u.on_time_limit(now) && common.rate.wait(now).is_zero()
+        })
+    }
+
+    /// Takes a request out of its queue and refuses it.
+    pub(super) fn refuse_queued(
+        &mut self,
+        attempt: AttemptId,
+        reason: Reason,
+    ) -> Option<GateAction> {
         let (request, _) = self.requests.swap_remove(&attempt)?;
         if let Some(state) = self.services.get_mut(&request.service) {
             state.short_queue.remove(attempt);
             state.long_queue.remove(attempt);
         }
-        Some(self.refusal(&request, Reason::QueueFull))
+        Some(self.refusal(&request, reason))
     }
 
     /// Returns whether a request that may wait finds a place in a full queue.
@@ -86,6 +101,25 @@
         waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
     }
 
+    /// Returns whether a request can no longer be served in time: even the fastest recent run of its
+    /// kind took longer than the time that it has left.
+    pub(super) fn is_too_late(&self, attempt: AttemptId, now: Instant) -> bool {
+        let Some((request, deadline)) = self.requests.get(&attempt) else { return false };
+        let state = self.services.get(&request.service);
+        let latency = state.zip(request.kind).and_then(|(state, kind)| state.latencies.get(&kind));
+        latency.is_some_and(|latency| deadline.saturating_duration_since(now) < latency.fastest())
+    }
+
+    /// Refuses waiting requests that can no longer be served in time, wherever they are in the queue.
+    pub(super) fn refuse_late(&mut self, now: Instant) -> Vec<GateAction> {
+        let waiting = self.requests.keys().filter(|attempt| !self.running.contains_key(*attempt));
+        let late: Vec<AttemptId> =
+            waiting.copied().filter(|attempt| self.is_too_late(*attempt, now)).collect();
+        late.into_iter()
+            .filter_map(|attempt| self.refuse_queued(attempt, Reason::TooLate))
+            .collect()
+    }
+
     pub(super) fn expire(&mut self, now: Instant) -> Vec<GateAction> {
         let queues = self.services.values_mut();
         let expired: Vec<QueuedRequest> = queues
--- a/crates/core/src/latency.rs
+++ b/crates/core/src/latency.rs
@@ -12,6 +12,10 @@
 const PRIOR_RUNS: f64 = 6.0;
 /// Share of the counts that is kept with each new run, so that the distribution follows changes.
 const RETAINED_SHARE: f64 = 0.99;
+/// Runs from which on the fastest time is known.
+const MIN_FASTEST_RUNS: f64 = 20.0;
+/// Count of a bucket that is left of one run after 300 others.
+const NEGLIGIBLE_COUNT: f64 = 0.05;
 /// Shape of the assumed log-logistic distribution, which has the tail of mixed work.
 const PRIOR_SHAPE: f64 = 2.2;
 
@@ -65,16 +69,27 @@
         ((longer + PRIOR_RUNS * prior) / (self.total + PRIOR_RUNS)).clamp(1e-3, 1.0)
     }
 
+    /// Returns a time below which no recent run has finished; zero until enough runs are known.
+    pub fn fastest(&self) -> Duration {
+        if self.total < MIN_FASTEST_RUNS {
+            return Duration::ZERO;
+        }
+        // The first bucket also holds all shorter times.
+        let first = self.counts.iter().position(|count| *count > NEGLIGIBLE_COUNT).unwrap_or(0);
+        if first == 0 { Duration::ZERO } else { bucket_start(first) }
+    }
+
     /// Returns the time within which half of the runs finish.
     pub fn median(&self) -> Duration {
-        let time = |index: usize| {
-            Duration::from_secs_f64(FIRST_BUCKET_SECONDS * BUCKET_GROWTH.powi(index as i32))
-        };
-        let index = (0..BUCKET_COUNT).find(|index| self.tail_share(time(*index)) < 0.5);
-        time(index.unwrap_or(BUCKET_COUNT))
+        let index = (0..BUCKET_COUNT).find(|index| self.tail_share(bucket_start(*index)) < 0.5);
+        bucket_start(index.unwrap_or(BUCKET_COUNT))
     }
 }
 
+fn bucket_start(index: usize) -> Duration {
+    Duration::from_secs_f64(FIRST_BUCKET_SECONDS * BUCKET_GROWTH.powi(index as i32))
+}
+
 fn bucket(time: Duration) -> usize {
     let steps = (time.as_secs_f64() / FIRST_BUCKET_SECONDS).max(1.0).ln() / BUCKET_GROWTH.ln();
     (steps as usize).min(BUCKET_COUNT - 1)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod change;
 pub mod clock;
+pub mod drain_rate;
 pub mod entry;
 pub mod fair_share;
 pub mod floor;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -33,4 +33,6 @@
     pub gray_probability: f32,
     /// Time until the upstreams that limit the rate of their requests take another one.
     pub rate_wait: Duration,
+    /// Time in which the queue drains at its measured rate; zero if that is not known.
+    pub drain_time: Duration,
 }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -101,6 +101,8 @@
     Shed = "shed", 503;
     /// The body exceeds the limit for callers.
     BodyTooLarge = "body-too-large", 413;
+    /// The time left is below the fastest time that such requests take.
+    TooLate = "too-late", 503;
     /// The ticket is too old for its outcome to be known.
     TicketExpired = "ticket-expired", 410;
     /// The ticket was never issued or is malformed.
--- a/crates/schema/src/convert/request.rs
+++ b/crates/schema/src/convert/request.rs
@@ -62,6 +62,7 @@
             evidence: load.evidence,
             doubt: load.gray_probability,
             rate_wait_us: micros(load.rate_wait),
+            drain_us: micros(load.drain_time),
         }
     }
 }
@@ -77,6 +78,7 @@
             evidence: load.evidence,
             gray_probability: load.doubt,
             rate_wait: Duration::from_micros(load.rate_wait_us),
+            drain_time: Duration::from_micros(load.drain_us),
         }
     }
 }
