--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -37,7 +37,7 @@
     pub kind: Option<WorkKind>,
     /// Highest gray failure probability at which an upstream may still get the request.
     pub gray_tolerance: f32,
-    /// Organisation that the request belongs to.
+    /// Configured organisation that the request belongs to.
     pub organisation: Option<OrganisationName>,
     /// Priority of the organisation, which goes before `rank`; 0 is the highest.
     pub organisation_rank: u32,
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -148,6 +148,11 @@
             gray_tolerance: gray_tolerance(&active),
             organisation: active.arrival.organisation.clone(),
             organisation_rank: active.organisation_rank,
+            organisation_known: active
+                .arrival
+                .organisation
+                .as_ref()
+                .is_some_and(|name| self.directory.get(name).is_some()),
             hides_key: self.directory.needs_keys(),
         };
         let (request, ticket) = (active.arrival.request, active.ticket);
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -68,6 +68,9 @@
     pub organisation: Option<OrganisationName>,
     /// Priority of the organisation, which goes before `rank`; 0 is the highest.
     pub organisation_rank: u32,
+    /// Whether the organisation is configured. Gates do not share slots by names that anybody may
+    /// claim.
+    pub organisation_known: bool,
     /// Whether the header with the caller's key is removed before the request is sent on.
     pub hides_key: bool,
 }
--- a/crates/core/tests/organisations.rs
+++ b/crates/core/tests/organisations.rs
@@ -61,7 +61,7 @@
     let mut entry = entry_with(both());
     let one = begin(&mut entry, "/a", Some(ONE)).expect("a dispatch");
     assert_eq!((one.organisation.as_deref(), one.organisation_rank, one.rank), (Some("one"), 2, 3));
-    assert!(one.hides_key);
+    assert!(one.hides_key && one.organisation_known);
     let two = begin(&mut entry, "/a", Some(TWO)).expect("a dispatch");
     assert_eq!((two.organisation.as_deref(), two.organisation_rank), (Some("two"), 0));
 }
@@ -94,6 +94,8 @@
     let mut entry = entry_with(Directory::default());
     let spec = begin(&mut entry, "/a", Some(UNKNOWN)).expect("a dispatch");
     assert_eq!((spec.organisation.as_deref(), spec.hides_key), (Some("claimed"), false));
+    // Gates share no slots by a name that anybody may claim.
+    assert!(!spec.organisation_known);
 }
 
 #[test]
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -139,7 +139,7 @@
         degraded: spec.degraded,
         kind: spec.kind,
         gray_tolerance: spec.gray_tolerance,
-        organisation: spec.organisation.clone(),
+        organisation: spec.organisation.clone().filter(|_| spec.organisation_known),
         organisation_rank: spec.organisation_rank,
     }
 }
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -37,6 +37,7 @@
         body: if spec.idempotent { request.body.clone() } else { Bytes::new() },
         organisation: spec.organisation.as_deref().unwrap_or_default().to_owned(),
         organisation_rank: spec.organisation_rank,
+        organisation_known: spec.organisation_known,
         ..common_frame(request, spec.hides_key)
     }
 }
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -72,7 +72,7 @@
         degraded: begin.strained,
         kind: begin.kind,
         gray_tolerance: begin.tolerance,
-        organisation: Some(begin.organisation.as_str()).filter(|o| !o.is_empty()).map(Into::into),
+        organisation: begin.organisation_known.then(|| begin.organisation.as_str().into()),
         organisation_rank: begin.organisation_rank,
     };
     let (reply, decision) = oneshot::channel();
--- a/crates/lavenderflow/tests/not_run.rs
+++ b/crates/lavenderflow/tests/not_run.rs
@@ -156,6 +156,7 @@
         gray_tolerance: 1.0,
         organisation: None,
         organisation_rank: 0,
+        organisation_known: false,
         hides_key: false,
     }
 }
