--- /dev/null
+++ b/crates/lavenderflow/tests/common/scripted.rs
@@ -0,0 +1,173 @@
+//! A node's network tasks without its actors and upstreams, whose parts a test plays.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use lavenderflow::clock::SystemClock;
+use lavenderflow::http::native::NativeDialect;
+use lavenderflow::message::{EntryMessage, Mailbox, Message};
+use lavenderflow::net::connector::Connector;
+use lavenderflow::net::context::{LocalLink, NetworkContext, local_link_channel};
+use lavenderflow::net::drive::{Reply, Request, drive};
+use lavenderflow::net::link::{FrameSink, FrameSource};
+use lavenderflow::shutdown::{self, StopSender};
+use lavenderflow::upstream::Call;
+use lavenderflow::work::WorkTracker;
+use lavenderflow_core::id::AttemptId;
+use lavenderflow_core::reason::Reason;
+use lavenderflow_core::request::{Arrival, AttemptReport, AttemptSpec, EntryAction};
+use lavenderflow_schema::wire::Verdict;
+use lavenderflow_schema::wire::frame::Body;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+pub const NODE: u64 = 1;
+pub const REQUEST: u64 = 5;
+pub const ATTEMPT: AttemptId = AttemptId { node: NODE, incarnation: 1, serial: 1 };
+/// Time that the caller leaves, as long as the entry waits for a gate's first frame.
+pub const REMAINING: Duration = Duration::from_millis(150);
+/// Time after which a test fails instead of waiting on.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The ends of a node's channels that its actors and its upstreams would hold.
+pub struct Node {
+    pub context: NetworkContext,
+    pub messages: mpsc::Receiver<Message>,
+    pub links: mpsc::Receiver<LocalLink>,
+    pub calls: mpsc::Receiver<Call>,
+    pub stop: StopSender,
+}
+
+impl Node {
+    pub fn new() -> Self {
+        let (mailbox, messages) = Mailbox::new();
+        let (local_links, links) = local_link_channel();
+        let (call_sender, calls) = mpsc::channel(4);
+        let (stop, stop_watch) = shutdown::channel();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let endpoint = quinn::Endpoint::client(address).expect("a socket");
+        let context = NetworkContext {
+            node: NODE,
+            clock: Arc::new(SystemClock),
+            mailbox: mailbox.clone(),
+            connector: Connector::start(endpoint, mailbox),
+            local_links,
+            calls: call_sender,
+            dialect: Arc::new(NativeDialect),
+            work: WorkTracker::default(),
+            stop: stop_watch,
+            ping_interval: Duration::from_secs(1),
+        };
+        Self { context, messages, links, calls, stop }
+    }
+
+    pub async fn message(&mut self) -> Message {
+        timeout(TEST_TIMEOUT, self.messages.recv()).await.expect("in time").expect("a message")
+    }
+
+    pub async fn report(&mut self) -> AttemptReport {
+        loop {
+            if let Message::Entry(EntryMessage::Report(REQUEST, report)) = self.message().await {
+                return report;
+            }
+        }
+    }
+
+    /// Starts a request, on which the entry has not decided yet.
+    pub async fn begin(&mut self, idempotent: bool, body: Bytes) -> Driven {
+        let context = self.context.clone();
+        let request = Request {
+            arrival: Arrival {
+                request: REQUEST,
+                method: if idempotent { "GET" } else { "POST" }.to_owned(),
+                body_buffered: true,
+                body_length: Some(body.len() as u64),
+                ..Arrival::default()
+            },
+            id: "r".to_owned(),
+            headers: Vec::new(),
+            body,
+            body_rest: None,
+        };
+        let reply = tokio::spawn(async move { drive(&context, request).await });
+        let Message::Entry(EntryMessage::Begin(_, actions)) = self.message().await else {
+            panic!("no request");
+        };
+        Driven { reply, actions }
+    }
+
+    /// Starts a request and dispatches it to this node's own gate.
+    pub async fn dispatch(&mut self, idempotent: bool) -> (Driven, FrameSink, FrameSource) {
+        let driven = self.begin(idempotent, Bytes::new()).await;
+        driven.dispatch(NODE, idempotent).await;
+        let (sink, source) = self.links.recv().await.expect("a link");
+        (driven, sink, source)
+    }
+}
+
+/// A request that a task drives.
+pub struct Driven {
+    pub reply: JoinHandle<Reply>,
+    pub actions: mpsc::Sender<EntryAction>,
+}
+
+impl Driven {
+    pub async fn dispatch(&self, gate: u64, idempotent: bool) {
+        let dispatch = EntryAction::Dispatch {
+            request: REQUEST,
+            attempt: ATTEMPT,
+            ticket: None,
+            gate,
+            incarnation: 1,
+            spec: spec(idempotent),
+            retry_reason: None,
+        };
+        self.actions.send(dispatch).await.expect("a request");
+    }
+
+    /// Ends the entry's actor and returns what the caller gets.
+    pub async fn end_actors(self) -> Reply {
+        drop(self.actions);
+        timeout(TEST_TIMEOUT, self.reply).await.expect("in time").expect("a reply")
+    }
+}
+
+pub fn spec(idempotent: bool) -> AttemptSpec {
+    AttemptSpec {
+        service: "work".into(),
+        long: false,
+        idempotent,
+        queue_timeout: Duration::from_secs(1),
+        remaining: REMAINING,
+        median_latency: Duration::ZERO,
+        rank: 0,
+        target_latency: None,
+        retryable: false,
+        degraded: false,
+        kind: None,
+        gray_tolerance: 1.0,
+        organisation: None,
+        organisation_rank: 0,
+        organisation_known: false,
+        hides_key: false,
+    }
+}
+
+pub async fn receive(source: &mut FrameSource) -> Option<Body> {
+    timeout(TEST_TIMEOUT, source.receive()).await.expect("in time").expect("a frame")
+}
+
+pub fn queued() -> Body {
+    Body::Verdict(Verdict { queued: true, ..Verdict::default() })
+}
+
+pub fn admitted() -> Body {
+    Body::Verdict(Verdict { admitted: true, ..Verdict::default() })
+}
+
+pub fn refused(reason: Reason) -> Body {
+    Body::Verdict(Verdict { reason: reason.name().to_owned(), ..Verdict::default() })
+}
