--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -35,4 +35,6 @@
     pub rate_wait: Duration,
     /// Share of the recent requests that the upstreams rejected without running them.
     pub rejected_share: f32,
+    /// Time in which the queue drains at its measured rate; zero if that is not known.
+    pub drain_time: Duration,
 }
--- a/crates/schema/src/convert/request.rs
+++ b/crates/schema/src/convert/request.rs
@@ -63,6 +63,7 @@
             doubt: load.gray_probability,
             rate_wait_us: micros(load.rate_wait),
             rejected_share: load.rejected_share,
+            drain_us: micros(load.drain_time),
         }
     }
 }
@@ -79,6 +80,7 @@
             gray_probability: load.doubt,
             rate_wait: Duration::from_micros(load.rate_wait_us),
             rejected_share: load.rejected_share,
+            drain_time: Duration::from_micros(load.drain_us),
         }
     }
 }
