--- a/crates/lavenderflow/tests/common/scripted.rs
+++ b/crates/lavenderflow/tests/common/scripted.rs
@@ -2,25 +2,29 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use lavenderflow::clock::SystemClock;
 use lavenderflow::http::native::NativeDialect;
-use lavenderflow::message::{EntryMessage, Mailbox, Message};
+use lavenderflow::message::{AdmissionDecision, EntryMessage, GateMessage, Mailbox, Message};
 use lavenderflow::net::connector::Connector;
 use lavenderflow::net::context::{LocalLink, NetworkContext, local_link_channel};
 use lavenderflow::net::drive::{Reply, Request, drive};
-use lavenderflow::net::link::{FrameSink, FrameSource};
+use lavenderflow::net::link::{FrameSink, FrameSource, local_pair};
+use lavenderflow::net::serve;
 use lavenderflow::shutdown::{self, StopSender};
+use lavenderflow::slot::Slot;
 use lavenderflow::upstream::Call;
 use lavenderflow::work::WorkTracker;
+use lavenderflow_core::gate::SlotRequest;
 use lavenderflow_core::id::AttemptId;
+use lavenderflow_core::load::Load;
 use lavenderflow_core::reason::Reason;
 use lavenderflow_core::request::{Arrival, AttemptReport, AttemptSpec, EntryAction};
-use lavenderflow_schema::wire::Verdict;
 use lavenderflow_schema::wire::frame::Body;
-use tokio::sync::mpsc;
+use lavenderflow_schema::wire::{Begin, Purpose, Verdict};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -171,3 +175,49 @@
 pub fn refused(reason: Reason) -> Body {
     Body::Verdict(Verdict { reason: reason.name().to_owned(), ..Verdict::default() })
 }
+
+/// An attempt at this node's gate, and the entry's ends of its link.
+pub async fn submit(node: &mut Node, on_commit: bool) -> (Attempt, FrameSink, FrameSource) {
+    submit_frame(node, Begin { idempotent: !on_commit, on_commit, ..Begin::default() }).await
+}
+
+pub async fn submit_frame(node: &mut Node, frame: Begin) -> (Attempt, FrameSink, FrameSource) {
+    let begin = Begin {
+        purpose: Purpose::Dispatch.into(),
+        attempt: Some(ATTEMPT.into()),
+        request_id: "r".to_owned(),
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        remaining_us: 5_000_000,
+        patience_us: 5_000_000,
+        ..frame
+    };
+    let ((entry_sink, entry_source), (gate_sink, gate_source)) = local_pair();
+    let context = node.context.clone();
+    let served = tokio::spawn(async move {
+        // The test reads the result from the link.
+        let _ = serve::serve_as_gate(&context, begin, gate_sink, gate_source).await;
+    });
+    let Message::Gate(GateMessage::Submit(request, reply)) = node.message().await else {
+        panic!("no attempt");
+    };
+    (Attempt { served, request, reply }, entry_sink, entry_source)
+}
+
+pub struct Attempt {
+    pub served: JoinHandle<()>,
+    pub request: SlotRequest,
+    pub reply: oneshot::Sender<AdmissionDecision>,
+}
+
+pub fn grant(node: &Node) -> (AdmissionDecision, mpsc::Sender<()>) {
+    let (slot, owner) = Slot::new(ATTEMPT, node.context.mailbox.clone());
+    let start = AdmissionDecision::Start {
+        upstream: "upstream".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        deadline: Instant::now() + TEST_TIMEOUT,
+        load: Load::default(),
+        slot,
+    };
+    (start, owner)
+}
--- a/crates/lavenderflow/tests/not_run_gate.rs
+++ b/crates/lavenderflow/tests/not_run_gate.rs
@@ -8,69 +8,20 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use common::scripted::{ATTEMPT, Node, TEST_TIMEOUT, queued, receive};
+use common::scripted::{ATTEMPT, Node, TEST_TIMEOUT, grant, queued, receive, submit, submit_frame};
 use lavenderflow::clock::SystemClock;
 use lavenderflow::http::native::NativeDialect;
-use lavenderflow::message::{AdmissionDecision, GateMessage, Message};
-use lavenderflow::net::link::{FrameSink, FrameSource, local_pair};
-use lavenderflow::net::serve;
-use lavenderflow::slot::Slot;
+use lavenderflow::message::{GateMessage, Message};
 use lavenderflow::upstream::{Call, CallEvent};
-use lavenderflow_core::gate::{RunResult, SlotRequest};
+use lavenderflow_core::gate::RunResult;
 use lavenderflow_core::load::Load;
 use lavenderflow_core::reason::Reason;
 use lavenderflow_schema::wire::frame::Body;
-use lavenderflow_schema::wire::{Begin, Chunk, Cut, Purpose};
-use tokio::sync::{mpsc, oneshot};
+use lavenderflow_schema::wire::{Begin, Chunk, Cut};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// An attempt at this node's gate, and the entry's ends of its link.
-async fn submit(node: &mut Node, on_commit: bool) -> (Attempt, FrameSink, FrameSource) {
-    submit_frame(node, Begin { idempotent: !on_commit, on_commit, ..Begin::default() }).await
-}
-
-async fn submit_frame(node: &mut Node, frame: Begin) -> (Attempt, FrameSink, FrameSource) {
-    let begin = Begin {
-        purpose: Purpose::Dispatch.into(),
-        attempt: Some(ATTEMPT.into()),
-        request_id: "r".to_owned(),
-        method: "GET".to_owned(),
-        target: "/".to_owned(),
-        remaining_us: 5_000_000,
-        patience_us: 5_000_000,
-        ..frame
-    };
-    let ((entry_sink, entry_source), (gate_sink, gate_source)) = local_pair();
-    let context = node.context.clone();
-    let served = tokio::spawn(async move {
-        // The test reads the result from the link.
-        let _ = serve::serve_as_gate(&context, begin, gate_sink, gate_source).await;
-    });
-    let Message::Gate(GateMessage::Submit(request, reply)) = node.message().await else {
-        panic!("no attempt");
-    };
-    (Attempt { served, request, reply }, entry_sink, entry_source)
-}
-
-struct Attempt {
-    served: JoinHandle<()>,
-    request: SlotRequest,
-    reply: oneshot::Sender<AdmissionDecision>,
-}
-
-fn grant(node: &Node) -> (AdmissionDecision, mpsc::Sender<()>) {
-    let (slot, owner) = Slot::new(ATTEMPT, node.context.mailbox.clone());
-    let start = AdmissionDecision::Start {
-        upstream: "upstream".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 9)),
-        deadline: Instant::now() + TEST_TIMEOUT,
-        load: Load::default(),
-        slot,
-    };
-    (start, owner)
-}
-
 fn refusal(body: Option<Body>) -> Option<Reason> {
     let Some(Body::Verdict(verdict)) = body else { return None };
     (!verdict.admitted && !verdict.queued).then(|| Reason::from_name(&verdict.reason))?
