Apply the rule for late requests only to those that have waited

Cause: a request that found a free slot counted as one that had waited, because the real clock moves between its arrival and its start. It could be refused as too late, and it counted as a start in the drain rate. Tests with a clock that stands still did not see it.

Change: slots are filled at the time of the event that made room.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -126,7 +126,7 @@
             state.short_queue.push(waiting);
         }
         let mut actions = Vec::from_iter(displaced);
-        actions.extend(self.fill(&service));
+        actions.extend(self.fill(&service, now));
         if !self.running.contains_key(&attempt) {
             if !waits {
                 actions.extend(self.refuse_queued(attempt, Reason::QueueFull));
@@ -188,7 +188,7 @@
             );
         }
         let mut actions = self.update_likely_gray(now);
-        actions.extend(self.fill(&request.service));
+        actions.extend(self.fill(&request.service, now));
         if changed {
             actions.extend(self.publish());
         }
@@ -213,7 +213,7 @@
         actions.extend(self.refuse_waits_on_gray(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
-            actions.extend(self.fill(&service));
+            actions.extend(self.fill(&service, now));
         }
         actions.extend(self.publish());
         actions
@@ -284,9 +284,9 @@
         GateAction::Refuse { attempt: request.attempt, reason, load: self.load(&request.service) }
     }
 
-    /// Gives free slots to queued requests, short ones first.
-    fn fill(&mut self, service: &ServiceName) -> Vec<GateAction> {
-        let now = self.clock.now();
+    /// Gives free slots to queued requests, short ones first. `now` is the time of the event that made
+    /// room: a request that joined the queue at this time has not waited.
+    fn fill(&mut self, service: &ServiceName, now: Instant) -> Vec<GateAction> {
         let mut actions = Vec::new();
         for long in [false, true] {
             while let Some(id) = self.free_upstream(service, long, now) {
--- a/crates/core/src/gate/signals.rs
+++ b/crates/core/src/gate/signals.rs
@@ -38,7 +38,7 @@
         }
         if rate != old {
             // A higher limit makes room for requests in the queue.
-            actions.extend(self.fill(&service));
+            actions.extend(self.fill(&service, now));
         }
         actions
     }
--- a/crates/core/tests/late.rs
+++ b/crates/core/tests/late.rs
@@ -3,15 +3,16 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime};
 
-use lavenderflow_core::clock::{ManualClock, SharedClock};
+use lavenderflow_core::clock::{Clock, ManualClock, SharedClock};
 use lavenderflow_core::gate::{Gate, GateAction, RunResult, SlotRequest};
 use lavenderflow_core::load::{Condition, Load};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
 use support::{
-    arrival, attempt, clock, entry, first_dispatch, gate, member, service, service_offer,
+    announcement, arrival, attempt, clock, entry, first_dispatch, gate, member, service,
+    service_offer,
 };
 
 const RUN_TIME: Duration = Duration::from_millis(100);
@@ -86,6 +87,39 @@
     assert_eq!(refused(&gate.tick()), []);
 }
 
+/// A clock that moves with each reading, as a real one does.
+#[derive(Debug)]
+struct RunningClock(Arc<ManualClock>);
+
+impl Clock for RunningClock {
+    fn now(&self) -> Instant {
+        self.0.advance(Duration::from_micros(1));
+        self.0.now()
+    }
+
+    fn system_time(&self) -> SystemTime {
+        self.0.system_time()
+    }
+}
+
+/// Guards against a refusal, or a measurement of the queue, because of a request that never waited.
+#[test]
+fn a_request_that_finds_a_free_slot_starts_with_any_time_left() {
+    let clock = clock();
+    let mut gate = Gate::new(1, Arc::new(RunningClock(Arc::clone(&clock))));
+    gate.announce(&announcement("upstream", 1)).expect("applied");
+    clock.advance(Duration::from_secs(10));
+    gate.tick();
+    for serial in 1..=30 {
+        gate.submit(request(serial, 60_000));
+        clock.advance(RUN_TIME);
+        gate.finish(attempt(serial), RunResult::Success);
+    }
+    assert_eq!(gate.load(&service()).drain_time, Duration::ZERO);
+    let actions = gate.submit(request(100, 50));
+    assert!(matches!(actions.as_slice(), [GateAction::Start { .. }]), "{actions:?}");
+}
+
 /// Guards against refusals because most runs are slow: some are fast enough.
 #[test]
 fn the_fastest_recent_run_decides() {
