--- a/crates/core/src/gate/order.rs
+++ b/crates/core/src/gate/order.rs
@@ -84,7 +84,7 @@
         let field = if announcement.service != known.service {
             "service"
         } else if announcement.generation == 0 && known.generation != 0 {
-            "born"
+            "start time"
         } else if is_same_process && known.generation != 0 && announcement.address != known.address
         {
             "address"
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -79,9 +79,9 @@
     /// Another lifetime has a later start time, and may still be alive.
     #[error("another lifetime of the upstream or its address has a later start time")]
     Unconfirmed,
-    /// The field differs from what the upstream has announced, and may not change. What it has
+    /// A field (`service`, `address` or `start time`) differs from what the upstream has announced, and may not change. What it has
     /// announced stays in force.
-    #[error("field {0} contradicts what the upstream has announced before")]
+    #[error("the announced {0} contradicts what the upstream has announced before")]
     Contradiction(&'static str),
 }
 
--- a/crates/core/tests/announcements.rs
+++ b/crates/core/tests/announcements.rs
@@ -43,7 +43,7 @@
         (foreign(0, 9), "service"),
         (foreign(4, 1), "service"),
         (leaving, "service"),
-        (Announcement { slots: 9, ..heartbeat(0, 9) }, "born"),
+        (Announcement { slots: 9, ..heartbeat(0, 9) }, "start time"),
         (elsewhere, "address"),
     ] {
         let clock = clock();
