Enable hedging before the first slow request of its test

Cause: the test changed the settings file of running nodes and began before they had read it.

Change: the test restarts the entry's node with the limit, and the upstream no longer hangs when the requests that may not be repeated are sent.

--- a/crates/lavenderflow/tests/hedging.rs
+++ b/crates/lavenderflow/tests/hedging.rs
@@ -13,14 +13,16 @@
 const HEDGE_PERCENT: u64 = 10;
 /// Requests without which the usual latency is unknown, and as many that pay for copies.
 const WARM_UP_REQUESTS: usize = 60;
-/// Sets the limit in the settings files of all nodes, which read them again.
-fn enable_hedging(deployment: &Deployment) {
-    for vm in &deployment.vms {
-        let text = std::fs::read(&vm.settings_file).expect("a settings file");
-        let mut settings: Value = serde_json::from_slice(&text).expect("settings");
-        settings["hedge_percent"] = HEDGE_PERCENT.into();
-        std::fs::write(&vm.settings_file, settings.to_string()).expect("a settings file");
-    }
+/// Restarts the node of a VM with the limit in its settings file.
+fn enable_hedging(deployment: &mut Deployment, index: usize) {
+    let vm = &mut deployment.vms[index];
+    let text = std::fs::read(&vm.settings_file).expect("a settings file");
+    let mut settings: Value = serde_json::from_slice(&text).expect("settings");
+    settings["hedge_percent"] = HEDGE_PERCENT.into();
+    std::fs::write(&vm.settings_file, settings.to_string()).expect("a settings file");
+    vm.process.kill().expect("a node");
+    deployment.restart(index);
+    deployment.wait_ready();
 }
 
 /// Returns a counter of a node, from the metrics page at its address for operators.
@@ -37,12 +39,10 @@
 
 #[test]
 fn a_copy_answers_for_a_hanging_upstream_and_the_loser_is_cancelled() {
-    let deployment = Deployment::start(3);
-    enable_hedging(&deployment);
+    let mut deployment = Deployment::start(3);
+    enable_hedging(&mut deployment, 0);
     let file = &deployment.vms[0].settings_file;
     let read = |id: &str| deployment.call(0, "GET", "/read/a", id).expect("a response");
-    // The settings are in force once a request is counted for the limit, which shows only in what
-    // follows, so the warm-up is repeated until a copy has won.
     // It is in the zone of the entry, which prefers it.
     let hanging = &deployment.upstreams[2];
     // Whether a request that hangs there was run once more elsewhere, and the upstream has learned
@@ -53,6 +53,8 @@
         requests.iter().any(|(id, record)| record.closed_at.is_some() && runs[id] == 2)
     };
     let mut count = 0;
+    // The gate learns from attempts that hang and refuses further requests, and the retry budget of
+    // one node allows about two copies at once, so that this may take more than one round.
     wait_until("a copy has won, and its first attempt was cancelled", || {
         hanging.set_mode(Mode::Healthy).expect("an upstream");
         for _ in 0..WARM_UP_REQUESTS {
@@ -77,6 +79,7 @@
     assert_eq!(started, ended.iter().sum::<u64>(), "every copy has ended");
     assert!(started * 100 <= HEDGE_PERCENT * count as u64, "{started} copies of {count}");
     // Requests that may not be repeated are never copied.
+    hanging.set_mode(Mode::Healthy).expect("an upstream");
     for index in 0..20 {
         deployment.call(0, "POST", "/write/a", &format!("w{index}"));
     }
