Go on refilling an allowance after its limit was lowered

Cause: tokens with a long life that were granted under the old limit filled the new bucket.

Change: outstanding tokens take at most half of the bucket. Result: allowance_root.rs, which failed before.

--- a/crates/core/src/allowance/root.rs
+++ b/crates/core/src/allowance/root.rs
@@ -46,7 +46,10 @@
     fn set_limits(&mut self, (rate, capacity): (f64, f64), now: Instant) {
         (self.rate, self.capacity) = (rate, capacity);
         let outstanding = self.outstanding_tokens(now);
-        self.bucket.set_limits(rate, (capacity - outstanding).max(0.0), now);
+        // More than this part is outstanding only after a limit was lowered. These tokens were granted
+        // under the old limit and end before the new one binds, so the refill goes on meanwhile.
+        let rest = (capacity - outstanding).max(capacity / LONG_SHARE_DIVISOR);
+        self.bucket.set_limits(rate, rest, now);
     }
 
     fn outstanding_tokens(&mut self, now: Instant) -> f64 {
--- a/crates/core/tests/allowance_root.rs
+++ b/crates/core/tests/allowance_root.rs
@@ -87,3 +87,25 @@
     assert_eq!(granted(&mut allowances, healed + second * 2), 500);
     assert_eq!(granted(&mut allowances, healed + second * 3), 1000);
 }
+
+#[test]
+fn a_lowered_limit_does_not_stop_the_refill() {
+    // Guards against an organisation that gets nothing until tokens of the old limit have ended.
+    let start = Instant::now();
+    let mut root = Root::default();
+    let update = |root: &mut Root, rate: f64, now| {
+        let allowance = Allowance { rate, burst: rate };
+        root.update(&"one".into(), Some((allowance, 1.0)), start, now);
+    };
+    update(&mut root, 90.0, start);
+    let lowered_at = start + LONG;
+    let before = root.grant(&draw(40, 5), lowered_at).expect("the root grants");
+    assert_eq!(before.tokens, 45, "with a long life");
+    update(&mut root, 30.0, lowered_at);
+    let mut granted = 0;
+    for step in 1..=20 {
+        let now = lowered_at + Duration::from_millis(100 * step);
+        granted += root.grant(&draw(10, 0), now).expect("the root grants").tokens;
+    }
+    assert!((55..=75).contains(&granted), "{granted} of 60 in 2 s at the new rate");
+}
