--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -182,21 +182,29 @@
         Self::start_with_bound(count, 2)
     }
 
+    /// Starts VMs with `limits` in the settings file of each node, and waits until all are ready.
+    pub fn start_limited(count: usize, limits: Value) -> Self {
+        let mut deployment = Self::start_with(count, 2, false, limits);
+        deployment.configure("work", "work");
+        deployment.wait_ready();
+        deployment
+    }
+
     /// Starts VMs without a configuration; `apply_seconds` is the bound within which a change of
     /// the configuration must take effect.
     pub fn start_with_bound(count: usize, apply_seconds: u32) -> Self {
-        Self::start_with(count, apply_seconds, false)
+        Self::start_with(count, apply_seconds, false, json!({}))
     }
 
     /// Starts VMs whose nodes reach the store through proxies, and waits until all nodes are ready.
     pub fn start_behind_proxies(count: usize) -> Self {
-        let mut deployment = Self::start_with(count, 2, true);
+        let mut deployment = Self::start_with(count, 2, true, json!({}));
         deployment.configure("work", "work");
         deployment.wait_ready();
         deployment
     }
 
-    fn start_with(count: usize, apply_seconds: u32, is_proxied: bool) -> Self {
+    fn start_with(count: usize, apply_seconds: u32, is_proxied: bool, limits: Value) -> Self {
         let store = StoreStandin::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a store");
         let addresses = (0..count).map(|_| store.listen().expect("an address"));
         let addresses: Vec<SocketAddr> = addresses.collect();
@@ -207,7 +215,7 @@
         let vms: Vec<Vm> = (0..count)
             .map(|index| {
                 let address = store_proxies.get(index).map_or(addresses[index], TcpProxy::address);
-                start_vm(&format!("vm-{number}-{index}"), index, address, apply_seconds)
+                start_vm(&format!("vm-{number}-{index}"), index, address, apply_seconds, &limits)
             })
             .collect();
         let upstreams =
@@ -308,7 +316,7 @@
     }
 }
 
-fn start_vm(name: &str, index: usize, store: SocketAddr, apply_seconds: u32) -> Vm {
+fn start_vm(name: &str, index: usize, store: SocketAddr, apply_seconds: u32, limits: &Value) -> Vm {
     let port = || free_tcp_port().expect("a port");
     let (outbound, ready, control, upstream) = (port(), port(), port(), port());
     let first = free_port_pair();
@@ -320,7 +328,7 @@
         "internal_ports": [first, first + 1], "heartbeat_s": 0.3,
         "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "budget_extra_retries": 56,
             "floor_share": 0.7, "config_apply_s": apply_seconds},
-        "app_address": upstream.to_string(), "service": "work",
+        "limits": limits, "app_address": upstream.to_string(), "service": "work",
         "platform": {"address": store.to_string(), "form": "kv"}
     });
     let settings_file =
--- a/crates/lavenderflow/tests/common/mod.rs
+++ b/crates/lavenderflow/tests/common/mod.rs
@@ -44,6 +44,8 @@
     pub proxied: bool,
     /// Further command-line arguments of each node.
     pub arguments: Vec<&'static str>,
+    /// Environment variables of each node.
+    pub variables: Vec<(&'static str, String)>,
 }
 
 impl Default for SiteConfig {
@@ -56,6 +58,7 @@
             profile: Vec::new(),
             proxied: false,
             arguments: vec!["--ping", "100", "--linger", "300"],
+            variables: Vec::new(),
         }
     }
 }
@@ -215,6 +218,7 @@
         let mut settings =
             NodeSettings::new(&name, zone, self.store.address(), &self.keys).expect("free ports");
         settings.extra_args = self.config.arguments.iter().map(ToString::to_string).collect();
+        settings.variables = self.config.variables.clone();
         if self.config.proxied {
             let proxy = UdpProxy::start(settings.peers).expect("a proxy");
             settings.advertised = Some(proxy.address());
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -41,6 +41,8 @@
     pub keys: PathBuf,
     /// Further command-line arguments.
     pub extra_args: Vec<String>,
+    /// Environment variables.
+    pub variables: Vec<(&'static str, String)>,
 }
 
 impl NodeSettings {
@@ -61,6 +63,7 @@
             admin: free_tcp_port()?,
             keys: keys.to_owned(),
             extra_args: Vec::new(),
+            variables: Vec::new(),
         })
     }
 
@@ -106,7 +109,7 @@
     ///
     /// The process cannot be started.
     pub fn start(binary: &Path, settings: NodeSettings) -> Result<Self, Error> {
-        let process = Process::start(binary, &settings.arguments(), &[])?;
+        let process = Process::start(binary, &settings.arguments(), &settings.variables)?;
         Ok(Self { process, settings })
     }
 
@@ -173,6 +176,11 @@
         self.process.resident_bytes()
     }
 
+    /// Returns the number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        self.process.open_descriptors()
+    }
+
     /// Returns the CPU time that the process has used.
     pub fn cpu_time(&self) -> Option<Duration> {
         self.process.cpu_time()
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -132,6 +132,11 @@
             .map(|kilobytes| kilobytes * 1024)
     }
 
+    /// Returns the number of descriptors that the process has open.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        Some(std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).ok()?.count())
+    }
+
     /// Returns the CPU time that the process has used.
     pub fn cpu_time(&self) -> Option<Duration> {
         /// Clock ticks per second on Linux.
