Account for held memory and decide which connections to close

Cause: a node had no account of what it holds for clients, so nothing could limit it (73 MB with 150 unfinished bodies, 203 MB with 700).

Change: core::memory has budgets in a chain (connection, source address, node) and shares that release themselves when dropped; limits are derived from the settings `memory` and `descriptors` (platform: limits.memory_mb, max_fds). core::connections decides which connection to close when a limit is reached: the one that has waited longest for its caller. Reasons memory-limit (503) and request-timeout (408).

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -39,13 +39,17 @@
     }
 }
 
-/// Size limits for the requests of callers.
+/// Limits for the requests of callers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RequestLimits {
     /// Largest header section in bytes; `None` leaves the node's built-in limit.
     pub header_bytes: Option<usize>,
     /// Largest body in bytes; `None` sets no limit.
     pub body_bytes: Option<u64>,
+    /// Time within which callers send the head of a request.
+    pub header_timeout: Option<Duration>,
+    /// Longest pause of a caller in the middle of a request or a response, and of an idle connection.
+    pub idle_timeout: Option<Duration>,
 }
 
 /// All routes, limits and organisations, which take effect together.
--- /dev/null
+++ b/crates/core/src/connections.rs
@@ -0,0 +1,273 @@
+//! Decides which connections of callers are open, and which one to close when a limit is reached.
+
+use std::cmp::Reverse;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use crate::memory::{Budget, HeldKind, HoldLimits, Share};
+use crate::prelude::*;
+use crate::progress::{Phase, Progress};
+
+/// Identifies a connection of a caller.
+pub type ConnectionId = u64;
+
+/// Memory that an open connection is accounted with: its task, its buffers and an unfinished head.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+/// Part of a limit that is made free at once when it is reached.
+const FREED_DIVISOR: u64 = 16;
+/// A connection that made progress within this time is not closed for the limits, so that requests
+/// that are being transferred end.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(250);
+
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum CloseReason {
+    /// The node or the source address has too many connections.
+    ConnectionLimit,
+    /// The node or the source address holds too much memory.
+    MemoryLimit,
+    /// The head or the body of a request, or the reading of its response, makes no progress.
+    Timeout,
+}
+
+impl CloseReason {
+    /// All reasons.
+    pub const ALL: [Self; 3] = [Self::ConnectionLimit, Self::MemoryLimit, Self::Timeout];
+
+    /// Returns the name that logs and counters use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ConnectionLimit => "connection-limit",
+            Self::MemoryLimit => "memory-limit",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
+/// Time bounds on the progress of requests; `None` sets no bound.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ProgressTimeouts {
+    /// Longest time from the first byte of a head to its end.
+    pub head: Option<Duration>,
+    /// Longest time without a byte of a body, or without one of the response being read.
+    pub body: Option<Duration>,
+}
+
+/// A connection to close.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Closing {
+    /// The connection.
+    pub connection: ConnectionId,
+    /// Why.
+    pub reason: CloseReason,
+    /// For how long it has waited for its caller.
+    pub idle: Duration,
+}
+
+#[derive(Debug)]
+struct OpenConnection {
+    source: IpAddr,
+    budget: Budget,
+    progress: Arc<Progress>,
+    is_closing: bool,
+    _share: Share,
+}
+
+#[derive(Debug)]
+struct Source {
+    connections: usize,
+    budget: Budget,
+}
+
+/// The open connections of callers.
+#[derive(Debug)]
+pub struct ConnectionTable {
+    limits: HoldLimits,
+    budget: Budget,
+    next: ConnectionId,
+    connections: IndexMap<ConnectionId, OpenConnection>,
+    sources: IndexMap<IpAddr, Source>,
+}
+
+impl ConnectionTable {
+    /// Creates an empty table; `budget` is that of the node.
+    pub fn new(limits: HoldLimits, budget: Budget) -> Self {
+        let (connections, sources) = (IndexMap::new(), IndexMap::new());
+        Self { limits, budget, next: 0, connections, sources }
+    }
+
+    /// Returns whether there is no open connection.
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Returns whether a connection can be opened; if not, none should be accepted.
+    pub fn has_room(&self) -> bool {
+        let is_below = self.limits.connections.is_none_or(|max| self.connections.len() < max);
+        is_below && self.budget.held().saturating_add(CONNECTION_BYTES) <= self.budget.limit()
+    }
+
+    /// Opens a connection; returns its id and budget.
+    ///
+    /// # Errors
+    ///
+    /// Its source address has as many connections, or holds as much memory, as it may.
+    pub fn open(
+        &mut self,
+        source: IpAddr,
+        progress: Arc<Progress>,
+    ) -> Result<(ConnectionId, Budget), CloseReason> {
+        let (limits, node) = (self.limits, &self.budget);
+        let entry = self.sources.entry(source);
+        let owner = entry
+            .or_insert_with(|| Source { connections: 0, budget: node.source(limits.source_bytes) });
+        if limits.source_connections.is_some_and(|max| owner.connections >= max) {
+            return Err(CloseReason::ConnectionLimit);
+        }
+        let budget = owner.budget.connection(limits.connection_bytes);
+        let Ok(share) = budget.claim(HeldKind::Connection, CONNECTION_BYTES) else {
+            if owner.connections == 0 {
+                self.sources.swap_remove(&source);
+            }
+            return Err(CloseReason::MemoryLimit);
+        };
+        owner.connections += 1;
+        let id = self.next;
+        self.next += 1;
+        let connection = OpenConnection {
+            source,
+            budget: budget.clone(),
+            progress,
+            is_closing: false,
+            _share: share,
+        };
+        self.connections.insert(id, connection);
+        Ok((id, budget))
+    }
+
+    /// Removes a connection that has ended.
+    pub fn close(&mut self, connection: ConnectionId) {
+        let Some(connection) = self.connections.swap_remove(&connection) else { return };
+        if let Some(owner) = self.sources.get_mut(&connection.source) {
+            owner.connections -= 1;
+            if owner.connections == 0 {
+                self.sources.swap_remove(&connection.source);
+            }
+        }
+    }
+
+    /// Returns the connections to close now: those beyond the time bounds, then, where a limit is
+    /// reached, those that have waited longest for their callers.
+    pub fn sweep(&mut self, now: Instant, timeouts: ProgressTimeouts) -> Vec<Closing> {
+        let mut closing = self.close_late(now, timeouts);
+        if let Some(max) = self.limits.connections {
+            let open = self.connections.len();
+            self.free_connections(None, open, max, now, &mut closing);
+        }
+        if self.budget.take_refusal() || !self.has_room() {
+            let limit = self.budget.limit();
+            self.free_bytes(None, self.budget.held(), limit, now, &mut closing);
+        }
+        for index in 0..self.sources.len() {
+            let Some((address, source)) = self.sources.get_index(index) else { continue };
+            let (address, open) = (*address, source.connections);
+            let is_short = source.budget.take_refusal();
+            let (held, limit) = (source.budget.held(), source.budget.limit());
+            if let Some(max) = self.limits.source_connections {
+                self.free_connections(Some(address), open, max, now, &mut closing);
+            }
+            if is_short {
+                self.free_bytes(Some(address), held, limit, now, &mut closing);
+            }
+        }
+        closing
+    }
+
+    fn close_late(&mut self, now: Instant, timeouts: ProgressTimeouts) -> Vec<Closing> {
+        let mut closing = Vec::new();
+        for (id, connection) in &mut self.connections {
+            let progress = &connection.progress;
+            let is_late = match progress.phase() {
+                Phase::Head => timeouts.head.is_some_and(|t| progress.phase_time(now) > t),
+                Phase::Idle | Phase::Processing => false,
+                Phase::Receiving | Phase::Responding => {
+                    let idle = progress.idle_time(now);
+                    timeouts.body.is_some_and(|t| idle.is_some_and(|idle| idle > t))
+                }
+            };
+            if is_late && !connection.is_closing {
+                connection.is_closing = true;
+                let idle = progress.idle_time(now).unwrap_or_default();
+                closing.push(Closing { connection: *id, reason: CloseReason::Timeout, idle });
+            }
+        }
+        closing
+    }
+
+    fn free_connections(
+        &mut self,
+        source: Option<IpAddr>,
+        open: usize,
+        max: usize,
+        now: Instant,
+        closing: &mut Vec<Closing>,
+    ) {
+        if open < max {
+            return;
+        }
+        let wanted = open - max + (max / FREED_DIVISOR as usize).max(1);
+        let missing = wanted.saturating_sub(self.closing_of(source).count());
+        for id in self.by_idle_time(source, now).into_iter().take(missing) {
+            closing.extend(self.start_closing(id, CloseReason::ConnectionLimit, now));
+        }
+    }
+
+    fn free_bytes(
+        &mut self,
+        source: Option<IpAddr>,
+        held: u64,
+        limit: u64,
+        now: Instant,
+        closing: &mut Vec<Closing>,
+    ) {
+        let wanted = held.saturating_sub(limit - limit / FREED_DIVISOR);
+        if wanted == 0 {
+            return;
+        }
+        let mut freed: u64 = self.closing_of(source).map(|c| c.budget.held()).sum();
+        for id in self.by_idle_time(source, now) {
+            if freed >= wanted {
+                return;
+            }
+            freed += self.connections[&id].budget.held();
+            closing.extend(self.start_closing(id, CloseReason::MemoryLimit, now));
+        }
+    }
+
+    fn closing_of(&self, source: Option<IpAddr>) -> impl Iterator<Item = &OpenConnection> {
+        let connections = self.connections.values();
+        connections.filter(move |c| c.is_closing && source.is_none_or(|s| s == c.source))
+    }
+
+    /// Returns the connections that wait for their callers, those that have waited longest first.
+    fn by_idle_time(&self, source: Option<IpAddr>, now: Instant) -> Vec<ConnectionId> {
+        let open = self.connections.iter();
+        let open = open.filter(|(_, c)| !c.is_closing && source.is_none_or(|s| s == c.source));
+        let idle = open.filter_map(|(id, c)| Some((c.progress.idle_time(now)?, *id)));
+        let mut idle: Vec<_> = idle.filter(|(idle, _)| *idle >= MIN_IDLE_TIME).collect();
+        idle.sort_by_key(|(idle, id)| (Reverse(*idle), *id));
+        idle.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn start_closing(
+        &mut self,
+        id: ConnectionId,
+        reason: CloseReason,
+        now: Instant,
+    ) -> Option<Closing> {
+        let connection = self.connections.get_mut(&id)?;
+        connection.is_closing = true;
+        let idle = connection.progress.idle_time(now).unwrap_or_default();
+        Some(Closing { connection: id, reason, idle })
+    }
+}
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -79,6 +79,8 @@
     Leaving = "leaving", 503;
     /// The gate did not respond.
     Lost = "lost", 502;
+    /// The node holds as much memory for others as it may.
+    MemoryLimit = "memory-limit", 503;
     /// No gate offers the service.
     NoGate = "no-gate", 503;
     /// No route matches.
@@ -97,6 +99,8 @@
     QueueFull = "queue-full", 503;
     /// The upstream limits the rate of its requests.
     RateLimited = "rate-limited", 503;
+    /// The body of the request did not arrive in time.
+    RequestTimeout = "request-timeout", 408;
     /// The upstream shed the request without running it.
     Shed = "shed", 503;
     /// The body exceeds the limit for callers.
--- /dev/null
+++ b/crates/core/tests/memory.rs
@@ -0,0 +1,192 @@
+//! Tests the accounting of held memory, and which connections are closed for the limits.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use lavenderflow_core::connections::{
+    CloseReason, Closing, ConnectionId, ConnectionTable, ProgressTimeouts,
+};
+use lavenderflow_core::memory::{Budget, HeldKind, HoldLimits, OverLimit, Share};
+use lavenderflow_core::progress::{Phase, Progress};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn address(last: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, last))
+}
+
+fn table(limits: HoldLimits) -> (ConnectionTable, Budget) {
+    let budget = Budget::new(limits.node_bytes);
+    (ConnectionTable::new(limits, budget.clone()), budget)
+}
+
+fn open(
+    table: &mut ConnectionTable,
+    source: IpAddr,
+    start: Instant,
+) -> (ConnectionId, Budget, Arc<Progress>) {
+    let progress = Arc::new(Progress::new(start));
+    let (id, budget) = table.open(source, Arc::clone(&progress)).expect("a connection");
+    (id, budget, progress)
+}
+
+fn ids(closing: &[Closing], reason: CloseReason) -> Vec<ConnectionId> {
+    closing.iter().filter(|c| c.reason == reason).map(|c| c.connection).collect()
+}
+
+/// Guards against shares that are released twice or not at all, and against limits that are
+/// exceeded, whatever the order of claims, resizes and drops.
+#[test]
+fn shares_never_exceed_a_limit_and_are_all_released() {
+    for seed in 0..200 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let node = Budget::new(Some(1000));
+        let sources = [node.source(Some(600)), node.source(Some(600))];
+        let connections: Vec<Budget> =
+            (0..8).map(|index| sources[index % 2].connection(Some(250))).collect();
+        let mut shares: Vec<(usize, Share, u64)> = Vec::new();
+        for _ in 0..300 {
+            let bytes = random.random_range(0..200);
+            match random.random_range(0..3) {
+                0 => {
+                    let owner = random.random_range(0..connections.len());
+                    let kind = HeldKind::ALL[random.random_range(0..HeldKind::ALL.len())];
+                    if let Ok(share) = connections[owner].claim(kind, bytes) {
+                        shares.push((owner, share, bytes));
+                    }
+                }
+                1 if !shares.is_empty() => {
+                    let index = random.random_range(0..shares.len());
+                    let (_, share, size) = &mut shares[index];
+                    if share.resize(bytes).is_ok() {
+                        *size = bytes;
+                    }
+                }
+                _ if !shares.is_empty() => {
+                    shares.swap_remove(random.random_range(0..shares.len()));
+                }
+                _ => {}
+            }
+            let held = |owners: &dyn Fn(usize) -> bool| {
+                let owned = shares.iter().filter(|(owner, ..)| owners(*owner));
+                owned.map(|(_, _, size)| size).sum::<u64>()
+            };
+            assert_eq!(node.held(), held(&|_| true), "seed {seed}");
+            assert!(node.held() <= 1000, "seed {seed}");
+            let by_kind: u64 = node.held_by_kind().iter().map(|(_, bytes)| bytes).sum();
+            assert_eq!(by_kind, node.held(), "seed {seed}");
+            for (index, source) in sources.iter().enumerate() {
+                assert_eq!(source.held(), held(&|owner| owner % 2 == index), "seed {seed}");
+                assert!(source.held() <= 600, "seed {seed}");
+            }
+            for (index, connection) in connections.iter().enumerate() {
+                assert_eq!(connection.held(), held(&|owner| owner == index), "seed {seed}");
+                assert!(connection.held() <= 250, "seed {seed}");
+            }
+        }
+        shares.clear();
+        assert_eq!(node.held(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against a reader that waits for memory which can never become free.
+#[test]
+fn only_a_limit_that_others_share_is_worth_waiting_for() {
+    let node = Budget::new(Some(100));
+    let connection = node.source(None).connection(Some(50));
+    assert_eq!(connection.claim(HeldKind::Body, 60).unwrap_err(), OverLimit::Connection);
+    assert!(!node.take_refusal());
+    let _other = node.claim(HeldKind::Body, 80).expect("a share");
+    assert_eq!(connection.claim(HeldKind::Body, 40).unwrap_err(), OverLimit::Shared);
+    assert!(node.take_refusal());
+    assert!(!node.take_refusal());
+}
+
+/// Guards against closing requests that are served, or that still arrive, for a shortage.
+#[test]
+fn the_connections_that_wait_longest_for_their_callers_are_closed_first() {
+    let start = Instant::now();
+    let limits = HoldLimits { node_bytes: Some(1 << 20), ..HoldLimits::default() };
+    let (mut table, node) = table(limits);
+    let mut shares = Vec::new();
+    let mut opened = Vec::new();
+    for last in 0..6 {
+        let (id, budget, progress) = open(&mut table, address(last), start);
+        progress.set_phase(Phase::Receiving, start + SECOND * u32::from(last));
+        shares.push(budget.claim(HeldKind::Body, 130 << 10).expect("a share"));
+        opened.push((id, progress));
+    }
+    let now = start + SECOND * 10;
+    opened[0].1.set_phase(Phase::Processing, start);
+    opened[1].1.receive(now);
+    assert!(node.claim(HeldKind::Body, 100 << 10).is_err());
+    let closing = table.sweep(now, ProgressTimeouts::default());
+    assert_eq!(ids(&closing, CloseReason::MemoryLimit), [opened[2].0]);
+    // It is on its way out, so nothing more is closed for the same shortage.
+    assert!(node.claim(HeldKind::Body, 100 << 10).is_err());
+    assert_eq!(table.sweep(now, ProgressTimeouts::default()), []);
+    shares.remove(2);
+    table.close(opened[2].0);
+    assert!(node.claim(HeldKind::Body, 100 << 10).is_ok());
+    shares.clear();
+    opened.iter().for_each(|(id, _)| table.close(*id));
+    assert_eq!(node.held(), 0);
+}
+
+/// Guards against one source address that keeps all others out, and against a crowd of idle
+/// connections that does.
+#[test]
+fn idle_connections_make_room_for_new_ones() {
+    let start = Instant::now();
+    let limits = HoldLimits::derive(0, 64);
+    assert_eq!((limits.connections, limits.source_connections), (Some(32), Some(24)));
+    let (mut table, _) = table(limits);
+    let first: Vec<_> = (0..24).map(|_| open(&mut table, address(1), start)).collect();
+    let refused = table.open(address(1), Arc::new(Progress::new(start)));
+    assert_eq!(refused.map(|_| ()).unwrap_err(), CloseReason::ConnectionLimit);
+    let others: Vec<_> = (0..8).map(|_| open(&mut table, address(2), start)).collect();
+    assert!(!table.has_room());
+    // Connections that have just made progress stay.
+    assert_eq!(table.sweep(start, ProgressTimeouts::default()), []);
+    others.iter().for_each(|(_, _, progress)| progress.set_phase(Phase::Processing, start));
+    let closing = table.sweep(start + SECOND, ProgressTimeouts::default());
+    let closed = ids(&closing, CloseReason::ConnectionLimit);
+    assert!(!closed.is_empty() && closed.len() < 4, "{closed:?}");
+    assert!(closed.iter().all(|id| first.iter().any(|(first, ..)| first == id)), "{closed:?}");
+    closed.iter().for_each(|id| table.close(*id));
+    assert!(table.has_room());
+    open(&mut table, address(1), start);
+}
+
+/// Guards against requests that never end, and against closing for time where the node itself, or
+/// the pause between two requests, is what takes long.
+#[test]
+fn only_callers_without_progress_meet_the_time_bounds() {
+    let start = Instant::now();
+    let (mut table, _) = table(HoldLimits::default());
+    let timeouts = ProgressTimeouts { head: Some(SECOND * 6), body: Some(SECOND * 30) };
+    let phases = [Phase::Idle, Phase::Head, Phase::Receiving, Phase::Processing, Phase::Responding];
+    let opened = phases.map(|phase| {
+        let (id, _, progress) = open(&mut table, address(1), start);
+        progress.set_phase(phase, start);
+        (id, progress)
+    });
+    assert_eq!(table.sweep(start + SECOND * 6, timeouts), []);
+    // A head that arrives slowly does not get longer for that.
+    opened[1].1.receive(start + SECOND * 5);
+    let closing = table.sweep(start + SECOND * 7, timeouts);
+    assert_eq!(ids(&closing, CloseReason::Timeout), [opened[1].0]);
+    // A body and a response do.
+    opened[2].1.receive(start + SECOND * 20);
+    opened[4].1.send(true, start + SECOND * 20);
+    assert_eq!(table.sweep(start + SECOND * 29, timeouts), []);
+    opened[4].1.send(false, start + SECOND * 29);
+    let closing = table.sweep(start + SECOND * 51, timeouts);
+    assert_eq!(ids(&closing, CloseReason::Timeout), [opened[2].0]);
+    opened[4].1.send(true, start + SECOND * 51);
+    let closing = table.sweep(start + SECOND * 82, timeouts);
+    assert_eq!(ids(&closing, CloseReason::Timeout), [opened[4].0]);
+}
--- a/crates/schema/src/convert/configuration.rs
+++ b/crates/schema/src/convert/configuration.rs
@@ -224,6 +224,7 @@
 
 fn validate_deployment(value: &stored::Deployment) -> Result<Deployment, ConvertError> {
     let limits = value.limits.unwrap_or_default();
+    let timeout = |millis: u64| Some(millis).filter(|m| *m > 0).map(Duration::from_millis);
     let header_bytes = usize::try_from(limits.header_bytes).ok().filter(|bytes| *bytes > 0);
     Ok(Deployment {
         routes: value.routes.iter().map(validate_route).collect::<Result<_, _>>()?,
@@ -235,6 +236,8 @@
         limits: RequestLimits {
             header_bytes,
             body_bytes: Some(limits.body_bytes).filter(|bytes| *bytes > 0),
+            header_timeout: timeout(limits.header_timeout_ms),
+            idle_timeout: timeout(limits.idle_timeout_ms),
         },
     })
 }
