End the nodes of the quickstart example with it

Cause: SIGTERM ended the example without its drop handlers, so its nodes stayed as processes of their own.

Change: signals end the example in order, and a node asks the kernel to be killed when the example ends in any other way.

--- a/crates/lavenderflow/examples/quickstart.rs
+++ b/crates/lavenderflow/examples/quickstart.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::Duration;
 
@@ -21,6 +21,9 @@
 use lavenderflow_standins::fleet::{NodeProcess, NodeSettings, wait_until};
 use lavenderflow_standins::store::StoreStandin;
 use lavenderflow_standins::upstream::{Settings, UpstreamStandin};
+use rustix::process::{Signal, set_parent_process_death_signal};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 
 /// Names and availability zones of the nodes.
 const NODES: [(&str, &str); 3] = [("vm-1", "zone-a"), ("vm-2", "zone-a"), ("vm-3", "zone-b")];
@@ -53,6 +56,10 @@
 fn main() -> ExitCode {
     // The nodes are processes of this program, with `node` as the first argument.
     if env::args().nth(1).as_deref() == Some("node") {
+        // The node must also end when this program cannot stop it, as after a kill.
+        if let Err(fault) = set_parent_process_death_signal(Some(Signal::KILL)) {
+            eprintln!("quickstart: the node may outlast this program: {fault}");
+        }
         return command::main();
     }
     match run(&argh::from_env()) {
@@ -72,13 +79,14 @@
     let nodes = start_nodes(&store, &directory, arguments.port)?;
     let _upstreams = start_upstreams(&nodes)?;
     wait_until("every node knows all gates", || nodes.iter().all(is_configured))?;
+    let (stop, stopped) = mpsc::channel();
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    thread::spawn(move || signals.forever().next().map(|_| stop.send(())));
     print_help(&nodes);
-    match arguments.seconds {
-        Some(seconds) => thread::sleep(Duration::from_secs(seconds)),
-        None => loop {
-            thread::park();
-        },
-    }
+    // Both a signal and the end of the time end the nodes, which are killed when dropped.
+    let time = arguments.seconds.map_or(Duration::MAX, Duration::from_secs);
+    let _ = stopped.recv_timeout(time);
+    drop(nodes);
     let _ = std::fs::remove_dir_all(directory);
     Ok(())
 }
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -120,6 +120,13 @@
         Ok(self.child.try_wait()?)
     }
 
+    /// Returns the ids of the processes that this process has started.
+    pub fn children(&self) -> Vec<u32> {
+        let entries = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+        let ids = entries.filter_map(|entry| entry.file_name().to_str()?.parse().ok());
+        ids.filter(|id| parent(*id) == Some(self.child.id())).collect()
+    }
+
     /// Returns the resident memory of the process.
     pub fn resident_bytes(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
@@ -154,6 +161,21 @@
     }
 }
 
+/// Returns the fields of a process after its name; `None` once it has ended.
+fn stat(id: u32) -> Option<String> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    Some(stat.rsplit_once(')')?.1.trim().to_owned())
+}
+
+fn parent(id: u32) -> Option<u32> {
+    stat(id)?.split_whitespace().nth(1)?.parse().ok()
+}
+
+/// Returns whether a process runs; one that has ended but was not waited for does not.
+pub fn is_running(id: u32) -> bool {
+    stat(id).is_some_and(|stat| !stat.starts_with(['Z', 'X']))
+}
+
 fn command(program: &Path, arguments: &[String], variables: &[(&str, String)]) -> Command {
     let mut command = Command::new(program);
     command.args(arguments).stdin(Stdio::null());
