Bound what a node holds for callers

Cause: each unfinished body held its buffer, a buffer of 64 KB in the HTTP library, a copy of the head and the space of a whole request; a streamed response to a slow reader 3 to 4 MB, since responses of upstreams were read in parts of up to 417 KB. Nothing limited their number.

Change: with the settings `memory` and `descriptors`, bodies are read only within the budget (backpressure), then the connections that waited longest for their callers are closed, with a refusal where nothing has been dispatched. Limits by node, source address and connection; time bounds at twice the configured timeouts; bodies of many tiny chunks are refused; QUIC windows follow the budget. Heads are scanned as they arrive instead of copied, a request takes its space only while it is served, and upstreams are read in parts of 64 KB. Counters closed.*, gauge held_bytes, log lines connection-closed, connection-refused, body-refused, body-cut.

--- a/crates/lavenderflow/src/actor/counters.rs
+++ b/crates/lavenderflow/src/actor/counters.rs
@@ -1,6 +1,5 @@
 //! The actor that owns the counters.
 
-use cadence::StatsdClient;
 use stakker::CX;
 use tokio::sync::oneshot;
 
@@ -15,8 +14,8 @@
 
 impl CountersActor {
     /// Starts the actor.
-    pub fn init(_: CX![], client: StatsdClient) -> Option<Self> {
-        Some(Self { counters: Counters::new(client) })
+    pub fn init(_: CX![], counters: Counters) -> Option<Self> {
+        Some(Self { counters })
     }
 
     /// Increments a counter.
--- a/crates/lavenderflow/src/command/node.rs
+++ b/crates/lavenderflow/src/command/node.rs
@@ -18,7 +18,7 @@
 /// Checks settings and keys without starting a node.
 pub fn check(args: &CheckArgs) -> Result<(), CommandError> {
     let settings = read(|name| args.value(name))?;
-    tls::load(&settings.authority, &settings.certificate, &settings.key)?;
+    tls::load(&settings.authority, &settings.certificate, &settings.key, None)?;
     println!("settings of node {} are valid", settings.name);
     Ok(())
 }
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -4,6 +4,8 @@
 
 use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
 use hdrhistogram::Histogram;
+use lavenderflow_core::connections::CloseReason;
+use lavenderflow_core::memory::Budget;
 
 use crate::error::NodeError;
 use crate::prelude::*;
@@ -76,6 +78,8 @@
     Returned,
     /// Invalid input and failures in the communication between processes.
     Fault(Fault),
+    /// Connections of callers that were closed or refused for a limit.
+    Closed(CloseReason),
 }
 
 impl Counter {
@@ -98,6 +102,7 @@
             Self::Ejected => "gate.ejected".to_owned(),
             Self::Returned => "gate.returned".to_owned(),
             Self::Fault(fault) => format!("fault.{}", fault.name()),
+            Self::Closed(reason) => format!("closed.{}", reason.name()),
         }
     }
 }
@@ -156,12 +161,13 @@
     client: StatsdClient,
     counts: IndexMap<Counter, u64>,
     latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
+    budget: Budget,
 }
 
 impl Counters {
-    /// Creates counters with the value zero.
-    pub fn new(client: StatsdClient) -> Self {
-        Self { client, counts: IndexMap::new(), latencies: IndexMap::new() }
+    /// Creates counters with the value zero; `budget` is what the node holds for others.
+    pub fn new(client: StatsdClient, budget: Budget) -> Self {
+        Self { client, counts: IndexMap::new(), latencies: IndexMap::new(), budget }
     }
 
     /// Increments a counter.
@@ -207,6 +213,11 @@
         for (name, count) in self.snapshot() {
             lines.push(format!("{METRIC_PREFIX}_events_total{{event=\"{name}\"}} {count}"));
         }
+        lines.push(format!("# TYPE {METRIC_PREFIX}_held_bytes gauge"));
+        for (kind, bytes) in self.budget.held_by_kind() {
+            let kind = kind.name();
+            lines.push(format!("{METRIC_PREFIX}_held_bytes{{kind=\"{kind}\"}} {bytes}"));
+        }
         let name = format!("{METRIC_PREFIX}_latency_seconds");
         lines.push(format!("# TYPE {name} summary"));
         for (stage, (histogram, sum)) in &self.latencies {
--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -1,7 +1,9 @@
 //! The HTTP servers for callers, operators and the upstreams on the same VM.
 
 pub mod admin;
+pub mod admission;
 pub mod announcements;
+mod body;
 pub mod callers;
 pub mod header;
 pub mod listen;
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -1,40 +1,40 @@
 //! The HTTP server for callers: checks their requests and sends them the responses.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::{Body, Incoming};
 use hyper::{Response, Version};
 use lavenderflow_core::catalog::RequestLimits;
+use lavenderflow_core::connections::CloseReason;
+use lavenderflow_core::memory::{HoldLimits, OverLimit, Share};
+use lavenderflow_core::progress::Phase;
 use lavenderflow_core::request::Arrival;
 use lavenderflow_schema::dialect::{Completion, HeaderError, Headers, RequestMetadata};
 use rand::random;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::timeout;
+use tokio::sync::{oneshot, watch};
 
-use super::header;
+use super::admission::{Admission, CallerConnection};
 use super::request_head::AmbiguousLength;
-use super::response::{self, ResponseBody};
+use super::response::{self, Delivery, ResponseBody};
 use super::server::{self, ServerHandle};
+use super::{body, header};
 use crate::message::EntryMessage;
-use crate::net::body::BodyPart;
 use crate::net::context::NetworkContext;
 use crate::net::drive::{self, Reply, Request};
 use crate::prelude::*;
 
-/// Largest body that is buffered before the request is dispatched, in bytes.
-const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Default limit of the header section, in bytes.
 const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
-/// Time for which the body of a refused request is read, so that the caller sees the response.
-const BODY_DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which the body of a request must arrive that a stopping node refuses anyway, so that
 /// it is refused by the rules for all requests.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which a caller may retry a request whose body a stopping node could not await.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller may retry a request for whose body there was no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Prefix of the paths that the node itself serves.
 const RESERVED_PREFIX: &str = "/.lavenderflow/";
 /// Path that issues tickets.
@@ -53,11 +53,13 @@
     pub limits: watch::Receiver<RequestLimits>,
     /// Limit of concurrent requests.
     pub max_requests: usize,
+    /// Limits on what connections may hold.
+    pub hold_limits: HoldLimits,
 }
 
 /// Why a request is rejected before it is routed.
 #[derive(Debug, thiserror::Error)]
-enum CallerError {
+pub(super) enum CallerError {
     #[error("the header section has {0} bytes")]
     HeadersTooLarge(usize),
     #[error("HTTP version {0:?} cannot signal a truncated response")]
@@ -74,6 +76,12 @@
     Body(#[from] hyper::Error),
     #[error("the node stops before the body has arrived")]
     Stopping,
+    #[error("the connection is closed: {}", .0.name())]
+    Closing(CloseReason),
+    #[error(transparent)]
+    Memory(#[from] OverLimit),
+    #[error("the body consists of {0} chunks of {1} bytes")]
+    SmallChunks(u32, usize),
 }
 
 impl CallerError {
@@ -82,7 +90,10 @@
             Self::HeadersTooLarge(_) => Reason::HeadersTooLarge,
             Self::BodyTooLarge(_) => Reason::BodyTooLarge,
             Self::Fields(HeaderError::Ticket(_)) => Reason::TicketInvalid,
-            Self::Version(_)
+            Self::Closing(CloseReason::Timeout) => Reason::RequestTimeout,
+            Self::Closing(_) | Self::Memory(_) => Reason::MemoryLimit,
+            Self::SmallChunks(..)
+            | Self::Version(_)
             | Self::Fields(HeaderError::Deadline)
             | Self::Host
             | Self::Length
@@ -94,7 +105,14 @@
 
 /// Serves callers on a bound address.
 pub fn start(listener: TcpListener, context: CallerContext) -> ServerHandle {
-    server::start(listener, move |request| serve(context.clone(), request))
+    let admission = Admission {
+        limits: context.hold_limits,
+        budget: context.net.budget.clone(),
+        request_limits: context.limits.clone(),
+        clock: Arc::clone(&context.net.clock),
+        mailbox: context.net.mailbox.clone(),
+    };
+    server::start_limited(listener, Some(admission), move |request| serve(context.clone(), request))
 }
 
 async fn serve(
@@ -102,6 +120,8 @@
     request: hyper::Request<Incoming>,
 ) -> Response<ResponseBody> {
     let guard = context.net.work.begin();
+    let connection = request.extensions().get::<CallerConnection>().cloned();
+    set_phase(&connection, Phase::Processing);
     let arrived = context.net.clock.now();
     let headers = header::text_headers(request.headers());
     let metadata = context.net.dialect.parse_request(&headers);
@@ -115,6 +135,7 @@
     } else {
         serve_routed(&context, request, headers, metadata, &id).await
     };
+    set_phase(&connection, Phase::Responding);
     count_outcome(&context, &reply).await;
     let elapsed = context.net.clock.now().saturating_duration_since(arrived);
     send(&context, Message::Latency(Stage::Request, elapsed)).await;
@@ -135,7 +156,14 @@
         retry_after: reply.retry_after,
         relayed: reply.relayed,
     };
-    response::build_response(reply, &completion, context.net.dialect.as_ref(), guard)
+    let delivery = Delivery::new(connection, &reply, guard);
+    response::build_response(reply, &completion, context.net.dialect.as_ref(), delivery)
+}
+
+fn set_phase(connection: &Option<CallerConnection>, phase: Phase) {
+    if let Some(connection) = connection {
+        connection.set_phase(phase);
+    }
 }
 
 async fn serve_routed(
@@ -160,6 +188,13 @@
                 ..Reply::local(Outcome::NotRun, fault.reason(), None)
             }
         }
+        Err(fault @ (CallerError::Closing(_) | CallerError::Memory(_))) => {
+            log::info!("event=body-refused request={id} fault={fault}");
+            Reply {
+                retry_after: Some(MEMORY_RETRY_AFTER),
+                ..Reply::local(Outcome::NotRun, fault.reason(), None)
+            }
+        }
         Err(fault) => {
             log::info!("event=bad-request request={id} fault={fault:?}");
             send(context, Message::Count(Counter::Fault(Fault::Caller))).await;
@@ -198,6 +233,9 @@
     headers: Headers,
     body: Bytes,
     unread_body: Option<Incoming>,
+    connection: Option<CallerConnection>,
+    // Accounts for the body as long as the request is served.
+    held: Option<Share>,
 }
 
 async fn parse_request(
@@ -229,20 +267,24 @@
         return Err(CallerError::BodyTooLarge(length));
     }
     let method = request.method().to_string();
+    let connection = request.extensions().get::<CallerConnection>().cloned();
     let mut unread_body = request.into_body();
     // A large body is not read until a gate has admitted the request.
-    let is_large = declared.is_some_and(|length| length > MAX_BUFFERED_BYTES as u64);
-    let (body, body_buffered) = if is_large {
-        (Bytes::new(), false)
+    let is_large = declared.is_some_and(|length| length > body::MAX_BUFFERED_BYTES as u64);
+    let (body, body_buffered, held) = if is_large || unread_body.is_end_stream() {
+        (Bytes::new(), !is_large, None)
     } else {
+        set_phase(&connection, Phase::Receiving);
         let received = tokio::select! {
-            received = buffer_body(&mut unread_body) => Some(received?),
+            received = body::buffer(&mut unread_body, connection.as_ref()) => Some(received?),
+            reason = body::closing(connection.clone()) => return Err(CallerError::Closing(reason)),
             () = body_is_too_late(net, in_progress) => None,
         };
         let Some(received) = received else {
-            tokio::spawn(drain_body(unread_body));
+            tokio::spawn(body::drain(unread_body));
             return Err(CallerError::Stopping);
         };
+        set_phase(&connection, Phase::Processing);
         received
     };
     let length = if body_buffered { Some(body.len() as u64) } else { declared };
@@ -266,6 +308,8 @@
         headers,
         body,
         unread_body: (!body_buffered).then_some(unread_body),
+        connection,
+        held,
     })
 }
 
@@ -296,19 +340,6 @@
     hasher.finish()
 }
 
-/// Reads until the body ends or exceeds [`MAX_BUFFERED_BYTES`]; returns the data and whether the
-/// body ended.
-async fn buffer_body(body: &mut Incoming) -> Result<(Bytes, bool), CallerError> {
-    let mut first = BytesMut::new();
-    while first.len() <= MAX_BUFFERED_BYTES {
-        let Some(frame) = body.frame().await else { return Ok((first.freeze(), true)) };
-        if let Ok(data) = frame?.into_data() {
-            first.extend_from_slice(&data);
-        }
-    }
-    Ok((first.freeze(), false))
-}
-
 /// Waits until a stopping node can no longer serve a request whose body it is still reading.
 async fn body_is_too_late(net: &NetworkContext, in_progress: bool) {
     if in_progress {
@@ -320,47 +351,14 @@
 
 /// Serves a request, with a task that streams the rest of its body.
 async fn forward(context: &CallerContext, parsed: ParsedRequest, id: &str) -> Reply {
-    let ParsedRequest { arrival, headers, body, unread_body } = parsed;
+    let ParsedRequest { arrival, headers, body, unread_body, connection, held } = parsed;
     let body_rest = unread_body.map(|body| {
         let (body_request, requested) = oneshot::channel();
-        tokio::spawn(stream_body(body, requested));
+        tokio::spawn(body::stream(body, connection, requested));
         body_request
     });
     let request = Request { arrival, id: id.to_owned(), headers, body, body_rest };
-    drive::drive(&context.net, request).await
-}
-
-/// Streams the rest of a body; if the caller aborts it, no [`BodyPart::End`] is sent. If nobody
-/// reads the rest, drains it for up to [`BODY_DRAIN_TIMEOUT`], so that the caller sees the
-/// response.
-async fn stream_body(mut body: Incoming, requested: oneshot::Receiver<mpsc::Sender<BodyPart>>) {
-    if let Ok(parts) = requested.await {
-        loop {
-            let part = match body.frame().await {
-                None => BodyPart::End,
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => BodyPart::Data(data),
-                    Err(_) => continue,
-                },
-                Some(Err(fault)) => {
-                    log::info!("event=caller-gone fault={fault:?}");
-                    return;
-                }
-            };
-            let is_end = matches!(part, BodyPart::End);
-            if parts.send(part).await.is_err() {
-                break;
-            }
-            if is_end {
-                return;
-            }
-        }
-    }
-    drain_body(body).await;
-}
-
-/// Reads the rest of a body that nobody needs, for up to [`BODY_DRAIN_TIMEOUT`].
-async fn drain_body(mut body: Incoming) {
-    let drain = async { while let Some(Ok(_)) = body.frame().await {} };
-    let _ = timeout(BODY_DRAIN_TIMEOUT, drain).await;
+    let reply = drive::drive(&context.net, request).await;
+    drop(held);
+    reply
 }
--- a/crates/lavenderflow/src/http/response.rs
+++ b/crates/lavenderflow/src/http/response.rs
@@ -7,13 +7,19 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
+use lavenderflow_core::memory::{HeldKind, Share};
 use lavenderflow_schema::dialect::{Completion, Dialect};
 
+use super::admission::CallerConnection;
 use super::header;
-use crate::net::body::{ResponseParts, TruncatedResponse};
+use crate::net::body::{BODY_CHANNEL_CAPACITY, ResponseParts, TruncatedResponse};
 use crate::net::drive::{Reply, ReplyBody};
 use crate::work::WorkGuard;
 
+/// Memory of a response that is streamed: the window of its stream, the parts in its channel, and
+/// those that are decoded and written, of 64 KB each.
+const STREAMED_BYTES: u64 = 256 * 1024 + (BODY_CHANNEL_CAPACITY as u64 + 2) * 64 * 1024;
+
 /// The body of a response to a caller.
 ///
 /// A truncated body ends with an error, which closes the connection in the middle of the response.
@@ -22,10 +28,40 @@
 pub struct ResponseBody {
     first: Option<Bytes>,
     parts: Option<ResponseParts>,
+    _delivery: Delivery,
+}
+
+/// What lasts until the body of a response has been sent.
+#[derive(Debug)]
+pub struct Delivery {
+    connection: Option<CallerConnection>,
+    // Accounts for the body.
+    _share: Option<Share>,
     // Makes a graceful stop wait until the body has been sent.
     _guard: WorkGuard,
 }
 
+impl Delivery {
+    /// Accounts for a response to a connection.
+    pub fn new(connection: Option<CallerConnection>, reply: &Reply, guard: WorkGuard) -> Self {
+        let bytes = match &reply.body {
+            ReplyBody::Buffered(body) => body.len() as u64,
+            ReplyBody::Streamed(..) => STREAMED_BYTES,
+        };
+        let held = connection.as_ref().filter(|_| bytes > 0);
+        let share = held.map(|connection| connection.hold(HeldKind::Response, bytes));
+        Self { connection, _share: share, _guard: guard }
+    }
+}
+
+impl Drop for Delivery {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.finish_response();
+        }
+    }
+}
+
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = TruncatedResponse;
@@ -58,7 +94,7 @@
     reply: Reply,
     completion: &Completion,
     dialect: &dyn Dialect,
-    guard: WorkGuard,
+    delivery: Delivery,
 ) -> Response<ResponseBody> {
     let (first, parts) = match reply.body {
         ReplyBody::Buffered(body) => (body, None),
@@ -69,7 +105,7 @@
     } else {
         dialect.response_status(reply.outcome, reply.reason)
     };
-    let body = ResponseBody { first: Some(first), parts, _guard: guard };
+    let body = ResponseBody { first: Some(first), parts, _delivery: delivery };
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut reply_headers = reply.headers;
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
 
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
@@ -11,7 +10,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, timeout};
 
+use super::admission::{Admission, CallerConnection, Connections, OpenGuard};
 use super::request_head::{self, AmbiguousLength};
 use crate::error::NodeError;
 use crate::prelude::*;
@@ -20,6 +21,10 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
 /// Size limit of the buffer per connection and direction, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Interval at which connections are checked against the limits.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time that a connection which must be closed gets to send its last response.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a failed accept before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -52,6 +57,21 @@
 
 /// Accepts connections and serves their requests until the server is stopped.
 pub fn start<H, F, B>(listener: TcpListener, handle: H) -> ServerHandle
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
+{
+    start_limited(listener, None, handle)
+}
+
+/// Accepts connections within limits, if there are any, and serves their requests until the server
+/// is stopped. Requests carry their [`CallerConnection`] as an extension.
+pub fn start_limited<H, F, B>(
+    listener: TcpListener,
+    admission: Option<Admission>,
+    handle: H,
+) -> ServerHandle
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -59,12 +79,13 @@
 {
     let (stop, stopped) = watch::channel(false);
     let (alive, ended) = mpsc::channel(1);
-    tokio::spawn(accept(listener, handle, stopped, alive));
+    tokio::spawn(accept(listener, admission, handle, stopped, alive));
     ServerHandle { stop, ended }
 }
 
 async fn accept<H, F, B>(
     listener: TcpListener,
+    admission: Option<Admission>,
     handle: H,
     mut stopped: watch::Receiver<bool>,
     alive: mpsc::Sender<Infallible>,
@@ -73,14 +94,35 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
 {
+    let mut connections = admission.clone().map(Connections::new);
+    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let has_room = connections.as_ref().is_none_or(Connections::has_room);
+        let is_empty = connections.as_ref().is_none_or(Connections::is_empty);
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(), if has_room => accepted,
+            () = remove_ended(&mut connections), if !is_empty => continue,
+            // Without room, memory that others held may have become free.
+            _ = sweep.tick(), if !is_empty || !has_room => {
+                connections.iter_mut().for_each(Connections::sweep);
+                continue;
+            }
             _ = stopped.changed() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, handle.clone(), stopped.clone(), alive.clone()));
+            Ok((stream, source)) => {
+                let caller = match &mut connections {
+                    Some(connections) => match connections.open(source.ip()) {
+                        Some((caller, guard)) => Some((caller, guard)),
+                        None => continue,
+                    },
+                    None => None,
+                };
+                let buffer_bytes =
+                    admission.as_ref().map_or(MAX_BUFFER_BYTES, Admission::buffer_bytes);
+                let server = (handle.clone(), stopped.clone(), alive.clone());
+                tokio::spawn(serve(stream, buffer_bytes, caller, server));
             }
             Err(fault) => {
                 log::warn!("event=accept-failed fault={fault:?}");
@@ -90,32 +132,43 @@
     }
 }
 
+async fn remove_ended(connections: &mut Option<Connections>) {
+    match connections {
+        Some(connections) => connections.remove_ended().await,
+        None => std::future::pending().await,
+    }
+}
+
 async fn serve<H, F, B>(
     stream: TcpStream,
-    handle: H,
-    mut stopped: watch::Receiver<bool>,
-    alive: mpsc::Sender<Infallible>,
+    buffer_bytes: usize,
+    caller: Option<(CallerConnection, OpenGuard)>,
+    (handle, mut stopped, alive): (H, watch::Receiver<bool>, mpsc::Sender<Infallible>),
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
 {
     let _alive = alive;
+    let (caller, _guard) = caller.unzip();
     let _ = stream.set_nodelay(true);
-    let (stream, heads) = request_head::record(stream);
-    // `hyper` takes the service by shared reference, but calls it for one request at a time.
-    let heads = Mutex::new(heads);
+    let recorder = caller.as_ref().map(CallerConnection::recorder);
+    let (stream, heads) = request_head::record(stream, recorder.cloned());
     let service = service_fn(|mut request: Request<Incoming>| {
-        if heads.lock().unwrap_or_else(PoisonError::into_inner).is_ambiguous() {
+        if heads.is_ambiguous() {
             request.extensions_mut().insert(AmbiguousLength);
         }
-        let response = handle(request);
+        if let Some(caller) = &caller {
+            request.extensions_mut().insert(caller.clone());
+        }
+        // Boxed, so that a connection without a request does not hold the space for one.
+        let response = Box::pin(handle(request));
         async { Ok::<_, Infallible>(response.await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_BUFFER_BYTES)
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
@@ -124,8 +177,23 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        () = must_close(caller.clone()) => {
+            connection.as_mut().graceful_shutdown();
+            // Dropping the connection closes it.
+            timeout(CLOSE_TIMEOUT, connection).await.unwrap_or(Ok(()))
+        }
     };
     if let Err(fault) = ended {
         log::debug!("event=connection-failed fault={fault:?}");
     }
 }
+
+/// Completes when a limit requires that the connection is closed.
+async fn must_close(caller: Option<CallerConnection>) {
+    match caller {
+        Some(mut caller) => {
+            caller.closing().await;
+        }
+        None => std::future::pending().await,
+    }
+}
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -152,6 +152,11 @@
         let _ = self.0.send(message).await;
     }
 
+    /// Sends a message unless the mailbox is full, for messages that may be lost.
+    pub fn try_send(&self, message: Message) {
+        let _ = self.0.try_send(message);
+    }
+
     /// Sends a message from a thread outside of the async runtime; waits while the mailbox is
     /// full.
     pub fn send_blocking(&self, message: Message) {
--- a/crates/lavenderflow/src/net/context.rs
+++ b/crates/lavenderflow/src/net/context.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use lavenderflow_core::memory::{Budget, HeldKind, OverLimit, Share};
 use lavenderflow_schema::dialect::Dialect;
+use lavenderflow_schema::wire::Begin;
 use tokio::sync::mpsc;
 
 use super::connector::Connector;
@@ -15,6 +17,9 @@
 /// Links within this node that the channel to the network task buffers.
 const LOCAL_LINK_CAPACITY: usize = 256;
 
+/// Bytes of a body that follows its request which are held at a time.
+const MAX_PART_BYTES: u64 = 64 * 1024;
+
 /// The server end of a link within this node, served like a link from another node.
 pub type LocalLink = (FrameSink, FrameSource);
 
@@ -39,10 +44,30 @@
     pub work: WorkTracker,
     /// Follows a graceful stop.
     pub stop: StopWatch,
+    /// Accounts for what the node holds for others.
+    pub budget: Budget,
     /// Interval between pings.
     pub ping_interval: Duration,
 }
 
+impl NetworkContext {
+    /// Accounts for the body of a request from another node. Within the node the entry does so.
+    ///
+    /// # Errors
+    ///
+    /// The node holds as much for others as it may.
+    pub fn claim_body(
+        &self,
+        begin: &Begin,
+        source: &FrameSource,
+    ) -> Result<Option<Share>, OverLimit> {
+        let FrameSource::Quic(_) = source else { return Ok(None) };
+        let length = begin.body_length.unwrap_or(u64::MAX).min(MAX_PART_BYTES);
+        let later = if begin.on_commit || begin.body_follows { length } else { 0 };
+        self.budget.claim(HeldKind::Peer, begin.body.len() as u64 + later).map(Some)
+    }
+}
+
 /// Creates the channel for links within this node.
 pub fn local_link_channel() -> (mpsc::Sender<LocalLink>, mpsc::Receiver<LocalLink>) {
     mpsc::channel(LOCAL_LINK_CAPACITY)
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
+use lavenderflow_core::memory::Budget;
 use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::wire::frame::Body;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
@@ -70,6 +71,8 @@
     pub work: WorkTracker,
     /// Follows a graceful stop.
     pub stop: StopWatch,
+    /// Accounts for what the node holds for others.
+    pub budget: Budget,
     /// Interval between pings.
     pub ping_interval: Duration,
 }
@@ -106,6 +109,7 @@
         connector: Connector::start(endpoint.clone(), setup.mailbox),
         work: setup.work,
         stop: setup.stop,
+        budget: setup.budget,
         ping_interval: setup.ping_interval,
     };
     let _ = bound.send(Ok(context.clone()));
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -56,6 +56,9 @@
     source: FrameSource,
 ) -> Result<(), LinkError> {
     let attempt: AttemptId = begin.attempt.ok_or(LinkError::Unexpected)?.into();
+    let Ok(_held) = context.claim_body(&begin, &source) else {
+        return refuse(sink, Reason::MemoryLimit, None).await;
+    };
     let slot_request = SlotRequest {
         attempt,
         incarnation: begin.incarnation,
--- a/crates/lavenderflow/src/net/tls.rs
+++ b/crates/lavenderflow/src/net/tls.rs
@@ -31,17 +31,20 @@
 const STREAM_WINDOW_BYTES: u32 = 256 * 1024;
 /// Maximum unacknowledged bytes per connection.
 const SEND_WINDOW_BYTES: u64 = 32 * 1024 * 1024;
+/// Least value of the windows of a connection where memory is limited: two streams at full speed.
+const MIN_WINDOW_BYTES: u64 = 2 * STREAM_WINDOW_BYTES as u64;
 /// Initial estimate of the round-trip time, for availability zones in one region.
 const INITIAL_RTT: Duration = Duration::from_millis(10);
 
 /// Creates configurations with a self-signed certificate, for a fleet that trusts its network.
 ///
-/// Traffic is encrypted, but neither side is authenticated.
+/// Traffic is encrypted, but neither side is authenticated. `window` limits the bytes that one
+/// connection holds in each direction.
 ///
 /// # Errors
 ///
 /// The certificate or a configuration cannot be created.
-pub fn self_signed() -> Result<(ServerConfig, ClientConfig), KeyError> {
+pub fn self_signed(window: Option<u64>) -> Result<(ServerConfig, ClientConfig), KeyError> {
     let certified_key = rcgen::generate_simple_self_signed(vec![SERVER_NAME.to_owned()])?;
     let key = PrivateKeyDer::Pkcs8(certified_key.signing_key.serialize_der().into());
     let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -49,14 +52,14 @@
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_no_client_auth()
         .with_single_cert(vec![certified_key.cert.der().clone()], key)?;
-    let server = server_config(tls)?;
+    let server = server_config(tls, window)?;
     let verifier = Arc::new(AcceptAnyCertificate(Arc::clone(&provider)));
     let tls = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .dangerous()
         .with_custom_certificate_verifier(verifier)
         .with_no_client_auth();
-    Ok((server, client_config(tls)?))
+    Ok((server, client_config(tls, window)?))
 }
 
 /// Accepts any certificate whose key signs the handshake.
@@ -100,7 +103,8 @@
     }
 }
 
-/// Loads the certificates and the key for both sides of connections between nodes.
+/// Loads the certificates and the key for both sides of connections between nodes; `window` limits
+/// the bytes that one connection holds in each direction.
 ///
 /// # Errors
 ///
@@ -109,6 +113,7 @@
     authority: &Path,
     certificate: &Path,
     key: &Path,
+    window: Option<u64>,
 ) -> Result<(ServerConfig, ClientConfig), KeyError> {
     let mut roots = RootCertStore::empty();
     for certificate in read_certificates(authority)? {
@@ -118,8 +123,8 @@
     let chain = read_certificates(certificate)?;
     let key = PrivateKeyDer::from_pem_file(key)
         .map_err(|fault| KeyError::File { path: key.to_owned(), fault })?;
-    let server = mtls_server_config(Arc::clone(&roots), chain.clone(), key.clone_key())?;
-    Ok((server, mtls_client_config(roots, chain, key)?))
+    let server = mtls_server_config(Arc::clone(&roots), chain.clone(), key.clone_key(), window)?;
+    Ok((server, mtls_client_config(roots, chain, key, window)?))
 }
 
 fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, KeyError> {
@@ -134,6 +139,7 @@
     roots: Arc<RootCertStore>,
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
+    window: Option<u64>,
 ) -> Result<ServerConfig, KeyError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let verifier = WebPkiClientVerifier::builder_with_provider(roots, Arc::clone(&provider));
@@ -141,13 +147,16 @@
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_client_cert_verifier(verifier.build()?)
         .with_single_cert(chain, key)?;
-    server_config(tls)
+    server_config(tls, window)
 }
 
-fn server_config(mut tls: rustls::ServerConfig) -> Result<ServerConfig, KeyError> {
+fn server_config(
+    mut tls: rustls::ServerConfig,
+    window: Option<u64>,
+) -> Result<ServerConfig, KeyError> {
     tls.alpn_protocols = vec![ALPN_PROTOCOL.to_vec()];
     let mut config = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(tls)?));
-    config.transport_config(Arc::new(transport_config()));
+    config.transport_config(Arc::new(transport_config(window)));
     Ok(config)
 }
 
@@ -155,26 +164,30 @@
     roots: Arc<RootCertStore>,
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
+    window: Option<u64>,
 ) -> Result<ClientConfig, KeyError> {
     let provider = Arc::new(rustls::crypto::ring::default_provider());
     let tls = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
-    client_config(tls)
+    client_config(tls, window)
 }
 
-fn client_config(mut tls: rustls::ClientConfig) -> Result<ClientConfig, KeyError> {
+fn client_config(
+    mut tls: rustls::ClientConfig,
+    window: Option<u64>,
+) -> Result<ClientConfig, KeyError> {
     tls.alpn_protocols = vec![ALPN_PROTOCOL.to_vec()];
     let mut config = ClientConfig::new(Arc::new(QuicClientConfig::try_from(tls)?));
-    let mut transport = transport_config();
+    let mut transport = transport_config(window);
     // Only the client sends keep-alive packets; they keep the connection alive for both ends.
     transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
     config.transport_config(Arc::new(transport));
     Ok(config)
 }
 
-fn transport_config() -> TransportConfig {
+fn transport_config(window: Option<u64>) -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))))
@@ -185,5 +198,10 @@
         .stream_receive_window(VarInt::from_u32(STREAM_WINDOW_BYTES))
         .send_window(SEND_WINDOW_BYTES)
         .initial_rtt(INITIAL_RTT);
+    if let Some(window) = window {
+        let window = window.clamp(MIN_WINDOW_BYTES, SEND_WINDOW_BYTES);
+        transport.send_window(window);
+        transport.receive_window(VarInt::from_u64(window).unwrap_or(VarInt::MAX));
+    }
     transport
 }
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -10,6 +10,7 @@
 use lavenderflow_core::freshness::Freshness;
 use lavenderflow_core::gate::Gate;
 use lavenderflow_core::id::node_id;
+use lavenderflow_core::memory::{Budget, HoldLimits};
 use lavenderflow_core::roster::{Member, Roster};
 use lavenderflow_schema::settings::NodeSettings;
 use quinn::{ClientConfig, ServerConfig};
@@ -26,7 +27,7 @@
 use crate::actor::gate::GateActor;
 use crate::actor::lifecycle::{DrainActors, LifecycleActor, PublishedStates, StopTimes};
 use crate::clock::SystemClock;
-use crate::counter;
+use crate::counter::{self, Counters};
 use crate::environment::{Environment, PeerTrust};
 use crate::error::NodeError;
 use crate::executor::Executor;
@@ -52,6 +53,9 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Divisor of the stop time that gives the time for finishing responses.
 const CLOSE_DIVISOR: u32 = 40;
+/// Part of what a node may hold for others that the windows of one connection between nodes may
+/// take, in each direction.
+const WINDOW_DIVISOR: u64 = 8;
 /// Most further messages taken from the mailbox before the actors run.
 const MAX_BATCH_MESSAGES: usize = 256;
 
@@ -72,6 +76,8 @@
     let (stop, is_stopped) = oneshot::channel();
     let statsd = counter::statsd_client(settings.statsd.first().copied())?;
     let work = WorkTracker::default();
+    let hold_limits = HoldLimits::derive(settings.memory, settings.descriptors);
+    let budget = Budget::new(hold_limits.node_bytes);
     let executor = Executor::new(settings.threads)?;
     let quic_configs = quic_configs(settings, environment)?;
     let network_setup = endpoint::NetworkSetup {
@@ -83,6 +89,7 @@
         dialect: Arc::clone(&environment.dialect),
         work: work.clone(),
         stop: stop_watch,
+        budget: budget.clone(),
         ping_interval: settings.ping,
     };
     let net = start_network(&executor, network_setup, commands)?;
@@ -96,6 +103,7 @@
             next_nodes: current_next_nodes,
             limits: current_limits,
             max_requests,
+            hold_limits,
         },
         serves_early: environment.awaits_deployment,
         ready: becomes_ready,
@@ -156,7 +164,8 @@
         env!("CARGO_PKG_VERSION")
     );
     let states = PublishedStates { is_ready, stop_stage };
-    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, statsd, work, states);
+    let counters = Counters::new(statsd, budget);
+    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, counters, work, states);
     executor.run(main_loop.run(messages));
     let timeout = CLOSE_TIMEOUT.min(main_loop.stop_timeout / CLOSE_DIVISOR);
     executor.run(close(stop, &network, timeout));
@@ -194,11 +203,13 @@
     settings: &NodeSettings,
     environment: &Environment,
 ) -> Result<(ServerConfig, ClientConfig), NodeError> {
+    let limits = HoldLimits::derive(settings.memory, settings.descriptors);
+    let window = limits.node_bytes.map(|bytes| bytes / WINDOW_DIVISOR);
     Ok(match environment.trust {
         PeerTrust::Certificates => {
-            tls::load(&settings.authority, &settings.certificate, &settings.key)?
+            tls::load(&settings.authority, &settings.certificate, &settings.key, window)?
         }
-        PeerTrust::Network => tls::self_signed()?,
+        PeerTrust::Network => tls::self_signed(window)?,
     })
 }
 
@@ -277,7 +288,7 @@
         clock: &SharedClock,
         fleet: fleet::FleetSetup,
         lifetimes: LifetimeStore,
-        statsd: cadence::StatsdClient,
+        counters: Counters,
         work: WorkTracker,
         states: PublishedStates,
     ) -> Self {
@@ -292,7 +303,7 @@
         if fleet.awaits_deployment {
             entry.await_routes();
         }
-        let counters = actor!(s, CountersActor::init(statsd), ret_nop!());
+        let counters = actor!(s, CountersActor::init(counters), ret_nop!());
         let count = counters.clone();
         let entry = actor!(s, EntryActor::init(entry, count), ret_shutdown!(s));
         let (handle, count) = (entry.clone(), counters.clone());
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -18,6 +18,10 @@
 use crate::http::header;
 use crate::prelude::{Duration, IndexMap};
 
+/// Size limit of the buffer per connection and direction, in bytes. It bounds the head of a response
+/// and the parts of its body, several of which wait in the channels to the caller. The default of
+/// the HTTP library of 417 KB made a large response to a slow reader take 3 to 4 MB.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Longest time to open a connection to an upstream, which is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum idle connections per upstream.
@@ -90,6 +94,7 @@
     stream.set_nodelay(true).map_err(CallFailure::Connect)?;
     let (stream, progress) = read_limit::limit(stream);
     let (sender, http_connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|fault| CallFailure::Connect(io::Error::other(fault)))?;
--- a/crates/lavenderflow/tests/crowds.rs
+++ b/crates/lavenderflow/tests/crowds.rs
@@ -169,6 +169,7 @@
 fn send_crowd(
     address: SocketAddr,
     shape: Shape,
+    count: usize,
     bytes: &[u8],
     mut observe: impl FnMut(),
 ) -> Vec<Client> {
@@ -177,7 +178,7 @@
     let started = Instant::now();
     let mut progress = started;
     while progress.elapsed() < STALLED && started.elapsed() < CROWD_TIME {
-        if clients.len() < shape.clients() {
+        if clients.len() < count {
             clients.extend((0..50).filter_map(|_| Client::connect(address, reads)));
             progress = Instant::now();
         }
@@ -208,7 +209,7 @@
         None => is_alive = false,
     };
     observe();
-    let clients = send_crowd(address, shape, bytes, &mut observe);
+    let clients = send_crowd(address, shape, shape.clients(), bytes, &mut observe);
     drop(clients);
     let served = wait_until("an ordinary request is answered", || {
         observe();
@@ -310,3 +311,37 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Prints memory and descriptors against the size of a crowd, with the limits of a VM of 160 MB.
+#[test]
+#[ignore = "prints measurements and checks nothing"]
+fn sizes_of_crowds() {
+    let _guard = ONE_AT_A_TIME.lock();
+    for clients in [150, 700] {
+        for shape in [Shape::ChunkShort, Shape::TinyChunks, Shape::Extension, Shape::Trailers] {
+            let limits = json!({"memory_mb": 160, "max_fds": 4100});
+            let deployment = Deployment::start_limited(1, limits);
+            let process = &deployment.vms[0].process;
+            let usage = || {
+                let bytes = process.resident_bytes().expect("the memory of a node");
+                (bytes, process.open_descriptors().expect("the descriptors of a node"))
+            };
+            let (before, mut peak) = (usage(), Peak::default());
+            let bytes = shape.bytes("/read/a", "/write/a");
+            let address = deployment.vms[0].outbound;
+            drop(send_crowd(address, shape, clients, &bytes, || peak.observe(&[usage()])));
+            let _ = wait_until("the crowd has left", || usage().1 < before.1 + 20);
+            let after = usage();
+            let [first, last] = [before.0, after.0].map(|bytes| bytes as f64 / 1e6);
+            println!(
+                "{clients} {shape:?}: {first:.1} MB {} fds, peak {:.1} MB {} fds, after {last:.1} MB \
+                 {} fds, {:.1} s of processor time",
+                before.1,
+                peak.bytes as f64 / 1e6,
+                peak.descriptors,
+                after.1,
+                process.cpu_time().unwrap_or_default().as_secs_f64()
+            );
+        }
+    }
+}
--- a/crates/lavenderflow/tests/input.rs
+++ b/crates/lavenderflow/tests/input.rs
@@ -190,8 +190,8 @@
 
 async fn connect(site: &Site) -> (Endpoint, Connection) {
     let file = |name: &str| site.keys.join(name);
-    let (_, client) =
-        tls::load(&file("authority.pem"), &file("vm-0.pem"), &file("vm-0.key")).expect("keys");
+    let (_, client) = tls::load(&file("authority.pem"), &file("vm-0.pem"), &file("vm-0.key"), None)
+        .expect("keys");
     let mut endpoint = Endpoint::client(free_udp_port().expect("a port")).expect("an endpoint");
     endpoint.set_default_client_config(client);
     let connecting = endpoint.connect(site.nodes[0].settings.peers, SERVER_NAME);
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -13,6 +13,7 @@
     GateStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
 };
 use lavenderflow::store::StoreError;
+use lavenderflow_core::connections::CloseReason;
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_schema::convert::ConvertError;
 use lavenderflow_schema::settings::{NodeSettings, SETTINGS};
@@ -26,7 +27,8 @@
     let outcomes = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown].map(Counter::Outcome);
     let faults = Fault::ALL.map(Counter::Fault);
     let others = [Counter::Ejected, Counter::Returned];
-    let counters = by_reason.chain(outcomes).chain(faults).chain(others);
+    let closed = CloseReason::ALL.map(Counter::Closed);
+    let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(closed);
     // The page lists counters by reason as a family and the reasons, in separate tables.
     let missing: BTreeSet<String> = counters
         .map(Counter::name)
