--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,20 +1,25 @@
 //! The entry: takes callers' requests, dispatches them to gates and decides on their outcomes.
 
+mod allowance;
 mod claim;
 mod conclusion;
 mod dispatch;
+mod hedging;
 mod report;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use self::dispatch::{AttemptLimits, DispatchStage};
+use self::hedging::RequestHedge;
 use crate::budget::{RetryAllowance, RetryBudget};
+use crate::hedge::HedgePolicy;
 use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
 use crate::organisation::{Directory, Organisation, UnknownKeyError};
 use crate::prelude::*;
 use crate::request::{Arrival, EntryAction};
+use crate::response_size::ResponseSizes;
 use crate::roster::Member;
 use crate::route::{Route, Router};
 use crate::selector::GateSelector;
@@ -50,8 +55,12 @@
     may_have_run: bool,
     rank: u32,
     organisation_rank: u32,
+    // Time in which the queue of the last gate drains; zero if that is not known.
+    drain_time: Duration,
     target_latency: Option<Duration>,
     kind: Option<WorkKind>,
+    large_response: bool,
+    hedge: RequestHedge,
 }
 
 /// Identity of an entry's node.
@@ -88,9 +97,13 @@
     budgets: IndexMap<ServiceName, RetryBudget>,
     allowance: Option<RetryAllowance>,
     service_levels: IndexMap<ServiceName, ServiceLevel>,
+    response_sizes: ResponseSizes,
+    hedges: IndexMap<ServiceName, HedgePolicy>,
     organisation_requests: IndexMap<OrganisationName, u32>,
     active_requests: IndexMap<RequestId, ActiveRequest>,
     waiting: IndexMap<RequestId, TicketId>,
+    // Requests that need a token of their organisation, with the tickets that they came with.
+    drawing: IndexMap<RequestId, (ActiveRequest, Option<TicketId>)>,
     forwarded: IndexSet<RequestId>,
     incarnations: IndexMap<NodeId, Incarnation>,
     next_attempt: Serial,
@@ -120,9 +133,12 @@
             budgets: IndexMap::new(),
             allowance: None,
             service_levels: IndexMap::new(),
+            response_sizes: ResponseSizes::default(),
+            hedges: IndexMap::new(),
             organisation_requests: IndexMap::new(),
             active_requests: IndexMap::new(),
             waiting: IndexMap::new(),
+            drawing: IndexMap::new(),
             forwarded: IndexSet::new(),
             incarnations: IndexMap::new(),
             next_attempt: 1,
@@ -201,7 +217,8 @@
     /// Sets the time by which all requests must have their answers, because the node stops then.
     pub fn limit_deadlines(&mut self, last: Instant) {
         self.last_deadline = Some(last);
-        for active in self.active_requests.values_mut() {
+        let drawing = self.drawing.values_mut().map(|(active, _)| active);
+        for active in self.active_requests.values_mut().chain(drawing) {
             active.deadline = active.deadline.min(last);
         }
     }
@@ -213,7 +230,7 @@
 
     /// Returns the number of requests in flight, including forwarded and waiting ones.
     pub fn in_flight(&self) -> usize {
-        self.active_requests.len() + self.waiting.len() + self.forwarded.len()
+        self.active_requests.len() + self.waiting.len() + self.forwarded.len() + self.drawing.len()
     }
 
     /// Recomputes the eligible gates of all services where that is due.
@@ -276,6 +293,8 @@
             kind: route
                 .filter(|route| route.attempts.is_some())
                 .map(|route| work_kind(route.host.as_deref().unwrap_or_default(), &route.prefix)),
+            large_response: route.is_some_and(|route| route.large_responses),
+            hedge: RequestHedge::new(route),
             arrival,
             service,
             profile,
@@ -292,6 +311,7 @@
             searches: 0,
             admitted: 0,
             may_have_run: false,
+            drain_time: Duration::ZERO,
         };
         let no_route_reason =
             if self.unconfigured { Reason::NotConfigured } else { Reason::NoRoute };
@@ -331,11 +351,16 @@
     }
 
     /// Decides on a request without a ticket, or with a ticket whose home is this entry.
-    fn admit(&mut self, mut active: ActiveRequest, ticket: Option<TicketId>) -> Vec<EntryAction> {
-        let request = active.arrival.request;
-        if let Some(reason) = self.refusal_reason(&active) {
-            return self.refuse_arrival(&active, ticket, reason);
+    fn admit(&mut self, active: ActiveRequest, ticket: Option<TicketId>) -> Vec<EntryAction> {
+        match self.refusal_reason(&active) {
+            Some(reason) => self.refuse_arrival(&active, ticket, reason),
+            None => self.draw(active, ticket),
         }
+    }
+
+    /// Claims the ticket of an admitted request and dispatches the request.
+    fn start(&mut self, mut active: ActiveRequest, ticket: Option<TicketId>) -> Vec<EntryAction> {
+        let request = active.arrival.request;
         if !active.idempotent {
             let now = self.clock.now();
             let ticket = ticket.unwrap_or_else(|| self.ledger.issue(now));
@@ -350,6 +375,7 @@
         }
         let share = active.profile.forgiveness.retries;
         self.budget(&active.service).deposit(share);
+        self.count_for_hedging(&active);
         self.dispatch(active, None)
     }
 
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -16,6 +16,8 @@
 pub use crate::admission::{
     GateAction, RateSignal, RunResult, ServiceOffer, SlotRequest, UpstreamSignals,
 };
+use crate::drain_rate::DrainRate;
+use crate::fair_share::FairShare;
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::{Queue, QueuedRequest};
@@ -37,6 +39,8 @@
 struct ServiceState {
     short_queue: Queue,
     long_queue: Queue,
+    shares: FairShare,
+    drain_rate: DrainRate,
     profile: Profile,
     latencies: IndexMap<WorkKind, LatencyDistribution>,
 }
@@ -97,11 +101,19 @@
         if !request.idempotent && !self.window.accept(request.attempt) {
             return vec![self.refusal(&request, Reason::Duplicate)];
         }
+        // A second entry under the same id would take a slot that no result frees.
+        if self.requests.contains_key(&request.attempt) {
+            return vec![self.refusal(&request, Reason::Duplicate)];
+        }
+        let full = self.refusal_reason(&request, now);
+        let makes_room = matches!(full, Some(Reason::QueueFull | Reason::RateLimited))
+            && self.can_displace(&request);
         let refusal =
-            self.refusal_reason(&request, now).or_else(|| self.gray_refusal_reason(&request, now));
+            full.filter(|_| !makes_room).or_else(|| self.gray_refusal_reason(&request, now));
         if let Some(reason) = refusal {
             return vec![self.refusal(&request, reason)];
         }
+        let displaced = if makes_room { self.displace(&request) } else { None };
         let (attempt, service, long) = (request.attempt, request.service.clone(), request.long);
         let waits = !request.queue_timeout.is_zero();
         let waiting = queued_request(&request, now);
@@ -113,9 +125,14 @@
         } else {
             state.short_queue.push(waiting);
         }
-        let mut actions = self.fill(&service);
-        if !waits && !self.running.contains_key(&attempt) {
-            actions.extend(self.refuse_without_wait(attempt));
+        let mut actions = Vec::from_iter(displaced);
+        actions.extend(self.fill(&service, now));
+        if !self.running.contains_key(&attempt) {
+            if !waits {
+                actions.extend(self.refuse_queued(attempt, Reason::QueueFull));
+            } else if self.is_too_late(attempt, now) {
+                actions.extend(self.refuse_queued(attempt, Reason::TooLate));
+            }
         }
         actions
     }
@@ -127,10 +144,10 @@
         }
     }
 
-    /// Removes a queued attempt. A running attempt ends with [`Gate::finish`].
-    pub fn cancel(&mut self, attempt: AttemptId) {
+    /// Ends an attempt that nobody waits for any more: removes it from the queue, or frees its slot.
+    pub fn cancel(&mut self, attempt: AttemptId) -> Vec<GateAction> {
         if self.running.contains_key(&attempt) {
-            return;
+            return self.finish(attempt, RunResult::Cancelled).1;
         }
         if let Some((request, _)) = self.requests.swap_remove(&attempt)
             && let Some(state) = self.services.get_mut(&request.service)
@@ -138,6 +155,7 @@
             state.short_queue.remove(attempt);
             state.long_queue.remove(attempt);
         }
+        Vec::new()
     }
 
     /// Frees the slot of an attempt and records its result.
@@ -152,6 +170,9 @@
             return (Load::default(), Vec::new());
         };
         let profile = self.profile(&request.service);
+        if let Some(state) = self.services.get_mut(&request.service) {
+            state.shares.finish(&request.organisation, now);
+        }
         self.observe_run(&request, &running, result, now);
         let mut changed = false;
         let upstream = self.upstreams.get_mut(&running.upstream);
@@ -167,7 +188,7 @@
             );
         }
         let mut actions = self.update_likely_gray(now);
-        actions.extend(self.fill(&request.service));
+        actions.extend(self.fill(&request.service, now));
         if changed {
             actions.extend(self.publish());
         }
@@ -185,12 +206,14 @@
         let mut actions = self.review_running(now);
         actions.extend(self.update_likely_gray(now));
         self.remove_drained();
+        self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
+        actions.extend(self.refuse_late(now));
         actions.extend(self.refuse_waits_without_upstream(now));
         actions.extend(self.refuse_waits_on_gray(now));
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
-            actions.extend(self.fill(&service));
+            actions.extend(self.fill(&service, now));
         }
         actions.extend(self.publish());
         actions
@@ -205,6 +228,16 @@
         waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
     }
 
+    /// Returns whether an attempt waits or runs.
+    pub fn holds(&self, attempt: AttemptId) -> bool {
+        self.requests.contains_key(&attempt)
+    }
+
+    /// Returns the attempts that run.
+    pub fn running(&self) -> impl Iterator<Item = AttemptId> {
+        self.running.keys().copied()
+    }
+
     /// Returns the number of running attempts.
     pub fn in_flight(&self) -> usize {
         self.running.len()
@@ -247,24 +280,13 @@
         (wait > request.queue_timeout).then_some(Reason::QueueFull)
     }
 
-    /// Returns whether a request that may not be queued finds a free slot. An upstream that has
-    /// just started keeps some of its slots for requests that would have to wait elsewhere.
-    fn has_free_slot(&self, service: &ServiceName, now: Instant) -> bool {
-        let mut own = self.upstreams.values().filter(|u| u.common().service == *service);
-        own.any(|u| {
-            let common = u.common();
-            let busy = common.short_running + common.long_running;
-            busy < u.on_time_limit(now) && common.rate.wait(now).is_zero()
-        })
-    }
-
     fn refusal(&self, request: &SlotRequest, reason: Reason) -> GateAction {
         GateAction::Refuse { attempt: request.attempt, reason, load: self.load(&request.service) }
     }
 
-    /// Gives free slots to queued requests, short ones first.
-    fn fill(&mut self, service: &ServiceName) -> Vec<GateAction> {
-        let now = self.clock.now();
+    /// Gives free slots to queued requests, short ones first. `now` is the time of the event that made
+    /// room: a request that joined the queue at this time has not waited.
+    fn fill(&mut self, service: &ServiceName, now: Instant) -> Vec<GateAction> {
         let mut actions = Vec::new();
         for long in [false, true] {
             while let Some(id) = self.free_upstream(service, long, now) {
@@ -274,7 +296,11 @@
                 let queue = if long { &mut state.long_queue } else { &mut state.short_queue };
                 let is_limited =
                     self.upstreams.get(&id).is_some_and(|u| u.common().rate.rate().is_some());
-                let next = if is_limited { queue.pop_first_to_expire() } else { queue.pop(now) };
+                let next = if is_limited {
+                    queue.pop_first_to_expire(&state.shares, now)
+                } else {
+                    queue.pop(&state.shares, now)
+                };
                 let Some(waiting) = next else { break };
                 actions.extend(self.start(&waiting, &id, long, now));
             }
@@ -292,9 +318,19 @@
         if now >= waiting.expires_at {
             return self.refuse_waiting(waiting, expiry_reason(waiting));
         }
+        let has_waited = now > waiting.queued_at;
+        if has_waited && self.is_too_late(waiting.attempt, now) {
+            return self.refuse_waiting(waiting, Reason::TooLate);
+        }
         let (request, deadline) = self.requests.get(&waiting.attempt)?;
         let (service, deadline) = (request.service.clone(), *deadline);
         let common = self.upstreams.get_mut(id)?.common_mut();
+        if let Some(state) = self.services.get_mut(&service) {
+            state.shares.start(&waiting.group, now);
+            if has_waited {
+                state.drain_rate.record(now);
+            }
+        }
         *(if long { &mut common.long_running } else { &mut common.short_running }) += 1;
         common.last_start = Some(now);
         common.rate.record(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,17 +7,21 @@
 //! has no sockets, threads or codecs.
 
 mod admission;
+pub mod allowance;
 pub mod budget;
 pub mod catalog;
 pub mod change;
 pub mod clock;
 pub mod connections;
+pub mod drain_rate;
 pub mod entry;
+pub mod fair_share;
 pub mod floor;
 pub mod freshness;
 pub mod gate;
 pub mod gossip;
 pub mod gray_failure;
+pub mod hedge;
 pub mod id;
 pub mod latency;
 pub mod lease;
@@ -36,6 +40,7 @@
 pub mod rate_limit;
 pub mod reason;
 pub mod request;
+pub mod response_size;
 pub mod rings;
 pub mod roster;
 pub mod route;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::hedge::{HedgeEvent, Suppression};
 use crate::prelude::*;
 use crate::ticket::StoredAnswer;
 
@@ -68,6 +69,9 @@
     pub organisation: Option<OrganisationName>,
     /// Priority of the organisation, which goes before `rank`; 0 is the highest.
     pub organisation_rank: u32,
+    /// Whether the organisation is configured. Gates do not share slots by names that anybody may
+    /// claim.
+    pub organisation_known: bool,
     /// Whether the header with the caller's key is removed before the request is sent on.
     pub hides_key: bool,
 }
@@ -106,7 +110,37 @@
         spec: AttemptSpec,
         /// Why the previous attempt ended, if this one is a retry.
         retry_reason: Option<Reason>,
+        /// When hedging is enabled, the time after its admission at which the attempt is to be
+        /// reported as [`AttemptReport::Overdue`].
+        hedge_delay: Option<Duration>,
+        /// Whether a stuck attempt that still runs is to be cancelled once this one has a slot,
+        /// since the limit of hedging does not allow both to run.
+        replaces_stuck: bool,
     },
+    /// Send a second copy of the request to another gate, while the first attempt goes on. The
+    /// first response ends the other attempt; reports on the copy are wrapped in
+    /// [`AttemptReport::Copy`].
+    Hedge {
+        /// The request.
+        request: RequestId,
+        /// The attempt that is the copy.
+        attempt: AttemptId,
+        /// The gate.
+        gate: NodeId,
+        /// The incarnation of the gate's node that the attempt is addressed to.
+        incarnation: Incarnation,
+        /// The parameters for the gate.
+        spec: AttemptSpec,
+    },
+    /// Go on with the attempt that was reported as overdue, without a copy.
+    KeepWaiting {
+        /// The request.
+        request: RequestId,
+        /// Why there is no copy.
+        suppression: Suppression,
+    },
+    /// Count what happened to a copy.
+    RecordHedge(HedgeEvent),
     /// Forward the request to the home of its ticket.
     Forward {
         /// The request.
@@ -143,6 +177,14 @@
         /// Time to wait.
         time: Duration,
     },
+    /// Take a token of the organisation's allowance, and then report [`AttemptReport::Allowed`] or
+    /// [`AttemptReport::OverAllowance`].
+    Draw {
+        /// The request.
+        request: RequestId,
+        /// The organisation.
+        organisation: OrganisationName,
+    },
     /// Wait for the response to an earlier request with the same ticket.
     Wait {
         /// The request.
@@ -171,7 +213,12 @@
         answer: Option<Arc<StoredAnswer>>,
     },
     /// The body that followed the head is complete.
-    Completed(Option<Load>),
+    Completed {
+        /// Load of the service at the gate.
+        load: Option<Load>,
+        /// Length of the whole body in bytes.
+        bytes: u64,
+    },
     /// The body that followed the head was truncated.
     Truncated,
     /// The attempt may have run, and no response will come.
@@ -180,4 +227,38 @@
     CallerGone,
     /// The time of an [`EntryAction::Pause`] is over.
     Resumed,
+    /// The request has a token of its organisation's allowance.
+    Allowed,
+    /// The organisation has used up its allowance; there may be a token after this time.
+    OverAllowance(Duration),
+    /// The attempt has run for its hedge delay without a response. The reply is one
+    /// [`EntryAction::Hedge`] or [`EntryAction::KeepWaiting`].
+    Overdue,
+    /// A report on the second copy of the request. The copy and the first attempt are reported in
+    /// the order in which they end. The first of them to end without a usable response gets no
+    /// reply, since the request goes on with the other one.
+    Copy(Box<AttemptReport>),
+}
+
+impl AttemptReport {
+    /// Returns whether the request may have run, as far as this report tells.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::reason::Reason;
+    /// use lavenderflow_core::request::AttemptReport;
+    ///
+    /// assert!(!AttemptReport::Refused(Reason::QueueFull, None).may_have_run());
+    /// // Another copy of the attempt may have run.
+    /// assert!(AttemptReport::Refused(Reason::Duplicate, None).may_have_run());
+    /// assert!(AttemptReport::Lost(Reason::Lost).may_have_run());
+    /// ```
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Refused(reason, _) => matches!(reason, Reason::Duplicate | Reason::Outdated),
+            Self::Unreachable | Self::Resumed => false,
+            _ => true,
+        }
+    }
 }
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -72,6 +72,8 @@
     pub target_latency: Option<Duration>,
     /// Whether requests need no key, even if there are organisations with keys.
     pub public: bool,
+    /// Whether responses are large, so that their way to another zone counts.
+    pub large_responses: bool,
 }
 
 impl Route {
@@ -89,8 +91,8 @@
     /// assert_eq!(&*route.pick_service(0.95), "b");
     /// ```
     pub fn pick_service(&self, sample: f64) -> ServiceName {
-        let total: u32 = self.service_weights.iter().map(|weighted| weighted.weight).sum();
-        let mut left = sample * f64::from(total);
+        let weights = self.service_weights.iter().map(|weighted| f64::from(weighted.weight));
+        let mut left = sample * weights.sum::<f64>();
         for weighted in &self.service_weights {
             left -= f64::from(weighted.weight);
             if left < 0.0 {
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -17,7 +17,7 @@
 /// Cost of a request to another zone, as the delay that it is worth, in seconds.
 const CROSS_ZONE_COST_S: f64 = 0.04;
 /// Cost of each byte of a body that is sent to another zone, in seconds: traffic between zones is
-/// billed, so an upload waits for a slot in its own zone.
+/// billed, so an upload or a download waits for a slot in its own zone.
 const CROSS_ZONE_BYTE_COST_S: f64 = 0.5 / 65_536.0;
 /// Largest cost of another zone, in seconds. It is below [`GRAY_COST_S`].
 const MAX_CROSS_ZONE_COST_S: f64 = 0.6;
@@ -25,6 +25,9 @@
 const GRAY_COST_S: f64 = 1.0;
 /// Cost of a gray failure for an idempotent request, in seconds: it is abandoned early and retried.
 const RETRIED_GRAY_COST_S: f64 = 0.2;
+/// Cost of a rejection by the upstream, in seconds: another try takes a retry from the budget of the
+/// whole fleet, and the request is refused once that is spent.
+const REJECTION_COST_S: f64 = 0.6;
 /// Cost of a gate that has just failed to respond, in seconds.
 const UNRESPONSIVE_COST_S: f64 = 1.0;
 /// Time constant with which the cost of an unresponsive gate decays, in seconds.
@@ -46,7 +49,7 @@
     pub avoid_gray: bool,
     /// Whether the request may wait in the gate's queue for a slot.
     pub may_queue: bool,
-    /// Length of the body in bytes, or an estimate of it.
+    /// Length of the bodies of the request and of a large response in bytes, or an estimate of it.
     pub body_bytes: u64,
     /// Gates that are not selected, since the request was sent to them before.
     pub excluded: &'a [NodeId],
@@ -150,6 +153,38 @@
         best.or_else(|| best_of(pool, all, criteria.excluded, now))
     }
 
+    /// Selects a gate for a second copy of a request: one that is healthy, likely to have a free
+    /// slot and not excluded, in another zone only if the entry's own zone has none.
+    pub fn pick_idle(
+        &mut self,
+        service: &ServiceName,
+        criteria: &GateCriteria<'_>,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Option<NodeId> {
+        let pool = self.pools.get_mut(service)?;
+        let paths = &self.paths;
+        let floor = criteria.profile.caution.floor;
+        pool.refresh(self.entry, now, floor, |node| path_evidence(paths, node));
+        let is_idle = |index: &&usize| {
+            let gate = pool.gate(**index);
+            let wait = gate.known_wait(now).unwrap_or_default();
+            wait.is_zero()
+                && !gate.is_unhealthy(now)
+                && path_evidence(paths, gate.node).0 == Condition::Healthy
+        };
+        let (same_zone, all) = pool.subset();
+        [same_zone, all].into_iter().find_map(|indexes| {
+            let idle: Vec<usize> = indexes.iter().filter(is_idle).copied().collect();
+            least_cost(pool, &idle, &self.unresponsive, criteria, now, rng)
+        })
+    }
+
+    /// Returns the share of free slots that recent load reports of a service's gates show.
+    pub fn free_share(&self, service: &ServiceName, now: Instant) -> Option<f64> {
+        self.pools.get(service)?.free_share(now)
+    }
+
     /// Adds gates to those that requests for a service are sent to.
     pub fn grow_subset(&mut self, service: &ServiceName, now: Instant) {
         if let Some(pool) = self.pools.get_mut(service) {
@@ -252,8 +287,8 @@
     detector.map_or((Condition::Healthy, 0.0), |d| (d.condition(), d.evidence()))
 }
 
-/// Returns the gate with the least cost for a request. The cost adds up the probability of a gray
-/// failure, the expected wait, the zone and whether the gate is unresponsive.
+/// Returns the gate with the least cost for a request. The cost adds up the probabilities of a gray
+/// failure and of a rejection, the expected wait, the zone and whether the gate is unresponsive.
 fn least_cost(
     pool: &GatePool,
     indexes: &[usize],
@@ -286,7 +321,8 @@
         let wait = gate.known_wait(now).map_or(assumed_wait, seconds);
         // Among gates that are probably healthy the load decides, so that all of them get work.
         let gray_excess = (gate.gray_probability(now) - gray_failure::NEUTRAL_PROBABILITY).max(0.0);
-        let cost = gray_excess * gray_cost + wait + cross_zone + unresponsiveness;
+        let rejection = gate.rejected_share(now) * REJECTION_COST_S;
+        let cost = gray_excess * gray_cost + rejection + wait + cross_zone + unresponsiveness;
         (cost + rng.random_range(0.0..COST_JITTER_S), gate.node)
     });
     costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, node)| node)
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -218,7 +218,13 @@
                 EntryAction::Wait { request, .. } => {
                     self.pending.push((request, self.home_incarnation));
                 }
-                EntryAction::Forward { .. } | EntryAction::Pause { .. } => {}
+                EntryAction::Forward { .. }
+                | EntryAction::Pause { .. }
+                | EntryAction::Draw { .. } => {}
+                // No profile of this test enables hedging.
+                EntryAction::Hedge { .. }
+                | EntryAction::KeepWaiting { .. }
+                | EntryAction::RecordHedge(_) => unreachable!("{action:?}"),
             }
         }
     }
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -88,6 +88,7 @@
     limits: watch::Sender<RequestLimits>,
     awaits_deployment: bool,
     burst: u64,
+    rejected_count: usize,
     fleet_size: usize,
     ready: Option<oneshot::Sender<()>>,
     entry: Actor<EntryActor>,
@@ -97,6 +98,9 @@
     profiles: IndexMap<ServiceName, Profile>,
     pinging: IndexSet<NodeId>,
     known_expelled: IndexSet<NodeId>,
+    is_isolated: bool,
+    // Whether this process has known at least half of the nodes that the store listed.
+    has_joined: bool,
     ping_rounds: u32,
     flush_timer: MinTimerKey,
     flushed_at: Option<Instant>,
@@ -128,6 +132,7 @@
             limits: setup.limits,
             awaits_deployment: setup.awaits_deployment,
             burst: setup.burst,
+            rejected_count: 0,
             fleet_size: 0,
             ready: Some(setup.ready),
             entry,
@@ -137,6 +142,8 @@
             profiles: IndexMap::new(),
             pinging: IndexSet::new(),
             known_expelled: IndexSet::new(),
+            is_isolated: false,
+            has_joined: false,
             ping_rounds: 0,
             flush_timer: MinTimerKey::default(),
             flushed_at: None,
@@ -177,7 +184,8 @@
                     self.merge_exchange(cx, exchange);
                 }
             }
-            FleetMessage::StoreRead { documents, is_complete } => {
+            FleetMessage::StoreRead { documents, rejected, is_complete } => {
+                rejected.into_iter().for_each(|rejection| self.catalog.reject(rejection));
                 self.merge_stored(cx, documents, is_complete);
             }
             FleetMessage::StoreConfirmed { prefix, time } => {
@@ -231,6 +239,21 @@
             }
         }
         self.update_store_role();
+        self.update_isolation();
+    }
+
+    /// Tells the entry when this node becomes isolated: it reaches few of its subjects, or has not
+    /// met half of the nodes that were registered in the store when it started.
+    fn update_isolation(&mut self) {
+        let registered = self.registered_peers.len();
+        let has_met_half = self.roster.members().len() * 2 > registered;
+        self.has_joined |= registered > 0 && has_met_half;
+        let is_isolated = (!self.has_joined && !has_met_half) || self.roster.is_isolated();
+        if is_isolated != self.is_isolated {
+            self.is_isolated = is_isolated;
+            let entry = &self.entry;
+            call!([entry], set_isolated(is_isolated));
+        }
     }
 
     fn remove_node(&mut self, node: NodeId) {
@@ -320,6 +343,7 @@
             }
         }
         self.known_expelled = expelled;
+        self.update_isolation();
         self.update_store_role();
         self.update_retry_allowance();
         nodes.iter().for_each(|node| self.set_new_profiles(*node));
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -2,9 +2,12 @@
 
 use std::net::UdpSocket;
 
-use cadence::{CountedExt as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink};
+use cadence::{
+    Counted as _, Gauged as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink,
+};
 use hdrhistogram::Histogram;
 use lavenderflow_core::connections::CloseReason;
+use lavenderflow_core::hedge::HedgeEvent;
 use lavenderflow_core::memory::Budget;
 
 use crate::error::NodeError;
@@ -61,9 +64,45 @@
     }
 }
 
+/// An event of the fleet-wide allowances.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum AllowanceEvent {
+    /// A draw that was sent to another node.
+    Draw,
+    /// A token that expired unused.
+    Expired,
+    /// A draw that no node answered in time.
+    Failed,
+    /// A draw that the fallback had to replace.
+    Fallback,
+    /// A grant that came from another node.
+    Grant,
+    /// A token that a bucket of this node granted.
+    Lent,
+}
+
+impl AllowanceEvent {
+    /// All variants.
+    pub const ALL: [Self; 6] =
+        [Self::Draw, Self::Expired, Self::Failed, Self::Fallback, Self::Grant, Self::Lent];
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Draw => "draws",
+            Self::Expired => "expired",
+            Self::Failed => "draws-failed",
+            Self::Fallback => "fallback",
+            Self::Grant => "grants",
+            Self::Lent => "lent",
+        }
+    }
+}
+
 /// A counter.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Counter {
+    /// Events of the fleet-wide allowances.
+    Allowance(AllowanceEvent),
     /// Requests that ended with this outcome.
     Outcome(Outcome),
     /// Requests that ended without a response from an upstream, by reason.
@@ -76,6 +115,8 @@
     Ejected,
     /// Returns of a service's upstreams after an ejection.
     Returned,
+    /// Second copies of slow attempts.
+    Hedge(HedgeEvent),
     /// Invalid input and failures in the communication between processes.
     Fault(Fault),
     /// Connections of callers that were closed or refused for a limit.
@@ -95,18 +136,30 @@
     /// ```
     pub fn name(self) -> String {
         match self {
+            Self::Allowance(event) => format!("allowance.{}", event.name()),
             Self::Outcome(outcome) => format!("entry.outcome.{}", outcome.name()),
             Self::EntryRefused(reason) => format!("entry.refused.{}", reason.name()),
             Self::Retried(reason) => format!("entry.retried.{}", reason.name()),
             Self::GateRefused(reason) => format!("gate.refused.{}", reason.name()),
             Self::Ejected => "gate.ejected".to_owned(),
             Self::Returned => "gate.returned".to_owned(),
+            Self::Hedge(event) => hedge_name(event),
             Self::Fault(fault) => format!("fault.{}", fault.name()),
             Self::Closed(reason) => format!("closed.{}", reason.name()),
         }
     }
 }
 
+fn hedge_name(event: HedgeEvent) -> String {
+    match event {
+        HedgeEvent::Started => "entry.hedge.started".to_owned(),
+        HedgeEvent::Won => "entry.hedge.won".to_owned(),
+        HedgeEvent::Lost => "entry.hedge.lost".to_owned(),
+        HedgeEvent::Refused => "entry.hedge.refused".to_owned(),
+        HedgeEvent::Suppressed(reason) => format!("entry.hedge.suppressed.{}", reason.name()),
+    }
+}
+
 /// A stage of a request whose duration is recorded.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Stage {
@@ -161,19 +214,45 @@
     client: StatsdClient,
     counts: IndexMap<Counter, u64>,
     latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
+    orphaned: usize,
+    rejected: usize,
     budget: Budget,
 }
 
 impl Counters {
     /// Creates counters with the value zero; `budget` is what the node holds for others.
     pub fn new(client: StatsdClient, budget: Budget) -> Self {
-        Self { client, counts: IndexMap::new(), latencies: IndexMap::new(), budget }
+        let (counts, latencies) = (IndexMap::new(), IndexMap::new());
+        Self { client, counts, latencies, orphaned: 0, rejected: 0, budget }
     }
 
     /// Increments a counter.
     pub fn add(&mut self, counter: Counter) {
-        *self.counts.entry(counter).or_default() += 1;
-        if let Err(fault) = self.client.incr(&counter.name()) {
+        self.add_many(counter, 1);
+    }
+
+    /// Increases a counter by `count`.
+    pub fn add_many(&mut self, counter: Counter, count: u64) {
+        *self.counts.entry(counter).or_default() += count;
+        if let Err(fault) = self.client.count(&counter.name(), count) {
+            log::debug!("event=metric-lost fault={fault:?}");
+        }
+    }
+
+    /// Sets the number of running attempts whose slot has no owner.
+    pub fn set_orphaned(&mut self, attempts: usize) {
+        self.orphaned = attempts;
+        if let Err(fault) = self.client.gauge("gate.orphaned", attempts as u64) {
+            log::debug!("event=metric-lost fault={fault:?}");
+        }
+    }
+
+    /// Sets the number of configuration documents and entries that cannot be read, so that their last
+    /// good versions are in force.
+    pub fn set_rejected(&mut self, count: usize) {
+        self.rejected = count;
+        let value = u64::try_from(count).unwrap_or(u64::MAX);
+        if let Err(fault) = self.client.gauge("configuration.rejected", value) {
             log::debug!("event=metric-lost fault={fault:?}");
         }
     }
@@ -218,6 +297,12 @@
             let kind = kind.name();
             lines.push(format!("{METRIC_PREFIX}_held_bytes{{kind=\"{kind}\"}} {bytes}"));
         }
+        let orphaned = format!("{METRIC_PREFIX}_orphaned_attempts");
+        lines.push(format!("# TYPE {orphaned} gauge"));
+        lines.push(format!("{orphaned} {}", self.orphaned));
+        let name = format!("{METRIC_PREFIX}_configuration_rejected");
+        lines.push(format!("# TYPE {name} gauge"));
+        lines.push(format!("{name} {}", self.rejected));
         let name = format!("{METRIC_PREFIX}_latency_seconds");
         lines.push(format!("# TYPE {name} summary"));
         for (stage, (histogram, sum)) in &self.latencies {
--- a/crates/lavenderflow/src/environment.rs
+++ b/crates/lavenderflow/src/environment.rs
@@ -5,13 +5,16 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
+use lavenderflow_core::catalog::{Document, Rejection};
+use lavenderflow_core::profile::Forgiveness;
 use lavenderflow_platform::deployment;
 use lavenderflow_platform::node_file::NodeFile;
 use lavenderflow_schema::dialect::Dialect;
+use lavenderflow_schema::settings::NodeSettings;
 
 use crate::http::native::NativeDialect;
 use crate::prelude::*;
-use crate::store::{ConfigSource, OPERATOR_SOURCE};
+use crate::store::{ConfigSource, Entry, OPERATOR_SOURCE};
 
 /// Time within which a change of a profile must be in force on the platform.
 const PROFILE_APPLY_LIMIT: Duration = Duration::from_secs(40);
@@ -51,7 +54,11 @@
 
 impl Environment {
     /// Returns the environment of a node that is configured by settings and operators' commands.
-    pub fn native() -> Self {
+    pub fn native(settings: &NodeSettings) -> Self {
+        let default = Profile::default();
+        let hedges = settings.hedge as f64 / 100.0;
+        let profile =
+            Profile { forgiveness: Forgiveness { hedges, ..default.forgiveness }, ..default };
         Self {
             dialect: Arc::new(NativeDialect),
             trust: PeerTrust::Certificates,
@@ -60,7 +67,7 @@
             upstream_address: None,
             sources: vec![OPERATOR_SOURCE],
             awaits_deployment: false,
-            profile: Profile::default(),
+            profile,
             node_file: None,
         }
     }
@@ -69,7 +76,7 @@
     pub fn platform(path: PathBuf, node_file: &NodeFile) -> Self {
         let deployment = ConfigSource {
             prefix: deployment::STORE_KEY,
-            decode: |entry| deployment::decode(entry.value.as_bytes()),
+            decode: decode_deployment,
             is_read_early: true,
             is_restorable: false,
             apply_limit: node_file.apply_limit,
@@ -95,3 +102,12 @@
         }
     }
 }
+
+fn decode_deployment(entry: &Entry) -> Result<Document, Rejection> {
+    let text = entry.value.as_bytes();
+    deployment::decode(text).map_err(|fault| Rejection {
+        key: deployment::DOCUMENT_KEY.to_owned(),
+        revision: deployment::read(text).revision,
+        fault: fault.to_string(),
+    })
+}
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -11,7 +11,7 @@
 use lavenderflow_core::memory::{HoldLimits, OverLimit, Share};
 use lavenderflow_core::progress::Phase;
 use lavenderflow_core::request::Arrival;
-use lavenderflow_schema::dialect::{Completion, HeaderError, Headers, RequestMetadata};
+use lavenderflow_schema::dialect::{Completion, Dialect, HeaderError, Headers, RequestMetadata};
 use rand::random;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
@@ -49,6 +49,8 @@
     pub net: NetworkContext,
     /// Other nodes that refused callers are told to try.
     pub next_nodes: watch::Receiver<String>,
+    /// Converts headers and statuses of requests that begin now; names the service of this VM.
+    pub dialect: watch::Receiver<Arc<dyn Dialect>>,
     /// Limits on the size of requests.
     pub limits: watch::Receiver<RequestLimits>,
     /// Limit of concurrent requests.
@@ -124,7 +126,9 @@
     set_phase(&connection, Phase::Processing);
     let arrived = context.net.clock.now();
     let headers = header::text_headers(request.headers());
-    let metadata = context.net.dialect.parse_request(&headers);
+    // A request keeps the dialect that it began with.
+    let dialect = Arc::clone(&context.dialect.borrow());
+    let metadata = dialect.parse_request(&headers);
     let id = metadata.as_ref().ok().and_then(|metadata| metadata.id.clone());
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
     let line = format!("{} {}", request.method(), request.uri().path());
@@ -133,6 +137,8 @@
     } else if request.uri().path().starts_with(RESERVED_PREFIX) {
         serve_reserved(&context, request.uri().path()).await
     } else {
+        let mut headers = headers;
+        dialect.set_forward_headers(&mut headers, &id);
         serve_routed(&context, request, headers, metadata, &id).await
     };
     set_phase(&connection, Phase::Responding);
@@ -157,7 +163,7 @@
         relayed: reply.relayed,
     };
     let delivery = Delivery::new(connection, &reply, guard);
-    response::build_response(reply, &completion, context.net.dialect.as_ref(), delivery)
+    response::build_response(reply, &completion, dialect.as_ref(), delivery)
 }
 
 fn set_phase(connection: &Option<CallerConnection>, phase: Phase) {
@@ -169,11 +175,10 @@
 async fn serve_routed(
     context: &CallerContext,
     request: hyper::Request<Incoming>,
-    mut headers: Headers,
+    headers: Headers,
     metadata: Result<RequestMetadata, HeaderError>,
     id: &str,
 ) -> Reply {
-    context.net.dialect.set_forward_headers(&mut headers, id);
     let limits = *context.limits.borrow();
     let parsed = match metadata {
         Ok(metadata) => parse_request(&context.net, request, headers, metadata, limits).await,
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -20,7 +20,7 @@
 /// Timeout for reading the headers of a request, which includes the idle time before it.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
 /// Size limit of the buffer per connection and direction, in bytes.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Interval at which connections are checked against the limits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Time that a connection which must be closed gets to send its last response.
--- a/crates/lavenderflow/src/lib.rs
+++ b/crates/lavenderflow/src/lib.rs
@@ -4,6 +4,7 @@
 //! the tasks and threads that own sockets, and the typed messages between them.
 
 pub mod actor;
+pub mod check;
 pub mod clock;
 pub mod command;
 pub mod counter;
@@ -20,6 +21,7 @@
 pub mod prelude;
 pub mod reload;
 pub mod shutdown;
+pub mod slot;
 pub mod status;
 pub mod store;
 pub mod upstream;
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod frame;
+mod hedge;
 
 use bytes::Bytes;
 use lavenderflow_core::request::{Arrival, AttemptReport, Conclusion, EntryAction};
@@ -11,8 +12,9 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use self::attempt::{AttemptResult, HedgedAttempt, HeldResponse, run_attempt};
+use self::attempt::{Admission, HedgedAttempt, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
+use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts, TruncatedResponse};
 use super::context::NetworkContext;
 use super::link::FrameSource;
@@ -22,6 +24,8 @@
 /// Longest wait for a gate's first frame, after which the gate counts as lost. A gate also sends a
 /// frame when it queues an attempt.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which a caller may retry at another node when this one has stopped.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Actions that the channel of one request buffers.
 const ACTION_CAPACITY: usize = 4;
 
@@ -40,6 +44,19 @@
     pub body_rest: Option<BodyRequest>,
 }
 
+impl Request {
+    /// Returns a copy of a request whose body is buffered.
+    fn duplicate(&self) -> Self {
+        Self {
+            arrival: self.arrival.clone(),
+            id: self.id.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            body_rest: None,
+        }
+    }
+}
+
 /// The body of a response.
 #[derive(Debug)]
 pub enum ReplyBody {
@@ -96,19 +113,19 @@
     let mut held: Option<HeldResponse> = None;
     let mut hedged: Option<HedgedAttempt> = None;
     let mut wait = None;
-    let mut is_dispatched = false;
+    let mut may_have_run = false;
+    let mut is_answered = false;
     loop {
         let Some(action) = next_action(context, id, &mut actions, wait.take()).await else {
             // The actors have ended: the node stopped during the request.
             guard.is_finished = true;
-            return if is_dispatched {
+            return if may_have_run {
                 Reply::local(Outcome::Unknown, Reason::Lost, None)
             } else {
-                Reply::local(Outcome::NotRun, Reason::Leaving, None)
+                let retry_after = Some(STOPPED_RETRY_AFTER);
+                Reply { retry_after, ..Reply::local(Outcome::NotRun, Reason::Leaving, None) }
             };
         };
-        is_dispatched |=
-            matches!(action, EntryAction::Dispatch { .. } | EntryAction::Forward { .. });
         let result = match action {
             EntryAction::Dispatch {
                 attempt,
@@ -117,6 +134,8 @@
                 spec,
                 ticket,
                 retry_reason,
+                hedge_delay,
+                replaces_stuck,
                 ..
             } => {
                 log::info!(
@@ -133,14 +152,48 @@
                 let begin =
                     Begin { incarnation, ..dispatch_frame(&request, attempt, ticket, &spec) };
                 let limit = spec.remaining;
-                let next =
-                    run_attempt(context, &mut request, gate, begin, limit, FIRST_FRAME_TIMEOUT);
-                race_attempts(&mut hedged, next).await
+                let spare = hedge_delay.map(|delay| (delay, request.duplicate()));
+                let (admission, admitted) = Admission::first();
+                let next = run_attempt(
+                    context,
+                    &mut request,
+                    gate,
+                    begin,
+                    limit,
+                    FIRST_FRAME_TIMEOUT,
+                    admission,
+                );
+                if let Some((delay, request)) = spare {
+                    let hedge = HedgeContext { context, request, held: &mut held };
+                    hedge.run(next, admitted, delay, &mut actions).await
+                } else {
+                    let admitted = replaces_stuck.then_some(admitted);
+                    race_attempts(&mut hedged, admitted, next).await
+                }
             }
+            // The response that ends the request has been reported since.
+            EntryAction::Hedge { .. } if is_answered => continue,
+            EntryAction::Hedge { attempt, gate, incarnation, spec, .. } => {
+                let request = request.duplicate();
+                let hedge = HedgeContext { context, request, held: &mut held };
+                let order = CopyOrder { attempt, gate, incarnation, spec };
+                match hedged.take() {
+                    Some(stuck) => {
+                        let first: FirstAttempt<'_, NoAttempt> = FirstAttempt::Stuck(stuck);
+                        hedge.race(first, order).await
+                    }
+                    None => hedge.run_alone(order).await,
+                }
+            }
+            EntryAction::KeepWaiting { .. } | EntryAction::RecordHedge(_) => continue,
             EntryAction::Forward { home, ticket, remaining, organisation, hides_key, .. } => {
+                // An earlier copy under the same ticket may have run.
+                may_have_run = true;
                 let organisation = organisation.as_deref();
                 let begin = forward_frame(&request, ticket, remaining, organisation, hides_key);
-                run_attempt(context, &mut request, home, begin, remaining, remaining).await
+                let admission = Admission::default();
+                run_attempt(context, &mut request, home, begin, remaining, remaining, admission)
+                    .await
             }
             EntryAction::Relay { ticket, .. } => {
                 guard.is_finished = true;
@@ -162,40 +215,27 @@
                 tokio::time::sleep(time).await;
                 AttemptReport::Resumed.into()
             }
+            // The entry's actor has the draw done and reports the result.
+            EntryAction::Draw { .. } => continue,
             EntryAction::Wait { remaining, .. } => {
+                // The request with the same ticket may run.
+                may_have_run = true;
                 wait = Some(remaining);
                 continue;
             }
         };
+        may_have_run |= result.report.may_have_run();
         if result.held.is_some() {
             held = result.held;
         }
         if result.hedged.is_some() {
             hedged = result.hedged;
         }
+        is_answered = is_usable(&result.report);
         send_report(context, id, result.report).await;
     }
 }
 
-/// Waits for a new attempt or for the hedged one, whichever responds first.
-async fn race_attempts(
-    hedged: &mut Option<HedgedAttempt>,
-    next: impl Future<Output = AttemptResult>,
-) -> AttemptResult {
-    let Some(first) = hedged else { return next.await };
-    tokio::pin!(next);
-    tokio::select! {
-        result = &mut next => return result,
-        response = first.response() => {
-            *hedged = None;
-            if let Some(result) = response {
-                return result;
-            }
-        }
-    }
-    next.await
-}
-
 async fn send_report(context: &NetworkContext, id: RequestId, report: AttemptReport) {
     context.mailbox.send(Message::Entry(EntryMessage::Report(id, report))).await;
 }
@@ -275,7 +315,8 @@
                     }
                 }
                 Ok(Some(Body::End(end))) if end.length == total => {
-                    return AttemptReport::Completed(end.load.map(Into::into));
+                    let load = end.load.map(Into::into);
+                    return AttemptReport::Completed { load, bytes: total };
                 }
                 _ => return AttemptReport::Truncated,
             }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -15,10 +15,13 @@
 use crate::net::connector::{DatagramCount, PeerError};
 use crate::net::context::NetworkContext;
 use crate::net::link::{self, FrameSink, FrameSource, LinkError};
-use crate::prelude::{Duration, NodeId, Reason, RequestId};
+use crate::prelude::{Duration, Load, NodeId, Reason, RequestId};
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
+/// Part of this time after which the entry withdraws an attempt that is still queued. The rest is for
+/// the gate's confirmation, with a round trip of up to 11 ms between zones.
+const WITHDRAWAL_DELAY: Duration = Duration::from_millis(10);
 
 /// A received response, held until the entry decides what to do with it.
 pub(super) struct HeldResponse {
@@ -41,7 +44,7 @@
     }
 }
 
-/// A slow attempt that continues in parallel with another one. Dropping it abandons the attempt.
+/// A stuck attempt that continues in parallel with another one. Dropping it abandons the attempt.
 pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
 
 impl HedgedAttempt {
@@ -85,6 +88,37 @@
     }
 }
 
+/// How the admission of an attempt is reported.
+#[derive(Default)]
+pub(super) struct Admission {
+    is_copy: bool,
+    notify: Option<oneshot::Sender<()>>,
+}
+
+impl Admission {
+    /// Returns the admission of a request's only or first attempt, and a receiver that is notified
+    /// of it.
+    pub(super) fn first() -> (Self, oneshot::Receiver<()>) {
+        let (notify, admitted) = oneshot::channel();
+        (Self { is_copy: false, notify: Some(notify) }, admitted)
+    }
+
+    /// Returns the admission of a second copy of a request.
+    pub(super) fn copy() -> Self {
+        Self { is_copy: true, notify: None }
+    }
+
+    async fn report(&mut self, context: &NetworkContext, id: RequestId, load: Load) {
+        let report = AttemptReport::Admitted(load);
+        let report = if self.is_copy { AttemptReport::Copy(Box::new(report)) } else { report };
+        send_report(context, id, report).await;
+        if let Some(notify) = self.notify.take() {
+            // The receiver is gone when nothing waits for the admission.
+            let _ = notify.send(());
+        }
+    }
+}
+
 /// Makes one attempt: sends the request to a node and waits for the response headers.
 pub(super) async fn run_attempt(
     context: &NetworkContext,
@@ -93,6 +127,7 @@
     begin: Begin,
     remaining: Duration,
     first_frame_timeout: Duration,
+    admission: Admission,
 ) -> AttemptResult {
     let (link_connection, (mut sink, source)) = match open(context, node).await {
         Ok(link) => link,
@@ -102,17 +137,26 @@
         }
     };
     let on_commit = begin.on_commit;
+    // A frame that was not sent whole cannot be decoded, so no gate has seen the request.
     if let Err(fault) = sink.send(Body::Begin(begin)).await {
         log::info!("event=attempt-lost request={} gate={node:x} fault={fault:?}", request.id);
-        let report =
-            if on_commit { AttemptReport::Unreachable } else { AttemptReport::Lost(Reason::Lost) };
-        return report.into();
+        return AttemptReport::Unreachable.into();
     }
     let id = request.arrival.request;
     let committed = !on_commit;
     let started = Instant::now();
-    let mut link =
-        AttemptLink { context, id, sink: Some(sink), source, remaining, started, committed };
+    let mut link = AttemptLink {
+        context,
+        id,
+        sink: Some(sink),
+        source,
+        remaining,
+        started,
+        committed,
+        is_queued: false,
+        is_withdrawn: false,
+        admission,
+    };
     let limit = remaining + DEADLINE_GRACE;
     let run = timeout(limit, link.run(request, first_frame_timeout.min(limit)));
     let ended = tokio::select! {
@@ -173,6 +217,10 @@
     started: Instant,
     // Whether the gate may have run the request.
     committed: bool,
+    // Whether the gate has queued the request and not yet decided on it.
+    is_queued: bool,
+    is_withdrawn: bool,
+    admission: Admission,
 }
 
 impl AttemptLink<'_> {
@@ -186,11 +234,12 @@
         let mut frame = first.unwrap_or(Err(LinkError::Closed))?;
         loop {
             match frame.take() {
-                Some(Body::Verdict(verdict)) if verdict.queued => {}
+                Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
                 Some(Body::Verdict(verdict)) if verdict.stuck => return Ok(self.hedge()),
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
+                    self.is_queued = false;
                     let load = verdict.load.unwrap_or_default().into();
-                    send_report(self.context, self.id, AttemptReport::Admitted(load)).await;
+                    self.admission.report(self.context, self.id, load).await;
                     self.commit(request).await?;
                 }
                 // The request was never committed here, so this gate cannot have run it.
@@ -206,7 +255,31 @@
                 Some(_) => return Err(LinkError::Unexpected),
                 None => return Err(LinkError::Closed),
             }
-            frame = self.source.receive().await?;
+            frame = self.next_frame().await?;
+        }
+    }
+
+    /// Receives the next frame. At the deadline, or when the node ends, it withdraws an attempt that
+    /// is still queued: the gate then confirms that the request has not run and will not run.
+    async fn next_frame(&mut self) -> Result<Option<Body>, LinkError> {
+        // Until it is committed, an attempt needs no confirmation.
+        let mut may_withdraw = self.is_queued && self.committed && !self.is_withdrawn;
+        let Self { context, sink, source, remaining, started, .. } = self;
+        let withdrawal = *started + *remaining + WITHDRAWAL_DELAY;
+        let frame = source.receive();
+        tokio::pin!(frame);
+        loop {
+            tokio::select! {
+                frame = &mut frame => return frame,
+                () = tokio::time::sleep_until(withdrawal), if may_withdraw => {}
+                () = context.stop.last_answer(&context.clock), if may_withdraw => {}
+            }
+            may_withdraw = false;
+            self.is_withdrawn = true;
+            if let Some(sink) = sink {
+                let reason = Reason::DeadlinePast.name().to_owned();
+                sink.send(Body::Cut(wire::Cut { reason, ..wire::Cut::default() })).await?;
+            }
         }
     }
 
@@ -215,7 +288,8 @@
     async fn commit(&mut self, request: &mut Request) -> Result<(), LinkError> {
         let gate_waits = !std::mem::replace(&mut self.committed, true);
         let rest = request.body_rest.take();
-        if !gate_waits && rest.is_none() {
+        // The gate has read or will read the withdrawal instead of a body.
+        if self.is_withdrawn || (!gate_waits && rest.is_none()) {
             return Ok(());
         }
         let Some(mut sink) = self.sink.take() else { return Ok(()) };
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use bytes::{Bytes, BytesMut};
-use lavenderflow_core::gate::{RunResult, SlotRequest};
+use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_schema::wire::frame::Body;
 use lavenderflow_schema::wire::{self, Answer, Begin, Header, Purpose};
 use tokio::sync::{mpsc, oneshot};
@@ -14,8 +14,9 @@
 use super::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use super::context::NetworkContext;
 use super::link::{FrameSink, FrameSource, LinkError};
-use crate::message::{AdmissionDecision, AttemptChannels, GateMessage};
+use crate::message::{AdmissionDecision, GateMessage};
 use crate::prelude::*;
+use crate::slot::{Slot, SlotClaim};
 use crate::upstream::{Call, CallEvent};
 
 /// Time after which the entry is notified that an attempt is queued for a slot.
@@ -53,7 +54,7 @@
     context: &NetworkContext,
     begin: Begin,
     mut sink: FrameSink,
-    source: FrameSource,
+    mut source: FrameSource,
 ) -> Result<(), LinkError> {
     let attempt: AttemptId = begin.attempt.ok_or(LinkError::Unexpected)?.into();
     let Ok(_held) = context.claim_body(&begin, &source) else {
@@ -74,14 +75,14 @@
         degraded: begin.strained,
         kind: begin.kind,
         gray_tolerance: begin.tolerance,
-        organisation: Some(begin.organisation.as_str()).filter(|o| !o.is_empty()).map(Into::into),
+        organisation: begin.organisation_known.then(|| begin.organisation.as_str().into()),
         organisation_rank: begin.organisation_rank,
     };
     let (reply, decision) = oneshot::channel();
-    let (abandon, abandoned) = oneshot::channel();
-    send_gate(context, GateMessage::Submit(slot_request, AttemptChannels { reply, abandon })).await;
-    match wait_for_slot(&mut sink, decision).await {
-        Some(AdmissionDecision::Start { upstream, address, deadline, load }) => {
+    let mut claim = SlotClaim::new(attempt, context.mailbox.clone(), decision);
+    send_gate(context, GateMessage::Submit(slot_request, reply)).await;
+    match wait_for_slot(&mut sink, &mut source, &mut claim).await {
+        SlotWait::Decided(AdmissionDecision::Start { upstream, address, deadline, load, slot }) => {
             log::info!(
                 "event=admitted request={} upstream={upstream} doubt={:.3} busy={} slots={}",
                 begin.request_id,
@@ -91,16 +92,13 @@
             );
             let load = Some(load.into());
             let admitted = wire::Verdict { admitted: true, load, ..wire::Verdict::default() };
-            if sink.send(Body::Verdict(admitted)).await.is_err() {
-                finish_attempt(context, attempt, RunResult::Cancelled).await;
-                return Err(LinkError::Closed);
-            }
+            sink.send(Body::Verdict(admitted)).await?;
             let (id, idempotent) = (begin.request_id.clone(), begin.idempotent);
             let Some((body, body_rest)) = request_body(&begin, source).await else {
                 log::info!("event=not-committed request={id}");
-                finish_attempt(context, attempt, RunResult::Cancelled).await;
-                sink.reset();
-                return Err(LinkError::Closed);
+                let load = slot.finish(RunResult::Cancelled).await;
+                // The commit may be on its way, and is not read any more.
+                return refuse(sink, Reason::Unreachable, load).await;
             };
             let (events, event_receiver) = mpsc::channel(BODY_CHANNEL_CAPACITY);
             let call = Call {
@@ -110,14 +108,13 @@
                 ..upstream_call(begin, address, deadline, events)
             };
             if context.calls.send(call).await.is_err() {
-                finish_attempt(context, attempt, RunResult::Cancelled).await;
-                return Err(LinkError::Closed);
+                // The node ends: nobody has received the call.
+                let load = slot.finish(RunResult::Cancelled).await;
+                return refuse(sink, Reason::Leaving, load).await;
             }
-            UpstreamRun { context, attempt, id, sink, idempotent }
-                .relay(event_receiver, abandoned)
-                .await
+            UpstreamRun { context, slot, id, sink, idempotent }.relay(event_receiver).await
         }
-        Some(AdmissionDecision::Refuse(reason, load)) => {
+        SlotWait::Decided(AdmissionDecision::Refuse(reason, load)) => {
             log::info!(
                 "event=refused request={} reason={} doubt={:.3} busy={} slots={} queued={}",
                 begin.request_id,
@@ -129,10 +126,29 @@
             );
             refuse(sink, reason, Some(load)).await
         }
-        None => {
-            send_gate(context, GateMessage::Cancel(attempt)).await;
-            Err(LinkError::Closed)
+        SlotWait::Withdrawn => {
+            // Only this task can run the request, and without the claim it gets no slot.
+            drop(claim);
+            log::info!("event=withdrawn request={}", begin.request_id);
+            refuse(sink, Reason::DeadlinePast, None).await
         }
+        SlotWait::Closed => Err(LinkError::Closed),
+    }
+}
+
+/// How the wait for a slot ended.
+enum SlotWait {
+    /// The gate has decided.
+    Decided(AdmissionDecision),
+    /// The entry asks not to run the request.
+    Withdrawn,
+    /// The entry no longer waits, or the gate has ended.
+    Closed,
+}
+
+impl From<Option<AdmissionDecision>> for SlotWait {
+    fn from(decision: Option<AdmissionDecision>) -> Self {
+        decision.map_or(Self::Closed, Self::Decided)
     }
 }
 
@@ -140,16 +156,26 @@
 /// queue from a network partition.
 async fn wait_for_slot(
     sink: &mut FrameSink,
-    mut decision: oneshot::Receiver<AdmissionDecision>,
-) -> Option<AdmissionDecision> {
-    if let Ok(decision) = timeout(QUEUED_NOTICE_DELAY, &mut decision).await {
-        return decision.ok();
+    source: &mut FrameSource,
+    claim: &mut SlotClaim,
+) -> SlotWait {
+    if let Ok(decision) = timeout(QUEUED_NOTICE_DELAY, claim.decision()).await {
+        return decision.into();
     }
     let queued = wire::Verdict { queued: true, ..wire::Verdict::default() };
-    sink.send(Body::Verdict(queued)).await.ok()?;
+    if sink.send(Body::Verdict(queued)).await.is_err() {
+        return SlotWait::Closed;
+    }
+    // Before the admission an entry sends nothing but a withdrawal, so no other frame is lost here.
+    let withdrawal = async {
+        if !matches!(source.receive().await, Ok(Some(Body::Cut(_)))) {
+            std::future::pending::<()>().await;
+        }
+    };
     tokio::select! {
-        decision = decision => decision.ok(),
-        () = sink.closed() => None,
+        decision = claim.decision() => decision.into(),
+        () = sink.closed() => SlotWait::Closed,
+        () = withdrawal => SlotWait::Withdrawn,
     }
 }
 
@@ -157,24 +183,6 @@
     context.mailbox.send(Message::Gate(message)).await;
 }
 
-async fn finish_attempt(
-    context: &NetworkContext,
-    attempt: AttemptId,
-    result: RunResult,
-) -> Option<Load> {
-    let (reply, load) = oneshot::channel();
-    send_gate(context, GateMessage::Finish(attempt, result, reply)).await;
-    let load = load.await.ok()?;
-    log::info!(
-        "event=ended entry={:x} attempt={:x} result={result:?} doubt={:.3} busy={}",
-        attempt.node,
-        attempt.serial,
-        load.gray_probability,
-        load.busy
-    );
-    Some(load)
-}
-
 async fn refuse(mut sink: FrameSink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
     let load = load.map(Into::into);
     let reason = reason.name().to_owned();
@@ -249,44 +257,36 @@
 /// A run of a request on an upstream.
 struct UpstreamRun<'a> {
     context: &'a NetworkContext,
-    attempt: AttemptId,
+    slot: Slot,
     id: String,
     sink: FrameSink,
     idempotent: bool,
 }
 
 impl UpstreamRun<'_> {
-    /// Relays the response and frees the slot when the run has ended.
-    async fn relay(
-        mut self,
-        mut events: mpsc::Receiver<CallEvent>,
-        mut abandoned: oneshot::Receiver<()>,
-    ) -> Result<(), LinkError> {
+    /// Relays the response and gives the slot back when the run has ended.
+    async fn relay(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
         let mut answer: Option<Answer> = None;
         let mut first = BytesMut::new();
         let mut total = 0;
-        let mut may_abandon = true;
         loop {
             let event = tokio::select! {
                 event = events.recv() => event,
                 () = self.sink.closed() => return self.finish_unwanted(events).await,
-                signal = &mut abandoned, if may_abandon => {
-                    may_abandon = false;
-                    if signal.is_ok() {
-                        log::info!("event=stuck request={}", self.id);
-                        let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
-                        self.send(Body::Verdict(stuck)).await?;
-                    }
+                () = self.slot.abandoned() => {
+                    log::info!("event=stuck request={}", self.id);
+                    let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
+                    self.sink.send(Body::Verdict(stuck)).await?;
                     continue;
                 }
             };
             match event {
                 Some(CallEvent::Signals(signals)) => {
-                    send_gate(self.context, GateMessage::Signals(self.attempt, signals)).await;
+                    self.send_signals(signals).await;
                 }
                 Some(CallEvent::Head { status, headers, signals }) => {
-                    send_gate(self.context, GateMessage::ResponseStarted(self.attempt, signals))
-                        .await;
+                    let attempt = self.slot.attempt();
+                    send_gate(self.context, GateMessage::ResponseStarted(attempt, signals)).await;
                     answer = Some(self.response_head(status, headers));
                 }
                 Some(CallEvent::Data(data)) => {
@@ -299,20 +299,18 @@
                         {
                             answer.body = first.split().freeze();
                             let head = answer.clone();
-                            self.send(Body::Answer(head)).await?;
+                            self.sink.send(Body::Answer(head)).await?;
                         }
                     } else {
-                        self.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
+                        let chunk = Body::Chunk(wire::Chunk { data, last: false });
+                        self.sink.send(chunk).await?;
                     }
                 }
                 Some(CallEvent::End) => return self.finish(answer, first.freeze(), total).await,
                 Some(CallEvent::Failed { result, not_run }) => {
                     return self.fail(answer, result, not_run).await;
                 }
-                None => {
-                    finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
-                    return Err(LinkError::Closed);
-                }
+                None => return Err(LinkError::Closed),
             }
         }
     }
@@ -325,13 +323,13 @@
         if self.idempotent && self.context.dialect.cancels_on_close() {
             drop(events);
             log::info!("event=cancelled request={}", self.id);
-            finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
+            self.slot.finish(RunResult::Cancelled).await;
             return Err(LinkError::Closed);
         }
         let result = loop {
             match events.recv().await {
                 Some(CallEvent::Signals(signals)) => {
-                    send_gate(self.context, GateMessage::Signals(self.attempt, signals)).await;
+                    self.send_signals(signals).await;
                 }
                 Some(CallEvent::End) => break RunResult::Success,
                 Some(CallEvent::Failed { result, .. }) => break result,
@@ -341,7 +339,7 @@
                 }
             }
         };
-        finish_attempt(self.context, self.attempt, result).await;
+        self.slot.finish(result).await;
         Err(LinkError::Closed)
     }
 
@@ -350,12 +348,8 @@
         Answer { request_id: self.id.clone(), status: status.into(), headers, ..Answer::default() }
     }
 
-    async fn send(&mut self, body: Body) -> Result<(), LinkError> {
-        let sent = self.sink.send(body).await;
-        if sent.is_err() {
-            finish_attempt(self.context, self.attempt, RunResult::Cancelled).await;
-        }
-        sent
+    async fn send_signals(&self, signals: UpstreamSignals) {
+        send_gate(self.context, GateMessage::Signals(self.slot.attempt(), signals)).await;
     }
 
     async fn finish(
@@ -367,7 +361,7 @@
         let answer = answer.unwrap_or_default();
         let failed = answer.status >= 500;
         let result = if failed { RunResult::ServerError } else { RunResult::Success };
-        let load = finish_attempt(self.context, self.attempt, result).await.map(Into::into);
+        let load = self.slot.finish(result).await.map(Into::into);
         let body = if answer.body.is_empty() {
             Body::Answer(Answer { body: first, whole: true, load, ..answer })
         } else {
@@ -384,7 +378,7 @@
         result: RunResult,
         not_run: Option<Reason>,
     ) -> Result<(), LinkError> {
-        let load = finish_attempt(self.context, self.attempt, result).await;
+        let load = self.slot.finish(result).await;
         if let Some(reason) = not_run
             && answer.is_none()
         {
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use lavenderflow_core::allowance::Allowances;
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::clock::SharedClock;
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
@@ -21,10 +22,11 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+use crate::actor::allowance::{AllowanceActor, AllowanceSetup};
 use crate::actor::counters::CountersActor;
 use crate::actor::entry::EntryActor;
 use crate::actor::fleet::{self, FleetActor};
-use crate::actor::gate::GateActor;
+use crate::actor::gate::{GateActor, GateLinks};
 use crate::actor::lifecycle::{DrainActors, LifecycleActor, PublishedStates, StopTimes};
 use crate::clock::SystemClock;
 use crate::counter::{self, Counters};
@@ -70,6 +72,7 @@
     let (network, commands) = endpoint::channel();
     let (next_nodes, current_next_nodes) = watch::channel(String::new());
     let (limits, current_limits) = watch::channel(RequestLimits::default());
+    let (dialect, current_dialect) = watch::channel(Arc::clone(&environment.dialect));
     let (is_ready, ready_state) = watch::channel(false);
     let (stop_stage, stop_watch) = shutdown::channel();
     let (ready, becomes_ready) = oneshot::channel();
@@ -101,6 +104,7 @@
             name,
             net,
             next_nodes: current_next_nodes,
+            dialect: current_dialect,
             limits: current_limits,
             max_requests,
             hold_limits,
@@ -113,7 +117,7 @@
     start_http(&executor, http_setup)?;
     let reloader = match &environment.node_file {
         Some((path, node_file)) => {
-            Some(Reloader::start(path.clone(), node_file.clone(), mailbox.clone())?)
+            Some(Reloader::start(path.clone(), node_file.clone(), dialect, mailbox.clone())?)
         }
         None => None,
     };
@@ -164,8 +168,9 @@
         env!("CARGO_PKG_VERSION")
     );
     let states = PublishedStates { is_ready, stop_stage };
+    let links = GateLinks { lifetimes, mailbox: mailbox.clone() };
     let counters = Counters::new(statsd, budget);
-    let mut main_loop = MainLoop::new(settings, &clock, fleet, lifetimes, counters, work, states);
+    let mut main_loop = MainLoop::new(settings, &clock, fleet, links, counters, work, states);
     executor.run(main_loop.run(messages));
     let timeout = CLOSE_TIMEOUT.min(main_loop.stop_timeout / CLOSE_DIVISOR);
     executor.run(close(stop, &network, timeout));
@@ -274,6 +279,7 @@
     stakker: Stakker,
     clock: SharedClock,
     counters: ActorOwn<CountersActor>,
+    allowance: ActorOwn<AllowanceActor>,
     entry: ActorOwn<EntryActor>,
     gate: ActorOwn<GateActor>,
     fleet: ActorOwn<FleetActor>,
@@ -287,7 +293,7 @@
         settings: &NodeSettings,
         clock: &SharedClock,
         fleet: fleet::FleetSetup,
-        lifetimes: LifetimeStore,
+        links: GateLinks,
         counters: Counters,
         work: WorkTracker,
         states: PublishedStates,
@@ -299,6 +305,11 @@
         let identity = Identity { node: local.node, incarnation, zone: local.zone.clone() };
         let answer_bytes = usize::try_from(settings.answers * 1024).unwrap_or(usize::MAX);
         let limits = TicketLimits { retention: settings.tickets, answer_bytes };
+        let setup = AllowanceSetup {
+            allowances: Allowances::new(local.node, local.zone.clone(), clock.now()),
+            clock: Arc::clone(clock),
+            network: fleet.network.clone(),
+        };
         let mut entry = Entry::new(identity, limits, Arc::clone(clock), random());
         if fleet.awaits_deployment {
             entry.await_routes();
@@ -307,13 +318,17 @@
         let count = counters.clone();
         let entry = actor!(s, EntryActor::init(entry, count), ret_shutdown!(s));
         let (handle, count) = (entry.clone(), counters.clone());
+        let allowance = actor!(s, AllowanceActor::init(setup, handle, count), ret_shutdown!(s));
+        let handle = allowance.clone();
+        call!([entry], set_allowance(handle));
+        let (handle, count) = (entry.clone(), counters.clone());
         let fleet = actor!(s, FleetActor::init(fleet, handle, count), ret_shutdown!(s));
         let publish =
             fwd_to!([fleet], set_offers() as (Vec<lavenderflow_core::gate::ServiceOffer>));
         let mut gate = Gate::new(incarnation, Arc::clone(clock));
         gate.await_lifetimes(RECOVERY_TIMEOUT);
         let count = counters.clone();
-        let gate = actor!(s, GateActor::init(gate, count, publish, lifetimes), ret_shutdown!(s));
+        let gate = actor!(s, GateActor::init(gate, count, publish, links), ret_shutdown!(s));
         let handle = gate.clone();
         call!([fleet], set_gate(handle));
         let actors = DrainActors { entry: entry.clone(), gate: gate.clone(), fleet: fleet.clone() };
@@ -324,7 +339,7 @@
         let serve = fwd_to!([lifecycle], serve() as (()));
         call!([fleet], set_on_ready(serve));
         let (clock, stop_timeout) = (Arc::clone(clock), timeout);
-        Self { stakker, clock, counters, entry, gate, fleet, lifecycle, stop_timeout }
+        Self { stakker, clock, counters, allowance, entry, gate, fleet, lifecycle, stop_timeout }
     }
 
     /// Dispatches messages until an actor shuts the node down.
@@ -344,9 +359,10 @@
     }
 
     fn dispatch(&mut self, message: Message) {
-        let Self { counters, entry, gate, fleet, lifecycle, .. } = self;
+        let Self { counters, allowance, entry, gate, fleet, lifecycle, .. } = self;
         match message {
             Message::Entry(message) => call!([entry], handle(message)),
+            Message::Allowance(message) => call!([allowance], handle(message)),
             Message::Gate(message) => call!([gate], handle(message)),
             Message::Fleet(message) => call!([fleet], handle(message)),
             Message::Count(counter) => call!([counters], add(counter)),
--- a/crates/lavenderflow/src/status.rs
+++ b/crates/lavenderflow/src/status.rs
@@ -17,17 +17,24 @@
     pub requests: usize,
     /// Attempts that the gate runs on upstreams.
     pub running: usize,
+    /// Running attempts whose slot has no owner, and which therefore never end; always 0.
+    #[serde(default)]
+    pub orphaned: usize,
     /// Tickets in the ledger.
     pub tickets: usize,
     /// Upstreams on this VM.
     pub upstreams: Vec<UpstreamStatus>,
     /// Services known to this entry.
     pub services: Vec<ServiceStatus>,
+    /// Organisations whose requests this node refuses, because they have used up their allowance.
+    #[serde(default)]
+    pub limited: Vec<LimitStatus>,
     /// All nodes of the fleet.
     pub members: Vec<MemberStatus>,
     /// Revision of each configuration key.
     pub revisions: IndexMap<String, Revision>,
-    /// Malformed configuration documents; the previous valid ones stay active.
+    /// Configuration documents that cannot be read, and organisations of a deployment whose entries
+    /// cannot; the last good versions stay active.
     pub rejected: Vec<RejectedStatus>,
     /// Nonzero counters.
     pub counters: IndexMap<String, u64>,
@@ -80,6 +87,17 @@
     pub suspicion: String,
 }
 
+/// An organisation that has used up its allowance, as seen by an entry.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitStatus {
+    /// Name.
+    pub organisation: String,
+    /// Time until a request may be allowed, in milliseconds.
+    pub retry_ms: u64,
+    /// Whether no lender can be reached, so that the entry uses the fallback.
+    pub fallback: bool,
+}
+
 /// A node, as seen by another node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct MemberStatus {
@@ -95,7 +113,7 @@
     pub state: String,
 }
 
-/// A malformed configuration document.
+/// A configuration document, or an entry of one, that cannot be read.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RejectedStatus {
     /// Key.
@@ -120,7 +138,10 @@
     pub fn render(&self) -> String {
         let mut lines = vec![
             format!("node {} zone {} {}", self.node, self.zone, self.state),
-            format!("requests {} running {} tickets {}", self.requests, self.running, self.tickets),
+            format!(
+                "requests {} running {} orphaned {} tickets {}",
+                self.requests, self.running, self.orphaned, self.tickets
+            ),
             String::new(),
             format!("members {}", self.members.len()),
         ];
@@ -139,6 +160,14 @@
             lines.push(String::new());
             lines.extend(render_service(service));
         }
+        if !self.limited.is_empty() {
+            lines.push(String::new());
+            lines.push(format!("organisations over their allowance {}", self.limited.len()));
+        }
+        for LimitStatus { organisation, retry_ms, fallback } in &self.limited {
+            let source = if *fallback { "fallback" } else { "lender" };
+            lines.push(format!("  {organisation:<16} retry in {retry_ms} ms, by {source}"));
+        }
         lines.push(String::new());
         lines.push("configuration".to_owned());
         lines.extend(self.revisions.iter().map(|(key, revision)| format!("  {key} {revision}")));
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -6,14 +6,15 @@
 use std::process::Command;
 
 use lavenderflow::command::CommandError;
-use lavenderflow::counter::{Counter, Fault};
+use lavenderflow::counter::{AllowanceEvent, Counter, Fault};
 use lavenderflow::error::NodeError;
 use lavenderflow::operator::{Assignment, OperatorError};
 use lavenderflow::status::{
-    GateStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
+    GateStatus, LimitStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
 };
 use lavenderflow::store::StoreError;
 use lavenderflow_core::connections::CloseReason;
+use lavenderflow_core::hedge::{HedgeEvent, Suppression};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_schema::convert::ConvertError;
 use lavenderflow_schema::settings::{NodeSettings, SETTINGS};
@@ -27,8 +28,13 @@
     let outcomes = [Outcome::Ran, Outcome::NotRun, Outcome::Unknown].map(Counter::Outcome);
     let faults = Fault::ALL.map(Counter::Fault);
     let others = [Counter::Ejected, Counter::Returned];
+    let allowances = AllowanceEvent::ALL.map(Counter::Allowance);
+    let hedges = [HedgeEvent::Started, HedgeEvent::Won, HedgeEvent::Lost, HedgeEvent::Refused];
+    let suppressed = Suppression::ALL.map(HedgeEvent::Suppressed);
+    let hedges = hedges.into_iter().chain(suppressed).map(Counter::Hedge);
+    let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(allowances);
     let closed = CloseReason::ALL.map(Counter::Closed);
-    let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(closed);
+    let counters = counters.chain(hedges).chain(closed);
     // The page lists counters by reason as a family and the reasons, in separate tables.
     let missing: BTreeSet<String> = counters
         .map(Counter::name)
@@ -36,6 +42,9 @@
             Some((family @ ("entry.refused" | "entry.retried"), reason)) => {
                 vec![format!("{family}.REASON"), reason.to_owned()]
             }
+            Some((family @ "entry.hedge.suppressed", cause)) => {
+                vec![format!("{family}.CAUSE"), cause.to_owned()]
+            }
             _ => vec![name],
         })
         .filter(|name| !OPERATING_PAGE.contains(&format!("`{name}`")))
@@ -67,6 +76,7 @@
         state: "serving".to_owned(),
         requests: 3,
         running: 2,
+        orphaned: 0,
         tickets: 17,
         upstreams: vec![UpstreamStatus {
             id: "numbering-1".to_owned(),
@@ -88,6 +98,11 @@
                 gate("c3", true, "no observer can reach it"),
             ],
         }],
+        limited: vec![LimitStatus {
+            organisation: "publisher-7".to_owned(),
+            retry_ms: 120,
+            fallback: false,
+        }],
         members: vec![MemberStatus {
             id: "a1".to_owned(),
             name: "vm-1".to_owned(),
