--- a/crates/lavenderflow/tests/not_run.rs
+++ b/crates/lavenderflow/tests/not_run.rs
@@ -96,7 +96,7 @@
 #[tokio::test]
 async fn a_request_that_was_sent_in_part_has_not_run() {
     const OTHER: u64 = 2;
-    let (server, client) = tls::self_signed().expect("keys");
+    let (server, client) = tls::self_signed(None).expect("keys");
     let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
     let gate = quinn::Endpoint::server(server, loopback).expect("a socket");
     let address = gate.local_addr().expect("an address");
