--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -6,7 +6,9 @@
     Counted as _, Gauged as _, QueuingMetricSink, StatsdClient, Timed as _, UdpMetricSink,
 };
 use hdrhistogram::Histogram;
+use lavenderflow_core::connections::CloseReason;
 use lavenderflow_core::hedge::HedgeEvent;
+use lavenderflow_core::memory::Budget;
 
 use crate::error::NodeError;
 use crate::prelude::*;
@@ -117,6 +119,8 @@
     Hedge(HedgeEvent),
     /// Invalid input and failures in the communication between processes.
     Fault(Fault),
+    /// Connections of callers that were closed or refused for a limit.
+    Closed(CloseReason),
 }
 
 impl Counter {
@@ -141,6 +145,7 @@
             Self::Returned => "gate.returned".to_owned(),
             Self::Hedge(event) => hedge_name(event),
             Self::Fault(fault) => format!("fault.{}", fault.name()),
+            Self::Closed(reason) => format!("closed.{}", reason.name()),
         }
     }
 }
@@ -211,13 +216,14 @@
     latencies: IndexMap<Stage, (Histogram<u64>, Duration)>,
     orphaned: usize,
     rejected: usize,
+    budget: Budget,
 }
 
 impl Counters {
-    /// Creates counters with the value zero.
-    pub fn new(client: StatsdClient) -> Self {
+    /// Creates counters with the value zero; `budget` is what the node holds for others.
+    pub fn new(client: StatsdClient, budget: Budget) -> Self {
         let (counts, latencies) = (IndexMap::new(), IndexMap::new());
-        Self { client, counts, latencies, orphaned: 0, rejected: 0 }
+        Self { client, counts, latencies, orphaned: 0, rejected: 0, budget }
     }
 
     /// Increments a counter.
@@ -286,6 +292,11 @@
         for (name, count) in self.snapshot() {
             lines.push(format!("{METRIC_PREFIX}_events_total{{event=\"{name}\"}} {count}"));
         }
+        lines.push(format!("# TYPE {METRIC_PREFIX}_held_bytes gauge"));
+        for (kind, bytes) in self.budget.held_by_kind() {
+            let kind = kind.name();
+            lines.push(format!("{METRIC_PREFIX}_held_bytes{{kind=\"{kind}\"}} {bytes}"));
+        }
         let orphaned = format!("{METRIC_PREFIX}_orphaned_attempts");
         lines.push(format!("# TYPE {orphaned} gauge"));
         lines.push(format!("{orphaned} {}", self.orphaned));
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -164,6 +164,11 @@
         let _ = self.0.send(message).await;
     }
 
+    /// Sends a message unless the mailbox is full, for messages that may be lost.
+    pub fn try_send(&self, message: Message) {
+        let _ = self.0.try_send(message);
+    }
+
     /// Sends a message where nothing can wait, as when a value is dropped. While the mailbox is full, a
     /// task of the async runtime waits instead.
     pub fn send_detached(&self, message: Message) {
--- a/crates/lavenderflow/tests/common/scripted.rs
+++ b/crates/lavenderflow/tests/common/scripted.rs
@@ -20,6 +20,7 @@
 use lavenderflow_core::gate::SlotRequest;
 use lavenderflow_core::id::AttemptId;
 use lavenderflow_core::load::Load;
+use lavenderflow_core::memory::Budget;
 use lavenderflow_core::reason::Reason;
 use lavenderflow_core::request::{Arrival, AttemptReport, AttemptSpec, EntryAction};
 use lavenderflow_schema::wire::frame::Body;
@@ -63,6 +64,7 @@
             dialect: Arc::new(NativeDialect),
             work: WorkTracker::default(),
             stop: stop_watch,
+            budget: Budget::new(None),
             ping_interval: Duration::from_secs(1),
         };
         Self { context, messages, links, calls, stop }
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -13,6 +13,7 @@
     GateStatus, LimitStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
 };
 use lavenderflow::store::StoreError;
+use lavenderflow_core::connections::CloseReason;
 use lavenderflow_core::hedge::{HedgeEvent, Suppression};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_schema::convert::ConvertError;
@@ -32,7 +33,8 @@
     let suppressed = Suppression::ALL.map(HedgeEvent::Suppressed);
     let hedges = hedges.into_iter().chain(suppressed).map(Counter::Hedge);
     let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(allowances);
-    let counters = counters.chain(hedges);
+    let closed = CloseReason::ALL.map(Counter::Closed);
+    let counters = counters.chain(hedges).chain(closed);
     // The page lists counters by reason as a family and the reasons, in separate tables.
     let missing: BTreeSet<String> = counters
         .map(Counter::name)
--- a/crates/schema/src/convert/deployment.rs
+++ b/crates/schema/src/convert/deployment.rs
@@ -158,7 +158,13 @@
 
 fn request_limits(limits: stored::Limits) -> RequestLimits {
     let header_bytes = usize::try_from(limits.header_bytes).ok().filter(|bytes| *bytes > 0);
-    RequestLimits { header_bytes, body_bytes: Some(limits.body_bytes).filter(|bytes| *bytes > 0) }
+    let timeout = |millis: u64| Some(millis).filter(|m| *m > 0).map(Duration::from_millis);
+    RequestLimits {
+        header_bytes,
+        body_bytes: Some(limits.body_bytes).filter(|bytes| *bytes > 0),
+        header_timeout: timeout(limits.header_timeout_ms),
+        idle_timeout: timeout(limits.idle_timeout_ms),
+    }
 }
 
 /// Checks a route; it can be used if there are no errors.
