Let the last attempt of an idempotent request wait for a commit

Cause: an idempotent request runs at its gate without a commit, so a gate that sends nothing for 150 ms may have run it.

Change: an attempt that cannot be retried is run only on commit, as for requests that are not idempotent. A link that is lost before proves that nothing ran, and another gate is tried.

Result: not_run.rs, a test that failed before; one round trip more for such attempts.

--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -15,6 +15,10 @@
     ticket: Option<TicketId>,
     spec: &AttemptSpec,
 ) -> Begin {
+    // The gate runs such a request only after this entry has received the admission and committed the
+    // request: until then, a lost link proves that it did not run. An idempotent request that cannot
+    // be retried needs the proof too, since its caller gets an error otherwise.
+    let on_commit = !spec.idempotent || !spec.retryable;
     Begin {
         purpose: Purpose::Dispatch.into(),
         attempt: Some(attempt.into()),
@@ -31,10 +35,8 @@
         tolerance: spec.gray_tolerance,
         long: spec.long,
         idempotent: spec.idempotent,
-        // The gate runs a non-idempotent request only after this entry has received the admission
-        // and committed the request: until then, a lost link proves that it did not run.
-        on_commit: !spec.idempotent,
-        body: if spec.idempotent { request.body.clone() } else { Bytes::new() },
+        on_commit,
+        body: if on_commit { Bytes::new() } else { request.body.clone() },
         organisation: spec.organisation.as_deref().unwrap_or_default().to_owned(),
         organisation_rank: spec.organisation_rank,
         organisation_known: spec.organisation_known,
--- a/crates/lavenderflow/tests/common/scripted.rs
+++ b/crates/lavenderflow/tests/common/scripted.rs
@@ -122,13 +122,17 @@
 
 impl Driven {
     pub async fn dispatch(&self, gate: u64, idempotent: bool) {
+        self.dispatch_spec(gate, spec(idempotent)).await;
+    }
+
+    pub async fn dispatch_spec(&self, gate: u64, spec: AttemptSpec) {
         let dispatch = EntryAction::Dispatch {
             request: REQUEST,
             attempt: ATTEMPT,
             ticket: None,
             gate,
             incarnation: 1,
-            spec: spec(idempotent),
+            spec,
             retry_reason: None,
             hedge_delay: None,
             replaces_stuck: false,
@@ -153,7 +157,7 @@
         median_latency: Duration::ZERO,
         rank: 0,
         target_latency: None,
-        retryable: false,
+        retryable: idempotent,
         degraded: false,
         kind: None,
         gray_tolerance: 1.0,
--- a/crates/lavenderflow/tests/not_run.rs
+++ b/crates/lavenderflow/tests/not_run.rs
@@ -7,12 +7,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use common::scripted::{Node, REQUEST, admitted, queued, receive, refused};
+use common::scripted::{Node, REQUEST, admitted, queued, receive, refused, spec};
 use lavenderflow::net::connector::Connector;
 use lavenderflow::net::tls;
 use lavenderflow::shutdown::StopStage;
 use lavenderflow_core::reason::{Outcome, Reason};
-use lavenderflow_core::request::{AttemptReport, EntryAction};
+use lavenderflow_core::request::{AttemptReport, AttemptSpec, EntryAction};
 use lavenderflow_schema::wire::frame::Body;
 
 /// Deadline reached in the queue, idempotent: the gate confirms that the request has not run.
@@ -73,6 +73,20 @@
     }
 }
 
+/// Guards against an error for an idempotent request that a silent gate has not run, while no retry is
+/// left in the budget.
+#[tokio::test]
+async fn a_last_attempt_that_was_never_committed_has_not_run() {
+    let mut node = Node::new();
+    let driven = node.begin(true, Bytes::new()).await;
+    driven.dispatch_spec(1, AttemptSpec { retryable: false, ..spec(true) }).await;
+    let (sink, mut source) = node.links.recv().await.expect("a link");
+    receive(&mut source).await;
+    drop((sink, source));
+    assert_eq!(node.report().await, AttemptReport::Unreachable);
+    assert_eq!(driven.end_actors().await.outcome, Outcome::NotRun);
+}
+
 /// Guards against a false "not run" where the gate may have started.
 #[tokio::test]
 async fn a_gate_that_is_lost_after_the_commit_may_have_run_the_request() {
