Name fields of findings by the format that was checked

Cause: check used the platform's field names outside of platform/ and showed them for the product's format too (api_keys instead of key_digests).

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -384,22 +384,4 @@
         let new = || allowance.map_or_else(RetryBudget::default, RetryBudget::new);
         self.budgets.entry(service.clone()).or_insert_with(new)
     }
-
-    /// Returns whether a request that began to arrive before the node refused new ones can have its
-    /// answer in time.
-    fn can_finish(&self, active: &ActiveRequest) -> bool {
-        let remaining = active.deadline.saturating_duration_since(self.clock.now());
-        active.arrival.in_progress
-            && active.target_latency.is_none_or(|latency| remaining >= latency)
-    }
-
-    fn refusal_reason(&self, active: &ActiveRequest) -> Option<Reason> {
-        if self.draining && !self.can_finish(active) {
-            return Some(Reason::Leaving);
-        }
-        let organisation = active.arrival.organisation.as_ref()?;
-        let limit = self.directory.get(organisation)?.concurrency?;
-        let in_flight = self.organisation_requests.get(organisation).copied().unwrap_or_default();
-        (in_flight >= limit).then_some(Reason::OrganisationLimit)
-    }
 }
--- a/crates/lavenderflow/src/check/contradiction.rs
+++ b/crates/lavenderflow/src/check/contradiction.rs
@@ -25,7 +25,7 @@
                 "the target latency of {target:?} is above the timeout of {timeout:?}: every \
                  response in time is on target"
             );
-            findings.push(loaded.warning(&entry, "target_latency_s", message));
+            findings.push(loaded.warning(&entry, "target_ms", message));
         }
         let stop = settings.map(|settings| settings.settings.stop);
         if let (Some(timeout), Some(stop)) = (route.timeout, stop)
@@ -35,7 +35,7 @@
                 "the timeout of {timeout:?} is above the {stop:?} that a stopping node has: what \
                  takes longer is cut off at a stop"
             );
-            findings.push(loaded.warning(&entry, "timeout_s", message));
+            findings.push(loaded.warning(&entry, "timeout_ms", message));
         }
     }
     findings
@@ -69,7 +69,7 @@
             "the header limit of {header_bytes} bytes is above the {MAX_BUFFER_BYTES} that a node \
              holds for a connection: longer ones are refused"
         );
-        findings.push(loaded.warning(entry, "max_header_bytes", message));
+        findings.push(loaded.warning(entry, "header_bytes", message));
     }
     findings
 }
--- a/crates/lavenderflow/src/check/load.rs
+++ b/crates/lavenderflow/src/check/load.rs
@@ -4,7 +4,7 @@
 
 use lavenderflow_core::catalog::{Deployment, Document};
 use lavenderflow_platform::deployment::{
-    self, EntryPlace, Note, line_at, offset_of, platform_field,
+    self, EntryPlace, Note, line_at, names_service, offset_of, platform_field,
 };
 use lavenderflow_schema::configuration::{self as stored, Stored};
 use lavenderflow_schema::convert::ConvertError;
@@ -86,8 +86,13 @@
         self.lines.get(entry).map_or(0, Vec::len)
     }
 
-    /// Creates a warning about an entry.
+    /// Creates a warning about an entry; `field` is the product's name, which is shown as in the text
+    /// that was checked.
     pub fn warning(&self, entry: &str, field: &str, message: impl Into<String>) -> Finding {
+        let field = match self.format {
+            Format::Platform => platform_field(field),
+            Format::Product => field,
+        };
         Finding {
             severity: Severity::Warning,
             line: self.field_line(entry, field),
@@ -185,8 +190,7 @@
 
 /// Returns whether an error in one field follows from that in another one, whose default was used.
 fn depends(field: &str, other: &str) -> bool {
-    let is_service = matches!(other, "weighted_services" | "weight" | "service");
-    is_service && matches!(field, "weighted_services" | "service")
+    names_service(other) && names_service(field)
 }
 
 /// Returns the stored values of a text in the product's format; `None` if it has another format.
--- a/crates/lavenderflow/src/check/reach.rs
+++ b/crates/lavenderflow/src/check/reach.rs
@@ -61,7 +61,7 @@
         if let Some(offset) = later {
             let name = &loaded.stored.routes[index + 1 + offset].name;
             let message = format!("never matches: the later route {name} has its host and prefix");
-            findings.push(warning("path_prefix", message));
+            findings.push(warning("prefix", message));
             continue;
         }
         let found: Vec<&Route> =
@@ -73,11 +73,11 @@
                 }
                 None => "never matches: no request has such a host and path".to_owned(),
             };
-            findings.push(warning("path_prefix", message));
+            findings.push(warning("prefix", message));
         }
         for weighted in route.service_weights.iter().filter(|weighted| weighted.weight == 0) {
             let message = format!("service {} has weight 0 and gets no requests", weighted.service);
-            findings.push(warning("weighted_services", message));
+            findings.push(warning("parts.weight", message));
         }
         if !stored.service.is_empty() && !route.service_weights.is_empty() {
             let message = "not used: the weighted services replace it";
@@ -97,7 +97,7 @@
         let weighted = route.service_weights.iter().map(|weighted| &weighted.service);
         let is_weighted = !route.service_weights.is_empty();
         let own = Some(&route.service).filter(|_| !is_weighted);
-        let field = if is_weighted { "weighted_services" } else { "service" };
+        let field = if is_weighted { "parts.service" } else { "service" };
         for service in weighted.chain(own).filter(|service| !service.is_empty()) {
             if !loaded.services.contains(&**service) {
                 let entry = entry_name(EntryKind::Route, &stored.name);
@@ -124,14 +124,14 @@
         }
         if organisation.keys.is_empty() {
             let message = "has no keys, so no request belongs to it";
-            findings.push(loaded.warning(&entry, "api_keys", message));
+            findings.push(loaded.warning(&entry, "key_digests", message));
         }
         for key in &organisation.keys {
             let holder = directory.identify(Some(*key), true).ok().flatten();
             if let Some(holder) = holder.filter(|holder| holder.name != *name) {
                 let message =
                     format!("has a key that belongs to {}, which comes first", holder.name);
-                findings.push(loaded.warning(&entry, "api_keys", message));
+                findings.push(loaded.warning(&entry, "key_digests", message));
             }
         }
     }
