--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -118,8 +118,8 @@
     Publish,
     /// Store the ended lifetimes, so that a restarted node knows them.
     StoreLifetimes(Vec<EndedLifetime>),
-    /// Log that a lifetime has taken over although it has an earlier start time than the one before:
-    /// the time of day went back.
+    /// Log that a lifetime has taken over although it has an earlier start time than the one
+    /// before: the time of day went back.
     ReportEarlierStart {
         /// The upstream.
         upstream: UpstreamId,
--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -147,8 +147,8 @@
     }
 
     /// Sets how many requests beyond its burst an organisation may save up. Tokens that are lent to
-    /// one node cannot be used at another one, which refuses a small organisation's requests although
-    /// it is below its allowance.
+    /// one node cannot be used at another one, which refuses a small organisation's requests
+    /// although it is below its allowance.
     #[must_use]
     pub fn with_slack(mut self, requests: f64) -> Self {
         self.slack = requests;
@@ -156,8 +156,9 @@
     }
 
     /// Compares the clocks; to be called before each event, and at least every second while there
-    /// are allowances. After a suspension, tokens are discarded, as the monotonic clock may not show
-    /// their age. After an absence, buckets start again, as another node may have become the root.
+    /// are allowances. After a suspension, tokens are discarded, as the monotonic clock may not
+    /// show their age. After an absence, buckets start again, as another node may have become the
+    /// root.
     pub fn compare_clocks(&mut self, now: Instant, system_time: SystemTime) -> ClockGap {
         let gap = self.clocks.observe(now, system_time);
         if gap != ClockGap::None {
--- a/crates/core/src/allowance/lender.rs
+++ b/crates/core/src/allowance/lender.rs
@@ -20,8 +20,8 @@
 const MIN_GRANTED_LIFE: Duration = Duration::from_millis(20);
 /// Least time between two draws from a root that has no tokens left.
 const ROOT_INTERVAL: Duration = Duration::from_millis(50);
-/// Greatest such time. The limit may be raised, or the root may be reached again, before there would
-/// be another token.
+/// Greatest such time. The limit may be raised, or the root may be reached again, before there
+/// would be another token.
 const MAX_ROOT_INTERVAL: Duration = Duration::from_secs(1);
 /// Least time after which an entry asks again when there was no token.
 const ENTRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -81,7 +81,8 @@
         self.reserve.available(now + MIN_GRANTED_LIFE)
     }
 
-    /// Begins to draw from the root if the reserve is low; returns the tokens to draw now and ahead.
+    /// Begins to draw from the root if the reserve is low; returns the tokens to draw now and
+    /// ahead.
     fn start_draw(&mut self, now: Instant) -> Option<(u32, u32)> {
         let ahead = self.demand.expected(AHEAD_TIME, now).max(self.is_calm.into());
         let is_low = !self.waiters.is_empty() || self.available(now) < ahead;
--- a/crates/core/src/allowance/placement.rs
+++ b/crates/core/src/allowance/placement.rs
@@ -52,8 +52,8 @@
         node != self.own && self.nodes.swap_remove(&node).is_some() && self.elect()
     }
 
-    /// Returns the lenders of this node's zone in the order in which they are asked for tokens of an
-    /// organisation.
+    /// Returns the lenders of this node's zone in the order in which they are asked for tokens of
+    /// an organisation.
     pub fn lenders(&self, organisation: &str) -> Vec<NodeId> {
         let mut order = self.lenders.get(&self.zone).cloned().unwrap_or_default();
         order.sort_by_cached_key(|node| hash(&("zone-lender", organisation, node)));
--- a/crates/core/src/allowance/root.rs
+++ b/crates/core/src/allowance/root.rs
@@ -11,8 +11,8 @@
 /// it adds the refill of this time to what runs, which is 6% of a tolerance of 10%.
 pub const TOKEN_LIFE: Duration = Duration::from_millis(300);
 /// Time for which tokens can be used that are granted while the organisation is well below its
-/// allowance. They stay part of the bucket's capacity meanwhile, so they add nothing to what runs in
-/// any window. A lowered limit binds after a window of 5 s, so the time must be shorter.
+/// allowance. They stay part of the bucket's capacity meanwhile, so they add nothing to what runs
+/// in any window. A lowered limit binds after a window of 5 s, so the time must be shorter.
 pub const LONG_TOKEN_LIFE: Duration = Duration::from_secs(4);
 /// Divisor of the capacity that gives the level below which no such tokens are granted, and the
 /// most of them at a time.
@@ -46,8 +46,9 @@
     fn set_limits(&mut self, (rate, capacity): (f64, f64), now: Instant) {
         (self.rate, self.capacity) = (rate, capacity);
         let outstanding = self.outstanding_tokens(now);
-        // More than this part is outstanding only after a limit was lowered. These tokens were granted
-        // under the old limit and end before the new one binds, so the refill goes on meanwhile.
+        // More than this part is outstanding only after a limit was lowered. These tokens were
+        // granted under the old limit and end before the new one binds, so the refill goes on
+        // meanwhile.
         let rest = (capacity - outstanding).max(capacity / LONG_SHARE_DIVISOR);
         self.bucket.set_limits(rate, rest, now);
     }
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -48,7 +48,8 @@
     pub body_bytes: Option<u64>,
     /// Time within which callers send the head of a request.
     pub header_timeout: Option<Duration>,
-    /// Longest pause of a caller in the middle of a request or a response, and of an idle connection.
+    /// Longest pause of a caller in the middle of a request or a response, and of an idle
+    /// connection.
     pub idle_timeout: Option<Duration>,
 }
 
--- a/crates/core/src/drain_rate.rs
+++ b/crates/core/src/drain_rate.rs
@@ -39,8 +39,8 @@
         (self.starts, self.updated) = (self.weighted_starts(now) + 1.0, Some(now));
     }
 
-    /// Returns the time in which as many requests get their slots; `None` if too few have got theirs
-    /// recently.
+    /// Returns the time in which as many requests get their slots; `None` if too few have got
+    /// theirs recently.
     pub fn time_for(&self, requests: u32, now: Instant) -> Option<Duration> {
         let starts = self.weighted_starts(now);
         (starts >= MIN_STARTS).then(|| MEMORY.mul_f64(f64::from(requests) / starts))
--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -124,9 +124,10 @@
         base.mul_f64(self.rng.random_range(0.5..1.5))
     }
 
-    /// Returns the time after which a caller that a queue had no room for may retry, from the measured
-    /// rate at which the queue drains. It is randomised, and lies between [`MIN_RETRY_AFTER`] and a part
-    /// of the time that the caller has left, so that there is time for another try.
+    /// Returns the time after which a caller that a queue had no room for may retry, from the
+    /// measured rate at which the queue drains. It is randomised, and lies between
+    /// [`MIN_RETRY_AFTER`] and a part of the time that the caller has left, so that there is time
+    /// for another try.
     fn drained_after(&mut self, active: &ActiveRequest, reason: Reason) -> Option<Duration> {
         let from_queue = matches!(
             reason,
--- a/crates/core/src/fair_share.rs
+++ b/crates/core/src/fair_share.rs
@@ -5,9 +5,9 @@
 /// The requests of one organisation, or those without an organisation.
 pub type Group = Option<OrganisationName>;
 
-/// Time constant with which past service is forgotten. An organisation that returns after a pause may
-/// hold twice its fair share at first. With this constant, that takes about a tenth of the fair share
-/// of another one within 5 s, where at most a fifth may be missing.
+/// Time constant with which past service is forgotten. An organisation that returns after a pause
+/// may hold twice its fair share at first. With this constant, that takes about a tenth of the fair
+/// share of another one within 5 s, where at most a fifth may be missing.
 const MEMORY: Duration = Duration::from_secs(1);
 /// Steps into which the fair share is divided. Groups within one step are equal and served by their
 /// priority, which therefore moves at most a tenth of a fair share.
@@ -113,8 +113,8 @@
     }
 }
 
-/// Returns the position of the request that gives way to a new one in a full queue: the newest of the
-/// group with the most waiting requests, if the new one's group has fewer.
+/// Returns the position of the request that gives way to a new one in a full queue: the newest of
+/// the group with the most waiting requests, if the new one's group has fewer.
 ///
 /// `waiting` holds the groups of the waiting requests, in the order of their arrival.
 ///
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -144,7 +144,8 @@
         }
     }
 
-    /// Ends an attempt that nobody waits for any more: removes it from the queue, or frees its slot.
+    /// Ends an attempt that nobody waits for any more: removes it from the queue, or frees its
+    /// slot.
     pub fn cancel(&mut self, attempt: AttemptId) -> Vec<GateAction> {
         if self.running.contains_key(&attempt) {
             return self.finish(attempt, RunResult::Cancelled).1;
@@ -284,8 +285,8 @@
         GateAction::Refuse { attempt: request.attempt, reason, load: self.load(&request.service) }
     }
 
-    /// Gives free slots to queued requests, short ones first. `now` is the time of the event that made
-    /// room: a request that joined the queue at this time has not waited.
+    /// Gives free slots to queued requests, short ones first. `now` is the time of the event that
+    /// made room: a request that joined the queue at this time has not waited.
     fn fill(&mut self, service: &ServiceName, now: Instant) -> Vec<GateAction> {
         let mut actions = Vec::new();
         for long in [false, true] {
--- a/crates/core/src/gate/order.rs
+++ b/crates/core/src/gate/order.rs
@@ -64,8 +64,8 @@
     /// Checks that an announcement of a known upstream changes only what may change.
     ///
     /// A service is never changed: work of the known service may be on its way to the upstream, and
-    /// another writer's announcement must not hand it work of a service that it does not run. It may
-    /// be another one once the known upstream has left.
+    /// another writer's announcement must not hand it work of a service that it does not run. It
+    /// may be another one once the known upstream has left.
     ///
     /// # Errors
     ///
--- a/crates/core/src/gate/waiting.rs
+++ b/crates/core/src/gate/waiting.rs
@@ -64,7 +64,8 @@
         self.load(&request.service).mean_latency * ahead / slots.max(1)
     }
 
-    /// Returns how long a new request waits for the upstreams that limit the rate of their requests.
+    /// Returns how long a new request waits for the upstreams that limit the rate of their
+    /// requests.
     pub(super) fn rate_wait(&self, request: &SlotRequest, now: Instant) -> Duration {
         let queues = self.services.get(&request.service);
         // All count: a request that is admitted must not take the turn of one that waits.
@@ -101,8 +102,8 @@
         waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
     }
 
-    /// Returns whether a request can no longer be served in time: even the fastest recent run of its
-    /// kind took longer than the time that it has left.
+    /// Returns whether a request can no longer be served in time: even the fastest recent run of
+    /// its kind took longer than the time that it has left.
     pub(super) fn is_too_late(&self, attempt: AttemptId, now: Instant) -> bool {
         let Some((request, deadline)) = self.requests.get(&attempt) else { return false };
         let state = self.services.get(&request.service);
@@ -110,7 +111,8 @@
         latency.is_some_and(|latency| deadline.saturating_duration_since(now) < latency.fastest())
     }
 
-    /// Refuses waiting requests that can no longer be served in time, wherever they are in the queue.
+    /// Refuses waiting requests that can no longer be served in time, wherever they are in the
+    /// queue.
     pub(super) fn refuse_late(&mut self, now: Instant) -> Vec<GateAction> {
         let waiting = self.requests.keys().filter(|attempt| !self.running.contains_key(*attempt));
         let late: Vec<AttemptId> =
@@ -130,8 +132,8 @@
     }
 }
 
-/// Returns how long a request may wait for the rate of an upstream. The rate is the same however many
-/// wait, so longer queues would only make all responses late.
+/// Returns how long a request may wait for the rate of an upstream. The rate is the same however
+/// many wait, so longer queues would only make all responses late.
 pub(super) fn longest_rate_wait(request: &SlotRequest) -> Duration {
     let on_time = request.target_latency.map(|target| target.mul_f64(TARGET_QUEUE_SHARE));
     request.queue_timeout.min(request.remaining).min(on_time.unwrap_or(Duration::MAX))
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -70,8 +70,9 @@
 
     /// Takes the next request to run.
     ///
-    /// The organisation that has received the least service goes first, then the one with the highest
-    /// priority. Among the requests of one organisation, or of all if there are none, requests that can still be answered on time go first, those with the least time left first,
+    /// The organisation that has received the least service goes first, then the one with the
+    /// highest priority. Among the requests of one organisation, or of all if there are none,
+    /// requests that can still be answered on time go first, those with the least time left first,
     /// so that urgent requests do not wait behind patient ones. The others follow, newest first, so
     /// that as many as possible are still served before their deadline. Requests of higher priority
     /// have a head start in both groups, but no rank starves another.
@@ -90,8 +91,8 @@
         self.waiting.remove(place)
     }
 
-    /// Takes the request that leaves the queue first, of the organisation that [`Queue::pop`] serves
-    /// next.
+    /// Takes the request that leaves the queue first, of the organisation that [`Queue::pop`]
+    /// serves next.
     ///
     /// In this order all requests start in time that were admitted when there was time for them
     /// after all others.
--- a/crates/core/src/selector.rs
+++ b/crates/core/src/selector.rs
@@ -25,8 +25,8 @@
 const GRAY_COST_S: f64 = 1.0;
 /// Cost of a gray failure for an idempotent request, in seconds: it is abandoned early and retried.
 const RETRIED_GRAY_COST_S: f64 = 0.2;
-/// Cost of a rejection by the upstream, in seconds: another try takes a retry from the budget of the
-/// whole fleet, and the request is refused once that is spent.
+/// Cost of a rejection by the upstream, in seconds: another try takes a retry from the budget of
+/// the whole fleet, and the request is refused once that is spent.
 const REJECTION_COST_S: f64 = 0.6;
 /// Cost of a gate that has just failed to respond, in seconds.
 const UNRESPONSIVE_COST_S: f64 = 1.0;
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -94,8 +94,8 @@
         self.outlier.condition()
     }
 
-    /// Ends the lifetime, unless the upstream announces neither a generation nor a sequence: such an
-    /// upstream may serve again.
+    /// Ends the lifetime, unless the upstream announces neither a generation nor a sequence: such
+    /// an upstream may serve again.
     fn end_if_ordered(&mut self) {
         self.ended = self.lifetime().is_ordered();
     }
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -79,8 +79,8 @@
     /// Another lifetime has a later start time, and may still be alive.
     #[error("another lifetime of the upstream or its address has a later start time")]
     Unconfirmed,
-    /// A field (`service`, `address` or `start time`) differs from what the upstream has announced, and may not change. What it has
-    /// announced stays in force.
+    /// A field (`service`, `address` or `start time`) differs from what the upstream has announced,
+    /// and may not change. What it has announced stays in force.
     #[error("the announced {0} contradicts what the upstream has announced before")]
     Contradiction(&'static str),
 }
--- a/crates/core/tests/allowance_root.rs
+++ b/crates/core/tests/allowance_root.rs
@@ -1,4 +1,5 @@
-//! Tests that the tokens of one root stay within the bound even if each is used as late as it can be.
+//! Tests that the tokens of one root stay within the bound even if each is used as late as it can
+//! be.
 
 use std::time::{Duration, Instant};
 
@@ -24,8 +25,8 @@
 
 #[test]
 fn tokens_that_are_all_used_at_the_worst_time_stay_within_the_bound() {
-    // Guards against lives that are too long, against a long life without its part of the burst, and
-    // against a slack that leaves no room for tokens that are lent.
+    // Guards against lives that are too long, against a long life without its part of the burst,
+    // and against a slack that leaves no room for tokens that are lent.
     for seed in 0..80 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let rate = [5.0, 40.0, 200.0, 1000.0][seed as usize % 4];
--- a/crates/core/tests/fair_share.rs
+++ b/crates/core/tests/fair_share.rs
@@ -213,8 +213,8 @@
         let mut shares = FairShare::default();
         shares.start(&None, now);
         while let Some(next) = queue.pop(&shares, now) {
-            // Requests on time first, by their latest start; then late ones, the youngest first. Equal
-            // ones in the order of arrival if on time, and in the opposite order if late.
+            // Requests on time first, by their latest start; then late ones, the youngest first.
+            // Equal ones in the order of arrival if on time, and in the opposite order if late.
             let place = |(index, w): &(usize, &QueuedRequest)| {
                 let head_start = Duration::from_millis(250) * w.rank;
                 match now < w.on_time_until {
@@ -288,7 +288,8 @@
     let first_refused =
         (100..).find_map(|serial| submit(serial, Some(HEAVY))).expect("a full queue");
     assert_eq!(first_refused.1, Reason::QueueFull);
-    // The newest request that waits gives way, and the organisation that fills the queue gets no more.
+    // The newest request that waits gives way, and the organisation that fills the queue gets no
+    // more.
     let newest = first_refused.0 - 1;
     assert_eq!(submit(1000, Some("a")), Some((newest, Reason::QueueFull)));
     assert_eq!(submit(1001, None), Some((newest - 1, Reason::QueueFull)));
--- a/crates/core/tests/hedge_limit.rs
+++ b/crates/core/tests/hedge_limit.rs
@@ -100,8 +100,8 @@
 
 const LATENCY: Duration = Duration::from_millis(10);
 
-/// Returns an entry in `zone-a` that knows the latency of its requests, with gates 2 and 3 there and
-/// gates 4 and 5 in another zone.
+/// Returns an entry in `zone-a` that knows the latency of its requests, with gates 2 and 3 there
+/// and gates 4 and 5 in another zone.
 fn hedging_entry() -> (Entry, Arc<ManualClock>) {
     let clock = clock();
     let shared: SharedClock = clock.clone();
--- a/crates/core/tests/late.rs
+++ b/crates/core/tests/late.rs
@@ -152,7 +152,8 @@
         running = *attempt;
     }
     let load = gate.load(&service());
-    // Ten requests and the next one, at ten a second; the measurement has not reached all of its memory.
+    // Ten requests and the next one, at ten a second; the measurement has not reached all of its
+    // memory.
     assert_eq!(load.queued, 10);
     let seconds = load.drain_time.as_secs_f64();
     assert!((1.0..1.5).contains(&seconds), "{seconds}");
--- a/crates/core/tests/slots.rs
+++ b/crates/core/tests/slots.rs
@@ -121,8 +121,8 @@
         self.apply(actions);
     }
 
-    /// Checks that each slot is either free or has a caller, and that no slot is free while a request
-    /// waits for one.
+    /// Checks that each slot is either free or has a caller, and that no slot is free while a
+    /// request waits for one.
     fn check(&self, context: &str) {
         let load = self.gate.load(&service());
         assert_eq!(self.gate.in_flight(), self.running.len(), "running attempts, {context}");
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -145,8 +145,8 @@
         call!([counters], status(status, reply));
     }
 
-    /// Ends an attempt whose claim or slot was dropped. It does nothing while there is an owner: the
-    /// message then comes from a duplicate of the attempt.
+    /// Ends an attempt whose claim or slot was dropped. It does nothing while there is an owner:
+    /// the message then comes from a duplicate of the attempt.
     fn cancel(&mut self, attempt: AttemptId) -> Vec<GateAction> {
         let is_awaited = self.waiting.get(&attempt).is_some_and(|reply| !reply.is_closed());
         let is_owned = self.running.get(&attempt).is_some_and(|owner| !owner.is_closed());
@@ -158,8 +158,8 @@
         self.gate.cancel(attempt)
     }
 
-    /// Finds running attempts without an owner. The release of a slot may still be in the mailbox at
-    /// one tick, but not at the next.
+    /// Finds running attempts without an owner. The release of a slot may still be in the mailbox
+    /// at one tick, but not at the next.
     fn find_orphans(&mut self) {
         let is_owned =
             |attempt: &AttemptId| self.running.get(attempt).is_some_and(|o| !o.is_closed());
--- a/crates/lavenderflow/src/check.rs
+++ b/crates/lavenderflow/src/check.rs
@@ -1,5 +1,5 @@
-//! Checks a configuration without a node: what a node would reject, what can never take effect, what
-//! contradicts itself, and what changes for callers.
+//! Checks a configuration without a node: what a node would reject, what can never take effect,
+//! what contradicts itself, and what changes for callers.
 //!
 //! The conversion is the one that nodes apply.
 
--- a/crates/lavenderflow/src/check/load.rs
+++ b/crates/lavenderflow/src/check/load.rs
@@ -86,8 +86,8 @@
         self.lines.get(entry).map_or(0, Vec::len)
     }
 
-    /// Creates a warning about an entry; `field` is the product's name, which is shown as in the text
-    /// that was checked.
+    /// Creates a warning about an entry; `field` is the product's name, which is shown as in the
+    /// text that was checked.
     pub fn warning(&self, entry: &str, field: &str, message: impl Into<String>) -> Finding {
         let field = match self.format {
             Format::Platform => platform_field(field),
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -247,8 +247,8 @@
         }
     }
 
-    /// Sets the number of configuration documents and entries that cannot be read, so that their last
-    /// good versions are in force.
+    /// Sets the number of configuration documents and entries that cannot be read, so that their
+    /// last good versions are in force.
     pub fn set_rejected(&mut self, count: usize) {
         self.rejected = count;
         let value = u64::try_from(count).unwrap_or(u64::MAX);
--- a/crates/lavenderflow/src/http/announcements.rs
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -20,8 +20,8 @@
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
-/// Longest wait for the store: until it has what must outlast the node, or until a node that has just
-/// started knows what it had stored. An upstream waits for a second.
+/// Longest wait for the store: until it has what must outlast the node, or until a node that has
+/// just started knows what it had stored. An upstream waits for a second.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Why an announcement is rejected.
@@ -88,7 +88,8 @@
 }
 
 /// Passes an announcement on to the gate; returns once the gate has applied it and, if the upstream
-/// leaves, once the store has that. Without the store, only this process knows it for the time being.
+/// leaves, once the store has that. Without the store, only this process knows it for the time
+/// being.
 ///
 /// # Errors
 ///
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -169,8 +169,8 @@
         let _ = self.0.try_send(message);
     }
 
-    /// Sends a message where nothing can wait, as when a value is dropped. While the mailbox is full, a
-    /// task of the async runtime waits instead.
+    /// Sends a message where nothing can wait, as when a value is dropped. While the mailbox is
+    /// full, a task of the async runtime waits instead.
     pub fn send_detached(&self, message: Message) {
         if let Err(TrySendError::Full(message)) = self.0.try_send(message)
             && let Ok(runtime) = Handle::try_current()
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -19,8 +19,8 @@
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(60);
-/// Part of this time after which the entry withdraws an attempt that is still queued. The rest is for
-/// the gate's confirmation, with a round trip of up to 11 ms between zones.
+/// Part of this time after which the entry withdraws an attempt that is still queued. The rest is
+/// for the gate's confirmation, with a round trip of up to 11 ms between zones.
 const WITHDRAWAL_DELAY: Duration = Duration::from_millis(10);
 
 /// A received response, held until the entry decides what to do with it.
@@ -259,8 +259,8 @@
         }
     }
 
-    /// Receives the next frame. At the deadline, or when the node ends, it withdraws an attempt that
-    /// is still queued: the gate then confirms that the request has not run and will not run.
+    /// Receives the next frame. At the deadline, or when the node ends, it withdraws an attempt
+    /// that is still queued: the gate then confirms that the request has not run and will not run.
     async fn next_frame(&mut self) -> Result<Option<Body>, LinkError> {
         // Until it is committed, an attempt needs no confirmation.
         let mut may_withdraw = self.is_queued && self.committed && !self.is_withdrawn;
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -15,9 +15,9 @@
     ticket: Option<TicketId>,
     spec: &AttemptSpec,
 ) -> Begin {
-    // The gate runs such a request only after this entry has received the admission and committed the
-    // request: until then, a lost link proves that it did not run. An idempotent request that cannot
-    // be retried needs the proof too, since its caller gets an error otherwise.
+    // The gate runs such a request only after this entry has received the admission and committed
+    // the request: until then, a lost link proves that it did not run. An idempotent request that
+    // cannot be retried needs the proof too, since its caller gets an error otherwise.
     let on_commit = !spec.idempotent || !spec.retryable;
     Begin {
         purpose: Purpose::Dispatch.into(),
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -1,5 +1,5 @@
-//! Runs a second attempt beside a slow one: the first usable response wins, and the other attempt is
-//! dropped, which cancels it at its gate.
+//! Runs a second attempt beside a slow one: the first usable response wins, and the other attempt
+//! is dropped, which cancels it at its gate.
 
 use std::pin::Pin;
 
@@ -75,7 +75,8 @@
             () = overdue => {
                 let id = self.request.arrival.request;
                 send_report(self.context, id, AttemptReport::Overdue).await;
-                // The entry replies at once, with a copy that it decided on before or with this one.
+                // The entry replies at once, with a copy that it decided on before or with this
+                // one.
                 actions.recv().await
             }
         };
--- a/crates/lavenderflow/src/slot.rs
+++ b/crates/lavenderflow/src/slot.rs
@@ -60,8 +60,8 @@
 }
 
 impl Slot {
-    /// Creates the slot of an attempt, and the gate's sender, which tells the owner that the attempt
-    /// is stuck, and the gate whether there is an owner.
+    /// Creates the slot of an attempt, and the gate's sender, which tells the owner that the
+    /// attempt is stuck, and the gate whether there is an owner.
     pub fn new(attempt: AttemptId, mailbox: Mailbox) -> (Self, mpsc::Sender<()>) {
         let (abandon, abandoned) = mpsc::channel(1);
         (Self { attempt, mailbox, abandoned, is_released: false }, abandon)
--- a/crates/lavenderflow/src/store.rs
+++ b/crates/lavenderflow/src/store.rs
@@ -47,8 +47,8 @@
         self.apply_limit / 2
     }
 
-    /// Returns the age of the last confirmation at which a node reads the source itself. The rest of
-    /// the limit is for the read and for applying the change.
+    /// Returns the age of the last confirmation at which a node reads the source itself. The rest
+    /// of the limit is for the read and for applying the change.
     pub fn max_age(&self) -> Duration {
         self.apply_limit * 13 / 20
     }
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -18,9 +18,9 @@
 use crate::http::header;
 use crate::prelude::{Duration, IndexMap};
 
-/// Size limit of the buffer per connection and direction, in bytes. It bounds the head of a response
-/// and the parts of its body, several of which wait in the channels to the caller. The default of
-/// the HTTP library of 417 KB made a large response to a slow reader take 3 to 4 MB.
+/// Size limit of the buffer per connection and direction, in bytes. It bounds the head of a
+/// response and the parts of its body, several of which wait in the channels to the caller. The
+/// default of the HTTP library of 417 KB made a large response to a slow reader take 3 to 4 MB.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Longest time to open a connection to an upstream, which is on the same VM.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -46,8 +46,8 @@
     progress: Progress,
     /// How long the connection may stay idle; zero when it must not be reused.
     pub(super) idle_time: Duration,
-    /// Id of the last request that was refused on this connection. The refusal may be sent again, so
-    /// the connection must not carry that request once more.
+    /// Id of the last request that was refused on this connection. The refusal may be sent again,
+    /// so the connection must not carry that request once more.
     pub(super) refused: Option<String>,
     idle_since: Instant,
     is_reused: bool,
--- a/crates/lavenderflow/tests/not_run.rs
+++ b/crates/lavenderflow/tests/not_run.rs
@@ -1,5 +1,5 @@
-//! What an entry reports of a request that ends before an upstream has answered it. The test plays the
-//! actors and the gate.
+//! What an entry reports of a request that ends before an upstream has answered it. The test plays
+//! the actors and the gate.
 
 mod common;
 
@@ -73,8 +73,8 @@
     }
 }
 
-/// Guards against an error for an idempotent request that a silent gate has not run, while no retry is
-/// left in the budget.
+/// Guards against an error for an idempotent request that a silent gate has not run, while no retry
+/// is left in the budget.
 #[tokio::test]
 async fn a_last_attempt_that_was_never_committed_has_not_run() {
     let mut node = Node::new();
--- a/crates/lavenderflow/tests/not_run_gate.rs
+++ b/crates/lavenderflow/tests/not_run_gate.rs
@@ -1,5 +1,5 @@
-//! What a gate reports of an attempt that ends before an upstream has answered it. The test plays the
-//! actors, the entry and the upstream.
+//! What a gate reports of an attempt that ends before an upstream has answered it. The test plays
+//! the actors, the entry and the upstream.
 
 mod common;
 
@@ -27,8 +27,8 @@
     (!verdict.admitted && !verdict.queued).then(|| Reason::from_name(&verdict.reason))?
 }
 
-/// Guards against a run or an occupied slot after the gate has confirmed a withdrawal, also when the
-/// slot was granted at the same moment.
+/// Guards against a run or an occupied slot after the gate has confirmed a withdrawal, also when
+/// the slot was granted at the same moment.
 #[tokio::test]
 async fn a_withdrawn_attempt_gets_no_slot() {
     for is_granted in [false, true] {
@@ -143,7 +143,8 @@
     })
 }
 
-/// Guards against an organisation that the gate does not see, and against one that anybody may claim.
+/// Guards against an organisation that the gate does not see, and against one that anybody may
+/// claim.
 #[tokio::test]
 async fn a_gate_shares_slots_by_configured_organisations() {
     for organisation_known in [false, true] {
--- a/crates/lavenderflow/tests/slot_owner.rs
+++ b/crates/lavenderflow/tests/slot_owner.rs
@@ -142,7 +142,8 @@
     // The task has not run since; it ends without having seen the decision.
     attempt.served.abort();
     drop((sink, source));
-    // The claim and the slot in its channel both report; the gate heeds the first that has no owner.
+    // The claim and the slot in its channel both report; the gate heeds the first that has no
+    // owner.
     let mut cancelled = 0;
     while let Ok(Some(message)) = timeout(QUIET_TIME, node.messages.recv()).await {
         assert!(matches!(message, Message::Gate(GateMessage::Cancel(ATTEMPT))));
--- a/crates/lavenderflow/tests/slots.rs
+++ b/crates/lavenderflow/tests/slots.rs
@@ -16,8 +16,8 @@
 const CREST: Duration = Duration::from_secs(12);
 /// Longest time that a leaving caller waits.
 const MAX_PATIENCE_MS: u64 = 100;
-/// Time for which a node is suspended, and between two suspensions. After one, it handles answers of
-/// its upstream and callers that have left at once, which makes every order of them likely.
+/// Time for which a node is suspended, and between two suspensions. After one, it handles answers
+/// of its upstream and callers that have left at once, which makes every order of them likely.
 const SUSPENSION: Duration = Duration::from_millis(30);
 /// Time that callers set for their requests.
 const DEADLINE_MS: u64 = 600;
@@ -36,7 +36,8 @@
         let (method, path) = if count % 2 == 0 { ("GET", "/read/a") } else { ("POST", "/write/a") };
         let Ok(mut connection) = Caller::connect(address) else { continue };
         let id = format!("{caller}-{count}");
-        // Without a response there is nothing to check here: what counts is what remains afterwards.
+        // Without a response there is nothing to check here: what counts is what remains
+        // afterwards.
         let _ = connection.send(&request_head(method, path, &id, 0, DEADLINE_MS));
         if leaves {
             thread::sleep(patience);
