Log and count requests that end without a complete answer

The logs cannot show it: `answered` is written when the head of the response goes out, so a truncated response looks complete, and a connection that is dropped with a request in progress writes nothing.

`unanswered` says why a request that was read has no complete answer (caller gone, truncated, or the limit for which the connection was closed), how much of the response had been sent and the stage of a stop; counters have the same reasons. `response-truncated` says why the rest of a streamed response did not arrive. `explain` ends with them.

--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -11,6 +11,7 @@
 use lavenderflow_core::memory::Budget;
 
 use crate::error::NodeError;
+use crate::http::unanswered::Interruption;
 use crate::prelude::*;
 
 /// Prefix of all metric names.
@@ -121,6 +122,8 @@
     Fault(Fault),
     /// Connections of callers that were closed or refused for a limit.
     Closed(CloseReason),
+    /// Requests that were read and ended without a complete answer.
+    Unanswered(Interruption),
 }
 
 impl Counter {
@@ -146,6 +149,7 @@
             Self::Hedge(event) => hedge_name(event),
             Self::Fault(fault) => format!("fault.{}", fault.name()),
             Self::Closed(reason) => format!("closed.{}", reason.name()),
+            Self::Unanswered(reason) => format!("unanswered.{}", reason.name()),
         }
     }
 }
--- a/crates/lavenderflow/src/explain.rs
+++ b/crates/lavenderflow/src/explain.rs
@@ -167,7 +167,13 @@
     event.starts_with("hedge-")
         || matches!(
             event,
-            "answered" | "attempt-lost" | "bad-request" | "dispatched" | "field-dropped"
+            "answered"
+                | "attempt-lost"
+                | "bad-request"
+                | "dispatched"
+                | "field-dropped"
+                | "response-truncated"
+                | "unanswered"
         )
 }
 
@@ -178,8 +184,13 @@
 
 /// Describes the cause of the outcome: the decision of the last gate, or how its run ended.
 fn cause(lines: &[TraceLine]) -> String {
-    let answered = lines.iter().rev().find(|line| field(&line.text, "event") == Some("answered"));
-    let Some(answered) = answered else {
+    let last_of = |event| lines.iter().rev().find(|line| field(&line.text, "event") == Some(event));
+    if let Some(unanswered) = last_of("unanswered") {
+        let value_of = |name| field(&unanswered.text, name).unwrap_or("unknown");
+        let (reason, bytes) = (value_of("reason"), value_of("sent_bytes"));
+        return format!("no complete answer by {reason}: bytes sent {bytes}");
+    }
+    let Some(answered) = last_of("answered") else {
         return "unknown: the `answered` line is missing".to_owned();
     };
     let value_of = |name| field(&answered.text, name).unwrap_or("unknown");
--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -13,3 +13,4 @@
 pub mod request_head;
 pub mod response;
 pub mod server;
+pub mod unanswered;
--- a/crates/lavenderflow/src/http/admission.rs
+++ b/crates/lavenderflow/src/http/admission.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Follows whether the connection must be closed, and why.
+    pub fn closing_watch(&self) -> watch::Receiver<Option<CloseReason>> {
+        self.closing.clone()
+    }
+
     /// Accounts for memory that the connection holds already.
     pub fn hold(&self, kind: HeldKind, bytes: u64) -> Share {
         self.budget.hold(kind, bytes)
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -20,6 +20,7 @@
 use super::request_head::AmbiguousLength;
 use super::response::{self, Delivery, ResponseBody};
 use super::server::{self, ServerHandle};
+use super::unanswered::PendingAnswer;
 use super::{body, header};
 use crate::message::EntryMessage;
 use crate::net::context::NetworkContext;
@@ -124,13 +125,13 @@
     let guard = context.net.work.begin();
     let connection = request.extensions().get::<CallerConnection>().cloned();
     set_phase(&connection, Phase::Processing);
-    let arrived = context.net.clock.now();
     let headers = header::text_headers(request.headers());
     // A request keeps the dialect that it began with.
     let dialect = Arc::clone(&context.dialect.borrow());
     let metadata = dialect.parse_request(&headers);
     let id = metadata.as_ref().ok().and_then(|metadata| metadata.id.clone());
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
+    let pending = PendingAnswer::new(&context.net, connection.as_ref(), &id);
     let line = format!("{} {}", request.method(), request.uri().path());
     let reply = if context.net.work.unfinished() > context.max_requests {
         Reply::local(Outcome::NotRun, Reason::WorkersBusy, None)
@@ -143,7 +144,7 @@
     };
     set_phase(&connection, Phase::Responding);
     count_outcome(&context, &reply).await;
-    let elapsed = context.net.clock.now().saturating_duration_since(arrived);
+    let elapsed = pending.elapsed();
     send(&context, Message::Latency(Stage::Request, elapsed)).await;
     log::info!(
         "event=answered request={id} node={} outcome={} reason={} upstream_status={} ms={} {line}",
@@ -162,7 +163,7 @@
         retry_after: reply.retry_after,
         relayed: reply.relayed,
     };
-    let delivery = Delivery::new(connection, &reply, guard);
+    let delivery = Delivery::new(connection, &reply, pending, guard);
     response::build_response(reply, &completion, dialect.as_ref(), delivery)
 }
 
--- a/crates/lavenderflow/src/http/response.rs
+++ b/crates/lavenderflow/src/http/response.rs
@@ -12,6 +12,7 @@
 
 use super::admission::CallerConnection;
 use super::header;
+use super::unanswered::PendingAnswer;
 use crate::net::body::{BODY_CHANNEL_CAPACITY, ResponseParts, TruncatedResponse};
 use crate::net::drive::{Reply, ReplyBody};
 use crate::work::WorkGuard;
@@ -28,12 +29,14 @@
 pub struct ResponseBody {
     first: Option<Bytes>,
     parts: Option<ResponseParts>,
-    _delivery: Delivery,
+    delivery: Delivery,
 }
 
 /// What lasts until the body of a response has been sent.
 #[derive(Debug)]
 pub struct Delivery {
+    // Gone once the response is complete.
+    pending: Option<PendingAnswer>,
     connection: Option<CallerConnection>,
     // Accounts for the body.
     _share: Option<Share>,
@@ -43,14 +46,31 @@
 
 impl Delivery {
     /// Accounts for a response to a connection.
-    pub fn new(connection: Option<CallerConnection>, reply: &Reply, guard: WorkGuard) -> Self {
+    pub fn new(
+        connection: Option<CallerConnection>,
+        reply: &Reply,
+        pending: PendingAnswer,
+        guard: WorkGuard,
+    ) -> Self {
         let bytes = match &reply.body {
             ReplyBody::Buffered(body) => body.len() as u64,
             ReplyBody::Streamed(..) => STREAMED_BYTES,
         };
         let held = connection.as_ref().filter(|_| bytes > 0);
         let share = held.map(|connection| connection.hold(HeldKind::Response, bytes));
-        Self { connection, _share: share, _guard: guard }
+        Self { pending: Some(pending), connection, _share: share, _guard: guard }
+    }
+
+    /// Records a part of the body, or its end, on its way to the connection.
+    fn record(&mut self, part: Option<&Result<Bytes, TruncatedResponse>>, is_end: bool) {
+        match (&mut self.pending, part) {
+            (Some(pending), Some(Ok(part))) => pending.record_sent(part.len()),
+            (Some(pending), Some(Err(_))) => pending.truncate(),
+            _ => {}
+        }
+        if is_end && let Some(pending) = self.pending.take() {
+            pending.complete();
+        }
     }
 }
 
@@ -71,10 +91,16 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedResponse>>> {
         if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            let is_end = self.parts.is_none();
+            self.delivery.record(Some(&Ok(first.clone())), is_end);
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         let Some(parts) = &mut self.parts else { return Poll::Ready(None) };
-        parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+        let polled = parts.poll_recv(context);
+        if let Poll::Ready(part) = &polled {
+            self.delivery.record(part.as_ref(), part.is_none());
+        }
+        polled.map(|part| part.map(|part| part.map(Frame::data)))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -105,7 +131,10 @@
     } else {
         dialect.response_status(reply.outcome, reply.reason)
     };
-    let body = ResponseBody { first: Some(first), parts, _delivery: delivery };
+    let mut delivery = delivery;
+    // The connection does not ask for a body that is empty.
+    delivery.record(None, first.is_empty() && parts.is_none());
+    let body = ResponseBody { first: Some(first), parts, delivery };
     let mut response = Response::new(body);
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut reply_headers = reply.headers;
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -4,20 +4,20 @@
 mod attempt;
 mod frame;
 mod hedge;
+mod stream;
 
 use bytes::Bytes;
 use lavenderflow_core::request::{Arrival, AttemptReport, Conclusion, EntryAction};
 use lavenderflow_schema::wire::Begin;
-use lavenderflow_schema::wire::frame::Body;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use self::attempt::{Admission, HedgedAttempt, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
 use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
-use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts, TruncatedResponse};
+use self::stream::ResponseStream;
+use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts};
 use super::context::NetworkContext;
-use super::link::FrameSource;
 use crate::message::EntryMessage;
 use crate::prelude::*;
 
@@ -271,14 +271,9 @@
         Some(source) => {
             let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
             let first_length = answer.body.len() as u64;
-            tokio::spawn(relay_parts(
-                context.clone(),
-                id,
-                source,
-                sender,
-                first_length,
-                body_timeout,
-            ));
+            let name = answer.request_id.clone();
+            let stream = ResponseStream { id, name, source, first_length, limit: body_timeout };
+            tokio::spawn(stream.relay(context.clone(), sender));
             ReplyBody::Streamed(answer.body.clone(), parts)
         }
     };
@@ -295,40 +290,6 @@
     }
 }
 
-/// Relays the parts of a response body and checks its length.
-async fn relay_parts(
-    context: NetworkContext,
-    id: RequestId,
-    mut source: FrameSource,
-    parts: mpsc::Sender<Result<Bytes, TruncatedResponse>>,
-    first_length: u64,
-    limit: Duration,
-) {
-    let copy = async {
-        let mut total = first_length;
-        loop {
-            match source.receive().await {
-                Ok(Some(Body::Chunk(chunk))) => {
-                    total += chunk.data.len() as u64;
-                    if parts.send(Ok(chunk.data)).await.is_err() {
-                        return AttemptReport::CallerGone;
-                    }
-                }
-                Ok(Some(Body::End(end))) if end.length == total => {
-                    let load = end.load.map(Into::into);
-                    return AttemptReport::Completed { load, bytes: total };
-                }
-                _ => return AttemptReport::Truncated,
-            }
-        }
-    };
-    let report = timeout(limit, copy).await.unwrap_or(AttemptReport::Truncated);
-    if report == AttemptReport::Truncated {
-        let _ = parts.send(Err(TruncatedResponse)).await;
-    }
-    send_report(&context, id, report).await;
-}
-
 fn conclude(conclusion: Conclusion, held: Option<HeldResponse>) -> Reply {
     let answered = Reply::local(Outcome::Ran, Reason::Answered, None);
     if let Some(stored) = conclusion.answer {
--- a/crates/lavenderflow/src/shutdown.rs
+++ b/crates/lavenderflow/src/shutdown.rs
@@ -51,6 +51,15 @@
 }
 
 impl StopWatch {
+    /// Returns the name of the stage that logs use.
+    pub fn stage_name(&self) -> &'static str {
+        match *self.0.borrow() {
+            StopStage::Running => "running",
+            StopStage::Noticed { .. } => "noticed",
+            StopStage::Refusing { .. } => "refusing",
+        }
+    }
+
     /// Returns whether new requests are refused.
     pub fn is_refusing(&self) -> bool {
         matches!(*self.0.borrow(), StopStage::Refusing { .. })
--- a/crates/lavenderflow/tests/pages.rs
+++ b/crates/lavenderflow/tests/pages.rs
@@ -8,6 +8,7 @@
 use lavenderflow::command::CommandError;
 use lavenderflow::counter::{AllowanceEvent, Counter, Fault};
 use lavenderflow::error::NodeError;
+use lavenderflow::http::unanswered::Interruption;
 use lavenderflow::operator::{Assignment, OperatorError};
 use lavenderflow::status::{
     GateStatus, LimitStatus, MemberStatus, RejectedStatus, ServiceStatus, Status, UpstreamStatus,
@@ -34,7 +35,8 @@
     let hedges = hedges.into_iter().chain(suppressed).map(Counter::Hedge);
     let counters = by_reason.chain(outcomes).chain(faults).chain(others).chain(allowances);
     let closed = CloseReason::ALL.map(Counter::Closed);
-    let counters = counters.chain(hedges).chain(closed);
+    let unanswered = Interruption::ALL.map(Counter::Unanswered);
+    let counters = counters.chain(hedges).chain(closed).chain(unanswered);
     // The page lists counters by reason as a family and the reasons, in separate tables.
     let missing: BTreeSet<String> = counters
         .map(Counter::name)
