Log why a run was cut and why a first frame was missing

'cancelled' now names the end of the link, and 'first-frame-missing' the time and the datagrams. Hedged attempts move to a module of their own. No decision is changed.

--- a/crates/lavenderflow/src/explain.rs
+++ b/crates/lavenderflow/src/explain.rs
@@ -167,7 +167,12 @@
     event.starts_with("hedge-")
         || matches!(
             event,
-            "answered" | "attempt-lost" | "bad-request" | "dispatched" | "field-dropped"
+            "answered"
+                | "attempt-lost"
+                | "bad-request"
+                | "dispatched"
+                | "field-dropped"
+                | "first-frame-missing"
         )
 }
 
--- a/crates/lavenderflow/src/net/connector.rs
+++ b/crates/lavenderflow/src/net/connector.rs
@@ -64,6 +64,11 @@
     pub fn of(connection: &Connection) -> Self {
         Self(connection.stats().udp_rx.datagrams)
     }
+
+    /// Returns how many datagrams the connection has received since.
+    pub fn later(self, connection: &Connection) -> u64 {
+        Self::of(connection).0.saturating_sub(self.0)
+    }
 }
 
 /// Opens and shares connections to other nodes.
@@ -117,7 +122,7 @@
         connection: &Connection,
         datagrams: DatagramCount,
     ) {
-        if DatagramCount::of(connection) == datagrams {
+        if datagrams.later(connection) == 0 {
             log::info!("event=connection-silent peer={node:x}");
             let _ = self.0.send(PeerMessage::Replace(node, connection.stable_id())).await;
         }
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod frame;
 mod hedge;
+mod parallel;
 
 use bytes::Bytes;
 use lavenderflow_core::request::{Arrival, AttemptReport, Conclusion, EntryAction};
@@ -12,9 +13,10 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use self::attempt::{Admission, HedgedAttempt, HeldResponse, run_attempt};
+use self::attempt::{Admission, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
 use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
+use self::parallel::HedgedAttempt;
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts, TruncatedResponse};
 use super::context::NetworkContext;
 use super::link::FrameSource;
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
+use super::parallel::HedgedAttempt;
 use super::{Request, send_report};
 use crate::net::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use crate::net::connector::{DatagramCount, PeerError};
@@ -44,50 +45,6 @@
     }
 }
 
-/// A stuck attempt that continues in parallel with another one. Dropping it abandons the attempt.
-pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
-
-impl HedgedAttempt {
-    /// Starts waiting for the response to an attempt, up to `limit`.
-    fn start(
-        context: &NetworkContext,
-        sink: Option<FrameSink>,
-        mut source: FrameSource,
-        limit: Duration,
-    ) -> Self {
-        let context = context.clone();
-        let (mut sender, receiver) = oneshot::channel();
-        tokio::spawn(async move {
-            // Keeps the sink open: the gate would take its end for a caller that disconnected.
-            let _sink = sink;
-            let answer = async {
-                loop {
-                    match source.receive().await {
-                        Ok(Some(Body::Answer(answer))) => return Some(answer),
-                        Ok(Some(Body::Verdict(_))) => {}
-                        _ => return None,
-                    }
-                }
-            };
-            let answer = tokio::select! {
-                answer = timeout(limit, answer) => answer.ok().flatten(),
-                () = sender.closed() => return,
-                () = node_ends(&context) => return,
-            };
-            if let Some(answer) = answer {
-                // The receiver is gone when the other attempt has ended the request.
-                let _ = sender.send(response_result(answer, source, limit));
-            }
-        });
-        Self(receiver)
-    }
-
-    /// Waits for the response; `None` when there will be none.
-    pub(super) async fn response(&mut self) -> Option<AttemptResult> {
-        (&mut self.0).await.ok()
-    }
-}
-
 /// How the admission of an attempt is reported.
 #[derive(Default)]
 pub(super) struct Admission {
@@ -148,6 +105,8 @@
     let mut link = AttemptLink {
         context,
         id,
+        gate: node,
+        connection: link_connection,
         sink: Some(sink),
         source,
         remaining,
@@ -164,7 +123,7 @@
         () = node_ends(context) => Err(AttemptTimeout),
     };
     let committed = link.committed;
-    if let (Ok(Err(_)) | Err(_), Some((connection, datagrams))) = (&ended, &link_connection) {
+    if let (Ok(Err(_)) | Err(_), Some((connection, datagrams))) = (&ended, &link.connection) {
         context.connector.replace_if_silent(node, connection, *datagrams).await;
     }
     let report = match ended {
@@ -185,7 +144,7 @@
 struct AttemptTimeout;
 
 /// Waits until a stopping node must answer its requests.
-async fn node_ends(context: &NetworkContext) {
+pub(super) async fn node_ends(context: &NetworkContext) {
     context.stop.last_answer(&context.clock).await;
     tokio::time::sleep(DEADLINE_GRACE).await;
 }
@@ -211,6 +170,8 @@
 struct AttemptLink<'a> {
     context: &'a NetworkContext,
     id: RequestId,
+    gate: NodeId,
+    connection: LinkConnection,
     sink: Option<FrameSink>,
     source: FrameSource,
     remaining: Duration,
@@ -230,8 +191,11 @@
         request: &mut Request,
         first_frame_timeout: Duration,
     ) -> Result<AttemptResult, LinkError> {
-        let first = timeout(first_frame_timeout, self.source.receive()).await;
-        let mut frame = first.unwrap_or(Err(LinkError::Closed))?;
+        let Ok(first) = timeout(first_frame_timeout, self.source.receive()).await else {
+            self.log_silence(request);
+            return Err(LinkError::Closed);
+        };
+        let mut frame = first?;
         loop {
             match frame.take() {
                 Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
@@ -259,6 +223,22 @@
         }
     }
 
+    /// Logs what tells a silent path, a late gate and a late entry apart.
+    fn log_silence(&self, request: &Request) {
+        let received = match &self.connection {
+            Some((connection, datagrams)) => datagrams.later(connection).to_string(),
+            None => "local".to_owned(),
+        };
+        log::info!(
+            "event=first-frame-missing request={} gate={:x} committed={} waited_ms={} \
+             datagrams={received}",
+            request.id,
+            self.gate,
+            self.committed,
+            self.started.elapsed().as_millis()
+        );
+    }
+
     /// Receives the next frame. At the deadline, or when the node ends, it withdraws an attempt
     /// that is still queued: the gate then confirms that the request has not run and will not run.
     async fn next_frame(&mut self) -> Result<Option<Body>, LinkError> {
@@ -326,7 +306,11 @@
     }
 }
 
-fn response_result(answer: Answer, source: FrameSource, body_timeout: Duration) -> AttemptResult {
+pub(super) fn response_result(
+    answer: Answer,
+    source: FrameSource,
+    body_timeout: Duration,
+) -> AttemptResult {
     let load = answer.load.map(Into::into);
     let status = u16::try_from(answer.status).unwrap_or(502);
     let stored = answer.whole.then(|| Arc::new(stored_answer(&answer, status)));
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -8,8 +8,9 @@
 use lavenderflow_schema::wire::Begin;
 use tokio::sync::{mpsc, oneshot};
 
-use super::attempt::{Admission, AttemptResult, HedgedAttempt, HeldResponse, run_attempt};
+use super::attempt::{Admission, AttemptResult, HeldResponse, run_attempt};
 use super::frame::dispatch_frame;
+use super::parallel::HedgedAttempt;
 use super::{FIRST_FRAME_TIMEOUT, Request, send_report};
 use crate::net::context::NetworkContext;
 use crate::prelude::*;
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -3,7 +3,9 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
-use quinn::{ReadExactError, RecvStream, SendStream, VarInt, WriteError};
+use quinn::{
+    ConnectionError, ReadExactError, RecvStream, SendStream, StoppedError, VarInt, WriteError,
+};
 use tokio::sync::mpsc;
 
 /// Size limit of a frame.
@@ -38,6 +40,31 @@
     Write(#[from] WriteError),
 }
 
+/// Why the receiver of a link no longer reads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkEnd {
+    /// The receiver closed the link, or has received all of it.
+    Closed,
+    /// The receiver closed the connection, as it does to a node that it considers gone.
+    ConnectionClosed,
+    /// The connection was lost.
+    ConnectionLost,
+    /// This node closed the connection, since it ends.
+    NodeEnded,
+}
+
+impl From<StoppedError> for LinkEnd {
+    fn from(error: StoppedError) -> Self {
+        match error {
+            StoppedError::ConnectionLost(ConnectionError::LocallyClosed) => Self::NodeEnded,
+            StoppedError::ConnectionLost(
+                ConnectionError::ApplicationClosed(_) | ConnectionError::ConnectionClosed(_),
+            ) => Self::ConnectionClosed,
+            _ => Self::ConnectionLost,
+        }
+    }
+}
+
 /// Sends frames.
 #[derive(Debug)]
 pub enum FrameSink {
@@ -96,13 +123,17 @@
         }
     }
 
-    /// Completes when the receiver has stopped reading.
-    pub async fn closed(&self) {
+    /// Completes when the receiver has stopped reading, and returns why.
+    pub async fn closed(&self) -> LinkEnd {
         match self {
-            Self::Quic(stream) => {
-                let _ = stream.stopped().await;
+            Self::Quic(stream) => match stream.stopped().await {
+                Ok(_) => LinkEnd::Closed,
+                Err(error) => error.into(),
+            },
+            Self::Local(channel) => {
+                channel.closed().await;
+                LinkEnd::Closed
             }
-            Self::Local(channel) => channel.closed().await,
         }
     }
 }
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -13,7 +13,7 @@
 
 use super::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use super::context::NetworkContext;
-use super::link::{FrameSink, FrameSource, LinkError};
+use super::link::{FrameSink, FrameSource, LinkEnd, LinkError};
 use crate::message::{AdmissionDecision, GateMessage};
 use crate::prelude::*;
 use crate::slot::{Slot, SlotClaim};
@@ -174,7 +174,7 @@
     };
     tokio::select! {
         decision = claim.decision() => decision.into(),
-        () = sink.closed() => SlotWait::Closed,
+        _ = sink.closed() => SlotWait::Closed,
         () = withdrawal => SlotWait::Withdrawn,
     }
 }
@@ -272,7 +272,7 @@
         loop {
             let event = tokio::select! {
                 event = events.recv() => event,
-                () = self.sink.closed() => return self.finish_unwanted(events).await,
+                end = self.sink.closed() => return self.finish_unwanted(events, end).await,
                 () = self.slot.abandoned() => {
                     log::info!("event=stuck request={}", self.id);
                     let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
@@ -281,9 +281,7 @@
                 }
             };
             match event {
-                Some(CallEvent::Signals(signals)) => {
-                    self.send_signals(signals).await;
-                }
+                Some(CallEvent::Signals(signals)) => self.send_signals(signals).await,
                 Some(CallEvent::Head { status, headers, signals }) => {
                     let attempt = self.slot.attempt();
                     send_gate(self.context, GateMessage::ResponseStarted(attempt, signals)).await;
@@ -319,18 +317,20 @@
     /// upstream stops work when its connection closes. Otherwise this waits until the upstream
     /// responds: until then the request still occupies the upstream, and freeing the slot here
     /// would overload it.
-    async fn finish_unwanted(self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
+    async fn finish_unwanted(
+        self,
+        mut events: mpsc::Receiver<CallEvent>,
+        end: LinkEnd,
+    ) -> Result<(), LinkError> {
         if self.idempotent && self.context.dialect.cancels_on_close() {
             drop(events);
-            log::info!("event=cancelled request={}", self.id);
+            log::info!("event=cancelled request={} link={end:?}", self.id);
             self.slot.finish(RunResult::Cancelled).await;
             return Err(LinkError::Closed);
         }
         let result = loop {
             match events.recv().await {
-                Some(CallEvent::Signals(signals)) => {
-                    self.send_signals(signals).await;
-                }
+                Some(CallEvent::Signals(signals)) => self.send_signals(signals).await,
                 Some(CallEvent::End) => break RunResult::Success,
                 Some(CallEvent::Failed { result, .. }) => break result,
                 // Dropping the receiver of events closes the connection to the upstream.
