Answer requests that were read on a connection that closes

Callers saw: a request that was read whole and passed on to an upstream got neither an answer nor a refusal; its connection was closed.

Cause: when a limit of time, memory or connections requires that a connection is closed, the connection got one second and was dropped then, whatever it did. A request whose head was completed in that second, or (by the code, not seen) read while the decision was under way, was served and cut. A configuration with a shorter header timeout applies to heads in progress, so a change is one way to get there.

Evidence: with a header timeout of 0.3 s written while a head is in progress, the request runs on its upstream and its connection ends without an answer.

Change: whether a closing connection is dropped is decided in core::connections::must_drop. A request that was read and has no response yet keeps its connection; a response gets a second, and, where the limit is one on time, as long as it is being read.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -19,6 +19,10 @@
 /// that are being transferred end.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(250);
 
+/// Time that a connection which must be closed gets to read the rest of a request, and to send its
+/// last response.
+pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why a connection is closed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum CloseReason {
@@ -64,6 +68,20 @@
     pub idle: Duration,
 }
 
+/// Returns whether a connection that has been closing for [`CLOSE_TIMEOUT`] is dropped, although it
+/// has not ended. A request that was read is answered first.
+pub fn must_drop(reason: CloseReason, progress: &Progress, now: Instant) -> bool {
+    if progress.awaits_answer() {
+        return false;
+    }
+    let is_overdue = match (progress.phase(), reason) {
+        // Nothing else needs what the response holds.
+        (Phase::Responding, CloseReason::Timeout) => progress.idle_time(now),
+        _ => Some(progress.phase_time(now)),
+    };
+    is_overdue.is_some_and(|time| time >= CLOSE_TIMEOUT)
+}
+
 #[derive(Debug)]
 struct OpenConnection {
     source: IpAddr,
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -39,6 +39,7 @@
     start: Instant,
     phase: AtomicU8,
     is_write_blocked: AtomicBool,
+    awaits_answer: AtomicBool,
     phase_ms: AtomicU64,
     progress_ms: AtomicU64,
 }
@@ -50,6 +51,7 @@
             start: now,
             phase: AtomicU8::new(Phase::Idle as u8),
             is_write_blocked: AtomicBool::new(false),
+            awaits_answer: AtomicBool::new(false),
             phase_ms: AtomicU64::new(0),
             progress_ms: AtomicU64::new(0),
         }
@@ -60,8 +62,22 @@
         Phase::from_number(self.phase.load(Ordering::Acquire))
     }
 
+    /// Records that a request was read, whose caller waits for the response from now on.
+    pub fn begin_request(&self, now: Instant) {
+        self.awaits_answer.store(true, Ordering::Release);
+        self.set_phase(Phase::Processing, now);
+    }
+
+    /// Returns whether a request was read to which no response has begun.
+    pub fn awaits_answer(&self) -> bool {
+        self.awaits_answer.load(Ordering::Acquire)
+    }
+
     /// Begins a phase.
     pub fn set_phase(&self, phase: Phase, now: Instant) {
+        if phase == Phase::Responding {
+            self.awaits_answer.store(false, Ordering::Release);
+        }
         self.phase.store(phase as u8, Ordering::Release);
         self.phase_ms.store(self.millis(now), Ordering::Release);
         self.record(now);
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use lavenderflow_core::connections::{
-    CloseReason, Closing, ConnectionId, ConnectionTable, ProgressTimeouts,
+    CLOSE_TIMEOUT, CloseReason, Closing, ConnectionId, ConnectionTable, ProgressTimeouts, must_drop,
 };
 use lavenderflow_core::memory::{Budget, HeldKind, HoldLimits, OverLimit, Share};
 use lavenderflow_core::progress::{Phase, Progress};
@@ -190,3 +190,30 @@
     let closing = table.sweep(start + SECOND * 82, timeouts);
     assert_eq!(ids(&closing, CloseReason::Timeout), [opened[4].0]);
 }
+
+/// Guards against requests that are cut because their connection was chosen for closing before they
+/// were read, and against connections that never close.
+#[test]
+fn closing_connections_are_dropped_once_no_caller_waits_for_an_answer() {
+    let start = Instant::now();
+    for reason in CloseReason::ALL {
+        let progress = Progress::new(start);
+        progress.set_phase(Phase::Head, start);
+        assert!(!must_drop(reason, &progress, start));
+        assert!(must_drop(reason, &progress, start + CLOSE_TIMEOUT));
+        progress.begin_request(start);
+        for phase in [Phase::Receiving, Phase::Processing] {
+            progress.set_phase(phase, start);
+            assert!(!must_drop(reason, &progress, start + SECOND * 60), "{reason:?}");
+        }
+        let answered = start + SECOND * 60;
+        progress.set_phase(Phase::Responding, answered);
+        assert!(!must_drop(reason, &progress, answered));
+        // Only a limit on time lets a response take longer that is being read.
+        let is_timeout = reason == CloseReason::Timeout;
+        let later = answered + CLOSE_TIMEOUT;
+        assert_eq!(must_drop(reason, &progress, later), !is_timeout, "{reason:?}");
+        progress.send(true, later);
+        assert!(must_drop(reason, &progress, later), "{reason:?}");
+    }
+}
--- a/crates/lavenderflow/src/http/admission.rs
+++ b/crates/lavenderflow/src/http/admission.rs
@@ -82,6 +82,11 @@
         self.is_limited
     }
 
+    /// Records that a request was read.
+    pub fn begin_request(&self) {
+        self.recorder.progress.begin_request(self.recorder.clock.now());
+    }
+
     /// Records what the connection waits for.
     pub fn set_phase(&self, phase: Phase) {
         self.recorder.progress.set_phase(phase, self.recorder.clock.now());
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -124,7 +124,9 @@
 ) -> Response<ResponseBody> {
     let guard = context.net.work.begin();
     let connection = request.extensions().get::<CallerConnection>().cloned();
-    set_phase(&connection, Phase::Processing);
+    if let Some(connection) = &connection {
+        connection.begin_request();
+    }
     let headers = header::text_headers(request.headers());
     // A request keeps the dialect that it began with.
     let dialect = Arc::clone(&context.dialect.borrow());
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -8,14 +8,15 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lavenderflow_core::connections::{self, CLOSE_TIMEOUT, CloseReason};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval_at};
 
 use super::admission::{Admission, CallerConnection, Connections, OpenGuard};
-use super::request_head::{self, AmbiguousLength};
+use super::request_head::{self, AmbiguousLength, ProgressRecorder};
 use crate::error::NodeError;
-use crate::prelude::*;
+use crate::prelude::Duration;
 
 /// Timeout for reading the headers of a request, which includes the idle time before it.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
@@ -23,8 +24,6 @@
 pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Interval at which connections are checked against the limits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
-/// Time that a connection which must be closed gets to send its last response.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a failed accept before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -177,10 +176,13 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-        () = must_close(caller.clone()) => {
+        (caller, reason) = must_close(caller.clone()) => {
             connection.as_mut().graceful_shutdown();
-            // Dropping the connection closes it.
-            timeout(CLOSE_TIMEOUT, connection).await.unwrap_or(Ok(()))
+            tokio::select! {
+                ended = connection => ended,
+                // Dropping the connection closes it.
+                () = must_drop(&caller, reason) => Ok(()),
+            }
         }
     };
     if let Err(fault) = ended {
@@ -189,11 +191,25 @@
 }
 
 /// Completes when a limit requires that the connection is closed.
-async fn must_close(caller: Option<CallerConnection>) {
+async fn must_close(caller: Option<CallerConnection>) -> (CallerConnection, CloseReason) {
     match caller {
         Some(mut caller) => {
-            caller.closing().await;
+            let reason = caller.closing().await;
+            (caller, reason)
         }
         None => std::future::pending().await,
     }
 }
+
+/// Completes when a connection that is being closed must be dropped.
+async fn must_drop(caller: &CallerConnection, reason: CloseReason) {
+    let mut review = interval_at(Instant::now() + CLOSE_TIMEOUT, SWEEP_INTERVAL);
+    review.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let ProgressRecorder { progress, clock } = caller.recorder();
+    loop {
+        review.tick().await;
+        if connections::must_drop(reason, progress, clock.now()) {
+            return;
+        }
+    }
+}
