Add failing tests of gates that are late with their first frame

An entry with its real decisions, gates played over QUIC: a gate says nothing for 300 ms and would then serve. The entry closes the link of the committed attempt after 150 ms, so the gate cuts the run; with all other gates full the caller gets 'unknown' with seconds left.

--- /dev/null
+++ b/crates/lavenderflow/tests/silent_gate.rs
@@ -0,0 +1,280 @@
+//! Gates that send nothing for a while about an idempotent request that they may have begun to run.
+//! The entry decides as in a node; the test plays the gates, over connections like those of other
+//! nodes.
+
+mod common;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::scripted::{NODE, Node, TEST_TIMEOUT, admitted, refused};
+use lavenderflow::clock::SystemClock;
+use lavenderflow::message::{EntryMessage, Message};
+use lavenderflow::net::connector::Connector;
+use lavenderflow::net::drive::{Reply, ReplyBody, Request, drive};
+use lavenderflow::net::link::{FrameSink, FrameSource};
+use lavenderflow::net::tls;
+use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
+use lavenderflow_core::gate::ServiceOffer;
+use lavenderflow_core::load::Condition;
+use lavenderflow_core::profile::{Forgiveness, Profile};
+use lavenderflow_core::reason::{Outcome, Reason};
+use lavenderflow_core::request::Arrival;
+use lavenderflow_core::roster::Member;
+use lavenderflow_core::route::{Idempotency, Route, Router};
+use lavenderflow_schema::wire::Answer;
+use lavenderflow_schema::wire::frame::Body;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Time after which the silent gate sends its first frame: twice as long as the entry waits.
+const LATE: Duration = Duration::from_millis(300);
+/// Time in which the end of a link would be seen.
+const QUIET_TIME: Duration = Duration::from_millis(50);
+/// Time that the caller leaves.
+const REMAINING: Duration = Duration::from_secs(5);
+const SERVICE: &str = "work";
+
+/// An attempt as its gate sees it.
+struct Attempt {
+    sink: FrameSink,
+    // Dropping it would close the link.
+    _source: FrameSource,
+    connection: quinn::Connection,
+}
+
+impl Attempt {
+    async fn serve(mut self) {
+        self.sink.send(admitted()).await.expect("a link");
+        let body = Bytes::from_static(b"late");
+        let answer = Answer { status: 200, body, whole: true, ..Answer::default() };
+        self.sink.send(Body::Answer(answer)).await.expect("a link");
+        self.sink.finish().await;
+    }
+
+    async fn refuse(mut self) {
+        self.sink.send(refused(Reason::QueueFull)).await.expect("a link");
+        self.sink.finish().await;
+    }
+
+    async fn is_open(&self) -> bool {
+        timeout(QUIET_TIME, self.sink.closed()).await.is_err()
+    }
+}
+
+/// A node whose entry uses gates on other nodes, which the test plays.
+struct Fleet {
+    context: lavenderflow::net::context::NetworkContext,
+    attempts: mpsc::Receiver<Attempt>,
+}
+
+impl Fleet {
+    /// Starts an entry that may send a request to so many gates.
+    async fn start(gates: u64, limit: u32) -> Self {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let Node { mut context, messages, .. } = Node::new();
+        let (_, client) = tls::self_signed(None).expect("keys");
+        let mut endpoint = quinn::Endpoint::client(loopback).expect("a socket");
+        endpoint.set_default_client_config(client);
+        context.connector = Connector::start(endpoint, context.mailbox.clone());
+        let (sender, attempts) = mpsc::channel(16);
+        let mut entry = entry(limit);
+        for gate in 2..2 + gates {
+            let (server, _) = tls::self_signed(None).expect("keys");
+            let endpoint = quinn::Endpoint::server(server, loopback).expect("a socket");
+            let address = endpoint.local_addr().expect("an address");
+            context.connector.set_address(gate, 1, address).await;
+            entry.set_node(&member(gate, address), false);
+            tokio::spawn(accept(endpoint, sender.clone()));
+        }
+        tokio::spawn(decide(entry, messages));
+        Self { context, attempts }
+    }
+
+    fn request(&self) -> JoinHandle<Reply> {
+        let context = self.context.clone();
+        let request = Request {
+            arrival: Arrival {
+                request: 5,
+                method: "GET".to_owned(),
+                target: "/".to_owned(),
+                body_buffered: true,
+                body_length: Some(0),
+                timeout: Some(REMAINING),
+                ..Arrival::default()
+            },
+            id: "r".to_owned(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            body_rest: None,
+        };
+        tokio::spawn(async move { drive(&context, request).await })
+    }
+
+    async fn attempt(&mut self) -> Attempt {
+        timeout(TEST_TIMEOUT, self.attempts.recv()).await.expect("in time").expect("an attempt")
+    }
+
+    /// Refuses all further attempts.
+    fn fill(mut self) {
+        tokio::spawn(async move {
+            while let Some(attempt) = self.attempts.recv().await {
+                attempt.refuse().await;
+            }
+        });
+    }
+}
+
+fn entry(limit: u32) -> Entry {
+    let identity = Identity { node: NODE, incarnation: 1, zone: "zone".into() };
+    let limits = TicketLimits { retention: REMAINING, answer_bytes: 1 << 20 };
+    let mut entry = Entry::new(identity, limits, Arc::new(SystemClock), 3);
+    let mut router = Router::default();
+    router.insert(Route {
+        prefix: "/".to_owned(),
+        service: SERVICE.into(),
+        idempotency: Idempotency::ByMethod,
+        ..Route::default()
+    });
+    entry.set_router(router);
+    let forgiveness = Forgiveness { attempts: limit, ..Profile::default().forgiveness };
+    entry.set_profile(&SERVICE.into(), Profile { forgiveness, ..Profile::default() });
+    entry
+}
+
+fn member(node: u64, peer_address: SocketAddr) -> Member {
+    let offer = ServiceOffer {
+        service: SERVICE.into(),
+        slots: 4,
+        condition: Condition::Healthy,
+        evidence: 0.0,
+    };
+    Member {
+        node,
+        incarnation: 1,
+        version: 1,
+        name: format!("vm-{node}"),
+        peer_address,
+        caller_address: peer_address,
+        zone: "zone".into(),
+        leaving: false,
+        detached: false,
+        offers: vec![offer],
+    }
+}
+
+/// Plays the actor of the entry.
+async fn decide(mut entry: Entry, mut messages: mpsc::Receiver<Message>) {
+    let mut requests = HashMap::new();
+    while let Some(message) = messages.recv().await {
+        let (request, actions) = match message {
+            Message::Entry(EntryMessage::Begin(arrival, sender)) => {
+                requests.insert(arrival.request, sender);
+                (arrival.request, entry.begin(arrival))
+            }
+            Message::Entry(EntryMessage::Report(request, report)) => {
+                (request, entry.report(request, report))
+            }
+            _ => continue,
+        };
+        for action in actions {
+            // The request may have ended.
+            let _ = requests[&request].try_send(action);
+        }
+    }
+}
+
+async fn accept(endpoint: quinn::Endpoint, attempts: mpsc::Sender<Attempt>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let (connection, attempts) = (incoming.await.expect("a connection"), attempts.clone());
+        tokio::spawn(async move {
+            while let Ok((sink, source)) = connection.accept_bi().await {
+                let (sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source));
+                if let Ok(Some(Body::Begin(begin))) = source.receive().await {
+                    assert!(!begin.on_commit, "the gate must be free to run the request");
+                    let connection = connection.clone();
+                    let _ = attempts.send(Attempt { sink, _source: source, connection }).await;
+                }
+            }
+        });
+    }
+}
+
+async fn reply(request: JoinHandle<Reply>) -> Reply {
+    timeout(TEST_TIMEOUT, request).await.expect("in time").expect("a reply")
+}
+
+fn assert_served(reply: &Reply) {
+    assert_eq!((reply.status, reply.outcome), (200, Outcome::Ran), "{reply:?}");
+    assert!(matches!(&reply.body, ReplyBody::Buffered(body) if body == "late"), "{reply:?}");
+}
+
+/// Guards against a request that is given up at a late gate after all others refused it.
+#[tokio::test]
+async fn a_late_response_is_used_after_all_other_gates_refused() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let request = fleet.request();
+    let silent = fleet.attempt().await;
+    fleet.fill();
+    tokio::time::sleep(LATE).await;
+    assert!(silent.is_open().await, "the run is cut");
+    silent.serve().await;
+    assert_served(&reply(request).await);
+}
+
+/// Guards against a request that is given up at a late gate because no retry is left.
+#[tokio::test]
+async fn a_late_response_is_used_after_the_last_attempt() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let request = fleet.request();
+    fleet.attempt().await.refuse().await;
+    let first = fleet.attempt().await;
+    let last = fleet.attempt().await;
+    tokio::time::sleep(LATE).await;
+    assert!(first.is_open().await, "the first run is cut");
+    assert!(last.is_open().await, "the last run is cut");
+    first.serve().await;
+    assert_served(&reply(request).await);
+}
+
+/// Guards against an error for a request that a late gate has refused.
+#[tokio::test]
+async fn a_late_refusal_proves_that_the_request_has_not_run() {
+    let mut fleet = Fleet::start(3, 2).await;
+    let request = fleet.request();
+    fleet.attempt().await.refuse().await;
+    let last = fleet.attempt().await;
+    tokio::time::sleep(LATE).await;
+    last.refuse().await;
+    let reply = reply(request).await;
+    assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
+}
+
+/// Guards against a request that runs at a silent gate as well after another one has admitted it.
+#[tokio::test]
+async fn a_silent_attempt_is_given_up_once_another_one_has_a_slot() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let request = fleet.request();
+    let silent = fleet.attempt().await;
+    fleet.attempt().await.serve().await;
+    timeout(TEST_TIMEOUT, silent.sink.closed()).await.expect("the end of the link");
+    assert_served(&reply(request).await);
+}
+
+/// Guards against a caller that waits until its deadline for a gate whose connection is lost.
+#[tokio::test]
+async fn a_lost_connection_ends_the_wait() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let request = fleet.request();
+    let silent = fleet.attempt().await;
+    fleet.fill();
+    tokio::time::sleep(LATE).await;
+    assert!(!request.is_finished(), "the run is cut");
+    silent.connection.close(quinn::VarInt::from_u32(0), b"");
+    let reply = timeout(LATE, request).await.expect("in time").expect("a reply");
+    assert_eq!(reply.outcome, Outcome::Unknown, "{reply:?}");
+}
