Let attempts go on whose gates are late with their first frame

Cause: an attempt of which nothing was heard for 150 ms was ended by dropping its link, also where the gate may have begun to run it; the gate takes that for a caller that left and cuts the run. If the budget had no retry, or all other gates refused, the request ended as 'unknown'. The class: silence is taken for proof of loss.

Every timer had fired on time (150 ms), and in 508 of 718 silences datagrams of the gate's node came meanwhile.

Now the attempt is reported as silent and goes on. The path still counts as failed, and a retry still takes from the budget; an attempt of which nothing is known is dropped only once another gate has admitted the request. Without a retry the request waits for it: a late response or refusal ends it. Several attempts of one request can go on, where the second dropped the first.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -51,6 +51,9 @@
     limits: AttemptLimits,
     // Attempts that got a slot.
     admitted: u32,
+    // Whether the request waits for an attempt whose gate has sent nothing, which counts as
+    // admitted.
+    awaited: bool,
     // Whether an attempt may have run, so that the outcome cannot be `NotRun`.
     may_have_run: bool,
     rank: u32,
@@ -310,6 +313,7 @@
             refused_as_gray: false,
             searches: 0,
             admitted: 0,
+            awaited: false,
             may_have_run: false,
             drain_time: Duration::ZERO,
         };
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatches requests: first to a free slot, then to a short queue, then to any gate.
 
+use super::hedging::can_hedge;
 use super::{ActiveRequest, Entry};
 use crate::prelude::*;
 use crate::request::{AttemptSpec, EntryAction};
@@ -274,6 +275,37 @@
             self.end_unknown(&active, reason)
         }
     }
+
+    /// Handles an attempt whose gate has sent nothing yet and may be at work: sends another one if
+    /// that is allowed, and otherwise waits for this one.
+    pub(super) fn retry_silent(
+        &mut self,
+        mut active: ActiveRequest,
+        now: Instant,
+    ) -> Vec<EntryAction> {
+        if active.idempotent && self.may_retry(&active, now, true) {
+            active.may_have_run = true;
+            if can_hedge(&active) {
+                active.hedge.replace();
+            }
+            return self.dispatch(active, Some(Reason::Lost));
+        }
+        let request = active.arrival.request;
+        active.awaited = true;
+        // Until the gate refuses it, the attempt counts as one that an upstream has received.
+        active.admitted += 1;
+        self.active_requests.insert(request, active);
+        vec![EntryAction::Await { request }]
+    }
+}
+
+impl ActiveRequest {
+    /// Takes back that an awaited attempt counts as admitted, since it has not run.
+    pub(super) fn forget_awaited(&mut self) {
+        if std::mem::take(&mut self.awaited) {
+            self.admitted -= 1;
+        }
+    }
 }
 
 /// Returns the highest probability of a gray failure that a request tolerates: less while there are
--- a/crates/core/src/entry/hedging.rs
+++ b/crates/core/src/entry/hedging.rs
@@ -35,6 +35,12 @@
         Self { kind: kind.unwrap_or_default(), ..Self::default() }
     }
 
+    /// Lets the next attempt replace one that goes on, instead of running beside it.
+    pub(super) fn replace(&mut self) {
+        self.is_used = true;
+        self.replaces_stuck = true;
+    }
+
     /// Records that the first attempt got a slot.
     pub(super) fn admit(&mut self, load: Load, now: Instant) {
         self.admitted_at = Some(now);
@@ -110,8 +116,7 @@
                 }
             }
         }
-        active.hedge.is_used = true;
-        active.hedge.replaces_stuck = true;
+        active.hedge.replace();
         actions.extend(self.retry_lost(active, Reason::Stuck, now));
         actions
     }
@@ -381,8 +386,8 @@
         AttemptReport::Answered { status, answer, .. } => {
             (*status >= 500 && answer.is_some()).then_some(true)
         }
-        // A stuck attempt goes on.
-        AttemptReport::Lost(Reason::Stuck) => None,
+        // Stuck and silent attempts go on.
+        AttemptReport::Lost(Reason::Stuck) | AttemptReport::Silent => None,
         AttemptReport::Lost(_) => Some(true),
         _ => None,
     }
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -68,6 +68,7 @@
                 self.retry_lost(active, reason, now)
             }
             AttemptReport::Refused(reason, load) => {
+                active.forget_awaited();
                 active.refused_as_gray |= reason == Reason::Doubtful;
                 active.drain_time = load.map_or(Duration::ZERO, |load| load.drain_time);
                 if reason == Reason::TooLate {
@@ -91,6 +92,7 @@
             AttemptReport::Truncated => self.finish(&active, Outcome::Unknown, None),
             AttemptReport::Lost(Reason::Stuck) if can_hedge(&active) => self.stuck(active, now),
             AttemptReport::Lost(reason) => self.retry_lost(active, reason, now),
+            AttemptReport::Silent => self.retry_silent(active, now),
             AttemptReport::CallerGone => {
                 let ended = self.end_hedging(&mut active, false, now);
                 let mut actions = self.end_unknown(&active, Reason::CallerGone);
@@ -130,7 +132,9 @@
             self.selector.record_load(&active.service, gate, load, now);
         }
         let observation = match report {
-            AttemptReport::Unreachable | AttemptReport::Lost(Reason::Lost) => Observation::Failure,
+            AttemptReport::Unreachable
+            | AttemptReport::Silent
+            | AttemptReport::Lost(Reason::Lost) => Observation::Failure,
             // The gate did not even decide on the attempt.
             AttemptReport::Lost(Reason::DeadlinePast) if was_unreported => Observation::Failure,
             AttemptReport::Admitted(_) | AttemptReport::Refused(..) => Observation::Success,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -139,6 +139,12 @@
         /// Why there is no copy.
         suppression: Suppression,
     },
+    /// Wait for the attempts that were reported as [`AttemptReport::Silent`], and report the first
+    /// usable response, or the end of the last one.
+    Await {
+        /// The request.
+        request: RequestId,
+    },
     /// Count what happened to a copy.
     RecordHedge(HedgeEvent),
     /// Forward the request to the home of its ticket.
@@ -223,6 +229,9 @@
     Truncated,
     /// The attempt may have run, and no response will come.
     Lost(Reason),
+    /// The gate has sent nothing about the attempt yet. The attempt goes on, since the gate may be at
+    /// work, and its response is reported as that of the request if no other one comes first.
+    Silent,
     /// The caller disconnected.
     CallerGone,
     /// The time of an [`EntryAction::Pause`] is over.
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -221,8 +221,10 @@
                 EntryAction::Forward { .. }
                 | EntryAction::Pause { .. }
                 | EntryAction::Draw { .. } => {}
-                // No profile of this test enables hedging.
-                EntryAction::Hedge { .. }
+                // No profile of this test enables hedging, and no attempt is reported as silent: only
+                // one that may run without a commit can be.
+                EntryAction::Await { .. }
+                | EntryAction::Hedge { .. }
                 | EntryAction::KeepWaiting { .. }
                 | EntryAction::RecordHedge(_) => unreachable!("{action:?}"),
             }
--- /dev/null
+++ b/crates/core/tests/silence.rs
@@ -0,0 +1,149 @@
+//! What an entry decides when a gate that may be at work has sent nothing for a while.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use lavenderflow_core::clock::{ManualClock, SharedClock};
+use lavenderflow_core::entry::Entry;
+use lavenderflow_core::id::{NodeId, RequestId};
+use lavenderflow_core::load::{Condition, Load};
+use lavenderflow_core::profile::{Forgiveness, Profile};
+use lavenderflow_core::reason::{Outcome, Reason};
+use lavenderflow_core::request::{AttemptReport, Conclusion, EntryAction};
+use lavenderflow_core::ticket::StoredAnswer;
+use support::{arrival, clock, entry, member, service, service_offer};
+
+/// Returns an entry with three gates that sends a request to at most `attempts` of them.
+fn limited_entry(attempts: u32) -> (Entry, Arc<ManualClock>) {
+    let clock = clock();
+    let shared: SharedClock = clock.clone();
+    let mut entry = entry(1, 10, &shared, 3);
+    let forgiveness = Forgiveness { attempts, ..Profile::default().forgiveness };
+    entry.set_profile(&service(), Profile { forgiveness, ..Profile::default() });
+    for node in 2..5 {
+        entry.set_node(&member(node, node, vec![service_offer(4, Condition::Healthy, 0.0)]), false);
+    }
+    (entry, clock)
+}
+
+fn full() -> AttemptReport {
+    AttemptReport::Refused(Reason::QueueFull, Some(Load::default()))
+}
+
+fn answered(status: u16) -> AttemptReport {
+    let answer = StoredAnswer { status, headers: vec![], body: "a".into() };
+    AttemptReport::Answered { status, load: None, answer: Some(Arc::new(answer)) }
+}
+
+fn awaits(actions: &[EntryAction], request: RequestId) -> bool {
+    actions == [EntryAction::Await { request }]
+}
+
+/// Returns why the request is sent again, and to which gate.
+fn dispatch(actions: &[EntryAction]) -> Option<(Option<Reason>, NodeId)> {
+    actions.iter().find_map(|action| match action {
+        EntryAction::Dispatch { retry_reason, gate, .. } => Some((*retry_reason, *gate)),
+        _ => None,
+    })
+}
+
+fn conclusion(actions: &[EntryAction]) -> Option<&Conclusion> {
+    actions.iter().find_map(|action| match action {
+        EntryAction::Conclude { conclusion, .. } => Some(conclusion),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_silent_attempt_is_retried_at_another_gate() {
+    let (mut entry, _) = limited_entry(3);
+    let actions = entry.begin(arrival(1, "GET", None));
+    let (_, silent) = dispatch(&actions).expect("an attempt");
+    let actions = entry.report(1, AttemptReport::Silent);
+    let (reason, other) = dispatch(&actions).expect("a retry");
+    assert_eq!(reason, Some(Reason::Lost));
+    assert_ne!(other, silent);
+    entry.report(1, full());
+    let actions = entry.report(1, full());
+    // The silent gate may have run it.
+    let ended = conclusion(&actions).expect("an end");
+    assert_eq!((ended.outcome, ended.reason), (Outcome::Unknown, Reason::QueueFull));
+}
+
+/// Guards against a request that is given up because no retry is left.
+#[test]
+fn without_a_retry_a_silent_attempt_is_awaited() {
+    type Case = (AttemptReport, Option<(Outcome, Reason)>);
+    let cases: [Case; 5] = [
+        (answered(200), None),
+        (answered(500), None),
+        (full(), Some((Outcome::NotRun, Reason::QueueFull))),
+        (AttemptReport::Lost(Reason::Lost), Some((Outcome::Unknown, Reason::Lost))),
+        (AttemptReport::Lost(Reason::DeadlinePast), Some((Outcome::Unknown, Reason::DeadlinePast))),
+    ];
+    for (report, expected) in cases {
+        let (mut entry, _) = limited_entry(1);
+        entry.begin(arrival(1, "GET", None));
+        assert!(awaits(&entry.report(1, AttemptReport::Silent), 1));
+        assert_eq!(entry.in_flight(), 1);
+        let actions = entry.report(1, report.clone());
+        let ended = conclusion(&actions).map(|ended| (ended.outcome, ended.reason));
+        assert_eq!(ended, expected, "{report:?}");
+        let is_relayed = actions.iter().any(|a| matches!(a, EntryAction::Relay { .. }));
+        assert_eq!(is_relayed, expected.is_none(), "{report:?}");
+        assert_eq!(entry.in_flight(), 0, "{report:?}");
+    }
+}
+
+/// Guards against a retry budget that silent attempts exceed.
+#[test]
+fn retries_of_silent_attempts_take_from_the_budget() {
+    let (mut entry, _) = limited_entry(3);
+    let mut retries = 0;
+    for request in 1..=100 {
+        entry.begin(arrival(request, "GET", None));
+        let actions = entry.report(request, AttemptReport::Silent);
+        if dispatch(&actions).is_some() {
+            retries += 1;
+        } else {
+            assert!(awaits(&actions, request));
+        }
+        entry.report(request, answered(200));
+    }
+    // Ten that are allowed before the first request, and a share of a tenth.
+    assert!((10..=30).contains(&retries), "{retries}");
+}
+
+/// Guards against requests that go on to a gate whose path is partitioned.
+#[test]
+fn a_silent_gate_is_avoided() {
+    let (mut entry, clock) = limited_entry(1);
+    let mut chosen = [0; 5];
+    for request in 1..=600 {
+        clock.advance(Duration::from_millis(10));
+        entry.refresh_pools();
+        let (_, gate) = dispatch(&entry.begin(arrival(request, "GET", None))).expect("an attempt");
+        if gate == 2 {
+            entry.report(request, AttemptReport::Silent);
+            entry.report(request, AttemptReport::Lost(Reason::DeadlinePast));
+        } else {
+            entry.report(request, AttemptReport::Admitted(Load::default()));
+            entry.report(request, answered(200));
+        }
+        chosen[gate as usize] += 1;
+    }
+    assert!(chosen[2] < 60, "{chosen:?}");
+}
+
+/// Guards against more runs than the route allows: a silent attempt that is awaited may run.
+#[test]
+fn an_awaited_attempt_counts_as_received_by_an_upstream() {
+    let (mut entry, _) = limited_entry(2);
+    entry.begin(arrival(1, "GET", None));
+    entry.report(1, full());
+    assert!(awaits(&entry.report(1, AttemptReport::Silent), 1));
+    let actions = entry.report(1, answered(500));
+    assert!(dispatch(&actions).is_none(), "{actions:?}");
+}
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -463,6 +463,8 @@
                 EntryAction::Forward { .. }
                 | EntryAction::Wait { .. }
                 | EntryAction::Draw { .. } => {}
+                // No gate of the simulation is silent.
+                EntryAction::Await { .. } => unreachable!("{action:?}"),
             }
         }
     }
--- a/crates/lavenderflow/src/actor/entry.rs
+++ b/crates/lavenderflow/src/actor/entry.rs
@@ -180,6 +180,7 @@
             | EntryAction::Draw { request, .. }
             | EntryAction::Hedge { request, .. }
             | EntryAction::KeepWaiting { request, .. }
+            | EntryAction::Await { request }
             | EntryAction::Pause { request, .. }
             | EntryAction::Wait { request, .. } => (*request, false),
             EntryAction::Relay { request, .. } | EntryAction::Conclude { request, .. } => {
--- a/crates/lavenderflow/src/explain.rs
+++ b/crates/lavenderflow/src/explain.rs
@@ -172,6 +172,7 @@
                 | "bad-request"
                 | "dispatched"
                 | "field-dropped"
+                | "first-frame-late"
                 | "first-frame-missing"
         )
 }
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -15,8 +15,10 @@
 
 use self::attempt::{Admission, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
-use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
-use self::parallel::HedgedAttempt;
+use self::hedge::{
+    CopyOrder, FirstAttempt, HedgeContext, NoAttempt, Replacement, is_usable, race_attempts,
+};
+use self::parallel::HedgedAttempts;
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts, TruncatedResponse};
 use super::context::NetworkContext;
 use super::link::FrameSource;
@@ -113,7 +115,7 @@
     context.mailbox.send(Message::Entry(begin)).await;
     let mut guard = AbandonGuard { context, request: id, is_finished: false };
     let mut held: Option<HeldResponse> = None;
-    let mut hedged: Option<HedgedAttempt> = None;
+    let mut hedged = HedgedAttempts::default();
     let mut wait = None;
     let mut may_have_run = false;
     let mut is_answered = false;
@@ -169,8 +171,8 @@
                     let hedge = HedgeContext { context, request, held: &mut held };
                     hedge.run(next, admitted, delay, &mut actions).await
                 } else {
-                    let admitted = replaces_stuck.then_some(admitted);
-                    race_attempts(&mut hedged, admitted, next).await
+                    let replaced = Replacement { admitted, replaces_stuck };
+                    race_attempts(&mut hedged, replaced, &mut held, next).await
                 }
             }
             // The response that ends the request has been reported since.
@@ -179,12 +181,11 @@
                 let request = request.duplicate();
                 let hedge = HedgeContext { context, request, held: &mut held };
                 let order = CopyOrder { attempt, gate, incarnation, spec };
-                match hedged.take() {
-                    Some(stuck) => {
-                        let first: FirstAttempt<'_, NoAttempt> = FirstAttempt::Stuck(stuck);
-                        hedge.race(first, order).await
-                    }
-                    None => hedge.run_alone(order).await,
+                if hedged.is_empty() {
+                    hedge.run_alone(order).await
+                } else {
+                    let stuck = std::mem::take(&mut hedged);
+                    hedge.race(FirstAttempt::<'_, NoAttempt>::Stuck(stuck), order).await
                 }
             }
             EntryAction::KeepWaiting { .. } | EntryAction::RecordHedge(_) => continue,
@@ -203,15 +204,19 @@
             }
             EntryAction::Conclude { conclusion, .. } => {
                 guard.is_finished = true;
-                // No second attempt was possible; the first one is still running.
+                // No further attempt was possible; others are still running.
                 if conclusion.outcome == Outcome::Unknown
-                    && let Some(first) = &mut hedged
-                    && let Some(late) = first.response().await
+                    && let Some(late) = hedged.response().await
+                    && late.held.is_some()
                 {
                     return relay(context, id, late.held, conclusion.new_ticket);
                 }
                 return conclude(conclusion, held);
             }
+            EntryAction::Await { .. } => match hedged.response().await {
+                Some(result) => result,
+                None => AttemptReport::Lost(Reason::Lost).into(),
+            },
             EntryAction::Pause { time, .. } => {
                 log::info!("event=search-paused request={} ms={}", request.id, time.as_millis());
                 tokio::time::sleep(time).await;
@@ -230,9 +235,7 @@
         if result.held.is_some() {
             held = result.held;
         }
-        if result.hedged.is_some() {
-            hedged = result.hedged;
-        }
+        hedged.append(result.hedged);
         is_answered = is_usable(&result.report);
         send_report(context, id, result.report).await;
     }
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
-use super::parallel::HedgedAttempt;
+use super::parallel::{HedgedAttempt, HedgedAttempts};
 use super::{Request, send_report};
 use crate::net::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use crate::net::connector::{DatagramCount, PeerError};
@@ -19,7 +19,7 @@
 use crate::prelude::{Duration, Load, NodeId, Reason, RequestId};
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
-const DEADLINE_GRACE: Duration = Duration::from_millis(60);
+pub(super) const DEADLINE_GRACE: Duration = Duration::from_millis(60);
 /// Part of this time after which the entry withdraws an attempt that is still queued. The rest is
 /// for the gate's confirmation, with a round trip of up to 11 ms between zones.
 const WITHDRAWAL_DELAY: Duration = Duration::from_millis(10);
@@ -36,12 +36,12 @@
     pub(super) report: AttemptReport,
     pub(super) held: Option<HeldResponse>,
     /// The attempt itself, when it continues in parallel with the next one.
-    pub(super) hedged: Option<HedgedAttempt>,
+    pub(super) hedged: HedgedAttempts,
 }
 
 impl From<AttemptReport> for AttemptResult {
     fn from(report: AttemptReport) -> Self {
-        Self { report, held: None, hedged: None }
+        Self { report, held: None, hedged: HedgedAttempts::default() }
     }
 }
 
@@ -103,7 +103,7 @@
     let committed = !on_commit;
     let started = Instant::now();
     let mut link = AttemptLink {
-        context,
+        context: context.clone(),
         id,
         gate: node,
         connection: link_connection,
@@ -123,7 +123,8 @@
         () = node_ends(context) => Err(AttemptTimeout),
     };
     let committed = link.committed;
-    if let (Ok(Err(_)) | Err(_), Some((connection, datagrams))) = (&ended, &link.connection) {
+    let is_doubtful = !matches!(&ended, Ok(Ok(result)) if result.report != AttemptReport::Silent);
+    if let Some((connection, datagrams)) = link.connection.as_ref().filter(|_| is_doubtful) {
         context.connector.replace_if_silent(node, connection, *datagrams).await;
     }
     let report = match ended {
@@ -167,24 +168,25 @@
     Ok((Some((connection, datagrams)), (FrameSink::Quic(sink), FrameSource::Quic(source))))
 }
 
-struct AttemptLink<'a> {
-    context: &'a NetworkContext,
+/// The link of an attempt to its gate.
+pub(super) struct AttemptLink {
+    pub(super) context: NetworkContext,
     id: RequestId,
-    gate: NodeId,
+    pub(super) gate: NodeId,
     connection: LinkConnection,
     sink: Option<FrameSink>,
     source: FrameSource,
     remaining: Duration,
-    started: Instant,
+    pub(super) started: Instant,
     // Whether the gate may have run the request.
     committed: bool,
     // Whether the gate has queued the request and not yet decided on it.
-    is_queued: bool,
+    pub(super) is_queued: bool,
     is_withdrawn: bool,
     admission: Admission,
 }
 
-impl AttemptLink<'_> {
+impl AttemptLink {
     /// Receives frames until the attempt has ended or the response headers have arrived.
     async fn run(
         &mut self,
@@ -193,36 +195,55 @@
     ) -> Result<AttemptResult, LinkError> {
         let Ok(first) = timeout(first_frame_timeout, self.source.receive()).await else {
             self.log_silence(request);
+            // The gate may be at work, unless it still waits for a part of the request.
+            let may_run = self.committed && request.body_rest.is_none();
+            if may_run && !self.time_left().is_zero() {
+                let hedged = HedgedAttempt::silent(self.detach(), request.id.clone()).into();
+                return Ok(AttemptResult { hedged, ..AttemptReport::Silent.into() });
+            }
             return Err(LinkError::Closed);
         };
         let mut frame = first?;
         loop {
             match frame.take() {
                 Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
-                Some(Body::Verdict(verdict)) if verdict.stuck => return Ok(self.hedge()),
+                Some(Body::Verdict(verdict)) if verdict.stuck => {
+                    let hedged = HedgedAttempt::stuck(self.detach()).into();
+                    let stuck = AttemptReport::Lost(Reason::Stuck);
+                    return Ok(AttemptResult { hedged, ..stuck.into() });
+                }
                 Some(Body::Verdict(verdict)) if verdict.admitted => {
                     self.is_queued = false;
                     let load = verdict.load.unwrap_or_default().into();
-                    self.admission.report(self.context, self.id, load).await;
+                    self.admission.report(&self.context, self.id, load).await;
                     self.commit(request).await?;
                 }
                 // The request was never committed here, so this gate cannot have run it.
                 Some(Body::Verdict(verdict)) if !self.committed && is_stale_refusal(&verdict) => {
                     return Ok(AttemptReport::Unreachable.into());
                 }
-                Some(Body::Verdict(verdict)) => return Ok(refused(&verdict).into()),
-                Some(Body::Answer(answer)) => return Ok(self.response_result(answer)),
-                Some(Body::Cut(cut)) => {
-                    let reason = Reason::from_name(&cut.reason).unwrap_or(Reason::UpstreamFailed);
-                    return Ok(AttemptReport::Lost(reason).into());
-                }
-                Some(_) => return Err(LinkError::Unexpected),
-                None => return Err(LinkError::Closed),
+                frame => return self.end(frame),
             }
             frame = self.next_frame().await?;
         }
     }
 
+    /// Returns the result of an attempt whose last frame this is, before a body that follows.
+    pub(super) fn end(&mut self, frame: Option<Body>) -> Result<AttemptResult, LinkError> {
+        match frame {
+            Some(Body::Verdict(verdict)) => Ok(refused(&verdict).into()),
+            Some(Body::Answer(answer)) => {
+                Ok(response_result(answer, self.take_source(), self.remaining))
+            }
+            Some(Body::Cut(cut)) => {
+                let reason = Reason::from_name(&cut.reason).unwrap_or(Reason::UpstreamFailed);
+                Ok(AttemptReport::Lost(reason).into())
+            }
+            Some(_) => Err(LinkError::Unexpected),
+            None => Err(LinkError::Closed),
+        }
+    }
+
     /// Logs what tells a silent path, a late gate and a late entry apart.
     fn log_silence(&self, request: &Request) {
         let received = match &self.connection {
@@ -241,7 +262,7 @@
 
     /// Receives the next frame. At the deadline, or when the node ends, it withdraws an attempt
     /// that is still queued: the gate then confirms that the request has not run and will not run.
-    async fn next_frame(&mut self) -> Result<Option<Body>, LinkError> {
+    pub(super) async fn next_frame(&mut self) -> Result<Option<Body>, LinkError> {
         // Until it is committed, an attempt needs no confirmation.
         let mut may_withdraw = self.is_queued && self.committed && !self.is_withdrawn;
         let Self { context, sink, source, remaining, started, .. } = self;
@@ -288,16 +309,21 @@
         Ok(())
     }
 
-    fn response_result(&mut self, answer: Answer) -> AttemptResult {
-        response_result(answer, self.take_source(), self.remaining)
+    /// Returns the time until the deadline.
+    pub(super) fn time_left(&self) -> Duration {
+        self.remaining.saturating_sub(self.started.elapsed())
     }
 
-    /// Continues the attempt in parallel with another one.
-    fn hedge(&mut self) -> AttemptResult {
-        let time_left = self.remaining.saturating_sub(self.started.elapsed()) + DEADLINE_GRACE;
-        let hedged =
-            HedgedAttempt::start(self.context, self.sink.take(), self.take_source(), time_left);
-        AttemptResult { hedged: Some(hedged), ..AttemptReport::Lost(Reason::Stuck).into() }
+    /// Takes the link out of an attempt that continues in parallel with the next one.
+    fn detach(&mut self) -> Self {
+        Self {
+            context: self.context.clone(),
+            connection: self.connection.clone(),
+            sink: self.sink.take(),
+            source: self.take_source(),
+            admission: Admission::default(),
+            ..*self
+        }
     }
 
     fn take_source(&mut self) -> FrameSource {
@@ -306,11 +332,7 @@
     }
 }
 
-pub(super) fn response_result(
-    answer: Answer,
-    source: FrameSource,
-    body_timeout: Duration,
-) -> AttemptResult {
+fn response_result(answer: Answer, source: FrameSource, body_timeout: Duration) -> AttemptResult {
     let load = answer.load.map(Into::into);
     let status = u16::try_from(answer.status).unwrap_or(502);
     let stored = answer.whole.then(|| Arc::new(stored_answer(&answer, status)));
@@ -319,7 +341,7 @@
     AttemptResult {
         report: AttemptReport::Answered { status, load, answer: stored },
         held: Some(HeldResponse { answer, source, body_timeout }),
-        hedged: None,
+        hedged: HedgedAttempts::default(),
     }
 }
 
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::{Admission, AttemptResult, HeldResponse, run_attempt};
 use super::frame::dispatch_frame;
-use super::parallel::HedgedAttempt;
+use super::parallel::HedgedAttempts;
 use super::{FIRST_FRAME_TIMEOUT, Request, send_report};
 use crate::net::context::NetworkContext;
 use crate::prelude::*;
@@ -28,7 +28,7 @@
     /// It runs as usual.
     Running(Pin<&'a mut F>),
     /// Its gate has reported it as stuck.
-    Stuck(HedgedAttempt),
+    Stuck(HedgedAttempts),
 }
 
 impl<F: Future<Output = AttemptResult>> FirstAttempt<'_, F> {
@@ -140,8 +140,8 @@
         loop {
             tokio::select! {
                 result = first.end() => {
-                    if let Some(stuck) = result.hedged {
-                        first = FirstAttempt::Stuck(stuck);
+                    if !result.hedged.is_empty() {
+                        first = FirstAttempt::Stuck(result.hedged);
                         continue;
                     }
                     if is_usable(&result.report) {
@@ -165,7 +165,7 @@
                     return match first {
                         FirstAttempt::Running(attempt) => attempt.await,
                         FirstAttempt::Stuck(attempt) => AttemptResult {
-                            hedged: Some(attempt),
+                            hedged: attempt,
                             ..AttemptReport::Lost(Reason::Stuck).into()
                         },
                     };
@@ -210,37 +210,54 @@
 /// The type of a first attempt that does not exist.
 pub(super) type NoAttempt = std::future::Pending<AttemptResult>;
 
-/// Waits for a new attempt or for the hedged one, whichever responds first. With `replaced`, the
-/// hedged one is cancelled once the new one has a slot.
+/// What happens to the hedged attempts of a request once the next one has a slot.
+pub(super) struct Replacement {
+    pub(super) admitted: oneshot::Receiver<()>,
+    /// Whether those that have a slot are cancelled too.
+    pub(super) replaces_stuck: bool,
+}
+
+/// Waits for a new attempt or for a usable response to the hedged ones, whichever comes first.
+/// Hedged attempts without a slot are cancelled once the new one has a slot.
 pub(super) async fn race_attempts(
-    hedged: &mut Option<HedgedAttempt>,
-    replaced: Option<oneshot::Receiver<()>>,
+    hedged: &mut HedgedAttempts,
+    replacement: Replacement,
+    held: &mut Option<HeldResponse>,
     next: impl Future<Output = AttemptResult>,
 ) -> AttemptResult {
-    let Some(first) = hedged else { return next.await };
     tokio::pin!(next);
-    let replaced = async {
-        let is_replaced = match replaced {
-            Some(admitted) => admitted.await.is_ok(),
-            None => false,
-        };
-        if !is_replaced {
-            std::future::pending::<()>().await;
-        }
-    };
-    tokio::select! {
-        result = &mut next => return result,
-        () = replaced => *hedged = None,
-        response = first.response() => {
-            *hedged = None;
-            if let Some(result) = response {
-                return result;
+    let Replacement { mut admitted, replaces_stuck } = replacement;
+    let mut is_settled = false;
+    while !hedged.is_empty() {
+        tokio::select! {
+            result = &mut next => return result,
+            is_admitted = &mut admitted, if !is_settled => {
+                is_settled = true;
+                match is_admitted {
+                    Ok(()) if replaces_stuck => hedged.abandon(),
+                    Ok(()) => hedged.abandon_unadmitted(),
+                    // The new attempt ended without a slot.
+                    Err(_) => {}
+                }
             }
+            late = hedged.response() => match late {
+                Some(result) if is_usable(&result.report) => return late_result(result),
+                Some(result) => keep(held, result.held),
+                None => {}
+            },
         }
     }
     next.await
 }
 
+/// Returns a response whose load is not that of the gate that the entry sent the request to last.
+fn late_result(mut result: AttemptResult) -> AttemptResult {
+    if let AttemptReport::Answered { load, .. } = &mut result.report {
+        *load = None;
+    }
+    result
+}
+
 fn log_end(request: &str, is_used: bool) {
     let used = if is_used { "copy" } else { "none" };
     log::info!("event=hedge-ended request={request} used={used}");
--- a/crates/lavenderflow/src/net/drive/parallel.rs
+++ b/crates/lavenderflow/src/net/drive/parallel.rs
@@ -1,54 +1,156 @@
 //! Attempts that continue in parallel with the next one.
 
+use std::future::poll_fn;
+use std::mem;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use lavenderflow_core::request::AttemptReport;
 use lavenderflow_schema::wire::frame::Body;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::attempt::{AttemptResult, node_ends, response_result};
-use crate::net::context::NetworkContext;
-use crate::net::link::{FrameSink, FrameSource};
-use crate::prelude::Duration;
+use super::attempt::{AttemptLink, AttemptResult, DEADLINE_GRACE, node_ends};
+use super::hedge::is_usable;
+use crate::net::link::LinkError;
+use crate::prelude::Reason;
 
-/// A stuck attempt that continues in parallel with another one. Dropping it abandons the attempt.
-pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
+/// An attempt that continues in parallel with another one. Dropping it abandons the attempt.
+pub(super) struct HedgedAttempt {
+    result: oneshot::Receiver<AttemptResult>,
+    admitted: oneshot::Receiver<()>,
+    is_admitted: bool,
+}
 
 impl HedgedAttempt {
-    /// Starts waiting for the response to an attempt, up to `limit`.
-    pub(super) fn start(
-        context: &NetworkContext,
-        sink: Option<FrameSink>,
-        mut source: FrameSource,
-        limit: Duration,
-    ) -> Self {
-        let context = context.clone();
-        let (mut sender, receiver) = oneshot::channel();
+    /// Starts to follow an attempt whose upstream has the request.
+    pub(super) fn stuck(link: AttemptLink) -> Self {
+        Self { is_admitted: true, ..Self::start(link, None) }
+    }
+
+    /// Starts to follow an attempt of which its gate has sent nothing yet; `request` is for the log.
+    pub(super) fn silent(link: AttemptLink, request: String) -> Self {
+        Self::start(link, Some(request))
+    }
+
+    fn start(mut link: AttemptLink, silent: Option<String>) -> Self {
+        let (mut sender, result) = oneshot::channel();
+        let (notify, admitted) = oneshot::channel();
         tokio::spawn(async move {
-            // Keeps the sink open: the gate would take its end for a caller that disconnected.
-            let _sink = sink;
-            let answer = async {
-                loop {
-                    match source.receive().await {
-                        Ok(Some(Body::Answer(answer))) => return Some(answer),
-                        Ok(Some(Body::Verdict(_))) => {}
-                        _ => return None,
-                    }
-                }
-            };
-            let answer = tokio::select! {
-                answer = timeout(limit, answer) => answer.ok().flatten(),
+            let context = link.context.clone();
+            let limit = link.time_left() + DEADLINE_GRACE;
+            let mut result = tokio::select! {
+                ended = timeout(limit, link.follow(notify, silent)) => match ended {
+                    Ok(Ok(result)) => result,
+                    Ok(Err(_)) => AttemptReport::Lost(Reason::Lost).into(),
+                    Err(_) => AttemptReport::Lost(Reason::DeadlinePast).into(),
+                },
                 () = sender.closed() => return,
-                () = node_ends(&context) => return,
+                () = node_ends(&context) => AttemptReport::Lost(Reason::DeadlinePast).into(),
             };
-            if let Some(answer) = answer {
-                // The receiver is gone when the other attempt has ended the request.
-                let _ = sender.send(response_result(answer, source, limit));
+            if let Some(held) = &mut result.held {
+                held.body_timeout = limit;
             }
+            // The receiver is gone when another attempt has ended the request.
+            let _ = sender.send(result);
         });
-        Self(receiver)
+        Self { result, admitted, is_admitted: false }
+    }
+
+    fn is_admitted(&mut self) -> bool {
+        self.is_admitted |= self.admitted.try_recv().is_ok();
+        self.is_admitted
     }
+}
 
-    /// Waits for the response; `None` when there will be none.
+impl AttemptLink {
+    /// Receives frames until the attempt has ended, and reports its admission to `notify`.
+    async fn follow(
+        &mut self,
+        notify: oneshot::Sender<()>,
+        mut silent: Option<String>,
+    ) -> Result<AttemptResult, LinkError> {
+        let mut notify = Some(notify);
+        loop {
+            let frame = self.next_frame().await?;
+            if let Some(request) = silent.take() {
+                let waited = self.started.elapsed().as_millis();
+                let gate = self.gate;
+                log::info!(
+                    "event=first-frame-late request={request} gate={gate:x} waited_ms={waited}"
+                );
+            }
+            match frame {
+                Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
+                Some(Body::Verdict(verdict)) if verdict.admitted => {
+                    self.is_queued = false;
+                    // The receiver is gone when another attempt has ended the request.
+                    let _ = notify.take().map(|notify| notify.send(()));
+                }
+                Some(Body::Verdict(verdict)) if verdict.stuck => {}
+                frame => return self.end(frame),
+            }
+        }
+    }
+}
+
+/// The attempts of one request that continue in parallel with the next one. Dropping them abandons
+/// them.
+#[derive(Default)]
+pub(super) struct HedgedAttempts {
+    running: Vec<HedgedAttempt>,
+    // The result that is used if no attempt has a usable response.
+    failed: Option<Box<AttemptResult>>,
+}
+
+impl From<HedgedAttempt> for HedgedAttempts {
+    fn from(attempt: HedgedAttempt) -> Self {
+        Self { running: vec![attempt], failed: None }
+    }
+}
+
+impl HedgedAttempts {
+    pub(super) fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    pub(super) fn append(&mut self, mut other: Self) {
+        self.running.append(&mut other.running);
+        self.failed = other.failed.or(self.failed.take());
+    }
+
+    /// Waits for a usable response, or until all attempts have ended without one. Returns `None` if
+    /// there are none.
     pub(super) async fn response(&mut self) -> Option<AttemptResult> {
-        (&mut self.0).await.ok()
+        while !self.running.is_empty() {
+            let Some(result) = poll_fn(|context| self.poll_end(context)).await else { continue };
+            if is_usable(&result.report) {
+                return Some(result);
+            }
+            if result.held.is_some() || self.failed.is_none() {
+                self.failed = Some(Box::new(result));
+            }
+        }
+        self.failed.take().map(|result| *result)
+    }
+
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Option<AttemptResult>> {
+        for index in 0..self.running.len() {
+            let result = Pin::new(&mut self.running[index].result);
+            if let Poll::Ready(result) = result.poll(context) {
+                self.running.swap_remove(index);
+                return Poll::Ready(result.ok());
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Abandons the attempts that have no slot, as far as their gates have said.
+    pub(super) fn abandon_unadmitted(&mut self) {
+        self.running.retain_mut(HedgedAttempt::is_admitted);
+    }
+
+    pub(super) fn abandon(&mut self) {
+        drop(mem::take(self));
     }
 }
