End the run of a response that is not read at its deadline

Cause: only the wait for the next frame of the upstream had a deadline. The waits for room in the channel to the gate's task and on the link to the entry had none, and the entry kept the link open while it waited to tell a caller that does not read that its response is cut.

Resident memory stayed bounded before as well: the links have flow control.

Change: both waits at the gate end at the response's deadline; the run counts as cancelled, as the upstream is not at fault, and the link is reset, so that the caller sees a cut. The entry drops the link before it waits for the caller. `UpstreamRun` moves to a file of its own.

--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -323,10 +323,13 @@
         }
     };
     let report = timeout(limit, copy).await.unwrap_or(AttemptReport::Truncated);
-    if report == AttemptReport::Truncated {
+    let is_truncated = report == AttemptReport::Truncated;
+    // The gate must not wait for a caller that does not read.
+    drop(source);
+    send_report(&context, id, report).await;
+    if is_truncated {
         let _ = parts.send(Err(TruncatedResponse)).await;
     }
-    send_report(&context, id, report).await;
 }
 
 fn conclude(conclusion: Conclusion, held: Option<HeldResponse>) -> Reply {
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -204,7 +204,7 @@
     let fault = match fault {
         LinkError::TooLarge(_) => Fault::FrameSize,
         LinkError::Malformed(_) | LinkError::Unexpected => Fault::Frame,
-        LinkError::Closed | LinkError::Read(_) | LinkError::Write(_) => return,
+        LinkError::Closed | LinkError::Unread | LinkError::Read(_) | LinkError::Write(_) => return,
     };
     context.mailbox.send(Message::Count(Counter::Fault(fault))).await;
 }
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -30,6 +30,9 @@
     /// The frame is not allowed at this point of the exchange.
     #[error("unexpected frame")]
     Unexpected,
+    /// The receiver has not read the frame in time.
+    #[error("the frame was not read in time")]
+    Unread,
     /// The stream was reset or the connection was lost.
     #[error("read failed: {0}")]
     Read(#[from] quinn::ReadError),
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -1,23 +1,25 @@
 //! Serves requests from other nodes: as their gate, or as the home of their tickets.
 
 mod home;
+mod run;
 
 use std::net::SocketAddr;
 
-use bytes::{Bytes, BytesMut};
-use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
+use bytes::Bytes;
+use lavenderflow_core::gate::{RunResult, SlotRequest};
 use lavenderflow_schema::wire::frame::Body;
-use lavenderflow_schema::wire::{self, Answer, Begin, Header, Purpose};
+use lavenderflow_schema::wire::{self, Begin, Purpose};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
+use self::run::UpstreamRun;
 use super::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use super::context::NetworkContext;
 use super::link::{FrameSink, FrameSource, LinkError};
 use crate::message::{AdmissionDecision, GateMessage};
 use crate::prelude::*;
-use crate::slot::{Slot, SlotClaim};
-use crate::upstream::{Call, CallEvent};
+use crate::slot::SlotClaim;
+use crate::upstream::{self, Call, CallEvent};
 
 /// Time after which the entry is notified that an attempt is queued for a slot.
 const QUEUED_NOTICE_DELAY: Duration = Duration::from_millis(20);
@@ -101,6 +103,7 @@
                 return refuse(sink, Reason::Unreachable, load).await;
             };
             let (events, event_receiver) = mpsc::channel(BODY_CHANNEL_CAPACITY);
+            let sent_by = upstream::response_deadline(&context.clock, deadline);
             let call = Call {
                 body,
                 body_rest,
@@ -112,7 +115,9 @@
                 let load = slot.finish(RunResult::Cancelled).await;
                 return refuse(sink, Reason::Leaving, load).await;
             }
-            UpstreamRun { context, slot, id, sink, idempotent }.relay(event_receiver).await
+            UpstreamRun { context, slot, id, sink, idempotent, deadline: sent_by }
+                .relay(event_receiver)
+                .await
         }
         SlotWait::Decided(AdmissionDecision::Refuse(reason, load)) => {
             log::info!(
@@ -253,146 +258,3 @@
         }
     }
 }
-
-/// A run of a request on an upstream.
-struct UpstreamRun<'a> {
-    context: &'a NetworkContext,
-    slot: Slot,
-    id: String,
-    sink: FrameSink,
-    idempotent: bool,
-}
-
-impl UpstreamRun<'_> {
-    /// Relays the response and gives the slot back when the run has ended.
-    async fn relay(mut self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
-        let mut answer: Option<Answer> = None;
-        let mut first = BytesMut::new();
-        let mut total = 0;
-        loop {
-            let event = tokio::select! {
-                event = events.recv() => event,
-                () = self.sink.closed() => return self.finish_unwanted(events).await,
-                () = self.slot.abandoned() => {
-                    log::info!("event=stuck request={}", self.id);
-                    let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
-                    self.sink.send(Body::Verdict(stuck)).await?;
-                    continue;
-                }
-            };
-            match event {
-                Some(CallEvent::Signals(signals)) => {
-                    self.send_signals(signals).await;
-                }
-                Some(CallEvent::Head { status, headers, signals }) => {
-                    let attempt = self.slot.attempt();
-                    send_gate(self.context, GateMessage::ResponseStarted(attempt, signals)).await;
-                    answer = Some(self.response_head(status, headers));
-                }
-                Some(CallEvent::Data(data)) => {
-                    total += data.len() as u64;
-                    let is_sent = answer.as_ref().is_none_or(|a| !a.body.is_empty());
-                    if !is_sent {
-                        first.extend_from_slice(&data);
-                        if first.len() > MAX_BUFFERED_BYTES
-                            && let Some(answer) = &mut answer
-                        {
-                            answer.body = first.split().freeze();
-                            let head = answer.clone();
-                            self.sink.send(Body::Answer(head)).await?;
-                        }
-                    } else {
-                        let chunk = Body::Chunk(wire::Chunk { data, last: false });
-                        self.sink.send(chunk).await?;
-                    }
-                }
-                Some(CallEvent::End) => return self.finish(answer, first.freeze(), total).await,
-                Some(CallEvent::Failed { result, not_run }) => {
-                    return self.fail(answer, result, not_run).await;
-                }
-                None => return Err(LinkError::Closed),
-            }
-        }
-    }
-
-    /// Ends a run whose response is no longer wanted. An idempotent request is cancelled if the
-    /// upstream stops work when its connection closes. Otherwise this waits until the upstream
-    /// responds: until then the request still occupies the upstream, and freeing the slot here
-    /// would overload it.
-    async fn finish_unwanted(self, mut events: mpsc::Receiver<CallEvent>) -> Result<(), LinkError> {
-        if self.idempotent && self.context.dialect.cancels_on_close() {
-            drop(events);
-            log::info!("event=cancelled request={}", self.id);
-            self.slot.finish(RunResult::Cancelled).await;
-            return Err(LinkError::Closed);
-        }
-        let result = loop {
-            match events.recv().await {
-                Some(CallEvent::Signals(signals)) => {
-                    self.send_signals(signals).await;
-                }
-                Some(CallEvent::End) => break RunResult::Success,
-                Some(CallEvent::Failed { result, .. }) => break result,
-                // Dropping the receiver of events closes the connection to the upstream.
-                Some(CallEvent::Head { .. } | CallEvent::Data(_)) | None => {
-                    break RunResult::Cancelled;
-                }
-            }
-        };
-        self.slot.finish(result).await;
-        Err(LinkError::Closed)
-    }
-
-    fn response_head(&self, status: u16, headers: Vec<(String, String)>) -> Answer {
-        let headers = headers.into_iter().map(|(name, value)| Header { name, value }).collect();
-        Answer { request_id: self.id.clone(), status: status.into(), headers, ..Answer::default() }
-    }
-
-    async fn send_signals(&self, signals: UpstreamSignals) {
-        send_gate(self.context, GateMessage::Signals(self.slot.attempt(), signals)).await;
-    }
-
-    async fn finish(
-        mut self,
-        answer: Option<Answer>,
-        first: Bytes,
-        total: u64,
-    ) -> Result<(), LinkError> {
-        let answer = answer.unwrap_or_default();
-        let failed = answer.status >= 500;
-        let result = if failed { RunResult::ServerError } else { RunResult::Success };
-        let load = self.slot.finish(result).await.map(Into::into);
-        let body = if answer.body.is_empty() {
-            Body::Answer(Answer { body: first, whole: true, load, ..answer })
-        } else {
-            Body::End(wire::End { length: total, load })
-        };
-        self.sink.send(body).await?;
-        self.sink.finish().await;
-        Ok(())
-    }
-
-    async fn fail(
-        mut self,
-        answer: Option<Answer>,
-        result: RunResult,
-        not_run: Option<Reason>,
-    ) -> Result<(), LinkError> {
-        let load = self.slot.finish(result).await;
-        if let Some(reason) = not_run
-            && answer.is_none()
-        {
-            return refuse(self.sink, reason, load).await;
-        }
-        let reason = match result {
-            RunResult::TimedOut => Reason::DeadlinePast,
-            RunResult::Cancelled => Reason::CallerGone,
-            _ => Reason::UpstreamFailed,
-        };
-        let load = load.map(Into::into);
-        let cut = wire::Cut { reason: reason.name().to_owned(), load, not_run: false };
-        self.sink.send(Body::Cut(cut)).await?;
-        self.sink.finish().await;
-        Ok(())
-    }
-}
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -117,6 +117,11 @@
     calls
 }
 
+/// Returns the time by which a call with this deadline must have its whole response.
+pub fn response_deadline(clock: &SharedClock, deadline: std::time::Instant) -> Instant {
+    Instant::now() + deadline.saturating_duration_since(clock.now()) + RESPONSE_MARGIN
+}
+
 /// Why a call has no complete response.
 #[derive(Debug, thiserror::Error)]
 enum CallFailure {
@@ -136,6 +141,8 @@
     Unsent,
     #[error("the upstream did not respond in time")]
     Timeout,
+    #[error("the response was not read in time")]
+    Unread,
     #[error("the response does not belong to the request")]
     Foreign,
     #[error("malformed request: {0}")]
@@ -150,7 +157,7 @@
             Self::Late => (RunResult::Cancelled, Some(Reason::DeadlinePast)),
             Self::Refused(reason) => (RunResult::Shed, Some(*reason)),
             Self::Request(_) => (RunResult::Cancelled, Some(Reason::BadRequest)),
-            Self::Body | Self::Unwanted => (RunResult::Cancelled, None),
+            Self::Body | Self::Unwanted | Self::Unread => (RunResult::Cancelled, None),
             // This VM is out of ports or file descriptors, which says nothing about the upstream.
             Self::Connect(fault) if is_local_error(fault) => {
                 (RunResult::Cancelled, Some(Reason::ConnectFailed))
@@ -210,7 +217,7 @@
         if remaining.is_zero() {
             return Err(CallFailure::Late);
         }
-        let deadline = Instant::now() + remaining + RESPONSE_MARGIN;
+        let deadline = response_deadline(&self.clock, call.deadline);
         let request = self.request(call, body, remaining)?;
         let (mut connection, response) = self.send(call, request, pooled, deadline).await?;
         let (parts, incoming) = response.into_parts();
@@ -331,7 +338,8 @@
             Some(frame) => {
                 // Trailers are dropped.
                 if let Ok(data) = frame?.into_data() {
-                    send(call, CallEvent::Data(data)).await?;
+                    let sent = timeout_at(deadline, send(call, CallEvent::Data(data))).await;
+                    sent.map_err(|_| CallFailure::Unread)??;
                 }
             }
         }
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -60,6 +60,10 @@
     Unsigned,
     /// Runs the request and sends a part of the response without end.
     Endless(Part),
+    /// The same, a few bytes a second.
+    Drips(Part),
+    /// Refuses requests with a body that never ends, a few bytes a second.
+    DripsRefusal,
 }
 
 /// Settings of an upstream.
--- a/crates/standins/src/platform_upstream/serve.rs
+++ b/crates/standins/src/platform_upstream/serve.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use super::{Mode, Settings, StateHandle};
+use super::{Mode, Part, Settings, StateHandle};
 use crate::error::Error;
 use crate::http::RequestHead;
 
@@ -41,6 +41,12 @@
             write_head(&mut writer, 503, &refusal_headers(Some(&id)), Some(0))?;
             continue;
         }
+        if mode == Mode::DripsRefusal {
+            head.read_body(&mut reader, peer)?;
+            write_head(&mut writer, 503, &refusal_headers(Some(&id)), Some(usize::MAX >> 1))?;
+            let _ = Part::FastBody.drip_body(&mut writer);
+            return Ok(());
+        }
         if let Mode::RepeatsRefusal { named } = mode
             && refusal.is_none()
         {
@@ -69,12 +75,16 @@
         thread::sleep(settings.work);
         match mode {
             Mode::Hangs => return hang(&mut writer, &id, state),
-            Mode::Endless(part) => {
+            Mode::Endless(part) | Mode::Drips(part) => {
                 let headers = signed_headers(settings, &id, state)?;
                 let headers: String =
                     headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+                let body = response_body(&id);
                 // Sending fails once the node has closed the connection.
-                let _ = part.send(&mut writer, &headers, &response_body(&id));
+                let _ = match mode {
+                    Mode::Drips(_) => part.drip(&mut writer, &headers, &body),
+                    _ => part.send(&mut writer, &headers, &body),
+                };
                 return record_close(&id, state);
             }
             Mode::Errors => respond_signed(&mut writer, settings, &id, 500, state)?,
