Report a refusal without waiting for the end of its body

Seen: where upstreams refuse with a body that never ends, at a few bytes a second, requests were answered after their whole timeout, idempotent ones with 502 or 504, though each upstream had said in its head that it did not run them.

Cause: the gate read the rest of the refusal up to the request's deadline, to reuse the connection, before it passed the refusal on.

Evidence, on the code before: `a_refusal_whose_body_never_ends_is_reported_at_once` fails with 2.04 s at a timeout of 2 s.

Change: the rest of a refusal has 50 ms, after which its connection is closed. After it the test passes, with 503 for all requests in less than half of the timeout.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -30,6 +30,9 @@
 /// Extra time after the deadline for the upstream's own response that the deadline has passed.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 
+/// Longest wait for the rest of a refusal, after which its connection is closed.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A call to an upstream.
 #[derive(Debug)]
 pub struct Call {
@@ -233,7 +236,7 @@
                     send(call, CallEvent::Signals(self.dialect.parse_signals(&headers))).await?;
                 }
                 // The connection can be reused when the refusal was read completely.
-                if drain(incoming, deadline).await {
+                if drain(incoming, deadline.min(Instant::now() + REFUSAL_TIMEOUT)).await {
                     connection.refused = Some(call.id.clone());
                     self.return_connection(connection, &headers).await;
                 }
--- a/crates/lavenderflow/tests/endless_bodies.rs
+++ b/crates/lavenderflow/tests/endless_bodies.rs
@@ -196,3 +196,17 @@
     set_mode(&deployment, Mode::Healthy);
     assert_serves(&deployment, "after");
 }
+
+#[test]
+fn a_refusal_whose_body_never_ends_is_reported_at_once() {
+    let deployment = Deployment::start(2);
+    set_mode(&deployment, Mode::DripsRefusal);
+    for index in 0..8 {
+        let started = Instant::now();
+        let mut stream = start_request(&deployment, "refused", index);
+        let (first, _) = read_to_end(&mut stream, Duration::ZERO);
+        let elapsed = started.elapsed();
+        assert!(elapsed < ROUTE_TIMEOUT / 2, "{index}: {elapsed:?}");
+        assert!(first.starts_with(b"HTTP/1.1 503"), "{}", String::from_utf8_lossy(&first));
+    }
+}
