--- a/crates/lavenderflow/src/net/drive/stream.rs
+++ b/crates/lavenderflow/src/net/drive/stream.rs
@@ -48,15 +48,17 @@
     ) {
         let limit = self.limit;
         let copied = timeout(limit, self.copy(&parts)).await;
-        let report = match copied.unwrap_or(Err(Truncation::Timeout)) {
-            Ok(report) => report,
+        let Self { id, name, source, .. } = self;
+        // The gate must not wait for a caller that does not read.
+        drop(source);
+        match copied.unwrap_or(Err(Truncation::Timeout)) {
+            Ok(report) => send_report(&context, id, report).await,
             Err(fault) => {
-                log::info!("event=response-truncated request={} fault={fault:?}", self.name);
+                log::info!("event=response-truncated request={name} fault={fault:?}");
+                send_report(&context, id, AttemptReport::Truncated).await;
                 let _ = parts.send(Err(TruncatedResponse)).await;
-                AttemptReport::Truncated
             }
-        };
-        send_report(&context, self.id, report).await;
+        }
     }
 
     async fn copy(
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -30,6 +30,9 @@
 /// Extra time after the deadline for the upstream's own response that the deadline has passed.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 
+/// Longest wait for the rest of a refusal, after which its connection is closed.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A call to an upstream.
 #[derive(Debug)]
 pub struct Call {
@@ -117,6 +120,11 @@
     calls
 }
 
+/// Returns the time by which a call with this deadline must have its whole response.
+pub fn response_deadline(clock: &SharedClock, deadline: std::time::Instant) -> Instant {
+    Instant::now() + deadline.saturating_duration_since(clock.now()) + RESPONSE_MARGIN
+}
+
 /// Why a call has no complete response.
 #[derive(Debug, thiserror::Error)]
 enum CallFailure {
@@ -136,6 +144,8 @@
     Unsent,
     #[error("the upstream did not respond in time")]
     Timeout,
+    #[error("the response was not read in time")]
+    Unread,
     #[error("the response does not belong to the request")]
     Foreign,
     #[error("malformed request: {0}")]
@@ -150,7 +160,7 @@
             Self::Late => (RunResult::Cancelled, Some(Reason::DeadlinePast)),
             Self::Refused(reason) => (RunResult::Shed, Some(*reason)),
             Self::Request(_) => (RunResult::Cancelled, Some(Reason::BadRequest)),
-            Self::Body | Self::Unwanted => (RunResult::Cancelled, None),
+            Self::Body | Self::Unwanted | Self::Unread => (RunResult::Cancelled, None),
             // This VM is out of ports or file descriptors, which says nothing about the upstream.
             Self::Connect(fault) if is_local_error(fault) => {
                 (RunResult::Cancelled, Some(Reason::ConnectFailed))
@@ -210,7 +220,7 @@
         if remaining.is_zero() {
             return Err(CallFailure::Late);
         }
-        let deadline = Instant::now() + remaining + RESPONSE_MARGIN;
+        let deadline = response_deadline(&self.clock, call.deadline);
         let request = self.request(call, body, remaining)?;
         let (mut connection, response) = self.send(call, request, pooled, deadline).await?;
         let (parts, incoming) = response.into_parts();
@@ -226,7 +236,7 @@
                     send(call, CallEvent::Signals(self.dialect.parse_signals(&headers))).await?;
                 }
                 // The connection can be reused when the refusal was read completely.
-                if drain(incoming, deadline).await {
+                if drain(incoming, deadline.min(Instant::now() + REFUSAL_TIMEOUT)).await {
                     connection.refused = Some(call.id.clone());
                     self.return_connection(connection, &headers).await;
                 }
@@ -331,7 +341,8 @@
             Some(frame) => {
                 // Trailers are dropped.
                 if let Ok(data) = frame?.into_data() {
-                    send(call, CallEvent::Data(data)).await?;
+                    let sent = timeout_at(deadline, send(call, CallEvent::Data(data))).await;
+                    sent.map_err(|_| CallFailure::Unread)??;
                 }
             }
         }
