Handle signals from the first moment of a start

Callers could see: a node that is told to reload its settings while it starts ends at once by SIGHUP, and so does one that is told to stop, without the stages of a stop.

Cause: the handlers were installed after the servers had been started; until then the default action ends the process.

Change: the signals are registered before anything else and wait for the thread that handles them.

--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -67,6 +67,8 @@
 ///
 /// The node cannot start.
 pub fn run(settings: &NodeSettings, environment: &Environment) -> Result<(), NodeError> {
+    // First, since a signal without a handler ends the process; until they are handled, signals wait.
+    let signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(NodeError::Signal)?;
     let clock: SharedClock = Arc::new(SystemClock);
     let (mailbox, messages) = Mailbox::new();
     let (network, commands) = endpoint::channel();
@@ -121,7 +123,7 @@
         }
         None => None,
     };
-    start_signals(mailbox.clone(), reloader)?;
+    start_signals(signals, mailbox.clone(), reloader)?;
     let store = Store::new(settings.store);
     let member = member(settings);
     let (name, peer) = (settings.name.clone(), member.peer_address);
@@ -246,8 +248,11 @@
 }
 
 /// Handles signals: `SIGHUP` reloads the settings file, the others start a graceful stop.
-fn start_signals(mailbox: Mailbox, reloader: Option<Reloader>) -> Result<(), NodeError> {
-    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM]).map_err(NodeError::Signal)?;
+fn start_signals(
+    mut signals: Signals,
+    mailbox: Mailbox,
+    reloader: Option<Reloader>,
+) -> Result<(), NodeError> {
     spawn("signals", move || {
         for signal in signals.forever() {
             log::info!("event=signal number={signal}");
--- a/crates/lavenderflow/tests/reload.rs
+++ b/crates/lavenderflow/tests/reload.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::UdpSocket;
 use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -146,3 +147,44 @@
     deployment.call(1, "POST", "/write/a", "elsewhere").expect("an answer");
     assert_eq!(caller_service(&deployment, "elsewhere").as_deref(), Some("work"));
 }
+
+/// Waits until the node of a VM has bound its first address.
+fn wait_bound(vm: &Vm) {
+    let text = std::fs::read(&vm.settings_file).expect("a settings file");
+    let value: Value = serde_json::from_slice(&text).expect("settings");
+    let port = value["internal_ports"][0].as_u64().expect("a port") as u16;
+    let end = Instant::now() + LOG_TIMEOUT;
+    while UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+        assert!(Instant::now() < end, "the node binds no address");
+        thread::sleep(Duration::from_micros(100));
+    }
+}
+
+/// Guards against a node that a signal ends at once while it starts.
+#[test]
+fn signals_during_the_start_are_handled() {
+    let mut deployment = Deployment::start(1);
+    for round in 0..6 {
+        deployment.vms[0].process.kill().expect("a node");
+        deployment.restart(0);
+        wait_bound(&deployment.vms[0]);
+        let process = &mut deployment.vms[0].process;
+        process.reload().expect("a signal");
+        thread::sleep(Duration::from_millis(100));
+        assert_eq!(process.exit_status().expect("a process"), None, "round {round}");
+    }
+    deployment.wait_ready();
+
+    deployment.vms[0].process.kill().expect("a node");
+    deployment.restart(0);
+    wait_bound(&deployment.vms[0]);
+    let process = &mut deployment.vms[0].process;
+    process.terminate().expect("a signal");
+    let mut status = None;
+    wait_until("the node has stopped", || {
+        status = process.exit_status().expect("a process");
+        status.is_some()
+    })
+    .expect("a stop");
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+}
