--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Receiver;
+use std::thread;
 use std::time::Duration;
 
 use lavenderflow_standins::fleet::{free_tcp_port, wait_until};
@@ -20,6 +21,9 @@
 /// Host of the requests and of the routes.
 pub const HOST: &str = "work.example";
 
+/// Size of the parts in which a body is read.
+const PART_BYTES: usize = 16 * 1024;
+
 static NEXT_DEPLOYMENT: AtomicU32 = AtomicU32::new(0);
 
 /// A VM: its node, and the addresses of the node and of the upstream.
@@ -96,6 +100,11 @@
 
     /// Reads a response; `None` if the connection ends before its head or the status is malformed.
     pub fn read(&mut self) -> Option<Response> {
+        self.read_slowly(Duration::ZERO)
+    }
+
+    /// Reads a response as [`read`](Self::read) does, with a pause before each part of its body.
+    pub fn read_slowly(&mut self, pause: Duration) -> Option<Response> {
         let mut line = String::new();
         self.reader.read_line(&mut line).ok()?;
         let status = line.split_whitespace().nth(1)?.parse().ok()?;
@@ -107,17 +116,22 @@
             response.headers.insert(name.to_lowercase(), value.trim().to_owned());
         }
         if response.header("transfer-encoding") == "chunked" {
-            response.is_complete = self.read_chunks(&mut response.body);
+            response.is_complete = self.read_chunks(&mut response.body, pause);
         } else {
             let length: usize = response.header("content-length").parse().unwrap_or(0);
             response.body = vec![0; length];
-            response.is_complete = self.reader.read_exact(&mut response.body).is_ok();
+            let mut parts = response.body.chunks_mut(PART_BYTES);
+            response.is_complete = parts.all(|part| {
+                thread::sleep(pause);
+                self.reader.read_exact(part).is_ok()
+            });
         }
         Some(response)
     }
 
-    fn read_chunks(&mut self, body: &mut Vec<u8>) -> bool {
+    fn read_chunks(&mut self, body: &mut Vec<u8>, pause: Duration) -> bool {
         loop {
+            thread::sleep(pause);
             let mut line = String::new();
             if self.reader.read_line(&mut line).unwrap_or(0) == 0 {
                 return false;
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -1,7 +1,8 @@
 //! An upstream that follows the platform's protocol, with injectable faults.
 //!
 //! It sends heartbeats to the node on its VM, signs its responses and refuses requests that expect
-//! another instance. One thread owns the state, one sends heartbeats, and each connection has its
+//! another instance. The query of a request sets the time that it takes (`work_ms`) and the size of
+//! its response in bytes (`size`). One thread owns the state, one sends heartbeats, and each connection has its
 //! own thread; these send their accesses to the state to its thread.
 
 mod endless;
--- a/crates/standins/src/platform_upstream/serve.rs
+++ b/crates/standins/src/platform_upstream/serve.rs
@@ -66,7 +66,16 @@
         if mode == Mode::RespondsEarly {
             continue;
         }
-        thread::sleep(settings.work);
+        let work = head.query_number("work_ms").map_or(settings.work, Duration::from_millis);
+        thread::sleep(work);
+        if let (Mode::Healthy, Some(size)) = (mode, head.query_number("size")) {
+            let size = usize::try_from(size).unwrap_or(usize::MAX);
+            let body: Vec<u8> = response_body(&id).bytes().cycle().take(size).collect();
+            let headers = signed_headers(settings, &id, state)?;
+            write_head(&mut writer, 200, &headers, Some(body.len()))?;
+            writer.write_all(&body)?;
+            continue;
+        }
         match mode {
             Mode::Hangs => return hang(&mut writer, &id, state),
             Mode::Endless(part) => {
