--- a/crates/lavenderflow/tests/soak.rs
+++ b/crates/lavenderflow/tests/soak.rs
@@ -22,6 +22,9 @@
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 const DEADLINE_MS: u64 = 6000;
 const PIPELINED: usize = 3;
+/// More than the buffers between an upstream and a caller hold.
+const DOWNLOAD_BYTES: usize = 8_000_000;
+const READ_PAUSE: Duration = Duration::from_millis(2);
 
 /// How callers send their requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -93,7 +96,7 @@
         let sent = match habit {
             Habit::Upload => send_upload(caller, &ids[0], random),
             Habit::Download => {
-                let path = format!("/read/a?work_ms={}&size=600000", work / 4);
+                let path = format!("/read/a?work_ms={}&size={DOWNLOAD_BYTES}", work / 4);
                 caller.send(&request_head("GET", &path, &ids[0], 0, DEADLINE_MS))
             }
             Habit::Kept | Habit::Pipelined => {
@@ -108,7 +111,7 @@
         let is_whole = sent.is_ok();
         let mut is_open = is_whole;
         for (index, id) in ids.into_iter().enumerate() {
-            let pause = Duration::from_millis(if habit == Habit::Download { 8 } else { 0 });
+            let pause = if habit == Habit::Download { READ_PAUSE } else { Duration::ZERO };
             let response = if index == 0 || is_open { caller.read_slowly(pause) } else { None };
             let is_usable = response.as_ref().is_some_and(|response| {
                 response.is_complete
@@ -217,6 +220,9 @@
     match &outcome.response {
         _ if outcome.is_write && runs > 1 => Some("ran twice"),
         Some(response) if !response.is_complete => Some("an answer that was cut"),
+        Some(response) if response.header("lavenderflow-request-id") != outcome.id => {
+            Some("an answer to another request")
+        }
         Some(_) if status == Some(200) && runs == 0 => Some("a success without a run"),
         Some(_) if outcome.is_write && matches!(status, Some(429 | 503)) && runs > 0 => {
             Some("a refusal of a request that ran")
