Log whether the entry of a refused attempt sees its service degraded

A gate takes a non-idempotent trial request only from an entry whose service is degraded. Refusals did not say whether it was, so an idle upstream that refuses as doubtful could not be told from one whose entries noticed nothing. The line of a refused attempt has the flag that came with the attempt (degraded).

--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -116,13 +116,15 @@
         }
         SlotWait::Decided(AdmissionDecision::Refuse(reason, load)) => {
             log::info!(
-                "event=refused request={} reason={} doubt={:.3} busy={} slots={} queued={}",
+                "event=refused request={} reason={} doubt={:.3} busy={} slots={} queued={} \
+                 degraded={}",
                 begin.request_id,
                 reason.name(),
                 load.gray_probability,
                 load.busy,
                 load.slots,
-                load.queued
+                load.queued,
+                begin.strained
             );
             refuse(sink, reason, Some(load)).await
         }
