Count failures of upstreams as unserved

Cause: an upstream that may be gray takes non-idempotent requests only from entries whose service is degraded. An entry counted a request as served once an upstream had answered it, with whatever status, and did not count cut responses at all. Upstreams answer what hangs in them with 504, so no entry was degraded while a sixth of the requests failed, and upstreams that had recovered refused all that they were offered (doubtful) until their probability had decayed.

Change: the end of a request is recorded by its status: 5xx and cut responses are unserved.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -53,6 +53,8 @@
     admitted: u32,
     // Whether an attempt may have run, so that the outcome cannot be `NotRun`.
     may_have_run: bool,
+    // Whether the upstream's response is a failure.
+    upstream_failed: bool,
     rank: u32,
     organisation_rank: u32,
     // Time in which the queue of the last gate drains; zero if that is not known.
@@ -311,6 +313,7 @@
             searches: 0,
             admitted: 0,
             may_have_run: false,
+            upstream_failed: false,
             drain_time: Duration::ZERO,
         };
         let no_route_reason =
--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -73,7 +73,7 @@
         answer: Option<Arc<StoredAnswer>>,
     ) -> Vec<EntryAction> {
         if outcome == Outcome::Ran {
-            self.record_end(active, true);
+            self.record_end(active, !active.upstream_failed);
         }
         self.release(active);
         let Some(ticket) = active.ticket else {
@@ -95,7 +95,7 @@
     }
 
     /// Records for the service level whether a request was served.
-    fn record_end(&mut self, active: &ActiveRequest, is_served: bool) {
+    pub(super) fn record_end(&mut self, active: &ActiveRequest, is_served: bool) {
         let now = self.clock.now();
         self.service_levels.entry(active.service.clone()).or_default().observe(is_served, now);
     }
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -88,7 +88,10 @@
                 self.record_size(&active, bytes);
                 self.finish(&active, Outcome::Ran, None)
             }
-            AttemptReport::Truncated => self.finish(&active, Outcome::Unknown, None),
+            AttemptReport::Truncated => {
+                self.record_end(&active, false);
+                self.finish(&active, Outcome::Unknown, None)
+            }
             AttemptReport::Lost(Reason::Stuck) if can_hedge(&active) => self.stuck(active, now),
             AttemptReport::Lost(reason) => self.retry_lost(active, reason, now),
             AttemptReport::CallerGone => {
@@ -153,9 +156,10 @@
         answer: Option<Arc<StoredAnswer>>,
         now: Instant,
     ) -> Vec<EntryAction> {
-        let failed = status >= 500 && answer.is_some();
+        active.upstream_failed = status >= 500;
         active.may_have_run = true;
-        if failed && active.idempotent && self.may_retry(&active, now, true) {
+        let can_replace = active.upstream_failed && answer.is_some();
+        if can_replace && active.idempotent && self.may_retry(&active, now, true) {
             return self.dispatch(active, Some(Reason::UpstreamFailed));
         }
         let (request, ticket) = (active.arrival.request, active.ticket);
--- a/crates/core/src/service_level.rs
+++ b/crates/core/src/service_level.rs
@@ -1,5 +1,8 @@
 //! Detects that a service leaves requests unserved, as seen by one entry.
 //!
+//! A request is served if its caller gets a whole response that is no failure: a failure of the
+//! upstream counts like one of the fleet.
+//!
 //! Likely gray upstreams get little work while the others can serve all requests. When requests go
 //! unserved all the same, the service needs its whole capacity floor, and the entry offers likely
 //! gray upstreams work that they would otherwise not get.
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -129,6 +129,29 @@
     }
 }
 
+#[test]
+fn sound_upstreams_are_not_left_idle_while_upstreams_fail_requests() {
+    for seed in SEEDS {
+        for error_share in [0.12, 0.2] {
+            let result = simulate(Workload {
+                rate: 60.0,
+                slots: 8,
+                idempotent_share: 0.0,
+                gray_share: 0.3,
+                answers_hangs: true,
+                error_share,
+                duration: Duration::from_secs(15),
+                seed,
+                ..Workload::default()
+            });
+            assert!(
+                result.active_sound_share >= 0.7,
+                "seed {seed} errors {error_share}: {result:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn a_cold_fleet_serves_load_up_to_its_capacity() {
     // 18 upstreams with 4 slots and runs of 0.46 s while cold serve 156 requests per second. One
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -33,6 +33,8 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time after the start of its last run for which an upstream counts as active.
 const ACTIVITY_WINDOW: Duration = Duration::from_secs(2);
+/// Time after a gray failure from which an upstream must get work.
+const RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Factor by which runs take longer on a cold upstream.
 const COLD_SLOWDOWN: f64 = 2.0;
 /// Factor by which the runs in the tail take longer.
@@ -64,6 +66,10 @@
     pub gray_share: f64,
     /// Share of the runs that hang during a gray failure.
     pub hang_share: f64,
+    /// Whether an upstream answers a run that hangs with 504 at its deadline, instead of not at all.
+    pub answers_hangs: bool,
+    /// Share of the runs that end with a 500 of the upstream.
+    pub error_share: f64,
     /// Mean interval between draws of whether an upstream is in a gray failure.
     pub gray_interval: Duration,
     /// Share of the runs that upstreams shed at random.
@@ -95,6 +101,8 @@
             log_deviation: 0.8,
             gray_share: 0.0,
             hang_share: 0.75,
+            answers_hangs: false,
+            error_share: 0.0,
             gray_interval: Duration::from_secs(9),
             shed_share: 0.0,
             cold_duration: Duration::ZERO,
@@ -145,6 +153,9 @@
     pub duplicate_runs: u32,
     /// Lowest share of the upstreams that got work within [`ACTIVITY_WINDOW`].
     pub active_share: f64,
+    /// Lowest share that got work within [`ACTIVITY_WINDOW`] of the upstreams without a gray failure
+    /// for [`RECOVERY_TIME`].
+    pub active_sound_share: f64,
     /// Copies that were sent, with their times.
     pub copies: Vec<Duration>,
     /// Copies that were not sent, with their times.
@@ -202,6 +213,8 @@
     entries: Vec<Entry>,
     gates: Vec<Gate>,
     gray: Vec<bool>,
+    // When the last gray failure of each upstream ended.
+    gray_ends: Vec<Duration>,
     events: BinaryHeap<Reverse<(Duration, u64)>>,
     payloads: IndexMap<u64, Event>,
     next_id: u64,
@@ -286,6 +299,7 @@
             now: Duration::ZERO,
             entries: entries.collect(),
             gray: vec![false; gates.len()],
+            gray_ends: vec![Duration::ZERO; gates.len()],
             last_start: vec![Duration::ZERO; gates.len()],
             gates,
             events: BinaryHeap::new(),
@@ -302,6 +316,7 @@
                 extra_starts: 0,
                 duplicate_runs: 0,
                 active_share: 1.0,
+                active_sound_share: 1.0,
                 copies: Vec::new(),
                 suppressed: Vec::new(),
                 latencies: Vec::new(),
@@ -412,15 +427,33 @@
                 self.last_start.iter().filter(|time| self.now - **time <= ACTIVITY_WINDOW).count();
             let share = active as f64 / self.last_start.len() as f64;
             self.result.active_share = self.result.active_share.min(share);
+            self.measure_sound();
         }
         self.entries.iter_mut().for_each(Entry::tick);
     }
 
+    fn measure_sound(&mut self) {
+        let sound = (0..self.gates.len())
+            .filter(|gate| !self.gray[*gate] && self.now - self.gray_ends[*gate] >= RECOVERY_TIME);
+        let (sound, active) = sound.fold((0, 0), |(sound, active), gate| {
+            let is_active = self.now - self.last_start[gate] <= ACTIVITY_WINDOW;
+            (sound + 1, active + u32::from(is_active))
+        });
+        if sound > 0 {
+            let share = f64::from(active) / f64::from(sound);
+            self.result.active_sound_share = self.result.active_sound_share.min(share);
+        }
+    }
+
     /// Draws again whether one upstream is in a gray failure; the others keep their state.
     fn redraw_gray(&mut self) {
         self.schedule(self.workload.gray_interval / self.workload.gates as u32, Event::RedrawGray);
         let gate = self.rng.random_range(0..self.gates.len());
+        let was_gray = self.gray[gate];
         self.gray[gate] = self.rng.random_bool(self.workload.gray_share);
+        if was_gray {
+            self.gray_ends[gate] = self.now;
+        }
     }
 
     fn execute_entry_actions(&mut self, entry: usize, actions: Vec<EntryAction>) {
@@ -625,8 +658,15 @@
         let slowdown = slowdown * if is_tail { TAIL_FACTOR } else { 1.0 };
         let work =
             if hangs { remaining } else { Duration::from_secs_f64(self.draw_work() * slowdown) };
-        let (time, result) = if work < remaining {
+        // No number is drawn where there are no errors, so that other workloads stay as they are.
+        let error_share = self.workload.error_share;
+        let has_error = error_share > 0.0 && self.rng.random_bool(error_share);
+        let (time, result) = if work < remaining && has_error {
+            (work, RunResult::ServerError)
+        } else if work < remaining {
             (work, RunResult::Success)
+        } else if self.workload.answers_hangs {
+            (remaining, RunResult::ServerError)
         } else {
             (remaining, RunResult::TimedOut)
         };
@@ -651,13 +691,13 @@
             self.gates[gate].cancel(attempt);
         }
         let (load, actions) = self.gates[gate].finish(attempt, result);
-        let stored = StoredAnswer { status: 200, headers: Vec::new(), body: Vec::new().into() };
+        let answered = |status| {
+            let answer = StoredAnswer { status, headers: Vec::new(), body: Vec::new().into() };
+            AttemptReport::Answered { status, load: Some(load), answer: Some(Arc::new(answer)) }
+        };
         let report = match result {
-            RunResult::Success => AttemptReport::Answered {
-                status: 200,
-                load: Some(load),
-                answer: Some(Arc::new(stored)),
-            },
+            RunResult::Success => answered(200),
+            RunResult::ServerError => answered(504),
             RunResult::Shed => AttemptReport::Refused(Reason::Shed, Some(load)),
             RunResult::Cancelled => return self.execute_gate_actions(gate, actions),
             _ => AttemptReport::Lost(Reason::DeadlinePast),
