--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -56,6 +56,8 @@
     awaited: bool,
     // Whether an attempt may have run, so that the outcome cannot be `NotRun`.
     may_have_run: bool,
+    // Whether the upstream's response is a failure.
+    upstream_failed: bool,
     rank: u32,
     organisation_rank: u32,
     // Time in which the queue of the last gate drains; zero if that is not known.
@@ -315,6 +317,7 @@
             admitted: 0,
             awaited: false,
             may_have_run: false,
+            upstream_failed: false,
             drain_time: Duration::ZERO,
         };
         let no_route_reason =
