Bound what the store's client reads of a response and of a list

Seen, on the code before, in release mode: a list whose pages never end had the client read 1.75 GB in 8 s, and it went on; a body of chunks without end was read for the 2 s of its timeout, 43 MB with a store that paused 5 ms after each MB. All of it was kept.

Cause: bodies of responses were read without a size limit, and pages were requested as long as the store said that there are more, whatever their keys.

A watch whose response is larger is followed by a list, in pages. A response that was not read may belong to a change that took effect.

--- a/crates/lavenderflow/src/store/watcher.rs
+++ b/crates/lavenderflow/src/store/watcher.rs
@@ -210,7 +210,12 @@
         };
         let share = if self.has_changed { WAIT_AFTER_CHANGE } else { WAIT };
         let wait = source.watch_timeout().mul_f64(rand::random_range(share));
-        let changes = self.setup.store.watch(source.prefix, after, wait)?;
+        let changes = self.setup.store.watch(source.prefix, after, wait).inspect_err(|fault| {
+            // All entries are read in pages instead.
+            if matches!(fault, StoreError::TooLarge) {
+                self.last_revision = None;
+            }
+        })?;
         self.publish(&changes, false);
         // The response may have been on its way for any time since the end of the wait.
         let is_full_wait = changes.entries.is_empty() && self.setup.clock.now() >= started + wait;
