Account for frames of other nodes while they arrive

Seen: a peer that opens streams and sends frames of 1 MB short of their end, on 96 streams of one connection, made a node with `memory_mb` 40 grow to 78 MB (512 streams may be open). A stream on which nothing but a byte arrives stayed open as long as the connection.

Cause: the buffer of a frame is allocated by its announced length, and only bodies that have arrived were accounted. The windows of QUIC bound what is not read yet, and the node reads on into its buffers. The wait for a stream's first frame had no end.

Change: what arrives over one connection counts against a budget of an eighth of what the node may hold for others, 2 to 32 MB; a frame that does not fit ends its stream, which says of no request that it ran. A stream must have its first frame within 6 s, the time after which a silent connection is lost.

--- a/crates/lavenderflow/src/net/context.rs
+++ b/crates/lavenderflow/src/net/context.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use super::connector::Connector;
-use super::link::{FrameSink, FrameSource};
+use super::link::{FrameSink, FrameSource, MAX_FRAME_BYTES};
 use crate::prelude::*;
 use crate::shutdown::StopWatch;
 use crate::upstream::CallSender;
@@ -20,6 +20,12 @@
 /// Bytes of a body that follows its request which are held at a time.
 const MAX_PART_BYTES: u64 = 64 * 1024;
 
+/// Part of what the node may hold for others that unfinished frames of one connection may take, and
+/// the range of that part.
+const FRAME_DIVISOR: u64 = 8;
+const MIN_FRAME_BUDGET: u64 = 2 * MAX_FRAME_BYTES as u64;
+const MAX_FRAME_BUDGET: u64 = 32 * MAX_FRAME_BYTES as u64;
+
 /// The server end of a link within this node, served like a link from another node.
 pub type LocalLink = (FrameSink, FrameSource);
 
@@ -51,6 +57,12 @@
 }
 
 impl NetworkContext {
+    /// Returns the budget for the frames that arrive over one connection from another node.
+    pub fn frame_budget(&self) -> Budget {
+        let limit = self.budget.limit() / FRAME_DIVISOR;
+        self.budget.source(Some(limit.clamp(MIN_FRAME_BUDGET, MAX_FRAME_BUDGET)))
+    }
+
     /// Accounts for the body of a request from another node. Within the node the entry does so.
     ///
     /// # Errors
@@ -61,7 +73,7 @@
         begin: &Begin,
         source: &FrameSource,
     ) -> Result<Option<Share>, OverLimit> {
-        let FrameSource::Quic(_) = source else { return Ok(None) };
+        let FrameSource::Accepted(..) = source else { return Ok(None) };
         let length = begin.body_length.unwrap_or(u64::MAX).min(MAX_PART_BYTES);
         let later = if begin.on_commit || begin.body_follows { length } else { 0 };
         self.budget.claim(HeldKind::Peer, begin.body.len() as u64 + later).map(Some)
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -25,6 +25,10 @@
 /// Commands that the channel to the network task buffers.
 const COMMAND_CAPACITY: usize = 4096;
 
+/// Time within which the first frame of a stream must have arrived: that after which a connection
+/// without a packet is lost.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// A command to the network task.
 #[derive(Debug)]
 pub enum NetworkCommand {
@@ -180,8 +184,10 @@
 }
 
 async fn serve_connection(context: NetworkContext, connection: Connection) {
+    let budget = context.frame_budget();
     while let Ok((sink, source)) = connection.accept_bi().await {
-        tokio::spawn(serve_link(context.clone(), FrameSink::Quic(sink), FrameSource::Quic(source)));
+        let source = FrameSource::Accepted(source, budget.clone());
+        tokio::spawn(serve_link(context.clone(), FrameSink::Quic(sink), source));
     }
 }
 
@@ -190,7 +196,8 @@
     sink: FrameSink,
     mut source: FrameSource,
 ) -> Result<(), LinkError> {
-    match source.receive().await? {
+    let first = timeout(FIRST_FRAME_TIMEOUT, source.receive()).await;
+    match first.unwrap_or(Err(LinkError::Closed))? {
         Some(Body::Begin(begin)) => serve::serve(context, begin, sink, source).await,
         Some(Body::Exchange(exchange)) => ping::respond(context, exchange, sink).await,
         Some(Body::Draw(draw)) => draw::respond(context, draw, sink).await,
@@ -204,7 +211,11 @@
     let fault = match fault {
         LinkError::TooLarge(_) => Fault::FrameSize,
         LinkError::Malformed(_) | LinkError::Unexpected => Fault::Frame,
-        LinkError::Closed | LinkError::Unread | LinkError::Read(_) | LinkError::Write(_) => return,
+        LinkError::Memory(_)
+        | LinkError::Closed
+        | LinkError::Unread
+        | LinkError::Read(_)
+        | LinkError::Write(_) => return,
     };
     context.mailbox.send(Message::Count(Counter::Fault(fault))).await;
 }
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -1,6 +1,7 @@
 //! Links that carry frames over a QUIC stream, or over channels when both ends are in one process.
 
 use bytes::{BufMut, Bytes, BytesMut};
+use lavenderflow_core::memory::{Budget, HeldKind, OverLimit};
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
 use quinn::{ReadExactError, RecvStream, SendStream, VarInt, WriteError};
@@ -24,6 +25,9 @@
     /// The frame is too large.
     #[error("frame of {0} bytes exceeds the size limit")]
     TooLarge(usize),
+    /// There is no memory for the frame.
+    #[error(transparent)]
+    Memory(#[from] OverLimit),
     /// The frame cannot be decoded.
     #[error("malformed frame: {0}")]
     Malformed(#[from] prost::DecodeError),
@@ -55,6 +59,9 @@
 pub enum FrameSource {
     /// From another process.
     Quic(RecvStream),
+    /// From another process that opened the stream; what has arrived of a frame counts against the
+    /// budget of its connection.
+    Accepted(RecvStream, Budget),
     /// Within the process.
     Local(mpsc::Receiver<Body>),
 }
@@ -118,7 +125,8 @@
     /// The frame is malformed or the link failed.
     pub async fn receive(&mut self) -> Result<Option<Body>, LinkError> {
         match self {
-            Self::Quic(stream) => receive_frame(stream).await,
+            Self::Quic(stream) => receive_frame(stream, None).await,
+            Self::Accepted(stream, budget) => receive_frame(stream, Some(budget)).await,
             Self::Local(channel) => Ok(channel.recv().await),
         }
     }
@@ -137,7 +145,10 @@
     Ok(bytes.freeze())
 }
 
-async fn receive_frame(stream: &mut RecvStream) -> Result<Option<Body>, LinkError> {
+async fn receive_frame(
+    stream: &mut RecvStream,
+    budget: Option<&Budget>,
+) -> Result<Option<Body>, LinkError> {
     let mut prefix = [0; LENGTH_PREFIX_BYTES];
     match stream.read_exact(&mut prefix).await {
         Ok(()) => {}
@@ -148,6 +159,7 @@
     if length > MAX_FRAME_BYTES {
         return Err(LinkError::TooLarge(length));
     }
+    let _share = budget.map(|budget| budget.claim(HeldKind::Peer, length as u64)).transpose()?;
     let mut bytes = BytesMut::zeroed(length);
     stream.read_exact(&mut bytes).await.map_err(read_error)?;
     let frame = Frame::decode(bytes.freeze())?;
--- /dev/null
+++ b/crates/lavenderflow/tests/endless_crowd.rs
@@ -0,0 +1,76 @@
+//! Many responses without end at the same time, through another node than the upstream's.
+
+mod common;
+
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::deployment::{Deployment, request_head};
+use lavenderflow_standins::fleet::{wait_until, wait_with_timeout};
+use lavenderflow_standins::platform_upstream::{
+    Mode, Part, PlatformUpstream, Settings, response_body,
+};
+use serde_json::json;
+
+/// Memory that the nodes may use, which the test checks as a bound.
+const MEMORY_MB: u64 = 40;
+/// Callers at the same time, for each of which the upstream has a slot.
+const CALLERS: u32 = 100;
+/// Timeout of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[test]
+fn a_crowd_of_unread_responses_without_end_stays_within_the_memory_of_the_entry() {
+    let limits = json!({"memory_mb": MEMORY_MB, "max_fds": 1024});
+    let mut deployment = Deployment::start_limited(2, limits);
+    deployment.upstreams.clear();
+    let vm = &deployment.vms[1];
+    wait_until("the address is free", || TcpListener::bind(vm.upstream).is_ok())
+        .expect("an address");
+    let upstream = PlatformUpstream::start(Settings {
+        id: "i-large".to_owned(),
+        service: "work".to_owned(),
+        node: vm.control,
+        address: vm.upstream,
+        slots: CALLERS,
+        work: Duration::from_millis(5),
+        generation: 1_700_000_002_000,
+    })
+    .expect("an upstream");
+    let serves = |id: &str| {
+        wait_with_timeout("the upstream serves", Duration::from_secs(10), || {
+            let response = deployment.call(0, "GET", "/read/a", id);
+            response.is_some_and(|response| response.text() == response_body(id))
+        })
+    };
+    serves("before").expect("an upstream in use");
+    upstream.set_mode(Mode::Endless(Part::FastChunks)).expect("an upstream");
+    let address = deployment.vms[0].outbound;
+    let mut callers: Vec<TcpStream> =
+        (0..CALLERS).map(|_| TcpStream::connect(address).expect("a node")).collect();
+    for (index, caller) in callers.iter_mut().enumerate() {
+        let id = format!("crowd-{index}");
+        // The node may have closed the connection, which it may.
+        let _ = caller.write_all(&request_head("GET", "/read/a", &id, 0, 5000));
+    }
+    let started = Instant::now();
+    let mut peak = vec![0; 2];
+    while started.elapsed() < ROUTE_TIMEOUT + Duration::from_millis(500) {
+        for (peak, vm) in peak.iter_mut().zip(&deployment.vms) {
+            *peak = vm.process.resident_bytes().unwrap_or_default().max(*peak);
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    let runs = deployment_runs(&upstream);
+    println!("peak {peak:?} runs {runs}");
+    assert!(peak[0] < MEMORY_MB << 20, "{peak:?}");
+    upstream.set_mode(Mode::Healthy).expect("an upstream");
+    serves("after").expect("an upstream in use");
+}
+
+fn deployment_runs(upstream: &PlatformUpstream) -> usize {
+    let records = upstream.requests().expect("an upstream");
+    records.keys().filter(|id| id.starts_with("crowd")).count()
+}
