Bound the time for the body of an announcement

Seen: an announcement whose body arrives a byte at a time held its connection for as long as bytes came: up to 64 KB, 18 hours at a byte a second. The port has no limit on connections, so a faulty upstream that calls again and again takes one descriptor more each time.

Cause: the size of the body had a limit, the time had none.

Change: the body has 1 s, the time for which an upstream waits for the response; then the response is 408 and the connection is closed.

--- a/crates/lavenderflow/src/http/announcements.rs
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -20,6 +20,8 @@
 
 /// Largest body of an announcement, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Time within which the body of an announcement must arrive, for which an upstream waits.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest wait for the store: until it has what must outlast the node, or until a node that has
 /// just started knows what it had stored. An upstream waits for a second.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
@@ -33,6 +35,9 @@
     /// The connection broke before the end of the body.
     #[error("the body is truncated")]
     TruncatedBody,
+    /// The body did not arrive in time.
+    #[error("the body has not arrived within {BODY_TIMEOUT:?}")]
+    LateBody,
     /// The announcement is malformed.
     #[error(transparent)]
     Malformed(#[from] ConvertError),
@@ -52,6 +57,7 @@
     pub fn status(&self) -> StatusCode {
         match self {
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::LateBody => StatusCode::REQUEST_TIMEOUT,
             Self::TruncatedBody | Self::Malformed(_) | Self::WrongAddress(_) => {
                 StatusCode::BAD_REQUEST
             }
@@ -100,14 +106,13 @@
     request: Request<Incoming>,
 ) -> Result<(), AnnouncementError> {
     let path = request.uri().path().to_owned();
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await;
-    let text = body.map_err(|fault| {
-        if fault.is::<LengthLimitError>() {
-            AnnouncementError::TooLarge
-        } else {
-            AnnouncementError::TruncatedBody
-        }
-    });
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
+    let text = match timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(text)) => Ok(text),
+        Ok(Err(fault)) if fault.is::<LengthLimitError>() => Err(AnnouncementError::TooLarge),
+        Ok(Err(_)) => Err(AnnouncementError::TruncatedBody),
+        Err(_) => Err(AnnouncementError::LateBody),
+    };
     let accepted = match text {
         Ok(text) => announce(context, &path, &text.to_bytes()).await,
         Err(fault) => Err(fault),
