Count silent attempts that go on as received by an upstream

Callers could have more runs than their route allows: a silent attempt goes on beside its retry but was not counted, and where the request waited for it, the refusal of a later attempt took its count back although it had run.

Found by review. Cases of the reviewer failed on: 6 attempts that may run where the route allows 2, and 3 runs where it allows 2. Now each silent attempt counts at once, the last one that is allowed goes out on commit, and only the refusal that ends the wait itself is taken back. silence.rs passes.

--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -283,31 +283,21 @@
         mut active: ActiveRequest,
         now: Instant,
     ) -> Vec<EntryAction> {
+        // An upstream may have received it.
+        active.admitted += 1;
+        // The next attempt is the second one that a request may have.
+        active.hedge.is_used |= can_hedge(&active);
         if active.idempotent && self.may_retry(&active, now, true) {
             active.may_have_run = true;
-            if can_hedge(&active) {
-                active.hedge.replace();
-            }
             return self.dispatch(active, Some(Reason::Lost));
         }
         let request = active.arrival.request;
         active.awaited = true;
-        // Until the gate refuses it, the attempt counts as one that an upstream has received.
-        active.admitted += 1;
         self.active_requests.insert(request, active);
         vec![EntryAction::Await { request }]
     }
 }
 
-impl ActiveRequest {
-    /// Takes back that an awaited attempt counts as admitted, since it has not run.
-    pub(super) fn forget_awaited(&mut self) {
-        if std::mem::take(&mut self.awaited) {
-            self.admitted -= 1;
-        }
-    }
-}
-
 /// Returns the highest probability of a gray failure that a request tolerates: less while there are
 /// other gates to try.
 fn gray_tolerance(active: &ActiveRequest) -> f32 {
--- a/crates/core/src/entry/hedging.rs
+++ b/crates/core/src/entry/hedging.rs
@@ -21,8 +21,8 @@
     // Whether the upstream was likely gray by then, so that the attempt is a trial.
     is_trial: bool,
     copy: Option<RunningCopy>,
-    // Whether a copy was sent, or a replacement of a stuck attempt; a request gets at most one.
-    is_used: bool,
+    // Whether a copy was sent, or an attempt beside one that goes on; a request gets at most one.
+    pub(super) is_used: bool,
     // Whether a suppressed copy was counted.
     is_suppressed: bool,
     // Whether the next attempt replaces a stuck one instead of running beside it.
@@ -35,12 +35,6 @@
         Self { kind: kind.unwrap_or_default(), ..Self::default() }
     }
 
-    /// Lets the next attempt replace one that goes on, instead of running beside it.
-    pub(super) fn replace(&mut self) {
-        self.is_used = true;
-        self.replaces_stuck = true;
-    }
-
     /// Records that the first attempt got a slot.
     pub(super) fn admit(&mut self, load: Load, now: Instant) {
         self.admitted_at = Some(now);
@@ -116,7 +110,8 @@
                 }
             }
         }
-        active.hedge.replace();
+        active.hedge.is_used = true;
+        active.hedge.replaces_stuck = true;
         actions.extend(self.retry_lost(active, Reason::Stuck, now));
         actions
     }
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -54,6 +54,7 @@
         now: Instant,
     ) -> Vec<EntryAction> {
         let request = active.arrival.request;
+        let was_awaited = std::mem::take(&mut active.awaited);
         match report {
             AttemptReport::Admitted(load) => {
                 active.hedge.admit(load, now);
@@ -68,7 +69,8 @@
                 self.retry_lost(active, reason, now)
             }
             AttemptReport::Refused(reason, load) => {
-                active.forget_awaited();
+                // The awaited attempt has not run.
+                active.admitted -= u32::from(was_awaited);
                 active.refused_as_gray |= reason == Reason::Doubtful;
                 active.drain_time = load.map_or(Duration::ZERO, |load| load.drain_time);
                 if reason == Reason::TooLate {
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -12,6 +12,7 @@
 use lavenderflow_core::profile::{Forgiveness, Profile};
 use lavenderflow_core::reason::{Outcome, Reason};
 use lavenderflow_core::request::{AttemptReport, Conclusion, EntryAction};
+use lavenderflow_core::route::{Idempotency, Route, Router};
 use lavenderflow_core::ticket::StoredAnswer;
 use support::{arrival, clock, entry, member, service, service_offer};
 
@@ -147,3 +148,75 @@
     let actions = entry.report(1, answered(500));
     assert!(dispatch(&actions).is_none(), "{actions:?}");
 }
+
+/// Returns an entry with ten gates whose route allows so many upstreams.
+fn route_limited_entry(upstreams: u32) -> Entry {
+    let shared: SharedClock = clock();
+    let mut entry = entry(1, 10, &shared, 3);
+    let mut router = Router::default();
+    router.insert(Route {
+        prefix: "/".to_owned(),
+        service: service(),
+        idempotency: Idempotency::ByMethod,
+        attempts: Some(upstreams),
+        ..Route::default()
+    });
+    entry.set_router(router);
+    for node in 2..12 {
+        entry.set_node(&member(node, node, vec![service_offer(4, Condition::Healthy, 0.0)]), false);
+    }
+    entry
+}
+
+fn may_run_on_arrival(actions: &[EntryAction]) -> Option<bool> {
+    actions.iter().find_map(|action| match action {
+        EntryAction::Dispatch { spec, .. } => Some(spec.retryable),
+        _ => None,
+    })
+}
+
+/// Guards against more runs than the route allows: silent attempts go on beside their retries.
+#[test]
+fn silent_attempts_that_go_on_stay_within_the_upstream_limit() {
+    let mut entry = route_limited_entry(2);
+    let actions = entry.begin(arrival(1, "GET", None));
+    assert_eq!(may_run_on_arrival(&actions), Some(true));
+    let actions = entry.report(1, AttemptReport::Silent);
+    // The last upstream gets the request only once it has been admitted.
+    assert_eq!(may_run_on_arrival(&actions), Some(false));
+}
+
+/// Guards against a refusal that takes back the count of an attempt that ran before it.
+#[test]
+fn a_later_refusal_does_not_uncount_an_awaited_run() {
+    let mut entry = route_limited_entry(3);
+    entry.begin(arrival(1, "GET", None));
+    let mut other = 100;
+    // Others use up the budget.
+    let actions = loop {
+        other += 1;
+        entry.begin(arrival(other, "GET", None));
+        let actions = entry.report(other, AttemptReport::Silent);
+        if awaits(&actions, other) {
+            break entry.report(1, AttemptReport::Silent);
+        }
+    };
+    assert!(awaits(&actions, 1), "{actions:?}");
+    // Later requests have earned tokens again.
+    for _ in 0..100 {
+        other += 1;
+        entry.begin(arrival(other, "GET", None));
+        entry.report(other, AttemptReport::Admitted(Load::default()));
+        entry.report(other, answered(200));
+    }
+    let mut runs = 1;
+    let mut actions = entry.report(1, answered(500));
+    assert!(dispatch(&actions).is_some(), "{actions:?}");
+    actions = entry.report(1, full());
+    while dispatch(&actions).is_some() {
+        entry.report(1, AttemptReport::Admitted(Load::default()));
+        runs += 1;
+        actions = entry.report(1, answered(500));
+    }
+    assert!(runs <= 3, "{runs}");
+}
