Send streamed bodies to a gate only on commit

An idempotent request with a body that is streamed was committed on arrival. It can be sent once only, so when its gate was silent for 150 ms it was cut, and ended as unknown although nothing was known to have run.

--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -17,8 +17,9 @@
 ) -> Begin {
     // The gate runs such a request only after this entry has received the admission and committed
     // the request: until then, a lost link proves that it did not run. An idempotent request that
-    // cannot be retried needs the proof too, since its caller gets an error otherwise.
-    let on_commit = !spec.idempotent || !spec.retryable;
+    // cannot be retried needs the proof too, since its caller gets an error otherwise. So does one
+    // with a body that is streamed, which can be sent only once.
+    let on_commit = !spec.idempotent || !spec.retryable || request.body_rest.is_some();
     Begin {
         purpose: Purpose::Dispatch.into(),
         attempt: Some(attempt.into()),
