--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -195,9 +195,8 @@
     ) -> Result<AttemptResult, LinkError> {
         let Ok(first) = timeout(first_frame_timeout, self.source.receive()).await else {
             self.log_silence(request);
-            // The gate may be at work, unless it still waits for a part of the request.
-            let may_run = self.committed && request.body_rest.is_none();
-            if may_run && !self.time_left().is_zero() {
+            // The gate may be at work.
+            if self.committed && !self.time_left().is_zero() {
                 let hedged = HedgedAttempt::silent(self.detach(), request.id.clone()).into();
                 return Ok(AttemptResult { hedged, ..AttemptReport::Silent.into() });
             }
@@ -233,7 +232,8 @@
         match frame {
             Some(Body::Verdict(verdict)) => Ok(refused(&verdict).into()),
             Some(Body::Answer(answer)) => {
-                Ok(response_result(answer, self.take_source(), self.remaining))
+                let limit = self.time_left() + DEADLINE_GRACE;
+                Ok(response_result(answer, self.take_source(), limit))
             }
             Some(Body::Cut(cut)) => {
                 let reason = Reason::from_name(&cut.reason).unwrap_or(Reason::UpstreamFailed);
