Cut a silent attempt for a response, not for an admission

A silent attempt that its gate was running was cut as soon as its retry had a slot.

Attempts now go on until one of them has a usable response. A retry is paid from the budget as before. Responses that have arrived come before what else is ready. The test that pinned the cut at the admission is replaced: the silent attempt must be open after the admission of the other one, and closed after its response.

--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -15,9 +15,7 @@
 
 use self::attempt::{Admission, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
-use self::hedge::{
-    CopyOrder, FirstAttempt, HedgeContext, NoAttempt, Replacement, is_usable, race_attempts,
-};
+use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
 use self::parallel::HedgedAttempts;
 use self::stream::ResponseStream;
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts};
@@ -171,7 +169,7 @@
                     let hedge = HedgeContext { context, request, held: &mut held };
                     hedge.run(next, admitted, delay, &mut actions).await
                 } else {
-                    let replaced = Replacement { admitted, replaces_stuck };
+                    let replaced = replaces_stuck.then_some(admitted);
                     race_attempts(&mut hedged, replaced, &mut held, next).await
                 }
             }
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -210,41 +210,36 @@
 /// The type of a first attempt that does not exist.
 pub(super) type NoAttempt = std::future::Pending<AttemptResult>;
 
-/// What happens to the hedged attempts of a request once the next one has a slot.
-pub(super) struct Replacement {
-    pub(super) admitted: oneshot::Receiver<()>,
-    /// Whether those that have a slot are cancelled too.
-    pub(super) replaces_stuck: bool,
-}
-
-/// Waits for a new attempt or for a usable response to the hedged ones, whichever comes first.
-/// Hedged attempts without a slot are cancelled once the new one has a slot.
+/// Waits for a new attempt or for a usable response to the hedged ones, whichever comes first. With
+/// `replaced`, the hedged ones are cancelled once the new one has a slot.
 pub(super) async fn race_attempts(
     hedged: &mut HedgedAttempts,
-    replacement: Replacement,
+    replaced: Option<oneshot::Receiver<()>>,
     held: &mut Option<HeldResponse>,
     next: impl Future<Output = AttemptResult>,
 ) -> AttemptResult {
     tokio::pin!(next);
-    let Replacement { mut admitted, replaces_stuck } = replacement;
-    let mut is_settled = false;
+    let replaced = async {
+        let is_replaced = match replaced {
+            Some(admitted) => admitted.await.is_ok(),
+            None => false,
+        };
+        if !is_replaced {
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::pin!(replaced);
     while !hedged.is_empty() {
         tokio::select! {
+            // A response that has arrived is not cancelled.
+            biased;
             result = &mut next => return result,
-            is_admitted = &mut admitted, if !is_settled => {
-                is_settled = true;
-                match is_admitted {
-                    Ok(()) if replaces_stuck => hedged.abandon(),
-                    Ok(()) => hedged.abandon_unadmitted(),
-                    // The new attempt ended without a slot.
-                    Err(_) => {}
-                }
-            }
             late = hedged.response() => match late {
                 Some(result) if is_usable(&result.report) => return late_result(result),
                 Some(result) => keep(held, result.held),
                 None => {}
             },
+            () = &mut replaced => drop(std::mem::take(hedged)),
         }
     }
     next.await
--- a/crates/lavenderflow/src/net/drive/parallel.rs
+++ b/crates/lavenderflow/src/net/drive/parallel.rs
@@ -1,7 +1,6 @@
 //! Attempts that continue in parallel with the next one.
 
 use std::future::poll_fn;
-use std::mem;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -16,16 +15,12 @@
 use crate::prelude::Reason;
 
 /// An attempt that continues in parallel with another one. Dropping it abandons the attempt.
-pub(super) struct HedgedAttempt {
-    result: oneshot::Receiver<AttemptResult>,
-    admitted: oneshot::Receiver<()>,
-    is_admitted: bool,
-}
+pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
 
 impl HedgedAttempt {
     /// Starts to follow an attempt whose upstream has the request.
     pub(super) fn stuck(link: AttemptLink) -> Self {
-        Self { is_admitted: true, ..Self::start(link, None) }
+        Self::start(link, None)
     }
 
     /// Starts to follow an attempt of which its gate has sent nothing yet; `request` is for the log.
@@ -35,12 +30,11 @@
 
     fn start(mut link: AttemptLink, silent: Option<String>) -> Self {
         let (mut sender, result) = oneshot::channel();
-        let (notify, admitted) = oneshot::channel();
         tokio::spawn(async move {
             let context = link.context.clone();
             let limit = link.time_left() + DEADLINE_GRACE;
-            let mut result = tokio::select! {
-                ended = timeout(limit, link.follow(notify, silent)) => match ended {
+            let result = tokio::select! {
+                ended = timeout(limit, link.follow(silent)) => match ended {
                     Ok(Ok(result)) => result,
                     Ok(Err(_)) => AttemptReport::Lost(Reason::Lost).into(),
                     Err(_) => AttemptReport::Lost(Reason::DeadlinePast).into(),
@@ -48,29 +42,16 @@
                 () = sender.closed() => return,
                 () = node_ends(&context) => AttemptReport::Lost(Reason::DeadlinePast).into(),
             };
-            if let Some(held) = &mut result.held {
-                held.body_timeout = limit;
-            }
             // The receiver is gone when another attempt has ended the request.
             let _ = sender.send(result);
         });
-        Self { result, admitted, is_admitted: false }
-    }
-
-    fn is_admitted(&mut self) -> bool {
-        self.is_admitted |= self.admitted.try_recv().is_ok();
-        self.is_admitted
+        Self(result)
     }
 }
 
 impl AttemptLink {
-    /// Receives frames until the attempt has ended, and reports its admission to `notify`.
-    async fn follow(
-        &mut self,
-        notify: oneshot::Sender<()>,
-        mut silent: Option<String>,
-    ) -> Result<AttemptResult, LinkError> {
-        let mut notify = Some(notify);
+    /// Receives frames until the attempt has ended.
+    async fn follow(&mut self, mut silent: Option<String>) -> Result<AttemptResult, LinkError> {
         loop {
             let frame = self.next_frame().await?;
             if let Some(request) = silent.take() {
@@ -82,11 +63,7 @@
             }
             match frame {
                 Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
-                Some(Body::Verdict(verdict)) if verdict.admitted => {
-                    self.is_queued = false;
-                    // The receiver is gone when another attempt has ended the request.
-                    let _ = notify.take().map(|notify| notify.send(()));
-                }
+                Some(Body::Verdict(verdict)) if verdict.admitted => self.is_queued = false,
                 Some(Body::Verdict(verdict)) if verdict.stuck => {}
                 frame => return self.end(frame),
             }
@@ -136,7 +113,7 @@
 
     fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Option<AttemptResult>> {
         for index in 0..self.running.len() {
-            let result = Pin::new(&mut self.running[index].result);
+            let result = Pin::new(&mut self.running[index].0);
             if let Poll::Ready(result) = result.poll(context) {
                 self.running.swap_remove(index);
                 return Poll::Ready(result.ok());
@@ -144,13 +121,4 @@
         }
         Poll::Pending
     }
-
-    /// Abandons the attempts that have no slot, as far as their gates have said.
-    pub(super) fn abandon_unadmitted(&mut self) {
-        self.running.retain_mut(HedgedAttempt::is_admitted);
-    }
-
-    pub(super) fn abandon(&mut self) {
-        drop(mem::take(self));
-    }
 }
--- a/crates/lavenderflow/tests/silent_gate.rs
+++ b/crates/lavenderflow/tests/silent_gate.rs
@@ -13,6 +13,7 @@
 use common::scripted::{NODE, Node, TEST_TIMEOUT, admitted, refused};
 use lavenderflow::clock::SystemClock;
 use lavenderflow::message::{EntryMessage, Message};
+use lavenderflow::net::body::BodyRequest;
 use lavenderflow::net::connector::Connector;
 use lavenderflow::net::drive::{Reply, ReplyBody, Request, drive};
 use lavenderflow::net::link::{FrameSink, FrameSource};
@@ -27,7 +28,7 @@
 use lavenderflow_core::route::{Idempotency, Route, Router};
 use lavenderflow_schema::wire::Answer;
 use lavenderflow_schema::wire::frame::Body;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -45,6 +46,8 @@
     // Dropping it would close the link.
     _source: FrameSource,
     connection: quinn::Connection,
+    // Whether the gate runs the request only once the entry has heard of its admission.
+    on_commit: bool,
 }
 
 impl Attempt {
@@ -100,29 +103,27 @@
     }
 
     fn request(&self) -> JoinHandle<Reply> {
+        self.send(arrival("GET"), None)
+    }
+
+    fn send(&self, arrival: Arrival, body_rest: Option<BodyRequest>) -> JoinHandle<Reply> {
         let context = self.context.clone();
-        let request = Request {
-            arrival: Arrival {
-                request: 5,
-                method: "GET".to_owned(),
-                target: "/".to_owned(),
-                body_buffered: true,
-                body_length: Some(0),
-                timeout: Some(REMAINING),
-                ..Arrival::default()
-            },
-            id: "r".to_owned(),
-            headers: Vec::new(),
-            body: Bytes::new(),
-            body_rest: None,
-        };
+        let (headers, body) = (Vec::new(), Bytes::new());
+        let request = Request { arrival, id: "r".to_owned(), headers, body, body_rest };
         tokio::spawn(async move { drive(&context, request).await })
     }
 
-    async fn attempt(&mut self) -> Attempt {
+    async fn next_attempt(&mut self) -> Attempt {
         timeout(TEST_TIMEOUT, self.attempts.recv()).await.expect("in time").expect("an attempt")
     }
 
+    /// Returns the next attempt, which its gate may run.
+    async fn attempt(&mut self) -> Attempt {
+        let attempt = self.next_attempt().await;
+        assert!(!attempt.on_commit, "the gate must be free to run the request");
+        attempt
+    }
+
     /// Refuses all further attempts.
     fn fill(mut self) {
         tokio::spawn(async move {
@@ -133,6 +134,18 @@
     }
 }
 
+fn arrival(method: &str) -> Arrival {
+    Arrival {
+        request: 5,
+        method: method.to_owned(),
+        target: "/".to_owned(),
+        body_buffered: true,
+        body_length: Some(0),
+        timeout: Some(REMAINING),
+        ..Arrival::default()
+    }
+}
+
 fn entry(limit: u32) -> Entry {
     let identity = Identity { node: NODE, incarnation: 1, zone: "zone".into() };
     let limits = TicketLimits { retention: REMAINING, answer_bytes: 1 << 20 };
@@ -199,9 +212,9 @@
             while let Ok((sink, source)) = connection.accept_bi().await {
                 let (sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source));
                 if let Ok(Some(Body::Begin(begin))) = source.receive().await {
-                    assert!(!begin.on_commit, "the gate must be free to run the request");
-                    let connection = connection.clone();
-                    let _ = attempts.send(Attempt { sink, _source: source, connection }).await;
+                    let (connection, on_commit) = (connection.clone(), begin.on_commit);
+                    let attempt = Attempt { sink, _source: source, connection, on_commit };
+                    let _ = attempts.send(attempt).await;
                 }
             }
         });
@@ -258,17 +271,34 @@
     assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
 }
 
-/// Guards against a request that runs at a silent gate as well after another one has admitted it.
+/// Guards against a run that is cut for a retry which then fails.
 #[tokio::test]
-async fn a_silent_attempt_is_given_up_once_another_one_has_a_slot() {
+async fn a_silent_attempt_goes_on_until_another_one_is_answered() {
     let mut fleet = Fleet::start(3, 3).await;
     let request = fleet.request();
     let silent = fleet.attempt().await;
-    fleet.attempt().await.serve().await;
+    let mut other = fleet.attempt().await;
+    other.sink.send(admitted()).await.expect("a link");
+    assert!(silent.is_open().await, "the run is cut");
+    other.serve().await;
     timeout(TEST_TIMEOUT, silent.sink.closed()).await.expect("the end of the link");
     assert_served(&reply(request).await);
 }
 
+/// Guards against a request that may run at a late gate although its body can be sent only once.
+#[tokio::test]
+async fn a_streamed_body_waits_for_the_word_of_its_gate() {
+    let mut fleet = Fleet::start(3, 3).await;
+    let (rest, _requested) = oneshot::channel();
+    let body = Arrival { body_buffered: false, body_length: Some(100_000), ..arrival("PUT") };
+    let request = fleet.send(body, Some(rest));
+    let silent = fleet.next_attempt().await;
+    assert!(silent.on_commit, "the gate may run the request");
+    fleet.fill();
+    let reply = reply(request).await;
+    assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
+}
+
 /// Guards against a caller that waits until its deadline for a gate whose connection is lost.
 #[tokio::test]
 async fn a_lost_connection_ends_the_wait() {
