Take a gate's refusal after a commit that came too late

A gate that has waited 500 ms for the commit of a request stops reading, and refuses the request, which proves that it has not run. The entry reads on now; a lost connection still ends the attempt.

not_run.rs: a_commit_that_the_gate_no_longer_awaits_has_not_run failed before with Lost(Lost).

--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -216,7 +216,7 @@
                     self.is_queued = false;
                     let load = verdict.load.unwrap_or_default().into();
                     self.admission.report(&self.context, self.id, load).await;
-                    self.commit(request).await?;
+                    self.commit(request).await;
                 }
                 // The request was never committed here, so this gate cannot have run it.
                 Some(Body::Verdict(verdict)) if !self.committed && is_stale_refusal(&verdict) => {
@@ -286,27 +286,29 @@
 
     /// Commits the request to the gate: sends the body that the gate waits for, and starts to
     /// stream the rest of it from its owner.
-    async fn commit(&mut self, request: &mut Request) -> Result<(), LinkError> {
+    async fn commit(&mut self, request: &mut Request) {
         let gate_waits = !std::mem::replace(&mut self.committed, true);
         let rest = request.body_rest.take();
         // The gate has read or will read the withdrawal instead of a body.
         if self.is_withdrawn || (!gate_waits && rest.is_none()) {
-            return Ok(());
+            return;
         }
-        let Some(mut sink) = self.sink.take() else { return Ok(()) };
+        let Some(mut sink) = self.sink.take() else { return };
         if gate_waits {
             let (data, last) = (request.body.clone(), rest.is_none());
-            sink.send(Body::Chunk(wire::Chunk { data, last })).await?;
+            // A gate that no longer waits for the commit says so in its next frame.
+            if sink.send(Body::Chunk(wire::Chunk { data, last })).await.is_err() {
+                return;
+            }
         }
         let Some(rest) = rest else {
             sink.finish().await;
-            return Ok(());
+            return;
         };
         let (sender, parts) = mpsc::channel(BODY_CHANNEL_CAPACITY);
         if rest.send(sender).is_ok() {
             tokio::spawn(send_body(sink, parts));
         }
-        Ok(())
     }
 
     /// Returns the time until the deadline.
--- a/crates/lavenderflow/tests/not_run.rs
+++ b/crates/lavenderflow/tests/not_run.rs
@@ -87,6 +87,24 @@
     assert_eq!(driven.end_actors().await.outcome, Outcome::NotRun);
 }
 
+/// Guards against "unknown" where the gate refuses the request because the commit came too late.
+#[tokio::test]
+async fn a_commit_that_the_gate_no_longer_awaits_has_not_run() {
+    for idempotent in [false, true] {
+        let mut node = Node::new();
+        let driven = node.begin(idempotent, Bytes::new()).await;
+        driven.dispatch_spec(1, AttemptSpec { retryable: false, ..spec(idempotent) }).await;
+        let (mut sink, mut source) = node.links.recv().await.expect("a link");
+        receive(&mut source).await;
+        drop(source);
+        sink.send(admitted()).await.expect("a link");
+        sink.send(refused(Reason::Unreachable)).await.expect("a link");
+        assert!(matches!(node.report().await, AttemptReport::Admitted(_)));
+        assert_eq!(node.report().await, AttemptReport::Refused(Reason::Unreachable, None));
+        assert_eq!(driven.end_actors().await.outcome, Outcome::NotRun);
+    }
+}
+
 /// Guards against a false "not run" where the gate may have started.
 #[tokio::test]
 async fn a_gate_that_is_lost_after_the_commit_may_have_run_the_request() {
