Apply a shorter time-out to what begins after it

Callers could see: a connection closed while its request was still arriving within the limits that were in force when it began, because a configuration with shorter ones had come.

Change: core::timeout_history keeps earlier bounds as long as something that began under them may use them up; the longest that was in force since then applies.

The test of closing connections now writes its limits before the request, since the change does not close it any more.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -7,6 +7,7 @@
 use crate::memory::{Budget, HeldKind, HoldLimits, Share};
 use crate::prelude::*;
 use crate::progress::{Phase, Progress};
+use crate::timeout_history::{ProgressTimeouts, TimeoutHistory};
 
 /// Identifies a connection of a caller.
 pub type ConnectionId = u64;
@@ -48,15 +49,6 @@
     }
 }
 
-/// Time bounds on the progress of requests; `None` sets no bound.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct ProgressTimeouts {
-    /// Longest time from the first byte of a head to its end.
-    pub head: Option<Duration>,
-    /// Longest time without a byte of a body, or without one of the response being read.
-    pub body: Option<Duration>,
-}
-
 /// A connection to close.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Closing {
@@ -101,6 +93,7 @@
 #[derive(Debug)]
 pub struct ConnectionTable {
     limits: HoldLimits,
+    timeouts: TimeoutHistory,
     budget: Budget,
     next: ConnectionId,
     connections: IndexMap<ConnectionId, OpenConnection>,
@@ -111,7 +104,8 @@
     /// Creates an empty table; `budget` is that of the node.
     pub fn new(limits: HoldLimits, budget: Budget) -> Self {
         let (connections, sources) = (IndexMap::new(), IndexMap::new());
-        Self { limits, budget, next: 0, connections, sources }
+        let timeouts = TimeoutHistory::default();
+        Self { limits, timeouts, budget, next: 0, connections, sources }
     }
 
     /// Returns whether there is no open connection.
@@ -177,7 +171,8 @@
     /// Returns the connections to close now: those beyond the time bounds, then, where a limit is
     /// reached, those that have waited longest for their callers.
     pub fn sweep(&mut self, now: Instant, timeouts: ProgressTimeouts) -> Vec<Closing> {
-        let mut closing = self.close_late(now, timeouts);
+        self.timeouts.set(timeouts, now);
+        let mut closing = self.close_late(now);
         if let Some(max) = self.limits.connections {
             let open = self.connections.len();
             self.free_connections(None, open, max, now, &mut closing);
@@ -201,16 +196,20 @@
         closing
     }
 
-    fn close_late(&mut self, now: Instant, timeouts: ProgressTimeouts) -> Vec<Closing> {
+    fn close_late(&mut self, now: Instant) -> Vec<Closing> {
         let mut closing = Vec::new();
         for (id, connection) in &mut self.connections {
             let progress = &connection.progress;
+            let timeouts = |time| self.timeouts.since(now.checked_sub(time).unwrap_or(now));
             let is_late = match progress.phase() {
-                Phase::Head => timeouts.head.is_some_and(|t| progress.phase_time(now) > t),
+                Phase::Head => {
+                    let time = progress.phase_time(now);
+                    timeouts(time).head.is_some_and(|timeout| time > timeout)
+                }
                 Phase::Idle | Phase::Processing => false,
                 Phase::Receiving | Phase::Responding => {
                     let idle = progress.idle_time(now);
-                    timeouts.body.is_some_and(|t| idle.is_some_and(|idle| idle > t))
+                    idle.is_some_and(|idle| timeouts(idle).body.is_some_and(|t| idle > t))
                 }
             };
             if is_late && !connection.is_closing {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -49,5 +49,6 @@
 pub mod subset;
 pub mod table;
 pub mod ticket;
+pub mod timeout_history;
 pub mod upstream;
 pub mod window;
--- a/crates/lavenderflow/src/http/admission.rs
+++ b/crates/lavenderflow/src/http/admission.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 
 use lavenderflow_core::catalog::RequestLimits;
-use lavenderflow_core::connections::{
-    CloseReason, Closing, ConnectionId, ConnectionTable, ProgressTimeouts,
-};
+use lavenderflow_core::connections::{CloseReason, Closing, ConnectionId, ConnectionTable};
 use lavenderflow_core::memory::{Budget, HeldKind, HoldLimits, OverLimit, Share};
 use lavenderflow_core::progress::{Phase, Progress};
+use lavenderflow_core::timeout_history::ProgressTimeouts;
 use tokio::sync::{mpsc, watch};
 
 use super::request_head::ProgressRecorder;
--- a/crates/lavenderflow/tests/interrupted.rs
+++ b/crates/lavenderflow/tests/interrupted.rs
@@ -36,11 +36,12 @@
     let timeout = format!("\"header_timeout_s\":{}", HEADER_TIMEOUT.as_secs_f64());
     let changed = text.replace("\"header_timeout_s\":3", &timeout);
     assert_ne!(changed, text);
+    deployment.store.write("op/config", &changed);
+    wait_for_line(&lines, "revision=20 ");
     let mut caller = Caller::connect(deployment.vms[0].outbound).expect("a connection");
     let head = request_head("POST", "/write/a", "late", 0, 5000);
     let (first, rest) = head.split_at(20);
     caller.send(first).expect("the start of a request");
-    deployment.store.write("op/config", &changed);
     wait_for_line(&lines, "event=connection-closed reason=timeout");
     caller.send(rest).expect("the rest of a request");
     let reader = thread::spawn(move || caller.read());
