Do not take a slow reader for a failure of its service

A response whose caller had not read it by the deadline was reported as cut, and since cut responses count as unserved, one slow caller degraded the service for its entry: copies were suppressed and other requests went to likely gray upstreams. The wait for the caller and the wait for the gate now end separately; the first is reported like a caller that left. endless_gate.rs: a_response_that_is_not_read_is_no_failure_of_the_service.

--- a/crates/lavenderflow/src/net/drive/stream.rs
+++ b/crates/lavenderflow/src/net/drive/stream.rs
@@ -4,7 +4,7 @@
 use lavenderflow_core::request::AttemptReport;
 use lavenderflow_schema::wire::frame::Body;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::send_report;
 use crate::net::body::TruncatedResponse;
@@ -23,6 +23,8 @@
     Link(#[from] LinkError),
     #[error("the time for the body has passed")]
     Timeout,
+    #[error("the caller did not read the body in time")]
+    Unread,
 }
 
 /// The rest of a response whose head has been received.
@@ -46,16 +48,20 @@
         context: NetworkContext,
         parts: mpsc::Sender<Result<Bytes, TruncatedResponse>>,
     ) {
-        let limit = self.limit;
-        let copied = timeout(limit, self.copy(&parts)).await;
+        let copied = self.copy(&parts).await;
         let Self { id, name, source, .. } = self;
         // The gate must not wait for a caller that does not read.
         drop(source);
-        match copied.unwrap_or(Err(Truncation::Timeout)) {
+        match copied {
             Ok(report) => send_report(&context, id, report).await,
             Err(fault) => {
                 log::info!("event=response-truncated request={name} fault={fault:?}");
-                send_report(&context, id, AttemptReport::Truncated).await;
+                let report = match fault {
+                    // No evidence against the upstream.
+                    Truncation::Unread => AttemptReport::CallerGone,
+                    _ => AttemptReport::Truncated,
+                };
+                send_report(&context, id, report).await;
                 let _ = parts.send(Err(TruncatedResponse)).await;
             }
         }
@@ -65,12 +71,15 @@
         &mut self,
         parts: &mpsc::Sender<Result<Bytes, TruncatedResponse>>,
     ) -> Result<AttemptReport, Truncation> {
+        let deadline = Instant::now() + self.limit;
         let mut total = self.first_length;
         loop {
-            match self.source.receive().await? {
+            let frame = timeout_at(deadline, self.source.receive()).await;
+            match frame.map_err(|_| Truncation::Timeout)?? {
                 Some(Body::Chunk(chunk)) => {
                     total += chunk.data.len() as u64;
-                    if parts.send(Ok(chunk.data)).await.is_err() {
+                    let sent = timeout_at(deadline, parts.send(Ok(chunk.data))).await;
+                    if sent.map_err(|_| Truncation::Unread)?.is_err() {
                         return Ok(AttemptReport::CallerGone);
                     }
                 }
