Close other connections where closing ones still await an answer

A connection that is closed for a limit now answers the request that it has read, which may take as long as the request. It counted as freed from the start, so a node could stay at its limit and take no new connections. Found by review. core/tests/memory.rs: another_connection_is_closed_instead_of_one_that_still_ awaits_an_answer fails without the change.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -263,7 +263,9 @@
 
     fn closing_of(&self, source: Option<IpAddr>) -> impl Iterator<Item = &OpenConnection> {
         let connections = self.connections.values();
-        connections.filter(move |c| c.is_closing && source.is_none_or(|s| s == c.source))
+        // One that awaits an answer may take long to close.
+        let is_ending = |c: &OpenConnection| c.is_closing && !c.progress.awaits_answer();
+        connections.filter(move |c| is_ending(c) && source.is_none_or(|s| s == c.source))
     }
 
     /// Returns the connections that wait for their callers, those that have waited longest first.
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -245,3 +245,19 @@
     let closing = table.sweep(start + SECOND * 9, bounds(3));
     assert_eq!(ids(&closing, CloseReason::Timeout), early.map(|(id, _)| id));
 }
+
+/// Guards against a node that stays at its limit because a closing connection awaits an answer.
+#[test]
+fn another_connection_is_closed_instead_of_one_that_still_awaits_an_answer() {
+    let start = Instant::now();
+    let (mut table, _) = table(HoldLimits { connections: Some(2), ..HoldLimits::default() });
+    let opened = [open(&mut table, address(1), start), open(&mut table, address(2), start)];
+    let now = start + SECOND;
+    let closing = table.sweep(now, ProgressTimeouts::default());
+    assert_eq!(closing.len(), 1);
+    let (first, other) = if closing[0].connection == opened[0].0 { (0, 1) } else { (1, 0) };
+    assert_eq!(table.sweep(now, ProgressTimeouts::default()), []);
+    opened[first].2.begin_request(now);
+    let closing = table.sweep(now, ProgressTimeouts::default());
+    assert_eq!(ids(&closing, CloseReason::ConnectionLimit), [opened[other].0]);
+}
