--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -67,7 +67,7 @@
         return false;
     }
     let is_overdue = match (progress.phase(), reason) {
-        // Nothing else needs what the response holds.
+        // Memory is not short, so a response may go on as long as it is read.
         (Phase::Responding, CloseReason::Timeout) => progress.idle_time(now),
         _ => Some(progress.phase_time(now)),
     };
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -181,7 +181,7 @@
             tokio::select! {
                 ended = connection => ended,
                 // Dropping the connection closes it.
-                () = must_drop(&caller, reason) => Ok(()),
+                () = drop_time(&caller, reason) => Ok(()),
             }
         }
     };
@@ -202,7 +202,7 @@
 }
 
 /// Completes when a connection that is being closed must be dropped.
-async fn must_drop(caller: &CallerConnection, reason: CloseReason) {
+async fn drop_time(caller: &CallerConnection, reason: CloseReason) {
     let mut review = interval_at(Instant::now() + CLOSE_TIMEOUT, SWEEP_INTERVAL);
     review.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let ProgressRecorder { progress, clock } = caller.recorder();
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -16,7 +16,7 @@
 use self::attempt::{Admission, HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
 use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
-use self::parallel::HedgedAttempts;
+use self::parallel::ParallelAttempts;
 use self::stream::ResponseStream;
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts};
 use super::context::NetworkContext;
@@ -113,7 +113,7 @@
     context.mailbox.send(Message::Entry(begin)).await;
     let mut guard = AbandonGuard { context, request: id, is_finished: false };
     let mut held: Option<HeldResponse> = None;
-    let mut hedged = HedgedAttempts::default();
+    let mut hedged = ParallelAttempts::default();
     let mut wait = None;
     let mut may_have_run = false;
     let mut is_answered = false;
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
-use super::parallel::{HedgedAttempt, HedgedAttempts};
+use super::parallel::{ParallelAttempt, ParallelAttempts};
 use super::{Request, send_report};
 use crate::net::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use crate::net::connector::{DatagramCount, PeerError};
@@ -36,12 +36,12 @@
     pub(super) report: AttemptReport,
     pub(super) held: Option<HeldResponse>,
     /// The attempt itself, when it continues in parallel with the next one.
-    pub(super) hedged: HedgedAttempts,
+    pub(super) hedged: ParallelAttempts,
 }
 
 impl From<AttemptReport> for AttemptResult {
     fn from(report: AttemptReport) -> Self {
-        Self { report, held: None, hedged: HedgedAttempts::default() }
+        Self { report, held: None, hedged: ParallelAttempts::default() }
     }
 }
 
@@ -197,7 +197,7 @@
             self.log_silence(request);
             // The gate may be at work.
             if self.committed && !self.time_left().is_zero() {
-                let hedged = HedgedAttempt::silent(self.detach(), request.id.clone()).into();
+                let hedged = ParallelAttempt::silent(self.detach(), request.id.clone()).into();
                 return Ok(AttemptResult { hedged, ..AttemptReport::Silent.into() });
             }
             return Err(LinkError::Closed);
@@ -207,7 +207,7 @@
             match frame.take() {
                 Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
                 Some(Body::Verdict(verdict)) if verdict.stuck => {
-                    let hedged = HedgedAttempt::stuck(self.detach()).into();
+                    let hedged = ParallelAttempt::stuck(self.detach()).into();
                     let stuck = AttemptReport::Lost(Reason::Stuck);
                     return Ok(AttemptResult { hedged, ..stuck.into() });
                 }
@@ -343,7 +343,7 @@
     AttemptResult {
         report: AttemptReport::Answered { status, load, answer: stored },
         held: Some(HeldResponse { answer, source, body_timeout }),
-        hedged: HedgedAttempts::default(),
+        hedged: ParallelAttempts::default(),
     }
 }
 
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::{Admission, AttemptResult, HeldResponse, run_attempt};
 use super::frame::dispatch_frame;
-use super::parallel::HedgedAttempts;
+use super::parallel::ParallelAttempts;
 use super::{FIRST_FRAME_TIMEOUT, Request, send_report};
 use crate::net::context::NetworkContext;
 use crate::prelude::*;
@@ -28,7 +28,7 @@
     /// It runs as usual.
     Running(Pin<&'a mut F>),
     /// Its gate has reported it as stuck.
-    Stuck(HedgedAttempts),
+    Stuck(ParallelAttempts),
 }
 
 impl<F: Future<Output = AttemptResult>> FirstAttempt<'_, F> {
@@ -213,7 +213,7 @@
 /// Waits for a new attempt or for a usable response to the hedged ones, whichever comes first. With
 /// `replaced`, the hedged ones are cancelled once the new one has a slot.
 pub(super) async fn race_attempts(
-    hedged: &mut HedgedAttempts,
+    hedged: &mut ParallelAttempts,
     replaced: Option<oneshot::Receiver<()>>,
     held: &mut Option<HeldResponse>,
     next: impl Future<Output = AttemptResult>,
--- a/crates/lavenderflow/src/net/drive/parallel.rs
+++ b/crates/lavenderflow/src/net/drive/parallel.rs
@@ -15,9 +15,9 @@
 use crate::prelude::Reason;
 
 /// An attempt that continues in parallel with another one. Dropping it abandons the attempt.
-pub(super) struct HedgedAttempt(oneshot::Receiver<AttemptResult>);
+pub(super) struct ParallelAttempt(oneshot::Receiver<AttemptResult>);
 
-impl HedgedAttempt {
+impl ParallelAttempt {
     /// Starts to follow an attempt whose upstream has the request.
     pub(super) fn stuck(link: AttemptLink) -> Self {
         Self::start(link, None)
@@ -74,19 +74,19 @@
 /// The attempts of one request that continue in parallel with the next one. Dropping them abandons
 /// them.
 #[derive(Default)]
-pub(super) struct HedgedAttempts {
-    running: Vec<HedgedAttempt>,
+pub(super) struct ParallelAttempts {
+    running: Vec<ParallelAttempt>,
     // The result that is used if no attempt has a usable response.
     failed: Option<Box<AttemptResult>>,
 }
 
-impl From<HedgedAttempt> for HedgedAttempts {
-    fn from(attempt: HedgedAttempt) -> Self {
+impl From<ParallelAttempt> for ParallelAttempts {
+    fn from(attempt: ParallelAttempt) -> Self {
         Self { running: vec![attempt], failed: None }
     }
 }
 
-impl HedgedAttempts {
+impl ParallelAttempts {
     pub(super) fn is_empty(&self) -> bool {
         self.running.is_empty()
     }
