Let the test of signals look for the node's address without taking it

The test probed the port by binding it, which the starting node could meet: it then ended because the address was in use (seen once on: "the node binds no address"; the cause is read from the code). It now looks into /proc/net/udp. With the signals registered late again it still fails.

--- a/crates/lavenderflow/tests/reload.rs
+++ b/crates/lavenderflow/tests/reload.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::net::UdpSocket;
 use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -152,9 +151,13 @@
 fn wait_bound(vm: &Vm) {
     let text = std::fs::read(&vm.settings_file).expect("a settings file");
     let value: Value = serde_json::from_slice(&text).expect("settings");
-    let port = value["internal_ports"][0].as_u64().expect("a port") as u16;
+    let port = value["internal_ports"][0].as_u64().expect("a port");
+    // Not by binding it, which the node could meet.
+    let address = format!(" 0100007F:{port:04X} ");
+    let is_bound =
+        || std::fs::read_to_string("/proc/net/udp").is_ok_and(|sockets| sockets.contains(&address));
     let end = Instant::now() + LOG_TIMEOUT;
-    while UdpSocket::bind(("127.0.0.1", port)).is_ok() {
+    while !is_bound() {
         assert!(Instant::now() < end, "the node binds no address");
         thread::sleep(Duration::from_micros(100));
     }
