--- a/crates/lavenderflow/tests/silent_gate.rs
+++ b/crates/lavenderflow/tests/silent_gate.rs
@@ -312,3 +312,16 @@
     let reply = timeout(REMAINING / 2, request).await.expect("in time").expect("a reply");
     assert_eq!(reply.outcome, Outcome::Unknown, "{reply:?}");
 }
+
+/// Guards against a request that is called unknown although every gate has refused it.
+#[tokio::test]
+async fn a_late_refusal_after_a_refused_retry_proves_that_nothing_ran() {
+    let mut fleet = Fleet::start(2, 2).await;
+    let request = fleet.request();
+    let silent = fleet.attempt().await;
+    fleet.next_attempt().await.refuse().await;
+    tokio::time::sleep(LATE).await;
+    silent.refuse().await;
+    let reply = reply(request).await;
+    assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
+}
