--- a/crates/lavenderflow/tests/endless_bodies.rs
+++ b/crates/lavenderflow/tests/endless_bodies.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::deployment::{Deployment, Vm, request_head, start_upstream};
+use lavenderflow_standins::error::Error;
 use lavenderflow_standins::fleet::{wait_until, wait_with_timeout};
 use lavenderflow_standins::platform_upstream::{Mode, Part, response_body};
 
@@ -60,7 +61,7 @@
 }
 
 /// Waits until the upstreams' connections of all requests with this name are closed.
-fn wait_closed(deployment: &Deployment, name: &str, time: Duration) -> Result<(), String> {
+fn wait_closed(deployment: &Deployment, name: &str, time: Duration) -> Result<(), Error> {
     wait_with_timeout("all runs have ended", time, || {
         deployment.upstreams.iter().all(|upstream| {
             let records = upstream.requests().expect("an upstream");
@@ -68,7 +69,6 @@
             own.all(|(_, record)| record.closed_at.is_some())
         })
     })
-    .map_err(|fault| fault.to_string())
 }
 
 fn set_mode(deployment: &Deployment, mode: Mode) {
