Keep responses in progress when their runs are taken for stuck

Callers saw a response that was cut in the middle of its body, with its connection closed, although the upstream went on sending it.

A gate counts an idempotent run as stuck while it has no response, and tells the entry so once the upstream is ejected, so that another attempt starts. It did not look at whether the response had begun meanwhile. The verdict went out in the middle of the body, the entry took it for a broken link and truncated the response. The same happened without an ejection if the verdict and the first parts of a large response were ready at the same time.

--- a/crates/core/src/gate/health.rs
+++ b/crates/core/src/gate/health.rs
@@ -50,8 +50,8 @@
         actions
     }
 
-    /// Abandons stuck idempotent requests once their upstream is ejected. On a healthy upstream
-    /// they may merely take long.
+    /// Abandons stuck idempotent requests without a response once their upstream is ejected. On a
+    /// healthy upstream they may merely take long.
     fn abandon_stuck(&mut self) -> Vec<GateAction> {
         let mut actions = Vec::new();
         for (attempt, running) in &mut self.running {
@@ -60,7 +60,8 @@
                 upstream.is_some_and(|u| u.common().outlier.condition() == Condition::Ejected);
             let idempotent =
                 self.requests.get(attempt).is_some_and(|(request, _)| request.idempotent);
-            if is_ejected && idempotent && running.stuck && !running.abandoned {
+            let is_stuck = running.stuck && !running.responding;
+            if is_ejected && idempotent && is_stuck && !running.abandoned {
                 running.abandoned = true;
                 actions.push(GateAction::Abandon { attempt: *attempt });
             }
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -295,6 +295,23 @@
     assert_eq!(gate.tick(), []);
 }
 
+/// Guards against a response that is cut because its run was stuck before the response began.
+#[test]
+fn stuck_work_that_has_begun_to_respond_is_not_abandoned() {
+    let clock = clock();
+    let mut gate = gate(INCARNATION, &clock, 4);
+    record_short_runs(&mut gate, &clock, 1);
+    gate.submit(short(100));
+    clock.advance(Duration::from_millis(510));
+    assert_eq!(gate.tick(), []);
+    gate.response_started(attempt(100));
+    (101..104).for_each(|serial| drop(gate.submit(short(serial))));
+    clock.advance(Duration::from_millis(510));
+    let actions = gate.tick();
+    assert!(actions.contains(&GateAction::Abandon { attempt: attempt(101) }), "{actions:?}");
+    assert!(!actions.contains(&GateAction::Abandon { attempt: attempt(100) }), "{actions:?}");
+}
+
 /// Runs 200 requests of which every `nth` takes `slow` and the others 10 ms; returns the condition.
 fn condition_after(median_latency: Duration, nth: u64, slow: Duration) -> Condition {
     let clock = clock();
--- a/crates/lavenderflow/src/net/drive/stream.rs
+++ b/crates/lavenderflow/src/net/drive/stream.rs
@@ -89,6 +89,8 @@
                 }
                 Some(Body::End(end)) => return Err(Truncation::Length(total, end.length)),
                 Some(Body::Cut(cut)) => return Err(Truncation::Cut(cut.reason)),
+                // The gate took the run for stuck just before its response began.
+                Some(Body::Verdict(verdict)) if verdict.stuck => {}
                 Some(_) => return Err(LinkError::Unexpected.into()),
                 None => return Err(LinkError::Closed.into()),
             }
