Guard with real nodes against downloads cut by an ejection

A download that took a second to begin, beside three requests that hang at the same upstream: the upstream is ejected while the download is read, and the caller got 200 with a part of the body.

--- a/crates/lavenderflow/tests/interrupted.rs
+++ b/crates/lavenderflow/tests/interrupted.rs
@@ -12,6 +12,11 @@
 
 /// Time within which a request head must have arrived, in the changed configuration.
 const HEADER_TIMEOUT: Duration = Duration::from_millis(300);
+/// More than the buffers between an upstream and a caller hold.
+const DOWNLOAD_BYTES: usize = 8_000_000;
+/// Pause before each part of a download that is read slowly.
+const READ_PAUSE: Duration = Duration::from_millis(6);
+const DEADLINE_MS: u64 = 15_000;
 
 /// Waits for a log line that contains a text.
 fn wait_for_line(lines: &std::sync::mpsc::Receiver<String>, text: &'static str) -> String {
@@ -50,3 +55,40 @@
     assert!([502, 504].contains(&response.status), "{}", response.status);
     assert_eq!(deployment.run_counts().get("late"), Some(&1));
 }
+
+/// Guards against a response that is cut when its upstream is ejected: its run was stuck before.
+#[test]
+fn a_download_is_complete_although_its_upstream_is_ejected() {
+    let mut deployment = Deployment::start(1);
+    let lines = deployment.restart_logged(0);
+    deployment.wait_ready();
+    let text = configuration_json(20, "work", "work");
+    // The gate takes the runs for stuck only once their upstream is ejected.
+    let changed = text.replace("\"timeout_s\":2.0", "\"timeout_s\":12.0");
+    let changed = changed.replace("\"max_attempts\":2", "\"max_attempts\":1");
+    deployment.store.write("op/config", &changed);
+    wait_for_line(&lines, "revision=20 ");
+    for index in 0..10 {
+        let id = format!("quick-{index}");
+        assert!(deployment.call(0, "GET", "/read/a", &id).is_some_and(|r| r.status == 200));
+    }
+    let outbound = deployment.vms[0].outbound;
+    let start = |path: String, id: &'static str, pause: Duration| {
+        let mut caller = Caller::connect(outbound).expect("a connection");
+        caller.send(&request_head("GET", &path, id, 0, DEADLINE_MS)).expect("a request");
+        thread::spawn(move || caller.read_slowly(pause))
+    };
+    let path = format!("/read/a?work_ms=1000&size={DOWNLOAD_BYTES}");
+    let download = start(path, "download", READ_PAUSE);
+    thread::sleep(Duration::from_millis(800));
+    let hanging = ["hang-1", "hang-2", "hang-3"];
+    let hanging = hanging.map(|id| start("/read/a?work_ms=3000".to_owned(), id, Duration::ZERO));
+    let response = download.join().expect("a caller").expect("an answer");
+    assert_eq!((response.status, response.is_complete), (200, true));
+    assert_eq!(response.body.len(), DOWNLOAD_BYTES);
+    // The runs that have no response yet are taken for stuck.
+    wait_for_line(&lines, "event=stuck request=hang-1");
+    for hanging in hanging {
+        assert!(hanging.join().expect("a caller").is_some_and(|response| response.is_complete));
+    }
+}
