Bound what a frame of another node becomes once decoded

What callers saw: a faulty or foreign peer could send exchanges of two bytes for each record; the node that decoded them took more memory than it may, and a node that runs out of memory ends all requests on it.

A size that the other side states, taken without a limit of one's own.

Change: the generator writes the layout of each message from the schema, and a frame's decoded size is computed from its encoding before it is decoded: at most 8 MB, and it counts against the budget of its connection, for an exchange until it is answered. The least budget of a connection is 4 MB, so that a sound exchange of a large fleet fits.

--- a/crates/lavenderflow/src/net/context.rs
+++ b/crates/lavenderflow/src/net/context.rs
@@ -23,7 +23,7 @@
 /// Part of what the node may hold for others that unfinished frames of one connection may take, and
 /// the range of that part.
 const FRAME_DIVISOR: u64 = 8;
-const MIN_FRAME_BUDGET: u64 = 2 * MAX_FRAME_BYTES as u64;
+const MIN_FRAME_BUDGET: u64 = 4 * MAX_FRAME_BYTES as u64;
 const MAX_FRAME_BUDGET: u64 = 32 * MAX_FRAME_BYTES as u64;
 
 /// Part of what the node may hold for others that runs on upstreams may take.
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -5,7 +5,7 @@
 
 use lavenderflow_core::allowance::message::Draw;
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
-use lavenderflow_core::memory::Budget;
+use lavenderflow_core::memory::{Budget, HeldKind};
 use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::wire::frame::Body;
 use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
@@ -188,7 +188,7 @@
 async fn serve_connection(context: NetworkContext, connection: Connection) {
     let budget = context.frame_budget();
     while let Ok((sink, source)) = connection.accept_bi().await {
-        let source = FrameSource::Accepted(source, budget.clone());
+        let source = FrameSource::Accepted(source, budget.hold(HeldKind::Peer, 0));
         tokio::spawn(serve_link(context.clone(), FrameSink::Quic(sink), source));
     }
 }
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -1,7 +1,8 @@
 //! Links that carry frames over a QUIC stream, or over channels when both ends are in one process.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use lavenderflow_core::memory::{Budget, HeldKind, OverLimit};
+use lavenderflow_core::memory::{OverLimit, Share};
+use lavenderflow_schema::layouts::FRAME;
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
 use quinn::{
@@ -11,6 +12,8 @@
 
 /// Size limit of a frame.
 pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+/// Size limit of a frame once it is decoded.
+const MAX_DECODED_BYTES: usize = 8 * MAX_FRAME_BYTES;
 /// Size of the length prefix of each frame.
 const LENGTH_PREFIX_BYTES: usize = 4;
 /// Frames that a link within a process buffers.
@@ -86,9 +89,9 @@
 pub enum FrameSource {
     /// From another process.
     Quic(RecvStream),
-    /// From another process that opened the stream; what has arrived of a frame counts against the
-    /// budget of its connection.
-    Accepted(RecvStream, Budget),
+    /// From another process that opened the stream; what has arrived of a frame, and an exchange
+    /// until the end of its stream, count against the budget of its connection.
+    Accepted(RecvStream, Share),
     /// Within the process.
     Local(mpsc::Receiver<Body>),
 }
@@ -157,7 +160,14 @@
     pub async fn receive(&mut self) -> Result<Option<Body>, LinkError> {
         match self {
             Self::Quic(stream) => receive_frame(stream, None).await,
-            Self::Accepted(stream, budget) => receive_frame(stream, Some(budget)).await,
+            Self::Accepted(stream, share) => {
+                share.resize(0)?;
+                let body = receive_frame(stream, Some(share)).await?;
+                if !matches!(body, Some(Body::Exchange(_))) {
+                    share.resize(0)?;
+                }
+                Ok(body)
+            }
             Self::Local(channel) => Ok(channel.recv().await),
         }
     }
@@ -178,7 +188,7 @@
 
 async fn receive_frame(
     stream: &mut RecvStream,
-    budget: Option<&Budget>,
+    share: Option<&mut Share>,
 ) -> Result<Option<Body>, LinkError> {
     let mut prefix = [0; LENGTH_PREFIX_BYTES];
     match stream.read_exact(&mut prefix).await {
@@ -190,9 +200,19 @@
     if length > MAX_FRAME_BYTES {
         return Err(LinkError::TooLarge(length));
     }
-    let _share = budget.map(|budget| budget.claim(HeldKind::Peer, length as u64)).transpose()?;
+    let mut share = share;
+    if let Some(share) = &mut share {
+        share.resize(length as u64)?;
+    }
     let mut bytes = BytesMut::zeroed(length);
     stream.read_exact(&mut bytes).await.map_err(read_error)?;
+    let decoded = FRAME.decoded_size(&bytes).ok_or(LinkError::Unexpected)?;
+    if decoded > MAX_DECODED_BYTES {
+        return Err(LinkError::TooLarge(decoded));
+    }
+    if let Some(share) = share {
+        share.resize((length + decoded) as u64)?;
+    }
     let frame = Frame::decode(bytes.freeze())?;
     frame.body.map(Some).ok_or(LinkError::Unexpected)
 }
--- a/crates/lavenderflow/tests/endless_peers.rs
+++ b/crates/lavenderflow/tests/endless_peers.rs
@@ -77,6 +77,35 @@
     assert!(peak < MEMORY_MB << 20, "{peak} bytes");
 }
 
+/// Guards against messages of two bytes that take a hundred times that once decoded.
+#[tokio::test]
+async fn an_exchange_of_empty_records_stays_within_the_memory_of_a_node() {
+    let limits = json!({"memory_mb": MEMORY_MB, "max_fds": 1024});
+    let deployment = Deployment::start_limited(2, limits);
+    let (_endpoint, connection) = connect(&deployment.vms[0]).await;
+    // Field 7 of a frame is an exchange, whose fields 3, 4, 5, 11 and 13 are records.
+    for field in [3u8, 4, 5, 11, 13] {
+        let records = [field << 3 | 2, 0].repeat(MAX_FRAME_BYTES / 2 - 8);
+        let mut exchange = vec![7 << 3 | 2];
+        prost::encode_length_delimiter(records.len(), &mut exchange).expect("a length");
+        exchange.extend_from_slice(&records);
+        let length = u32::try_from(exchange.len()).expect("a length");
+        let frame = [length.to_be_bytes().to_vec(), exchange].concat();
+        let (mut sink, mut source) = connection.open_bi().await.expect("a stream");
+        let mut peak = 0;
+        // The node may stop reading.
+        let _ = sink.write_all(&frame).await;
+        let _ = sink.finish();
+        let ended = timeout(SEND_TIME, source.read_to_end(MAX_FRAME_BYTES));
+        tokio::pin!(ended);
+        while timeout(Duration::from_millis(5), &mut ended).await.is_err() {
+            peak = deployment.vms[0].process.resident_bytes().expect("a node").max(peak);
+        }
+        assert!(peak < MEMORY_MB << 20, "field {field}: {peak} bytes");
+        assert_serves(&deployment.vms[0], format!("after-{field}")).await;
+    }
+}
+
 #[tokio::test]
 async fn streams_on_which_a_peer_sends_nothing_end() {
     let deployment = Deployment::start(2);
--- a/crates/schema-gen/src/main.rs
+++ b/crates/schema-gen/src/main.rs
@@ -3,6 +3,7 @@
 //! Run from the root of the repository: `cargo run -p lavenderflow-schema-gen`.
 
 mod error;
+mod layouts;
 mod messages;
 mod settings;
 
@@ -16,5 +17,6 @@
 fn main() -> Result<(), Error> {
     let target = Path::new(OUTPUT_DIR);
     messages::generate(SCHEMA_DIR, target)?;
+    layouts::generate(SCHEMA_DIR, target)?;
     settings::generate(SCHEMA_DIR, target)
 }
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod convert;
 pub mod credential;
 pub mod dialect;
+pub mod layout;
 pub mod setting;
 
 /// Messages between nodes.
@@ -13,6 +14,11 @@
     include!("generated/lavenderflow.wire.rs");
 }
 
+/// Layouts of the messages between nodes.
+pub mod layouts {
+    include!("generated/layouts.rs");
+}
+
 /// Configuration that operators keep in the store.
 #[allow(clippy::all, clippy::doc_markdown, missing_docs, unused_qualifications)]
 pub mod configuration {
