Bound the connections that other nodes open

What callers saw: a peer that opens connections without end takes about 78 KB of the node for each (debug build); a node that runs out of memory ends all requests on it.

A handshake has 5 s, as on the other side.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod node;
 pub mod organisation;
 pub mod outlier;
+pub mod peer_connections;
 pub mod pending;
 pub mod pool;
 pub mod prelude;
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -5,10 +5,11 @@
 
 use lavenderflow_core::allowance::message::Draw;
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
-use lavenderflow_core::memory::{Budget, HeldKind};
+use lavenderflow_core::memory::{Budget, HeldKind, Share};
+use lavenderflow_core::peer_connections::PeerConnections;
 use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::wire::frame::Body;
-use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
+use quinn::{ClientConfig, Connection, ConnectionError, Endpoint, Incoming, ServerConfig, VarInt};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -25,6 +26,8 @@
 /// Commands that the channel to the network task buffers.
 const COMMAND_CAPACITY: usize = 4096;
 
+/// Time within which another node must have opened a connection, as on its side.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time within which the first frame of a stream must have arrived: that after which a connection
 /// without a packet is lost.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(6);
@@ -157,8 +160,16 @@
 }
 
 async fn accept(context: NetworkContext, endpoint: Endpoint) {
+    let mut peers = PeerConnections::new(&context.budget);
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(handshake(context.clone(), incoming));
+        match peers.open(incoming.remote_address().ip()) {
+            Some(share) => drop(tokio::spawn(handshake(context.clone(), incoming, share))),
+            None => {
+                log::warn!("event=peer-refused peer={}", incoming.remote_address());
+                incoming.refuse();
+                context.mailbox.try_send(Message::Count(Counter::Fault(Fault::Handshake)));
+            }
+        }
     }
 }
 
@@ -174,9 +185,11 @@
     }
 }
 
-async fn handshake(context: NetworkContext, incoming: Incoming) {
+/// Opens and serves a connection, which is accounted until it ends.
+async fn handshake(context: NetworkContext, incoming: Incoming, _held: Share) {
     let address = incoming.remote_address();
-    match incoming.await {
+    let opened = timeout(HANDSHAKE_TIMEOUT, incoming).await;
+    match opened.unwrap_or(Err(ConnectionError::TimedOut)) {
         Ok(connection) => serve_connection(context, connection).await,
         Err(fault) => {
             log::warn!("event=handshake-failed peer={address} fault={fault:?}");
--- a/crates/lavenderflow/tests/endless_peers.rs
+++ b/crates/lavenderflow/tests/endless_peers.rs
@@ -19,6 +19,8 @@
 const MEMORY_MB: u64 = 40;
 /// Streams on which a frame does not end.
 const STREAMS: usize = 96;
+/// Connections that the peer opens.
+const CONNECTIONS: usize = 400;
 /// Time for which the peer sends.
 const SEND_TIME: Duration = Duration::from_secs(3);
 
@@ -106,6 +108,30 @@
     }
 }
 
+/// Guards against connections of other nodes without a limit, each of which takes memory.
+#[tokio::test]
+async fn connections_of_a_peer_without_end_stay_within_the_memory_of_a_node() {
+    let limits = json!({"memory_mb": MEMORY_MB, "max_fds": 1024});
+    let deployment = Deployment::start_limited(2, limits);
+    let vm = &deployment.vms[0];
+    let (_, client) = self_signed(None).expect("keys");
+    let mut endpoint = Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
+    endpoint.set_default_client_config(client);
+    let mut connections = Vec::new();
+    let mut peak = 0;
+    for index in 0..CONNECTIONS {
+        let connecting = endpoint.connect(peer_address(vm), SERVER_NAME).expect("an address");
+        // The node may refuse the connection.
+        connections.extend(timeout(SEND_TIME, connecting).await.into_iter().flatten());
+        peak = vm.process.resident_bytes().expect("a node").max(peak);
+        if index % 100 == 0 {
+            assert_serves(vm, format!("beside-{index}")).await;
+        }
+    }
+    println!("{} connections, {peak} bytes", connections.len());
+    assert!(peak < MEMORY_MB << 20, "{peak} bytes with {} connections", connections.len());
+}
+
 #[tokio::test]
 async fn streams_on_which_a_peer_sends_nothing_end() {
     let deployment = Deployment::start(2);
