End homes and gates whose entry does not read the end of a response

What callers saw: a node that stops reading, or never did, held the tasks and buffers of its requests at homes and gates until its connection closed, and a graceful stop waited for them.

A home whose gate sends without end is cut in time, before too.

Change: frames of a home are sent up to the request's deadline; the last frame of any link must have been received by the deadline, or within 6 s if that is later, or else the link is reset.

--- a/crates/lavenderflow/src/net/draw.rs
+++ b/crates/lavenderflow/src/net/draw.rs
@@ -4,7 +4,7 @@
 use lavenderflow_schema::wire;
 use lavenderflow_schema::wire::frame::Body;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::connector::DatagramCount;
 use super::context::NetworkContext;
@@ -80,13 +80,11 @@
 pub async fn respond(
     context: &NetworkContext,
     draw: wire::Draw,
-    mut sink: FrameSink,
+    sink: FrameSink,
 ) -> Result<(), LinkError> {
     let draw = Draw::try_from(draw).map_err(|_| LinkError::Unexpected)?;
     let (reply, grant) = oneshot::channel();
     context.mailbox.send(Message::Allowance(AllowanceMessage::Draw(draw, reply))).await;
     let Ok(grant) = grant.await else { return Err(LinkError::Closed) };
-    sink.send(Body::Grant(grant.into())).await?;
-    sink.finish().await;
-    Ok(())
+    sink.send_last(Body::Grant(grant.into()), Instant::now()).await
 }
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -9,6 +9,9 @@
     ConnectionError, ReadExactError, RecvStream, SendStream, StoppedError, VarInt, WriteError,
 };
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::prelude::Duration;
 
 /// Size limit of a frame.
 pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
@@ -18,6 +21,9 @@
 const LENGTH_PREFIX_BYTES: usize = 4;
 /// Frames that a link within a process buffers.
 const LOCAL_FRAME_CAPACITY: usize = 2;
+/// Time within which a peer must have received the end of a link: that after which a connection
+/// without a packet is lost.
+const END_TIMEOUT: Duration = Duration::from_secs(6);
 /// QUIC error code of an aborted stream.
 const ABORTED_CODE: VarInt = VarInt::from_u32(1);
 
@@ -129,6 +135,29 @@
         }
     }
 
+    /// Sends the last frame and closes the link; aborts it when the peer has not received everything
+    /// by the deadline, or within [`END_TIMEOUT`] if that is later.
+    ///
+    /// # Errors
+    ///
+    /// The receiver is gone or does not read, or the frame is too large.
+    pub async fn send_last(mut self, body: Body, deadline: Instant) -> Result<(), LinkError> {
+        let deadline = deadline.max(Instant::now() + END_TIMEOUT);
+        let sent = timeout_at(deadline, self.send(body)).await;
+        if let Err(fault) = sent.unwrap_or(Err(LinkError::Unread)) {
+            self.reset();
+            return Err(fault);
+        }
+        if let Self::Quic(stream) = &mut self
+            && stream.finish().is_ok()
+            && timeout_at(deadline, stream.stopped()).await.is_err()
+        {
+            self.reset();
+            return Err(LinkError::Unread);
+        }
+        Ok(())
+    }
+
     /// Aborts the link, so that the peer sees an error.
     pub fn reset(self) {
         if let Self::Quic(mut stream) = self {
--- a/crates/lavenderflow/src/net/ping.rs
+++ b/crates/lavenderflow/src/net/ping.rs
@@ -6,6 +6,7 @@
 use lavenderflow_schema::wire::frame::Body;
 use quinn::Connection;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::connector::{DatagramCount, PeerError};
 use super::context::NetworkContext;
@@ -19,7 +20,7 @@
 /// Sends an exchange to a node and reports the response.
 pub async fn ping(context: NetworkContext, node: NodeId, exchange: Exchange, cursor: PeerCursor) {
     let limit = context.ping_interval * PING_TIMEOUT_INTERVALS;
-    let deadline = tokio::time::Instant::now() + limit;
+    let deadline = Instant::now() + limit;
     let reply = match tokio::time::timeout_at(deadline, context.connector.connect_node(node)).await
     {
         Ok(Ok(connection)) => {
@@ -57,15 +58,13 @@
 pub async fn respond(
     context: &NetworkContext,
     exchange: lavenderflow_schema::wire::Exchange,
-    mut sink: FrameSink,
+    sink: FrameSink,
 ) -> Result<(), LinkError> {
     let exchange = Exchange::try_from(exchange).map_err(|_| LinkError::Unexpected)?;
     let (reply, response) = oneshot::channel();
     context.mailbox.send(Message::Fleet(FleetMessage::Exchange(exchange, reply))).await;
     let Ok(response) = response.await else { return Err(LinkError::Closed) };
-    sink.send(Body::Exchange((&response).into())).await?;
-    sink.finish().await;
-    Ok(())
+    sink.send_last(Body::Exchange((&response).into()), Instant::now()).await
 }
 
 async fn send_exchange(
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -195,13 +195,11 @@
     context.mailbox.send(Message::Gate(message)).await;
 }
 
-async fn refuse(mut sink: FrameSink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
+async fn refuse(sink: FrameSink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
     let load = load.map(Into::into);
     let reason = reason.name().to_owned();
     let verdict = wire::Verdict { reason, load, ..wire::Verdict::default() };
-    sink.send(Body::Verdict(verdict)).await?;
-    sink.finish().await;
-    Ok(())
+    sink.send_last(Body::Verdict(verdict), tokio::time::Instant::now()).await
 }
 
 /// The first part of a request body and the channel with the others.
--- a/crates/lavenderflow/src/net/serve/home.rs
+++ b/crates/lavenderflow/src/net/serve/home.rs
@@ -5,6 +5,7 @@
 use lavenderflow_schema::wire::{self, Answer, Begin, Header};
 use rand::random;
 use tokio::sync::oneshot;
+use tokio::time::timeout_at;
 
 use super::receive_body;
 use crate::net::body::BodyRequest;
@@ -12,6 +13,7 @@
 use crate::net::drive::{self, ReplyBody, Request};
 use crate::net::link::{FrameSink, FrameSource, LinkError};
 use crate::prelude::*;
+use crate::upstream;
 
 /// Serves a request whose ticket has this node as its home.
 pub(super) async fn serve(
@@ -20,6 +22,8 @@
     mut sink: FrameSink,
     source: FrameSource,
 ) -> Result<(), LinkError> {
+    let deadline = context.clock.now() + Duration::from_micros(begin.remaining_us);
+    let deadline = upstream::response_deadline(&context.clock, deadline);
     let (body_request, body_requested) = oneshot::channel();
     let request = forwarded_request(begin, body_request);
     let driving = drive::drive(context, request);
@@ -51,20 +55,23 @@
         reason: reply.reason.name().to_owned(),
         fresh: reply.ticket.map(Into::into),
     };
-    sink.send(Body::Answer(answer)).await?;
-    if let Some(mut parts) = parts {
+    let Some(mut parts) = parts else {
+        return sink.send_last(Body::Answer(answer), deadline).await;
+    };
+    let sending = async {
+        sink.send(Body::Answer(answer)).await?;
         while let Some(part) = parts.recv().await {
-            let Ok(data) = part else {
-                sink.reset();
-                return Ok(());
-            };
+            let data = part.map_err(|_| LinkError::Closed)?;
             total += data.len() as u64;
             sink.send(Body::Chunk(wire::Chunk { data, last: false })).await?;
         }
-        sink.send(Body::End(wire::End { length: total, load: None })).await?;
+        Ok(())
+    };
+    if let Err(fault) = timeout_at(deadline, sending).await.unwrap_or(Err(LinkError::Unread)) {
+        sink.reset();
+        return Err(fault);
     }
-    sink.finish().await;
-    Ok(())
+    sink.send_last(Body::End(wire::End { length: total, load: None }), deadline).await
 }
 
 fn forwarded_request(begin: Begin, body_request: BodyRequest) -> Request {
--- a/crates/lavenderflow/src/net/serve/run.rs
+++ b/crates/lavenderflow/src/net/serve/run.rs
@@ -157,7 +157,7 @@
     }
 
     async fn finish(
-        mut self,
+        self,
         answer: Option<Answer>,
         whole: Option<Bytes>,
         total: u64,
@@ -170,13 +170,11 @@
             Some(body) => Body::Answer(Answer { body, whole: true, load, ..answer }),
             None => Body::End(wire::End { length: total, load }),
         };
-        self.sink.send(body).await?;
-        self.sink.finish().await;
-        Ok(())
+        self.sink.send_last(body, self.deadline).await
     }
 
     async fn fail(
-        mut self,
+        self,
         answer: Option<Answer>,
         result: RunResult,
         not_run: Option<Reason>,
@@ -194,8 +192,6 @@
         };
         let load = load.map(Into::into);
         let cut = wire::Cut { reason: reason.name().to_owned(), load, not_run: false };
-        self.sink.send(Body::Cut(cut)).await?;
-        self.sink.finish().await;
-        Ok(())
+        self.sink.send_last(Body::Cut(cut), self.deadline).await
     }
 }
