--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -1,20 +1,29 @@
 //! Links that carry frames over a QUIC stream, or over channels when both ends are in one process.
 
 use bytes::{BufMut, Bytes, BytesMut};
-use lavenderflow_core::memory::{Budget, HeldKind, OverLimit};
+use lavenderflow_core::memory::{OverLimit, Share};
+use lavenderflow_schema::layouts::FRAME;
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
 use quinn::{
     ConnectionError, ReadExactError, RecvStream, SendStream, StoppedError, VarInt, WriteError,
 };
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::prelude::Duration;
 
 /// Size limit of a frame.
 pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+/// Size limit of a frame once it is decoded.
+const MAX_DECODED_BYTES: usize = 8 * MAX_FRAME_BYTES;
 /// Size of the length prefix of each frame.
 const LENGTH_PREFIX_BYTES: usize = 4;
 /// Frames that a link within a process buffers.
 const LOCAL_FRAME_CAPACITY: usize = 2;
+/// Time within which a peer must have received the end of a link: that after which a connection
+/// without a packet is lost.
+const END_TIMEOUT: Duration = Duration::from_secs(6);
 /// QUIC error code of an aborted stream.
 const ABORTED_CODE: VarInt = VarInt::from_u32(1);
 
@@ -86,9 +95,9 @@
 pub enum FrameSource {
     /// From another process.
     Quic(RecvStream),
-    /// From another process that opened the stream; what has arrived of a frame counts against the
-    /// budget of its connection.
-    Accepted(RecvStream, Budget),
+    /// From another process that opened the stream; what has arrived of a frame, and an exchange
+    /// until the end of its stream, count against the budget of its connection.
+    Accepted(RecvStream, Share),
     /// Within the process.
     Local(mpsc::Receiver<Body>),
 }
@@ -126,6 +135,29 @@
         }
     }
 
+    /// Sends the last frame and closes the link; aborts it when the peer has not received everything
+    /// by the deadline, or within [`END_TIMEOUT`] if that is later.
+    ///
+    /// # Errors
+    ///
+    /// The receiver is gone or does not read, or the frame is too large.
+    pub async fn send_last(mut self, body: Body, deadline: Instant) -> Result<(), LinkError> {
+        let deadline = deadline.max(Instant::now() + END_TIMEOUT);
+        let sent = timeout_at(deadline, self.send(body)).await;
+        if let Err(fault) = sent.unwrap_or(Err(LinkError::Unread)) {
+            self.reset();
+            return Err(fault);
+        }
+        if let Self::Quic(stream) = &mut self
+            && stream.finish().is_ok()
+            && timeout_at(deadline, stream.stopped()).await.is_err()
+        {
+            self.reset();
+            return Err(LinkError::Unread);
+        }
+        Ok(())
+    }
+
     /// Aborts the link, so that the peer sees an error.
     pub fn reset(self) {
         if let Self::Quic(mut stream) = self {
@@ -157,7 +189,14 @@
     pub async fn receive(&mut self) -> Result<Option<Body>, LinkError> {
         match self {
             Self::Quic(stream) => receive_frame(stream, None).await,
-            Self::Accepted(stream, budget) => receive_frame(stream, Some(budget)).await,
+            Self::Accepted(stream, share) => {
+                share.resize(0)?;
+                let body = receive_frame(stream, Some(share)).await?;
+                if !matches!(body, Some(Body::Exchange(_))) {
+                    share.resize(0)?;
+                }
+                Ok(body)
+            }
             Self::Local(channel) => Ok(channel.recv().await),
         }
     }
@@ -178,7 +217,7 @@
 
 async fn receive_frame(
     stream: &mut RecvStream,
-    budget: Option<&Budget>,
+    share: Option<&mut Share>,
 ) -> Result<Option<Body>, LinkError> {
     let mut prefix = [0; LENGTH_PREFIX_BYTES];
     match stream.read_exact(&mut prefix).await {
@@ -190,9 +229,19 @@
     if length > MAX_FRAME_BYTES {
         return Err(LinkError::TooLarge(length));
     }
-    let _share = budget.map(|budget| budget.claim(HeldKind::Peer, length as u64)).transpose()?;
+    let mut share = share;
+    if let Some(share) = &mut share {
+        share.resize(length as u64)?;
+    }
     let mut bytes = BytesMut::zeroed(length);
     stream.read_exact(&mut bytes).await.map_err(read_error)?;
+    let decoded = FRAME.decoded_size(&bytes).ok_or(LinkError::Unexpected)?;
+    if decoded > MAX_DECODED_BYTES {
+        return Err(LinkError::TooLarge(decoded));
+    }
+    if let Some(share) = share {
+        share.resize((length + decoded) as u64)?;
+    }
     let frame = Frame::decode(bytes.freeze())?;
     frame.body.map(Some).ok_or(LinkError::Unexpected)
 }
