Keep the attempts of a request in one list with a state each

No change of behaviour. The flags of a request (gate, unreported, admitted, awaited, may_have_run, body_sent, and those of its second copy) are replaced by entry/attempts.rs: each attempt has a state, and whether the request may have run, and how many upstreams may have received it, follow from the list.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry: takes callers' requests, dispatches them to gates and decides on their outcomes.
 
 mod allowance;
+mod attempts;
 mod claim;
 mod conclusion;
 mod dispatch;
@@ -10,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use self::attempts::Attempts;
 use self::dispatch::{AttemptLimits, DispatchStage};
 use self::hedging::RequestHedge;
 use crate::budget::{RetryAllowance, RetryBudget};
@@ -35,9 +37,7 @@
     long: bool,
     ticket: Option<TicketId>,
     deadline: Instant,
-    gate: Option<NodeId>,
-    unreported: bool,
-    body_sent: bool,
+    attempts: Attempts,
     streaming: bool,
     tried: Vec<NodeId>,
     // Gates that the request was sent to after the stage `FreeSlot`.
@@ -49,13 +49,6 @@
     searches: u32,
 
     limits: AttemptLimits,
-    // Attempts that got a slot.
-    admitted: u32,
-    // Whether the request waits for an attempt whose gate has sent nothing, which counts as
-    // admitted.
-    awaited: bool,
-    // Whether an attempt may have run, so that the outcome cannot be `NotRun`.
-    may_have_run: bool,
     // Whether the upstream's response is a failure.
     upstream_failed: bool,
     rank: u32,
@@ -68,6 +61,13 @@
     hedge: RequestHedge,
 }
 
+impl ActiveRequest {
+    /// Returns whether a gate has got a body that can be sent only once.
+    fn is_body_sent(&self) -> bool {
+        !self.arrival.body_buffered && self.attempts.received() > 0
+    }
+}
+
 /// Identity of an entry's node.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -305,18 +305,13 @@
             profile,
             idempotent,
             long,
-            gate: None,
-            unreported: false,
-            body_sent: false,
+            attempts: Attempts::default(),
             streaming: false,
             tried: Vec::new(),
             queued: Vec::new(),
             stage: DispatchStage::FreeSlot,
             refused_as_gray: false,
             searches: 0,
-            admitted: 0,
-            awaited: false,
-            may_have_run: false,
             upstream_failed: false,
             drain_time: Duration::ZERO,
         };
--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -22,7 +22,7 @@
 impl Entry {
     /// Ends a request on proof that its last attempt did not run. Revokes its ticket first.
     pub(super) fn refuse(&mut self, active: &ActiveRequest, reason: Reason) -> Vec<EntryAction> {
-        if active.may_have_run {
+        if active.attempts.may_have_run() {
             return self.end_unknown(active, reason);
         }
         self.record_end(active, false);
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -120,8 +120,7 @@
         };
         let attempt = self.new_attempt();
         self.selector.record_dispatch(&active.service, gate);
-        active.gate = Some(gate);
-        active.unreported = true;
+        active.attempts.start(attempt, gate);
         active.tried.push(gate);
         if active.stage != DispatchStage::FreeSlot {
             active.queued.push(gate);
@@ -155,7 +154,7 @@
     /// Returns the parameters of the next attempt of a request.
     pub(super) fn attempt_spec(&mut self, active: &ActiveRequest, now: Instant) -> AttemptSpec {
         let retryable = active.idempotent
-            && active.admitted + 1 < active.limits.upstreams
+            && active.attempts.received() + 1 < active.limits.upstreams
             && self.budget(&active.service).has_token(now);
         AttemptSpec {
             retryable,
@@ -200,10 +199,10 @@
         uses_budget: bool,
     ) -> bool {
         let gates = u32::try_from(active.tried.len()).unwrap_or(u32::MAX);
-        !active.body_sent
+        !active.is_body_sent()
             && !active.streaming
             && gates < active.limits.gates
-            && active.admitted < active.limits.upstreams
+            && active.attempts.received() < active.limits.upstreams
             && now < active.deadline
             && (!uses_budget || self.budget(&active.service).withdraw(now))
     }
@@ -242,7 +241,7 @@
         active.searches += 1;
         let time = SEARCH_PAUSE * active.searches;
         let left = active.deadline.saturating_duration_since(now);
-        let is_untouched = !active.body_sent && !active.streaming && active.admitted == 0;
+        let is_untouched = !active.streaming && active.attempts.received() == 0;
         if !active.limits.free_refusals
             || !active.refused_as_gray
             || !is_untouched
@@ -252,7 +251,7 @@
             return self.refuse(&active, reason);
         }
         let request = active.arrival.request;
-        active.gate = None;
+        active.attempts.select(None);
         active.tried.clear();
         active.queued.clear();
         active.stage = DispatchStage::FreeSlot;
@@ -264,11 +263,10 @@
     /// Retries or ends a request whose attempt may have run.
     pub(super) fn retry_lost(
         &mut self,
-        mut active: ActiveRequest,
+        active: ActiveRequest,
         reason: Reason,
         now: Instant,
     ) -> Vec<EntryAction> {
-        active.may_have_run = true;
         if active.idempotent && self.may_retry(&active, now, true) {
             self.dispatch(active, Some(reason))
         } else {
@@ -283,16 +281,12 @@
         mut active: ActiveRequest,
         now: Instant,
     ) -> Vec<EntryAction> {
-        // An upstream may have received it.
-        active.admitted += 1;
         // The next attempt is the second one that a request may have.
         active.hedge.is_used |= can_hedge(&active);
         if active.idempotent && self.may_retry(&active, now, true) {
-            active.may_have_run = true;
             return self.dispatch(active, Some(Reason::Lost));
         }
         let request = active.arrival.request;
-        active.awaited = true;
         self.active_requests.insert(request, active);
         vec![EntryAction::Await { request }]
     }
--- a/crates/core/src/entry/hedging.rs
+++ b/crates/core/src/entry/hedging.rs
@@ -1,7 +1,5 @@
 //! Second copies of slow attempts: when they start, and what their reports mean for a request.
 
-use std::mem;
-
 use super::dispatch::hedge_tolerance;
 use super::{ActiveRequest, Entry};
 use crate::gray_failure::LIKELY_GRAY_PROBABILITY;
@@ -44,10 +42,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct RunningCopy {
-    gate: NodeId,
+    attempt: AttemptId,
     sent_at: Instant,
     admitted_at: Option<Instant>,
-    unreported: bool,
     // Whether the first attempt has ended, so that the request depends on the copy.
     is_alone: bool,
 }
@@ -93,7 +90,6 @@
     /// Handles an attempt that its gate reports as stuck, while hedging is enabled: sends a copy if
     /// the limit allows it, and otherwise an attempt that replaces the stuck one.
     pub(super) fn stuck(&mut self, mut active: ActiveRequest, now: Instant) -> Vec<EntryAction> {
-        active.may_have_run = true;
         if active.hedge.copy.is_some() {
             self.active_requests.insert(active.arrival.request, active);
             return Vec::new();
@@ -130,7 +126,7 @@
             _ => None,
         };
         let has_limit = active.profile.forgiveness.hedges > 0.0;
-        match active.gate.filter(|_| has_limit && load.is_some_and(is_likely_gray)) {
+        match active.attempts.gate().filter(|_| has_limit && load.is_some_and(is_likely_gray)) {
             Some(gate) => self.hedge_gray_gate(&active.service, gate, now),
             None => Vec::new(),
         }
@@ -147,7 +143,7 @@
             let hedge = &active.hedge;
             let is_open = !hedge.is_used && !hedge.is_trial && !hedge.is_suppressed;
             let is_running = hedge.admitted_at.is_some() && !active.streaming;
-            let is_there = active.gate == Some(gate) && active.service == *service;
+            let is_there = active.attempts.gate() == Some(gate) && active.service == *service;
             is_there && is_running && is_open && can_hedge(active)
         };
         let affected = self.active_requests.iter().filter(|(_, active)| is_affected(active));
@@ -178,7 +174,8 @@
         let gates = u32::try_from(active.tried.len()).unwrap_or(u32::MAX);
         let conditions = HedgeConditions {
             limit: active.profile.forgiveness.hedges,
-            has_attempts: active.admitted < active.limits.upstreams && gates < active.limits.gates,
+            has_attempts: active.attempts.received() < active.limits.upstreams
+                && gates < active.limits.gates,
             degraded,
             free_share: self.selector.free_share(&service, now),
             remaining: active.deadline.saturating_duration_since(now),
@@ -202,13 +199,10 @@
         self.selector.record_dispatch(&service, gate);
         active.tried.push(gate);
         active.hedge.is_used = true;
-        active.hedge.copy = Some(RunningCopy {
-            gate,
-            sent_at: now,
-            admitted_at: None,
-            unreported: true,
-            is_alone: false,
-        });
+        let attempt = self.new_attempt();
+        active.attempts.start_copy(attempt, gate);
+        active.hedge.copy =
+            Some(RunningCopy { attempt, sent_at: now, admitted_at: None, is_alone: false });
         let spec = AttemptSpec {
             queue_timeout: Duration::ZERO,
             retryable: false,
@@ -217,7 +211,7 @@
         };
         let action = EntryAction::Hedge {
             request: active.arrival.request,
-            attempt: self.new_attempt(),
+            attempt,
             gate,
             incarnation: self.incarnations.get(&gate).copied().unwrap_or_default(),
             spec,
@@ -237,13 +231,13 @@
             self.active_requests.insert(request, active);
             return Vec::new();
         };
-        self.update_for_copy(&mut active, &mut copy, &report, now);
+        active.attempts.record(copy.attempt, &report);
+        self.update_selector(&mut active, copy.attempt, &report, now);
         let is_alone = copy.is_alone;
         let mut actions = Vec::new();
         match report {
             AttemptReport::Admitted(_) => {
                 copy.admitted_at = Some(now);
-                active.admitted += 1;
                 active.hedge.copy = Some(copy);
             }
             AttemptReport::Refused(reason, _) => {
@@ -262,21 +256,19 @@
             }
             AttemptReport::Answered { status, answer, .. } => {
                 let is_usable = status < 500 || answer.is_none();
-                active.may_have_run = true;
                 if is_usable {
                     self.observe_winner(&active, copy, now);
                 }
                 let event = if is_usable { HedgeEvent::Won } else { HedgeEvent::Lost };
                 actions.push(EntryAction::RecordHedge(event));
                 if is_usable || is_alone {
-                    active.gate = Some(copy.gate);
+                    active.attempts.select(Some(copy.attempt));
                     active.hedge.admitted_at = None;
                     actions.extend(self.answered(active, status, answer, now));
                     return actions;
                 }
             }
             other => {
-                active.may_have_run = true;
                 actions.push(EntryAction::RecordHedge(HedgeEvent::Lost));
                 if is_alone {
                     let lost =
@@ -296,12 +288,10 @@
     pub(super) fn continue_with_copy(
         &mut self,
         mut active: ActiveRequest,
-        may_have_run: bool,
     ) -> Option<ActiveRequest> {
         let Some(copy) = &mut active.hedge.copy else { return Some(active) };
         copy.is_alone = true;
-        active.gate = None;
-        active.may_have_run |= may_have_run;
+        active.attempts.select(None);
         self.active_requests.insert(active.arrival.request, active);
         None
     }
@@ -321,8 +311,8 @@
             self.hedge_policy(&active.service).observe(kind, now - admitted_at, now);
         }
         let copy = active.hedge.copy.take()?;
-        if copy.unreported {
-            self.selector.resolve_dispatch(&active.service, copy.gate, None, now);
+        if let Some((gate, true)) = active.attempts.take_report(copy.attempt) {
+            self.selector.resolve_dispatch(&active.service, gate, None, now);
         }
         Some(EntryAction::RecordHedge(HedgeEvent::Lost))
     }
@@ -345,21 +335,6 @@
         EntryAction::RecordHedge(HedgeEvent::Refused)
     }
 
-    /// Records what a report says about the gate of the copy.
-    fn update_for_copy(
-        &mut self,
-        active: &mut ActiveRequest,
-        copy: &mut RunningCopy,
-        report: &AttemptReport,
-        now: Instant,
-    ) {
-        let gate = active.gate.replace(copy.gate);
-        mem::swap(&mut active.unreported, &mut copy.unreported);
-        self.update_selector(active, report, now);
-        mem::swap(&mut active.unreported, &mut copy.unreported);
-        active.gate = gate;
-    }
-
     fn hedge_policy(&mut self, service: &ServiceName) -> &mut HedgePolicy {
         self.hedges.entry(service.clone()).or_default()
     }
@@ -372,19 +347,14 @@
     has_limit && active.idempotent && active.arrival.body_buffered && !active.long
 }
 
-/// Returns `None` unless a report ends an attempt without a usable response, and otherwise whether
-/// the attempt may have run.
-pub(super) fn failed_run(report: &AttemptReport) -> Option<bool> {
+/// Returns whether a report ends an attempt without a usable response.
+pub(super) fn is_failed(report: &AttemptReport) -> bool {
     match report {
-        AttemptReport::Refused(Reason::Duplicate | Reason::Outdated, _) => Some(true),
-        AttemptReport::Refused(..) | AttemptReport::Unreachable => Some(false),
-        AttemptReport::Answered { status, answer, .. } => {
-            (*status >= 500 && answer.is_some()).then_some(true)
-        }
+        AttemptReport::Refused(..) | AttemptReport::Unreachable => true,
+        AttemptReport::Answered { status, answer, .. } => *status >= 500 && answer.is_some(),
         // Stuck and silent attempts go on.
-        AttemptReport::Lost(Reason::Stuck) | AttemptReport::Silent => None,
-        AttemptReport::Lost(_) => Some(true),
-        _ => None,
+        AttemptReport::Lost(reason) => *reason != Reason::Stuck,
+        _ => false,
     }
 }
 
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::conclusion::{conclude, lost_reason};
-use super::hedging::{can_hedge, failed_run};
+use super::hedging::{can_hedge, is_failed};
 use super::{ActiveRequest, Entry};
 use crate::outlier::Observation;
 use crate::prelude::*;
@@ -34,10 +34,13 @@
         if let AttemptReport::Copy(report) = report {
             return self.report_copy(active, *report, now);
         }
-        self.update_selector(&mut active, &report, now);
+        if let Some(current) = active.attempts.current() {
+            active.attempts.record(current, &report);
+            self.update_selector(&mut active, current, &report, now);
+        }
         let mut actions = self.hedge_by_load(&active, &report, now);
-        if let Some(may_have_run) = failed_run(&report) {
-            match self.continue_with_copy(active, may_have_run) {
+        if is_failed(&report) {
+            match self.continue_with_copy(active) {
                 Some(own) => active = own,
                 None => return actions,
             }
@@ -54,13 +57,9 @@
         now: Instant,
     ) -> Vec<EntryAction> {
         let request = active.arrival.request;
-        let was_awaited = std::mem::take(&mut active.awaited);
         match report {
             AttemptReport::Admitted(load) => {
                 active.hedge.admit(load, now);
-                active.admitted += 1;
-                // A body that is not buffered is streamed to this gate from now on.
-                active.body_sent = !active.arrival.body_buffered;
                 self.active_requests.insert(request, active);
                 Vec::new()
             }
@@ -69,8 +68,6 @@
                 self.retry_lost(active, reason, now)
             }
             AttemptReport::Refused(reason, load) => {
-                // The awaited attempt has not run.
-                active.admitted -= u32::from(was_awaited);
                 active.refused_as_gray |= reason == Reason::Doubtful;
                 active.drain_time = load.map_or(Duration::ZERO, |load| load.drain_time);
                 if reason == Reason::TooLate {
@@ -116,21 +113,21 @@
         }
     }
 
-    /// Records the gate's load and the observation of the path to it.
+    /// Records the load of an attempt's gate and the observation of the path to it.
     pub(super) fn update_selector(
         &mut self,
         active: &mut ActiveRequest,
+        attempt: AttemptId,
         report: &AttemptReport,
         now: Instant,
     ) {
-        let Some(gate) = active.gate else { return };
+        let Some((gate, was_unreported)) = active.attempts.take_report(attempt) else { return };
         let load = match report {
             AttemptReport::Admitted(load) => Some(*load),
             AttemptReport::Refused(_, load) | AttemptReport::Completed { load, .. } => *load,
             AttemptReport::Answered { load, .. } => *load,
             _ => None,
         };
-        let was_unreported = std::mem::take(&mut active.unreported);
         if was_unreported {
             self.selector.resolve_dispatch(&active.service, gate, load, now);
         } else if let Some(load) = load {
@@ -163,7 +160,6 @@
         now: Instant,
     ) -> Vec<EntryAction> {
         active.upstream_failed = status >= 500;
-        active.may_have_run = true;
         let can_replace = active.upstream_failed && answer.is_some();
         if can_replace && active.idempotent && self.may_retry(&active, now, true) {
             return self.dispatch(active, Some(Reason::UpstreamFailed));
