Report upstreams that take requests but have started none for a while

A gate now reports such an upstream after 2 s without a start, and again whenever that time has doubled: state, gray failure probability, busy and open slots, the time, and the refused offers by reason with how many of them came from degraded entries (event=upstream-idle, counter gate.idle).

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::prelude::*;
+use crate::upstream::idle::IdleReport;
 use crate::upstream::{EndedLifetime, Lifetime};
 
 /// A request for a slot.
@@ -140,6 +141,8 @@
         /// Requests per second; `None` without a limit.
         rate: Option<f64>,
     },
+    /// Log that an upstream takes requests but has started none for a while.
+    ReportIdle(IdleReport),
     /// Log that an upstream has said in a response that it is leaving.
     ReportLeaving {
         /// The upstream.
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -5,6 +5,7 @@
 
 mod gray_failure;
 mod health;
+mod idle;
 mod lifetimes;
 mod order;
 mod report;
@@ -206,6 +207,7 @@
         }
         let mut actions = self.review_running(now);
         actions.extend(self.update_likely_gray(now));
+        actions.extend(self.report_idle(now));
         self.remove_drained();
         self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
@@ -281,10 +283,6 @@
         (wait > request.queue_timeout).then_some(Reason::QueueFull)
     }
 
-    fn refusal(&self, request: &SlotRequest, reason: Reason) -> GateAction {
-        GateAction::Refuse { attempt: request.attempt, reason, load: self.load(&request.service) }
-    }
-
     /// Gives free slots to queued requests, short ones first. `now` is the time of the event that
     /// made room: a request that joined the queue at this time has not waited.
     fn fill(&mut self, service: &ServiceName, now: Instant) -> Vec<GateAction> {
@@ -334,6 +332,7 @@
         }
         *(if long { &mut common.long_running } else { &mut common.short_running }) += 1;
         common.last_start = Some(now);
+        common.idle.restart(now);
         common.rate.record(now);
         let address = common.address;
         let running = Running {
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -8,6 +8,7 @@
 //! supersedes it.
 
 mod announcement;
+pub mod idle;
 pub mod rejection;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use crate::outlier::OutlierDetector;
 use crate::prelude::*;
 use crate::rate_limit::RateLimiter;
+use crate::upstream::idle::IdleWatch;
 use crate::upstream::rejection::Rejections;
 
 /// Interval at which the open slots of a warming upstream double.
@@ -72,6 +74,8 @@
     pub heard: Instant,
     /// Time at which it last started a request.
     pub last_start: Option<Instant>,
+    /// Watches for how long it has started no request.
+    pub idle: IdleWatch,
     /// Start time of its lifetime.
     pub generation: u64,
     sequence: u64,
@@ -133,6 +137,7 @@
             rate: RateLimiter::default(),
             heard: now,
             last_start: None,
+            idle: IdleWatch::new(now),
             generation: announcement.generation,
             sequence: announcement.sequence,
             ended: false,
--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -278,6 +278,7 @@
                 | GateAction::Publish
                 | GateAction::ReportEarlierStart { .. }
                 | GateAction::ReportGray { .. }
+                | GateAction::ReportIdle(_)
                 | GateAction::ReportLeaving { .. }
                 | GateAction::ReportOutdated { .. }
                 | GateAction::ReportRateLimit { .. }
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -619,6 +619,7 @@
                 GateAction::Publish => self.publish(gate),
                 GateAction::ReportEarlierStart { .. }
                 | GateAction::ReportGray { .. }
+                | GateAction::ReportIdle(_)
                 | GateAction::ReportLeaving { .. }
                 | GateAction::ReportOutdated { .. }
                 | GateAction::ReportRateLimit { .. }
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the gate and the channels to the attempts that wait for its decision.
 
 use lavenderflow_core::gate::{Gate, GateAction, RateSignal, ServiceOffer, UpstreamSignals};
+use lavenderflow_core::upstream::idle::IdleReport;
 use lavenderflow_core::upstream::{Announcement, AnnouncementRefusal, Lifetime};
 use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
 use tokio::sync::{mpsc, oneshot};
@@ -272,6 +273,7 @@
                 GateAction::ReportLeaving { upstream } => {
                     log::info!("event=upstream-leaving upstream={upstream}");
                 }
+                GateAction::ReportIdle(report) => self.log_idle(&report),
                 GateAction::ReportGray { upstream, likely_gray, probability } => {
                     log::info!(
                         "event=gray-failure upstream={upstream} likely={likely_gray} \
@@ -282,6 +284,25 @@
         }
     }
 
+    fn log_idle(&self, report: &IdleReport) {
+        self.count(Counter::Idle);
+        let refused = report.refused.iter().map(|(reason, offers)| {
+            format!("{}:{}/{}", reason.name(), offers.count, offers.degraded)
+        });
+        let refused: Vec<String> = refused.collect();
+        log::info!(
+            "event=upstream-idle upstream={} state={} doubt={:.3} busy={} slots={} idle_ms={} \
+             refused={}",
+            report.upstream,
+            report.state,
+            report.probability,
+            report.busy,
+            report.slots,
+            report.idle.as_millis(),
+            if refused.is_empty() { "none".to_owned() } else { refused.join(",") }
+        );
+    }
+
     fn send_decision(&mut self, attempt: AttemptId, decision: AdmissionDecision) {
         // If nobody waits for the decision any more, its slot gives itself back.
         if let Some(reply) = self.waiting.swap_remove(&attempt) {
--- a/crates/lavenderflow/src/counter.rs
+++ b/crates/lavenderflow/src/counter.rs
@@ -116,6 +116,8 @@
     Ejected,
     /// Returns of a service's upstreams after an ejection.
     Returned,
+    /// Upstreams that take requests but have started none for a while, whenever that is reported.
+    Idle,
     /// Second copies of slow attempts.
     Hedge(HedgeEvent),
     /// Invalid input and failures in the communication between processes.
@@ -146,6 +148,7 @@
             Self::GateRefused(reason) => format!("gate.refused.{}", reason.name()),
             Self::Ejected => "gate.ejected".to_owned(),
             Self::Returned => "gate.returned".to_owned(),
+            Self::Idle => "gate.idle".to_owned(),
             Self::Hedge(event) => hedge_name(event),
             Self::Fault(fault) => format!("fault.{}", fault.name()),
             Self::Closed(reason) => format!("closed.{}", reason.name()),
