Share what nodes know of the level of a service

Callers lost one in eight requests of a service while recovered upstreams of it got nothing for 2 s: each entry sees one or two requests a second, so most did not notice, and the gates refused what these offered as doubtful.

Attempts now carry what their entry has counted of its own requests, load reports carry the sum of what their gate has heard, and both the entry's trial requests and the gate's decision on them go by the level of the fleet. A node's later report replaces its earlier one, reports of gates are not passed on, and no single node decides.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -13,6 +13,7 @@
 use self::dispatch::{AttemptLimits, DispatchStage};
 use self::hedging::RequestHedge;
 use crate::budget::{RetryAllowance, RetryBudget};
+use crate::fleet_level::FleetLevel;
 use crate::hedge::HedgePolicy;
 use crate::id::work_kind;
 use crate::ledger::{Claim, Ledger};
@@ -102,6 +103,7 @@
     budgets: IndexMap<ServiceName, RetryBudget>,
     allowance: Option<RetryAllowance>,
     service_levels: IndexMap<ServiceName, ServiceLevel>,
+    fleet_levels: IndexMap<ServiceName, FleetLevel>,
     response_sizes: ResponseSizes,
     hedges: IndexMap<ServiceName, HedgePolicy>,
     organisation_requests: IndexMap<OrganisationName, u32>,
@@ -138,6 +140,7 @@
             budgets: IndexMap::new(),
             allowance: None,
             service_levels: IndexMap::new(),
+            fleet_levels: IndexMap::new(),
             response_sizes: ResponseSizes::default(),
             hedges: IndexMap::new(),
             organisation_requests: IndexMap::new(),
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::hedging::can_hedge;
 use super::{ActiveRequest, Entry};
+use crate::fleet_level::LevelCounts;
 use crate::prelude::*;
 use crate::request::{AttemptSpec, EntryAction};
 use crate::route::Route;
@@ -160,6 +161,7 @@
         AttemptSpec {
             retryable,
             degraded: self.is_degraded(&active.service, now),
+            level: self.level_counts(&active.service, now),
             service: active.service.clone(),
             long: active.long,
             idempotent: active.idempotent,
@@ -188,9 +190,16 @@
         AttemptId { node: self.identity.node, incarnation: self.identity.incarnation, serial }
     }
 
-    /// Returns whether a service leaves requests unserved.
+    /// Returns whether a service leaves requests unserved, by this entry's own requests or by those
+    /// of others.
     pub(super) fn is_degraded(&self, service: &ServiceName, now: Instant) -> bool {
         self.service_levels.get(service).is_some_and(|level| level.is_degraded(now))
+            || self.fleet_levels.get(service).is_some_and(|level| level.is_median_degraded(now))
+    }
+
+    fn level_counts(&self, service: &ServiceName, now: Instant) -> LevelCounts {
+        let level = self.service_levels.get(service);
+        level.map(|level| level.counts(now)).unwrap_or_default()
     }
 
     pub(super) fn may_retry(
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -130,6 +130,10 @@
             AttemptReport::Answered { load, .. } => *load,
             _ => None,
         };
+        if let Some(load) = load {
+            let level = self.fleet_levels.entry(active.service.clone()).or_default();
+            level.record(gate, load.level, now);
+        }
         let was_unreported = std::mem::take(&mut active.unreported);
         if was_unreported {
             self.selector.resolve_dispatch(&active.service, gate, load, now);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -19,6 +19,7 @@
 };
 use crate::drain_rate::DrainRate;
 use crate::fair_share::FairShare;
+use crate::fleet_level::FleetLevel;
 use crate::latency::LatencyDistribution;
 use crate::prelude::*;
 use crate::queue::{Queue, QueuedRequest};
@@ -44,6 +45,7 @@
     drain_rate: DrainRate,
     profile: Profile,
     latencies: IndexMap<WorkKind, LatencyDistribution>,
+    level: FleetLevel,
 }
 
 /// Admits requests to upstreams.
--- a/crates/core/src/gate/gray_failure.rs
+++ b/crates/core/src/gate/gray_failure.rs
@@ -127,6 +127,8 @@
         if probability <= f64::from(request.gray_tolerance) {
             return None;
         }
+        let state = self.services.get(&request.service);
+        let degraded = request.degraded || state.is_some_and(|s| s.level.is_sum_degraded(now));
         let upstreams = self.upstreams.values().map(|upstream| upstream.common());
         let mut own = upstreams.filter(|common| common.service == request.service);
         let is_due = own.any(|common| {
@@ -134,7 +136,7 @@
                 true => IDLE_TRIAL_INTERVAL,
                 false if request.retryable => RETRYABLE_TRIAL_INTERVAL,
                 false if request.idempotent => IDEMPOTENT_TRIAL_INTERVAL,
-                false if request.degraded => NON_IDEMPOTENT_TRIAL_INTERVAL,
+                false if degraded => NON_IDEMPOTENT_TRIAL_INTERVAL,
                 false => return false,
             };
             common.last_start.is_none_or(|started| now >= started + interval)
--- a/crates/core/src/gate/idle.rs
+++ b/crates/core/src/gate/idle.rs
@@ -20,7 +20,7 @@
     pub(super) fn report_idle(&mut self, now: Instant) -> Vec<GateAction> {
         let mut due = Vec::new();
         for (id, upstream) in &mut self.upstreams {
-            if upstream.limit(now) == 0 {
+            if self.draining || upstream.limit(now) == 0 {
                 upstream.common_mut().idle.restart(now);
             } else if let Some(idle) = upstream.common_mut().idle.take_due(now) {
                 due.push((id.clone(), idle));
--- a/crates/core/src/gate/report.rs
+++ b/crates/core/src/gate/report.rs
@@ -2,10 +2,19 @@
 //! that the gate offers.
 
 use super::{Gate, GateAction, ServiceOffer};
+use crate::fleet_level::LevelCounts;
 use crate::prelude::*;
 use crate::upstream::AnyUpstream;
 
 impl Gate {
+    /// Records what an entry has counted of its own recent requests of a service.
+    pub fn record_level(&mut self, entry: NodeId, service: &ServiceName, counts: LevelCounts) {
+        let now = self.clock.now();
+        if let Some(state) = self.services.get_mut(service) {
+            state.level.record(entry, counts, now);
+        }
+    }
+
     /// Returns the load of a service.
     pub fn load(&self, service: &ServiceName) -> Load {
         let now = self.clock.now();
@@ -24,6 +33,7 @@
         load.rate_wait = waits.min().unwrap_or_default();
         let drain_time = queues.and_then(|state| state.drain_rate.time_for(load.queued + 1, now));
         load.drain_time = drain_time.unwrap_or_default();
+        load.level = queues.map(|state| state.level.sum(now)).unwrap_or_default();
         load
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod drain_rate;
 pub mod entry;
 pub mod fair_share;
+pub mod fleet_level;
 pub mod floor;
 pub mod freshness;
 pub mod gate;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::fleet_level::LevelCounts;
+
 /// The condition of an upstream, of a path, or of all upstreams of a service behind a gate.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Condition {
@@ -37,4 +39,6 @@
     pub rejected_share: f32,
     /// Time in which the queue drains at its measured rate; zero if that is not known.
     pub drain_time: Duration,
+    /// Recent requests of entries that the gate has heard of.
+    pub level: LevelCounts,
 }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::fleet_level::LevelCounts;
 use crate::hedge::{HedgeEvent, Suppression};
 use crate::prelude::*;
 use crate::ticket::StoredAnswer;
@@ -60,6 +61,8 @@
     pub retryable: bool,
     /// Whether the service leaves requests unserved, so that likely gray upstreams are needed too.
     pub degraded: bool,
+    /// Recent requests of the service at this entry.
+    pub level: LevelCounts,
     /// Kind of work, if the route limits attempts. Gates judge the age of a run by the latencies of
     /// its kind.
     pub kind: Option<WorkKind>,
--- a/crates/core/src/service_level.rs
+++ b/crates/core/src/service_level.rs
@@ -1,4 +1,5 @@
-//! Detects that a service leaves requests unserved, as seen by one entry.
+//! Detects that a service leaves requests unserved, as seen by one entry. [`fleet_level`] adds
+//! what other entries see.
 //!
 //! A request is served if its caller gets a whole response that is no failure: a failure of the
 //! upstream counts like one of the fleet.
@@ -7,10 +8,9 @@
 //! unserved all the same, the service needs its whole capacity floor, and the entry offers likely
 //! gray upstreams work that they would otherwise not get.
 
+use crate::fleet_level::{self, LevelCounts};
 use crate::prelude::*;
 
-/// Time constant of the weight of a request: the capacity floor is measured over two seconds.
-const DECAY_TIME: Duration = Duration::from_secs(2);
 /// Share of unserved requests above which a service is degraded: half of the tenth from which the
 /// capacity floor must be kept, since one entry sees few requests.
 const MAX_UNSERVED_SHARE: f64 = 0.05;
@@ -55,8 +55,15 @@
         unserved > 0.5 && self.unserved > MAX_UNSERVED_SHARE * (self.served + self.unserved)
     }
 
+    /// Returns the recent requests, for the gates.
+    pub fn counts(&self, now: Instant) -> LevelCounts {
+        let decay = self.decay(now);
+        let (served, unserved) = (self.served * decay, self.unserved * decay);
+        LevelCounts { served: served as f32, unserved: unserved as f32 }
+    }
+
     fn decay(&self, now: Instant) -> f64 {
         let Some(last) = self.last else { return 0.0 };
-        (-now.saturating_duration_since(last).as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
+        fleet_level::decay(now.saturating_duration_since(last))
     }
 }
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -152,6 +152,26 @@
     }
 }
 
+/// Guards against recovered upstreams that stay idle since each entry sees too few requests.
+#[test]
+fn sound_upstreams_get_work_although_each_entry_sees_few_requests() {
+    for seed in SEEDS {
+        let result = simulate(Workload {
+            entries: 96,
+            rate: 60.0,
+            slots: 8,
+            idempotent_share: 0.0,
+            gray_share: 0.4,
+            answers_hangs: true,
+            error_share: 0.2,
+            duration: Duration::from_secs(15),
+            seed,
+            ..Workload::default()
+        });
+        assert!(result.active_sound_share >= 0.9, "seed {seed}: {result:?}");
+    }
+}
+
 #[test]
 fn a_cold_fleet_serves_load_up_to_its_capacity() {
     // 18 upstreams with 4 slots and runs of 0.46 s while cold serve 156 requests per second. One
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -11,6 +11,7 @@
 use lavenderflow_core::budget::RetryAllowance;
 use lavenderflow_core::clock::{ManualClock, SharedClock};
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
+use lavenderflow_core::fleet_level::LevelCounts;
 use lavenderflow_core::gate::{Gate, GateAction, RunResult, SlotRequest};
 use lavenderflow_core::hedge::{HedgeEvent, Suppression};
 use lavenderflow_core::id::{AttemptId, NodeId, RequestId};
@@ -191,6 +192,7 @@
     request: RequestId,
     gate: usize,
     slot_request: SlotRequest,
+    level: LevelCounts,
     is_finished: bool,
     is_copy: bool,
 }
@@ -470,12 +472,12 @@
                     ..
                 } => {
                     let slot_request = slot_request(attempt, incarnation, &spec);
-                    self.send(entry, request, gate, slot_request, false);
+                    self.send(entry, request, gate, (slot_request, spec.level), false);
                     self.hedge_delays.insert(attempt, (hedge_delay, replaces_stuck));
                 }
                 EntryAction::Hedge { request, attempt, gate, incarnation, spec } => {
                     let slot_request = slot_request(attempt, incarnation, &spec);
-                    self.send(entry, request, gate, slot_request, true);
+                    self.send(entry, request, gate, (slot_request, spec.level), true);
                     self.result.copies.push(self.now);
                 }
                 EntryAction::RecordHedge(HedgeEvent::Suppressed(reason)) => {
@@ -507,13 +509,13 @@
         entry: usize,
         request: RequestId,
         gate: NodeId,
-        slot_request: SlotRequest,
+        (slot_request, level): (SlotRequest, LevelCounts),
         is_copy: bool,
     ) {
         let attempt = slot_request.attempt;
         let gate = usize::try_from(gate - gate_node(0)).expect("a gate");
         let is_finished = false;
-        let new = Attempt { entry, request, gate, slot_request, is_finished, is_copy };
+        let new = Attempt { entry, request, gate, slot_request, level, is_finished, is_copy };
         self.attempts.insert(attempt, new);
         self.sent.entry((entry, request)).or_default().push(attempt);
         self.schedule(NETWORK_DELAY, Event::Submit(gate, attempt));
@@ -574,7 +576,8 @@
 
     fn submit(&mut self, gate: usize, attempt: AttemptId) {
         let Some(known) = self.attempts.get(&attempt) else { return };
-        let slot_request = known.slot_request.clone();
+        let (slot_request, level) = (known.slot_request.clone(), known.level);
+        self.gates[gate].record_level(attempt.node, &slot_request.service, level);
         let actions = self.gates[gate].submit(slot_request);
         self.execute_gate_actions(gate, actions);
     }
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -75,14 +75,15 @@
     /// Handles a message.
     pub fn handle(&mut self, cx: CX![], message: GateMessage) {
         let actions = match message {
-            GateMessage::Submit(request, reply) if self.gate.holds(request.attempt) => {
+            GateMessage::Submit(request, _, reply) if self.gate.holds(request.attempt) => {
                 // The attempt under this id keeps its own channel.
                 self.count(Counter::GateRefused(Reason::Duplicate));
                 let load = self.gate.load(&request.service);
                 let _ = reply.send(AdmissionDecision::Refuse(Reason::Duplicate, load));
                 return;
             }
-            GateMessage::Submit(request, reply) => {
+            GateMessage::Submit(request, level, reply) => {
+                self.gate.record_level(request.attempt.node, &request.service, level);
                 self.waiting.insert(request.attempt, reply);
                 let actions = self.gate.submit(request);
                 self.schedule_tick(cx);
--- a/crates/lavenderflow/src/message.rs
+++ b/crates/lavenderflow/src/message.rs
@@ -2,6 +2,7 @@
 
 use lavenderflow_core::allowance::message::{Draw, DrawSerial, Grant};
 use lavenderflow_core::catalog::{Document, Rejection};
+use lavenderflow_core::fleet_level::LevelCounts;
 use lavenderflow_core::gate::{RunResult, SlotRequest, UpstreamSignals};
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
 use lavenderflow_core::request::{Arrival, AttemptReport, EntryAction};
@@ -57,8 +58,9 @@
 /// A message to the gate actor.
 #[derive(Debug)]
 pub enum GateMessage {
-    /// An attempt asks for a slot; the sender receives the decision.
-    Submit(SlotRequest, oneshot::Sender<AdmissionDecision>),
+    /// An attempt asks for a slot, and its entry tells of its recent requests; the sender receives
+    /// the decision.
+    Submit(SlotRequest, LevelCounts, oneshot::Sender<AdmissionDecision>),
     /// The head of the response has arrived.
     ResponseStarted(AttemptId, UpstreamSignals),
     /// The upstream has refused the attempt.
--- a/crates/lavenderflow/src/net/drive/frame.rs
+++ b/crates/lavenderflow/src/net/drive/frame.rs
@@ -32,6 +32,7 @@
         target_us: spec.target_latency.map(micros),
         repeatable: spec.retryable,
         strained: spec.degraded,
+        level: Some(spec.level.into()),
         kind: spec.kind,
         tolerance: spec.gray_tolerance,
         long: spec.long,
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -80,9 +80,10 @@
         organisation: begin.organisation_known.then(|| begin.organisation.as_str().into()),
         organisation_rank: begin.organisation_rank,
     };
+    let level = begin.level.map(Into::into).unwrap_or_default();
     let (reply, decision) = oneshot::channel();
     let mut claim = SlotClaim::new(attempt, context.mailbox.clone(), decision);
-    send_gate(context, GateMessage::Submit(slot_request, reply)).await;
+    send_gate(context, GateMessage::Submit(slot_request, level, reply)).await;
     match wait_for_slot(&mut sink, &mut source, &mut claim).await {
         SlotWait::Decided(AdmissionDecision::Start { upstream, address, deadline, load, slot }) => {
             log::info!(
--- a/crates/lavenderflow/tests/common/scripted.rs
+++ b/crates/lavenderflow/tests/common/scripted.rs
@@ -17,6 +17,7 @@
 use lavenderflow::slot::Slot;
 use lavenderflow::upstream::Call;
 use lavenderflow::work::WorkTracker;
+use lavenderflow_core::fleet_level::LevelCounts;
 use lavenderflow_core::gate::SlotRequest;
 use lavenderflow_core::id::AttemptId;
 use lavenderflow_core::load::Load;
@@ -159,6 +160,7 @@
         target_latency: None,
         retryable: idempotent,
         degraded: false,
+        level: LevelCounts::default(),
         kind: None,
         gray_tolerance: 1.0,
         organisation: None,
@@ -206,7 +208,7 @@
         // The test reads the result from the link.
         let _ = serve::serve_as_gate(&context, begin, gate_sink, gate_source).await;
     });
-    let Message::Gate(GateMessage::Submit(request, reply)) = node.message().await else {
+    let Message::Gate(GateMessage::Submit(request, _, reply)) = node.message().await else {
         panic!("no attempt");
     };
     (Attempt { served, request, reply }, entry_sink, entry_source)
--- a/crates/schema/src/convert/request.rs
+++ b/crates/schema/src/convert/request.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use lavenderflow_core::fleet_level::LevelCounts;
 use lavenderflow_core::id::{AttemptId, TicketId};
 use lavenderflow_core::load::{Condition, Load};
 
@@ -51,6 +52,18 @@
     }
 }
 
+impl From<LevelCounts> for wire::Level {
+    fn from(counts: LevelCounts) -> Self {
+        Self { served: counts.served, unserved: counts.unserved }
+    }
+}
+
+impl From<wire::Level> for LevelCounts {
+    fn from(level: wire::Level) -> Self {
+        Self { served: level.served, unserved: level.unserved }
+    }
+}
+
 impl From<Load> for wire::Load {
     fn from(load: Load) -> Self {
         Self {
@@ -64,6 +77,7 @@
             rate_wait_us: micros(load.rate_wait),
             rejected_share: load.rejected_share,
             drain_us: micros(load.drain_time),
+            level: Some(load.level.into()),
         }
     }
 }
@@ -81,6 +95,7 @@
             rate_wait: Duration::from_micros(load.rate_wait_us),
             rejected_share: load.rejected_share,
             drain_time: Duration::from_micros(load.drain_us),
+            level: load.level.map(Into::into).unwrap_or_default(),
         }
     }
 }
