--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -1,6 +1,7 @@
 //! The actor that owns the gate and the channels to the attempts that wait for its decision.
 
 use lavenderflow_core::gate::{Gate, GateAction, RateSignal, ServiceOffer, UpstreamSignals};
+use lavenderflow_core::upstream::idle::IdleReport;
 use lavenderflow_core::upstream::{Announcement, AnnouncementRefusal, Lifetime};
 use stakker::{Actor, CX, Fwd, MinTimerKey, call, timer_min};
 use tokio::sync::{mpsc, oneshot};
@@ -74,14 +75,15 @@
     /// Handles a message.
     pub fn handle(&mut self, cx: CX![], message: GateMessage) {
         let actions = match message {
-            GateMessage::Submit(request, reply) if self.gate.holds(request.attempt) => {
+            GateMessage::Submit(request, _, reply) if self.gate.holds(request.attempt) => {
                 // The attempt under this id keeps its own channel.
                 self.count(Counter::GateRefused(Reason::Duplicate));
                 let load = self.gate.load(&request.service);
                 let _ = reply.send(AdmissionDecision::Refuse(Reason::Duplicate, load));
                 return;
             }
-            GateMessage::Submit(request, reply) => {
+            GateMessage::Submit(request, level, reply) => {
+                self.gate.record_level(request.attempt.node, &request.service, level);
                 self.waiting.insert(request.attempt, reply);
                 let actions = self.gate.submit(request);
                 self.schedule_tick(cx);
@@ -272,6 +274,7 @@
                 GateAction::ReportLeaving { upstream } => {
                     log::info!("event=upstream-leaving upstream={upstream}");
                 }
+                GateAction::ReportIdle(report) => self.log_idle(&report),
                 GateAction::ReportGray { upstream, likely_gray, probability } => {
                     log::info!(
                         "event=gray-failure upstream={upstream} likely={likely_gray} \
@@ -282,6 +285,25 @@
         }
     }
 
+    fn log_idle(&self, report: &IdleReport) {
+        self.count(Counter::Idle);
+        let refused = report.refused.iter().map(|(reason, offers)| {
+            format!("{}:{}/{}", reason.name(), offers.count, offers.degraded)
+        });
+        let refused: Vec<String> = refused.collect();
+        log::info!(
+            "event=upstream-idle upstream={} state={} doubt={:.3} busy={} slots={} idle_ms={} \
+             refused={}",
+            report.upstream,
+            report.state,
+            report.probability,
+            report.busy,
+            report.slots,
+            report.idle.as_millis(),
+            if refused.is_empty() { "none".to_owned() } else { refused.join(",") }
+        );
+    }
+
     fn send_decision(&mut self, attempt: AttemptId, decision: AdmissionDecision) {
         // If nobody waits for the decision any more, its slot gives itself back.
         if let Some(reply) = self.waiting.swap_remove(&attempt) {
