--- a/crates/lavenderflow/src/upstream/response.rs
+++ b/crates/lavenderflow/src/upstream/response.rs
@@ -25,10 +25,15 @@
     data: Bytes,
     share: Share,
     is_alone: bool,
-    _permit: OwnedSemaphorePermit,
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl ResponsePart {
+    /// Creates a part that `share` accounts for, of a response that has memory for others.
+    pub fn new(data: Bytes, share: Share) -> Self {
+        Self { data, share, is_alone: false, _permit: None }
+    }
+
     /// Returns the length in bytes.
     pub fn len(&self) -> usize {
         self.data.len()
@@ -80,7 +85,8 @@
         let bytes = PART_COPIES * data.len() as u64;
         drop(spare);
         let share = budget.hold(HeldKind::Run, bytes);
-        let part = ResponsePart { data, share, is_alone, _permit: permit };
+        let part =
+            ResponsePart { is_alone, _permit: Some(permit), ..ResponsePart::new(data, share) };
         let sent = timeout_at(deadline, send(call, CallEvent::Data(part))).await;
         sent.map_err(|_| CallFailure::Unread)??;
     }
--- a/crates/lavenderflow/tests/response_in_progress.rs
+++ b/crates/lavenderflow/tests/response_in_progress.rs
@@ -8,9 +8,10 @@
 };
 use lavenderflow::message::{GateMessage, Message};
 use lavenderflow::net::drive::ReplyBody;
-use lavenderflow::upstream::CallEvent;
+use lavenderflow::upstream::{CallEvent, ResponsePart};
 use lavenderflow_core::gate::{RunResult, UpstreamSignals};
 use lavenderflow_core::load::Load;
+use lavenderflow_core::memory::{Budget, HeldKind};
 use lavenderflow_core::request::{AttemptReport, AttemptSpec, EntryAction};
 use lavenderflow_schema::wire::frame::Body;
 use lavenderflow_schema::wire::{Answer, Chunk, End, Verdict};
@@ -38,7 +39,9 @@
     let started = node.message().await;
     assert!(matches!(started, Message::Gate(GateMessage::ResponseStarted(ATTEMPT, _))));
     owner.send(()).await.expect("an owner");
-    send(CallEvent::Data(vec![b'x'; PART_BYTES].into())).await.expect("a task");
+    let share = Budget::new(None).hold(HeldKind::Run, PART_BYTES as u64);
+    let part = ResponsePart::new(vec![b'x'; PART_BYTES].into(), share);
+    send(CallEvent::Data(part)).await.expect("a task");
     assert!(matches!(receive(&mut source).await, Some(Body::Answer(_))));
     send(CallEvent::End).await.expect("a task");
     let Message::Gate(GateMessage::Finish(ATTEMPT, RunResult::Success, load)) =
