Decide on a request by the ends of all its attempts

Cause: the network task awaited the attempts that went on after the entry had ended the request, and told it nothing of their ends. So the entry could call the outcome only unknown, and credited a late response to the gate asked last.

Change: the network task reports each end of an attempt that goes on, by its id (AttemptReport::Earlier). While another attempt runs, the entry records it. Once none runs, it sends the next one, awaits those that go on, or concludes: not run only if every attempt of the list provably did not run. The response of an attempt is credited to its own gate. A silent second copy goes on like any other silent attempt, instead of being cut with the first attempt running.

In core/tests/silence.rs a_silent_attempt_is_retried_at_another_gate expected the request to end as unknown before the silent attempt had ended; it becomes the_outcome_follows_from_the_ends_of_all_attempts, which expects the wait and then the outcome for six ends. The two tests after it are new; they use the new report and did not exist before, so they were not seen to fail. The simulation reports stuck attempts by id, as the network task does, in place of its own rule for requests that the entry had ended already.

--- a/crates/core/src/entry/attempts.rs
+++ b/crates/core/src/entry/attempts.rs
@@ -43,6 +43,10 @@
         }
     }
 
+    fn goes_on(self) -> bool {
+        matches!(self, Self::Silent | Self::Stuck)
+    }
+
     /// Returns whether an upstream may have received the request.
     fn is_received(self) -> bool {
         match self {
@@ -113,6 +117,16 @@
         Some((attempt.gate, std::mem::take(&mut attempt.is_unreported)))
     }
 
+    /// Returns the gates of the attempts that they have not reported on, once for each.
+    pub(super) fn take_unreported(&mut self) -> Vec<NodeId> {
+        let unreported = self.sent.iter_mut().filter(|attempt| attempt.is_unreported);
+        let gates = unreported.map(|attempt| {
+            attempt.is_unreported = false;
+            attempt.gate
+        });
+        gates.collect()
+    }
+
     /// Returns whether an attempt may have run, so that the outcome cannot be [`Outcome::NotRun`].
     pub(super) fn may_have_run(&self) -> bool {
         self.sent.iter().any(|attempt| match attempt.state {
@@ -124,6 +138,25 @@
         })
     }
 
+    /// Returns whether there is an attempt that has not been reported as silent or stuck, and whose
+    /// end the request waits for.
+    pub(super) fn is_running(&self) -> bool {
+        let is_running = |state| matches!(state, AttemptState::Sent | AttemptState::Admitted);
+        self.sent.iter().any(|attempt| is_running(attempt.state))
+    }
+
+    /// Returns whether a silent or stuck attempt goes on.
+    pub(super) fn goes_on(&self) -> bool {
+        self.sent.iter().any(|attempt| attempt.state.goes_on())
+    }
+
+    /// Records that the silent and stuck attempts are cancelled.
+    pub(super) fn cancel(&mut self) {
+        for attempt in self.sent.iter_mut().filter(|attempt| attempt.state.goes_on()) {
+            attempt.state = AttemptState::Ended { is_received: true };
+        }
+    }
+
     /// Returns how many attempts an upstream may have received.
     pub(super) fn received(&self) -> u32 {
         let received = self.sent.iter().filter(|attempt| attempt.state.is_received()).count();
--- a/crates/core/src/entry/conclusion.rs
+++ b/crates/core/src/entry/conclusion.rs
@@ -20,11 +20,26 @@
 const RETRY_AFTER_OVERLOAD: Duration = Duration::from_millis(500);
 
 impl Entry {
-    /// Ends a request on proof that its last attempt did not run. Revokes its ticket first.
-    pub(super) fn refuse(&mut self, active: &ActiveRequest, reason: Reason) -> Vec<EntryAction> {
-        if active.attempts.may_have_run() {
-            return self.end_unknown(active, reason);
+    /// Ends a request that gets no further attempt, once the attempts that go on have ended.
+    pub(super) fn give_up(&mut self, active: ActiveRequest, reason: Reason) -> Vec<EntryAction> {
+        if active.attempts.goes_on() {
+            self.await_attempts(active)
+        } else if active.attempts.may_have_run() {
+            self.end_unknown(&active, reason)
+        } else {
+            self.refuse(&active, reason)
         }
+    }
+
+    /// Waits for the attempts that go on.
+    pub(super) fn await_attempts(&mut self, active: ActiveRequest) -> Vec<EntryAction> {
+        let request = active.arrival.request;
+        self.active_requests.insert(request, active);
+        vec![EntryAction::Await { request }]
+    }
+
+    /// Ends a request on proof that none of its attempts has run. Revokes its ticket first.
+    fn refuse(&mut self, active: &ActiveRequest, reason: Reason) -> Vec<EntryAction> {
         self.record_end(active, false);
         self.release(active);
         let waiters = active.ticket.map(|ticket| self.ledger.refuse(ticket, reason));
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -78,7 +78,7 @@
     ) -> Vec<EntryAction> {
         let now = self.clock.now();
         if now >= active.deadline {
-            return self.refuse(&active, Reason::DeadlinePast);
+            return self.give_up(active, Reason::DeadlinePast);
         }
         if active.tried.len() + 1 >= active.limits.gates as usize {
             active.stage = DispatchStage::AnyGate;
@@ -248,7 +248,7 @@
             || active.searches >= MAX_SEARCHES
             || left < time * MAX_PAUSE_DIVISOR
         {
-            return self.refuse(&active, reason);
+            return self.give_up(active, reason);
         }
         let request = active.arrival.request;
         active.attempts.select(None);
@@ -270,7 +270,7 @@
         if active.idempotent && self.may_retry(&active, now, true) {
             self.dispatch(active, Some(reason))
         } else {
-            self.end_unknown(&active, reason)
+            self.give_up(active, reason)
         }
     }
 
@@ -281,14 +281,16 @@
         mut active: ActiveRequest,
         now: Instant,
     ) -> Vec<EntryAction> {
+        if active.hedge.has_copy() {
+            self.active_requests.insert(active.arrival.request, active);
+            return Vec::new();
+        }
         // The next attempt is the second one that a request may have.
         active.hedge.is_used |= can_hedge(&active);
         if active.idempotent && self.may_retry(&active, now, true) {
             return self.dispatch(active, Some(Reason::Lost));
         }
-        let request = active.arrival.request;
-        self.active_requests.insert(request, active);
-        vec![EntryAction::Await { request }]
+        self.await_attempts(active)
     }
 }
 
--- a/crates/core/src/entry/hedging.rs
+++ b/crates/core/src/entry/hedging.rs
@@ -33,6 +33,16 @@
         Self { kind: kind.unwrap_or_default(), ..Self::default() }
     }
 
+    /// Returns whether a copy runs.
+    pub(super) fn has_copy(&self) -> bool {
+        self.copy.is_some()
+    }
+
+    /// Forgets when the first attempt got its slot.
+    pub(super) fn forget_admission(&mut self) {
+        self.admitted_at = None;
+    }
+
     /// Records that the first attempt got a slot.
     pub(super) fn admit(&mut self, load: Load, now: Instant) {
         self.admitted_at = Some(now);
@@ -233,7 +243,11 @@
         };
         active.attempts.record(copy.attempt, &report);
         self.update_selector(&mut active, copy.attempt, &report, now);
-        let is_alone = copy.is_alone;
+        let is_running = active.attempts.is_running();
+        let goes_on = active.attempts.goes_on();
+        let is_alone = copy.is_alone || !is_running && !goes_on;
+        // The first attempt goes on as a silent or stuck one, which the copy was to replace.
+        let is_last = !is_alone && !is_running;
         let mut actions = Vec::new();
         match report {
             AttemptReport::Admitted(_) => {
@@ -279,7 +293,12 @@
                 }
             }
         }
-        self.active_requests.insert(request, active);
+        if is_last {
+            active.hedge.replaces_stuck = true;
+            actions.extend(self.retry_lost(active, Reason::Stuck, now));
+        } else {
+            self.active_requests.insert(request, active);
+        }
         actions
     }
 
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -27,13 +27,19 @@
             return Vec::new();
         };
         // A streamed response has begun and is never replaced.
-        if active.streaming && matches!(report, AttemptReport::Answered { .. }) {
+        if active.streaming
+            && matches!(report, AttemptReport::Answered { .. } | AttemptReport::Earlier(..))
+        {
             self.active_requests.insert(request, active);
             return Vec::new();
         }
-        if let AttemptReport::Copy(report) = report {
-            return self.report_copy(active, *report, now);
-        }
+        let report = match report {
+            AttemptReport::Copy(report) => return self.report_copy(active, *report, now),
+            AttemptReport::Earlier(attempt, report) => {
+                return self.report_earlier(active, attempt, *report, now);
+            }
+            report => report,
+        };
         if let Some(current) = active.attempts.current() {
             active.attempts.record(current, &report);
             self.update_selector(&mut active, current, &report, now);
@@ -60,6 +66,9 @@
         match report {
             AttemptReport::Admitted(load) => {
                 active.hedge.admit(load, now);
+                if active.hedge.replaces_stuck {
+                    active.attempts.cancel();
+                }
                 self.active_requests.insert(request, active);
                 Vec::new()
             }
@@ -72,7 +81,7 @@
                 active.drain_time = load.map_or(Duration::ZERO, |load| load.drain_time);
                 if reason == Reason::TooLate {
                     // No gate can serve it in time.
-                    return self.refuse(&active, reason);
+                    return self.give_up(active, reason);
                 }
                 self.retry_refused(active, reason, now)
             }
@@ -109,7 +118,37 @@
             }
             AttemptReport::Overdue => self.overdue(active, now),
             // Handled before.
-            AttemptReport::Copy(_) => Vec::new(),
+            AttemptReport::Copy(_) | AttemptReport::Earlier(..) => Vec::new(),
+        }
+    }
+
+    /// Handles a report on an attempt that goes on beside later ones, or after them.
+    fn report_earlier(
+        &mut self,
+        mut active: ActiveRequest,
+        attempt: AttemptId,
+        report: AttemptReport,
+        now: Instant,
+    ) -> Vec<EntryAction> {
+        active.attempts.record(attempt, &report);
+        self.update_selector(&mut active, attempt, &report, now);
+        if active.attempts.is_running() && !is_usable(&report) {
+            self.active_requests.insert(active.arrival.request, active);
+            return Vec::new();
+        }
+        self.resolve_dispatches(&mut active, now);
+        if active.attempts.current() != Some(attempt) {
+            active.attempts.select(Some(attempt));
+            // It belongs to a later attempt.
+            active.hedge.forget_admission();
+        }
+        self.report_first(active, report, now)
+    }
+
+    /// Forgets the attempts of which no load report is awaited any more.
+    fn resolve_dispatches(&mut self, active: &mut ActiveRequest, now: Instant) {
+        for gate in active.attempts.take_unreported() {
+            self.selector.resolve_dispatch(&active.service, gate, None, now);
         }
     }
 
@@ -164,6 +203,9 @@
         if can_replace && active.idempotent && self.may_retry(&active, now, true) {
             return self.dispatch(active, Some(Reason::UpstreamFailed));
         }
+        if can_replace && active.attempts.goes_on() {
+            return self.await_attempts(active);
+        }
         let (request, ticket) = (active.arrival.request, active.ticket);
         let relay = EntryAction::Relay { request, ticket };
         if answer.is_none() {
@@ -179,3 +221,9 @@
         actions
     }
 }
+
+/// Returns whether a report ends the request with a response: not a complete server error while
+/// another attempt may have a better one.
+fn is_usable(report: &AttemptReport) -> bool {
+    matches!(report, AttemptReport::Answered { status, answer, .. } if *status < 500 || answer.is_none())
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -139,8 +139,8 @@
         /// Why there is no copy.
         suppression: Suppression,
     },
-    /// Wait for the attempts that were reported as [`AttemptReport::Silent`], and report the first
-    /// usable response, or the end of the last one.
+    /// Wait for the attempts that go on, and report the next end of one of them as
+    /// [`AttemptReport::Earlier`].
     Await {
         /// The request.
         request: RequestId,
@@ -230,7 +230,7 @@
     /// The attempt may have run, and no response will come.
     Lost(Reason),
     /// The gate has sent nothing about the attempt yet. The attempt goes on, since the gate may be at
-    /// work, and its response is reported as that of the request if no other one comes first.
+    /// work.
     Silent,
     /// The caller disconnected.
     CallerGone,
@@ -247,6 +247,9 @@
     /// the order in which they end. The first of them to end without a usable response gets no
     /// reply, since the request goes on with the other one.
     Copy(Box<AttemptReport>),
+    /// A report on an attempt that goes on after it was reported as silent or as
+    /// [`Reason::Stuck`]. One without a usable response gets no reply while another attempt runs.
+    Earlier(AttemptId, Box<AttemptReport>),
 }
 
 impl AttemptReport {
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -7,7 +7,7 @@
 
 use lavenderflow_core::clock::{ManualClock, SharedClock};
 use lavenderflow_core::entry::Entry;
-use lavenderflow_core::id::{NodeId, RequestId};
+use lavenderflow_core::id::{AttemptId, NodeId, RequestId};
 use lavenderflow_core::load::{Condition, Load};
 use lavenderflow_core::profile::{Forgiveness, Profile};
 use lavenderflow_core::reason::{Outcome, Reason};
@@ -57,20 +57,95 @@
     })
 }
 
+/// Returns the attempt that is sent.
+fn attempt(actions: &[EntryAction]) -> AttemptId {
+    let attempts = actions.iter().find_map(|action| match action {
+        EntryAction::Dispatch { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    attempts.expect("an attempt")
+}
+
+fn earlier(attempt: AttemptId, report: AttemptReport) -> AttemptReport {
+    AttemptReport::Earlier(attempt, Box::new(report))
+}
+
+fn is_relayed(actions: &[EntryAction]) -> bool {
+    actions.iter().any(|action| matches!(action, EntryAction::Relay { .. }))
+}
+
+/// Guards against an outcome that is decided while an attempt goes on, or that does not follow from
+/// the ends of all attempts.
+#[test]
+fn the_outcome_follows_from_the_ends_of_all_attempts() {
+    type Case = (AttemptReport, Option<(Outcome, Reason)>);
+    let cases: [Case; 6] = [
+        (full(), Some((Outcome::NotRun, Reason::QueueFull))),
+        (AttemptReport::Unreachable, Some((Outcome::NotRun, Reason::Unreachable))),
+        (
+            AttemptReport::Refused(Reason::Duplicate, None),
+            Some((Outcome::Unknown, Reason::Duplicate)),
+        ),
+        (AttemptReport::Lost(Reason::Lost), Some((Outcome::Unknown, Reason::Lost))),
+        (answered(200), None),
+        (answered(500), None),
+    ];
+    for (late, expected) in cases {
+        let (mut entry, _) = limited_entry(3);
+        let actions = entry.begin(arrival(1, "GET", None));
+        let (silent, gate) = (attempt(&actions), dispatch(&actions).expect("an attempt").1);
+        let actions = entry.report(1, AttemptReport::Silent);
+        let (reason, other) = dispatch(&actions).expect("a retry");
+        assert_eq!(reason, Some(Reason::Lost));
+        assert_ne!(other, gate);
+        entry.report(1, full());
+        // The silent gate may have run it.
+        assert!(awaits(&entry.report(1, full()), 1));
+        let actions = entry.report(1, earlier(silent, late.clone()));
+        let ended = conclusion(&actions).map(|ended| (ended.outcome, ended.reason));
+        assert_eq!(ended, expected, "{late:?}");
+        assert_eq!(is_relayed(&actions), expected.is_none(), "{late:?}");
+        assert_eq!(entry.in_flight(), 0, "{late:?}");
+    }
+}
+
+/// Guards against a run that is given up because an earlier attempt has ended.
+#[test]
+fn the_end_of_an_earlier_attempt_leaves_a_running_one_alone() {
+    let ends = [full(), AttemptReport::Lost(Reason::Lost), answered(500)];
+    for end in ends {
+        let (mut entry, _) = limited_entry(3);
+        let silent = attempt(&entry.begin(arrival(1, "GET", None)));
+        entry.report(1, AttemptReport::Silent);
+        entry.report(1, AttemptReport::Admitted(Load::default()));
+        assert_eq!(entry.report(1, earlier(silent, end.clone())), [], "{end:?}");
+        assert!(is_relayed(&entry.report(1, answered(200))), "{end:?}");
+        assert_eq!(entry.in_flight(), 0, "{end:?}");
+    }
+}
+
+/// Guards against a load that is taken for that of the gate that was asked last.
 #[test]
-fn a_silent_attempt_is_retried_at_another_gate() {
+fn a_late_response_is_credited_to_its_gate() {
     let (mut entry, _) = limited_entry(3);
     let actions = entry.begin(arrival(1, "GET", None));
-    let (_, silent) = dispatch(&actions).expect("an attempt");
-    let actions = entry.report(1, AttemptReport::Silent);
-    let (reason, other) = dispatch(&actions).expect("a retry");
-    assert_eq!(reason, Some(Reason::Lost));
-    assert_ne!(other, silent);
-    entry.report(1, full());
-    let actions = entry.report(1, full());
-    // The silent gate may have run it.
-    let ended = conclusion(&actions).expect("an end");
-    assert_eq!((ended.outcome, ended.reason), (Outcome::Unknown, Reason::QueueFull));
+    let (silent, gate) = (attempt(&actions), dispatch(&actions).expect("an attempt").1);
+    let (_, other) = dispatch(&entry.report(1, AttemptReport::Silent)).expect("a retry");
+    entry.report(1, AttemptReport::Admitted(Load { busy: 2, ..Load::default() }));
+    let late = AttemptReport::Answered {
+        status: 200,
+        load: Some(Load { busy: 3, ..Load::default() }),
+        answer: None,
+    };
+    assert!(is_relayed(&entry.report(1, earlier(silent, late))));
+    let load = Some(Load { busy: 4, ..Load::default() });
+    entry.report(1, AttemptReport::Completed { load, bytes: 100_000 });
+    let busy = |node| {
+        let mut gates = entry.selector().pools().flat_map(|(_, pool)| pool.gates());
+        gates.find(|(view, _)| view.node == node).map(|(view, _)| view.load.busy)
+    };
+    assert_eq!((busy(gate), busy(other)), (Some(4), Some(2)));
+    assert_eq!(entry.in_flight(), 0);
 }
 
 /// Guards against a request that is given up because no retry is left.
--- a/crates/core/tests/support/simulation.rs
+++ b/crates/core/tests/support/simulation.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use lavenderflow_core::budget::RetryAllowance;
 use lavenderflow_core::clock::{ManualClock, SharedClock};
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
@@ -220,7 +220,8 @@
     next_id: u64,
     attempts: IndexMap<AttemptId, Attempt>,
     requests: IndexMap<(usize, RequestId), Request>,
-    hedged: IndexMap<(usize, RequestId), AttemptId>,
+    // Attempts that go on although they are stuck.
+    stuck: IndexSet<AttemptId>,
     // When attempts are overdue, and whether they replace stuck ones.
     hedge_delays: IndexMap<AttemptId, (Option<Duration>, bool)>,
     // All attempts of the requests in flight.
@@ -307,7 +308,7 @@
             next_id: 0,
             attempts: IndexMap::new(),
             requests: IndexMap::new(),
-            hedged: IndexMap::new(),
+            stuck: IndexSet::new(),
             hedge_delays: IndexMap::new(),
             sent: IndexMap::new(),
             result: SimulationResult {
@@ -378,7 +379,7 @@
             // An attempt with a copy goes on.
             Event::Stuck(entry, request, _) if self.copy_of(entry, request).is_some() => {}
             Event::Stuck(entry, request, attempt) => {
-                self.hedged.insert((entry, request), attempt);
+                self.stuck.insert(attempt);
                 let actions =
                     self.entries[entry].report(request, AttemptReport::Lost(Reason::Stuck));
                 self.execute_entry_actions(entry, actions);
@@ -483,11 +484,7 @@
                 }
                 EntryAction::KeepWaiting { .. } | EntryAction::RecordHedge(_) => {}
                 EntryAction::Conclude { request, conclusion } => {
-                    let is_hedged = self.hedged.contains_key(&(entry, request));
-                    // The first attempt still runs and decides when there is no second one.
-                    if !(is_hedged && conclusion.outcome == Outcome::Unknown) {
-                        self.conclude(entry, request, conclusion.outcome);
-                    }
+                    self.conclude(entry, request, conclusion.outcome);
                 }
                 EntryAction::Relay { request, .. } => self.conclude(entry, request, Outcome::Ran),
                 EntryAction::Pause { request, time } => {
@@ -496,8 +493,8 @@
                 EntryAction::Forward { .. }
                 | EntryAction::Wait { .. }
                 | EntryAction::Draw { .. } => {}
-                // No gate of the simulation is silent.
-                EntryAction::Await { .. } => unreachable!("{action:?}"),
+                // All ends of attempts are reported.
+                EntryAction::Await { .. } => {}
             }
         }
     }
@@ -554,9 +551,7 @@
             }
             Outcome::Unknown => counts.unknown += 1,
         }
-        if let Some(attempt) = self.hedged.swap_remove(&(entry, request)) {
-            self.cancel(attempt);
-        }
+        self.cancel_stuck(entry, request);
         // Attempts that the entry still counts on end with the request.
         if self.workload.hedges > 0.0 {
             for attempt in self.sent.swap_remove(&(entry, request)).unwrap_or_default() {
@@ -565,6 +560,17 @@
         }
     }
 
+    fn cancel_stuck(&mut self, entry: usize, request: RequestId) {
+        for attempt in std::mem::take(&mut self.stuck) {
+            let known = &self.attempts[&attempt];
+            if (known.entry, known.request) == (entry, request) {
+                self.cancel(attempt);
+            } else {
+                self.stuck.insert(attempt);
+            }
+        }
+    }
+
     fn cancel(&mut self, attempt: AttemptId) {
         if let Some(known) = self.attempts.get(&attempt) {
             let gate = known.gate;
@@ -591,10 +597,8 @@
                         let overdue = Event::Overdue(entry, request, attempt);
                         self.schedule(NETWORK_DELAY + delay, overdue);
                     }
-                    if replaces_stuck
-                        && let Some(stuck) = self.hedged.swap_remove(&(entry, request))
-                    {
-                        self.cancel(stuck);
+                    if replaces_stuck {
+                        self.cancel_stuck(entry, request);
                     }
                     self.schedule(
                         NETWORK_DELAY,
@@ -715,27 +719,15 @@
         attempt: AttemptId,
         report: AttemptReport,
     ) {
-        let is_hedged = self.hedged.get(&(entry, request)) == Some(&attempt);
-        let is_answer = matches!(report, AttemptReport::Answered { .. });
-        if is_hedged && !is_answer {
-            // A second attempt decides. Without one, the outcome is unknown.
-            self.hedged.swap_remove(&(entry, request));
-            let has_second = self.attempts.iter().any(|(id, other)| {
-                *id != attempt && other.request == request && !other.is_finished
-            });
-            if !has_second {
-                self.conclude(entry, request, Outcome::Unknown);
-            }
-            return;
-        }
         let is_copy = self.attempts.get(&attempt).is_some_and(|known| known.is_copy);
-        let report = if is_copy { AttemptReport::Copy(Box::new(report)) } else { report };
+        let report = if self.stuck.swap_remove(&attempt) {
+            AttemptReport::Earlier(attempt, Box::new(report))
+        } else if is_copy {
+            AttemptReport::Copy(Box::new(report))
+        } else {
+            report
+        };
         let actions = self.entries[entry].report(request, report);
-        let is_gone = actions.is_empty() && is_answer;
         self.execute_entry_actions(entry, actions);
-        if is_gone {
-            // The entry had already concluded the request, but its first attempt kept running.
-            self.conclude(entry, request, Outcome::Ran);
-        }
     }
 }
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -1,6 +1,7 @@
 //! Executes the actions that the entry decides on for a request: dispatches attempts to gates and
 //! relays the response.
 
+mod admission;
 mod attempt;
 mod frame;
 mod hedge;
@@ -13,10 +14,11 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use self::attempt::{Admission, HeldResponse, run_attempt};
+use self::admission::Admission;
+use self::attempt::{HeldResponse, run_attempt};
 use self::frame::{dispatch_frame, forward_frame};
-use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable, race_attempts};
-use self::parallel::ParallelAttempts;
+use self::hedge::{CopyOrder, FirstAttempt, HedgeContext, NoAttempt, is_usable};
+use self::parallel::{ParallelAttempts, Race};
 use self::stream::ResponseStream;
 use super::body::{BODY_CHANNEL_CAPACITY, BodyRequest, ResponseParts};
 use super::context::NetworkContext;
@@ -170,7 +172,8 @@
                     hedge.run(next, admitted, delay, &mut actions).await
                 } else {
                     let replaced = replaces_stuck.then_some(admitted);
-                    race_attempts(&mut hedged, replaced, &mut held, next).await
+                    let mut race = Race { context, id, earlier: &mut hedged, held: &mut held };
+                    race.run(replaced, next).await
                 }
             }
             // The response that ends the request has been reported since.
@@ -182,8 +185,8 @@
                 if hedged.is_empty() {
                     hedge.run_alone(order).await
                 } else {
-                    let stuck = std::mem::take(&mut hedged);
-                    hedge.race(FirstAttempt::<'_, NoAttempt>::Stuck(stuck), order).await
+                    let earlier = std::mem::take(&mut hedged);
+                    hedge.race(FirstAttempt::<'_, NoAttempt>::Earlier(earlier), order).await
                 }
             }
             EntryAction::KeepWaiting { .. } | EntryAction::RecordHedge(_) => continue,
@@ -202,18 +205,14 @@
             }
             EntryAction::Conclude { conclusion, .. } => {
                 guard.is_finished = true;
-                // No further attempt was possible; others are still running.
-                if conclusion.outcome == Outcome::Unknown
-                    && let Some(late) = hedged.response().await
-                    && late.held.is_some()
-                {
-                    return relay(context, id, late.held, conclusion.new_ticket);
-                }
                 return conclude(conclusion, held);
             }
-            EntryAction::Await { .. } => match hedged.response().await {
+            EntryAction::Await { .. } => match hedged.next_end().await {
                 Some(result) => result,
-                None => AttemptReport::Lost(Reason::Lost).into(),
+                None => {
+                    log::error!("event=nothing-to-await request={}", request.id);
+                    return Reply::local(Outcome::Unknown, Reason::Lost, None);
+                }
             },
             EntryAction::Pause { time, .. } => {
                 log::info!("event=search-paused request={} ms={}", request.id, time.as_millis());
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -7,16 +7,17 @@
 use lavenderflow_schema::wire::frame::Body;
 use lavenderflow_schema::wire::{self, Answer, Begin};
 use quinn::Connection;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
+use super::Request;
+use super::admission::Admission;
 use super::parallel::{ParallelAttempt, ParallelAttempts};
-use super::{Request, send_report};
 use crate::net::body::{BODY_CHANNEL_CAPACITY, BodyPart};
 use crate::net::connector::{DatagramCount, PeerError};
 use crate::net::context::NetworkContext;
 use crate::net::link::{self, FrameSink, FrameSource, LinkError};
-use crate::prelude::{Duration, Load, NodeId, Reason, RequestId};
+use crate::prelude::{AttemptId, Duration, NodeId, Reason, RequestId};
 
 /// Extra time after the deadline for the gate's own report that the deadline has passed.
 pub(super) const DEADLINE_GRACE: Duration = Duration::from_millis(60);
@@ -45,37 +46,6 @@
     }
 }
 
-/// How the admission of an attempt is reported.
-#[derive(Default)]
-pub(super) struct Admission {
-    is_copy: bool,
-    notify: Option<oneshot::Sender<()>>,
-}
-
-impl Admission {
-    /// Returns the admission of a request's only or first attempt, and a receiver that is notified
-    /// of it.
-    pub(super) fn first() -> (Self, oneshot::Receiver<()>) {
-        let (notify, admitted) = oneshot::channel();
-        (Self { is_copy: false, notify: Some(notify) }, admitted)
-    }
-
-    /// Returns the admission of a second copy of a request.
-    pub(super) fn copy() -> Self {
-        Self { is_copy: true, notify: None }
-    }
-
-    async fn report(&mut self, context: &NetworkContext, id: RequestId, load: Load) {
-        let report = AttemptReport::Admitted(load);
-        let report = if self.is_copy { AttemptReport::Copy(Box::new(report)) } else { report };
-        send_report(context, id, report).await;
-        if let Some(notify) = self.notify.take() {
-            // The receiver is gone when nothing waits for the admission.
-            let _ = notify.send(());
-        }
-    }
-}
-
 /// Makes one attempt: sends the request to a node and waits for the response headers.
 pub(super) async fn run_attempt(
     context: &NetworkContext,
@@ -93,7 +63,7 @@
             return AttemptReport::Unreachable.into();
         }
     };
-    let on_commit = begin.on_commit;
+    let (attempt, on_commit) = (begin.attempt.map(Into::into), begin.on_commit);
     // A frame that was not sent whole cannot be decoded, so no gate has seen the request.
     if let Err(fault) = sink.send(Body::Begin(begin)).await {
         log::info!("event=attempt-lost request={} gate={node:x} fault={fault:?}", request.id);
@@ -105,6 +75,7 @@
     let mut link = AttemptLink {
         context: context.clone(),
         id,
+        attempt,
         gate: node,
         connection: link_connection,
         sink: Some(sink),
@@ -172,6 +143,8 @@
 pub(super) struct AttemptLink {
     pub(super) context: NetworkContext,
     id: RequestId,
+    // `None` where the request is forwarded to the home of its ticket.
+    attempt: Option<AttemptId>,
     pub(super) gate: NodeId,
     connection: LinkConnection,
     sink: Option<FrameSink>,
@@ -196,8 +169,12 @@
         let Ok(first) = timeout(first_frame_timeout, self.source.receive()).await else {
             self.log_silence(request);
             // The gate may be at work.
-            if self.committed && !self.time_left().is_zero() {
-                let hedged = ParallelAttempt::silent(self.detach(), request.id.clone()).into();
+            if let Some(attempt) = self.attempt
+                && self.committed
+                && !self.time_left().is_zero()
+            {
+                let hedged = ParallelAttempt::silent(attempt, self.detach(), request.id.clone());
+                let hedged = hedged.into();
                 return Ok(AttemptResult { hedged, ..AttemptReport::Silent.into() });
             }
             return Err(LinkError::Closed);
@@ -207,7 +184,8 @@
             match frame.take() {
                 Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
                 Some(Body::Verdict(verdict)) if verdict.stuck => {
-                    let hedged = ParallelAttempt::stuck(self.detach()).into();
+                    let attempt = self.attempt.ok_or(LinkError::Unexpected)?;
+                    let hedged = ParallelAttempt::stuck(attempt, self.detach()).into();
                     let stuck = AttemptReport::Lost(Reason::Stuck);
                     return Ok(AttemptResult { hedged, ..stuck.into() });
                 }
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -8,9 +8,10 @@
 use lavenderflow_schema::wire::Begin;
 use tokio::sync::{mpsc, oneshot};
 
-use super::attempt::{Admission, AttemptResult, HeldResponse, run_attempt};
+use super::admission::Admission;
+use super::attempt::{AttemptResult, HeldResponse, run_attempt};
 use super::frame::dispatch_frame;
-use super::parallel::ParallelAttempts;
+use super::parallel::{ParallelAttempts, Race, keep};
 use super::{FIRST_FRAME_TIMEOUT, Request, send_report};
 use crate::net::context::NetworkContext;
 use crate::prelude::*;
@@ -27,18 +28,17 @@
 pub(super) enum FirstAttempt<'a, F> {
     /// It runs as usual.
     Running(Pin<&'a mut F>),
-    /// Its gate has reported it as stuck.
-    Stuck(ParallelAttempts),
+    /// It was reported as silent or stuck and goes on, maybe beside others.
+    Earlier(ParallelAttempts),
 }
 
 impl<F: Future<Output = AttemptResult>> FirstAttempt<'_, F> {
     async fn end(&mut self) -> AttemptResult {
         match self {
             Self::Running(attempt) => attempt.as_mut().await,
-            Self::Stuck(attempt) => match attempt.response().await {
+            Self::Earlier(attempts) => match attempts.next_end().await {
                 Some(result) => result,
-                // It had a slot, so its end is no evidence against the path to its gate.
-                None => AttemptReport::Lost(Reason::DeadlinePast).into(),
+                None => std::future::pending().await,
             },
         }
     }
@@ -140,34 +140,37 @@
         loop {
             tokio::select! {
                 result = first.end() => {
-                    if !result.hedged.is_empty() {
-                        first = FirstAttempt::Stuck(result.hedged);
-                        continue;
-                    }
                     if is_usable(&result.report) {
                         log::info!("event=hedge-ended request={name} used=first");
                         return result;
                     }
                     keep(self.held, result.held);
                     send_report(self.context, id, result.report).await;
-                    let result = copy.await;
-                    log_end(&name, is_usable(&result.report));
-                    return as_copy(result);
+                    if let FirstAttempt::Running(_) = first {
+                        first = FirstAttempt::Earlier(result.hedged);
+                    }
                 }
                 result = &mut copy => {
                     log_end(&name, is_usable(&result.report));
                     if is_usable(&result.report) {
                         return as_copy(result);
                     }
-                    keep(self.held, result.held);
-                    let report = AttemptReport::Copy(Box::new(result.report));
-                    send_report(self.context, id, report).await;
+                    let mut result = as_copy(result);
                     return match first {
-                        FirstAttempt::Running(attempt) => attempt.await,
-                        FirstAttempt::Stuck(attempt) => AttemptResult {
-                            hedged: attempt,
-                            ..AttemptReport::Lost(Reason::Stuck).into()
-                        },
+                        FirstAttempt::Running(attempt) => {
+                            keep(self.held, result.held);
+                            send_report(self.context, id, result.report).await;
+                            let mut earlier = result.hedged;
+                            let (context, held) = (self.context, self.held);
+                            let mut race = Race { context, id, earlier: &mut earlier, held };
+                            let mut result = race.run(None, attempt).await;
+                            result.hedged.append(earlier);
+                            result
+                        }
+                        FirstAttempt::Earlier(attempts) => {
+                            result.hedged.append(attempts);
+                            result
+                        }
                     };
                 }
             }
@@ -210,60 +213,11 @@
 /// The type of a first attempt that does not exist.
 pub(super) type NoAttempt = std::future::Pending<AttemptResult>;
 
-/// Waits for a new attempt or for a usable response to the hedged ones, whichever comes first. With
-/// `replaced`, the hedged ones are cancelled once the new one has a slot.
-pub(super) async fn race_attempts(
-    hedged: &mut ParallelAttempts,
-    replaced: Option<oneshot::Receiver<()>>,
-    held: &mut Option<HeldResponse>,
-    next: impl Future<Output = AttemptResult>,
-) -> AttemptResult {
-    tokio::pin!(next);
-    let replaced = async {
-        let is_replaced = match replaced {
-            Some(admitted) => admitted.await.is_ok(),
-            None => false,
-        };
-        if !is_replaced {
-            std::future::pending::<()>().await;
-        }
-    };
-    tokio::pin!(replaced);
-    while !hedged.is_empty() {
-        tokio::select! {
-            // A response that has arrived is not cancelled.
-            biased;
-            result = &mut next => return result,
-            late = hedged.response() => match late {
-                Some(result) if is_usable(&result.report) => return late_result(result),
-                Some(result) => keep(held, result.held),
-                None => {}
-            },
-            () = &mut replaced => drop(std::mem::take(hedged)),
-        }
-    }
-    next.await
-}
-
-/// Returns a response whose load is not that of the gate that the entry sent the request to last.
-fn late_result(mut result: AttemptResult) -> AttemptResult {
-    if let AttemptReport::Answered { load, .. } = &mut result.report {
-        *load = None;
-    }
-    result
-}
-
 fn log_end(request: &str, is_used: bool) {
     let used = if is_used { "copy" } else { "none" };
     log::info!("event=hedge-ended request={request} used={used}");
 }
 
-fn keep(held: &mut Option<HeldResponse>, new: Option<HeldResponse>) {
-    if new.is_some() {
-        *held = new;
-    }
-}
-
 fn as_copy(result: AttemptResult) -> AttemptResult {
     AttemptResult { report: AttemptReport::Copy(Box::new(result.report)), ..result }
 }
@@ -273,7 +227,7 @@
 pub(super) fn is_usable(report: &AttemptReport) -> bool {
     match report {
         AttemptReport::Answered { status, answer, .. } => *status < 500 || answer.is_none(),
-        AttemptReport::Copy(report) => is_usable(report),
+        AttemptReport::Copy(report) | AttemptReport::Earlier(_, report) => is_usable(report),
         _ => false,
     }
 }
--- a/crates/lavenderflow/src/net/drive/parallel.rs
+++ b/crates/lavenderflow/src/net/drive/parallel.rs
@@ -9,27 +9,32 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::attempt::{AttemptLink, AttemptResult, DEADLINE_GRACE, node_ends};
+use super::attempt::{AttemptLink, AttemptResult, DEADLINE_GRACE, HeldResponse, node_ends};
 use super::hedge::is_usable;
+use super::send_report;
+use crate::net::context::NetworkContext;
 use crate::net::link::LinkError;
-use crate::prelude::Reason;
+use crate::prelude::{AttemptId, Reason, RequestId};
 
 /// An attempt that continues in parallel with another one. Dropping it abandons the attempt.
-pub(super) struct ParallelAttempt(oneshot::Receiver<AttemptResult>);
+pub(super) struct ParallelAttempt {
+    attempt: AttemptId,
+    end: oneshot::Receiver<AttemptResult>,
+}
 
 impl ParallelAttempt {
     /// Starts to follow an attempt whose upstream has the request.
-    pub(super) fn stuck(link: AttemptLink) -> Self {
-        Self::start(link, None)
+    pub(super) fn stuck(attempt: AttemptId, link: AttemptLink) -> Self {
+        Self::start(attempt, link, None)
     }
 
     /// Starts to follow an attempt of which its gate has sent nothing yet; `request` is for the log.
-    pub(super) fn silent(link: AttemptLink, request: String) -> Self {
-        Self::start(link, Some(request))
+    pub(super) fn silent(attempt: AttemptId, link: AttemptLink, request: String) -> Self {
+        Self::start(attempt, link, Some(request))
     }
 
-    fn start(mut link: AttemptLink, silent: Option<String>) -> Self {
-        let (mut sender, result) = oneshot::channel();
+    fn start(attempt: AttemptId, mut link: AttemptLink, silent: Option<String>) -> Self {
+        let (mut sender, end) = oneshot::channel();
         tokio::spawn(async move {
             let context = link.context.clone();
             let limit = link.time_left() + DEADLINE_GRACE;
@@ -45,7 +50,7 @@
             // The receiver is gone when another attempt has ended the request.
             let _ = sender.send(result);
         });
-        Self(result)
+        Self { attempt, end }
     }
 }
 
@@ -76,13 +81,11 @@
 #[derive(Default)]
 pub(super) struct ParallelAttempts {
     running: Vec<ParallelAttempt>,
-    // The result that is used if no attempt has a usable response.
-    failed: Option<Box<AttemptResult>>,
 }
 
 impl From<ParallelAttempt> for ParallelAttempts {
     fn from(attempt: ParallelAttempt) -> Self {
-        Self { running: vec![attempt], failed: None }
+        Self { running: vec![attempt] }
     }
 }
 
@@ -93,32 +96,84 @@
 
     pub(super) fn append(&mut self, mut other: Self) {
         self.running.append(&mut other.running);
-        self.failed = other.failed.or(self.failed.take());
     }
 
-    /// Waits for a usable response, or until all attempts have ended without one. Returns `None` if
-    /// there are none.
-    pub(super) async fn response(&mut self) -> Option<AttemptResult> {
-        while !self.running.is_empty() {
-            let Some(result) = poll_fn(|context| self.poll_end(context)).await else { continue };
-            if is_usable(&result.report) {
-                return Some(result);
-            }
-            if result.held.is_some() || self.failed.is_none() {
-                self.failed = Some(Box::new(result));
-            }
+    /// Waits for the next end of an attempt. Returns `None` if there are none.
+    pub(super) async fn next_end(&mut self) -> Option<AttemptResult> {
+        if self.running.is_empty() {
+            return None;
         }
-        self.failed.take().map(|result| *result)
+        Some(poll_fn(|context| self.poll_end(context)).await)
     }
 
-    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Option<AttemptResult>> {
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<AttemptResult> {
         for index in 0..self.running.len() {
-            let result = Pin::new(&mut self.running[index].0);
-            if let Poll::Ready(result) = result.poll(context) {
+            let ParallelAttempt { attempt, end } = &mut self.running[index];
+            if let Poll::Ready(end) = Pin::new(end).poll(context) {
+                let attempt = *attempt;
                 self.running.swap_remove(index);
-                return Poll::Ready(result.ok());
+                let lost = |_| AttemptReport::Lost(Reason::Lost).into();
+                let end: AttemptResult = end.unwrap_or_else(lost);
+                let report = AttemptReport::Earlier(attempt, Box::new(end.report));
+                return Poll::Ready(AttemptResult { report, ..end });
             }
         }
         Poll::Pending
     }
 }
+
+/// A new attempt beside those that go on.
+pub(super) struct Race<'a> {
+    pub(super) context: &'a NetworkContext,
+    pub(super) id: RequestId,
+    pub(super) earlier: &'a mut ParallelAttempts,
+    /// Receives the response of an attempt that failed, for callers that get no better one.
+    pub(super) held: &'a mut Option<HeldResponse>,
+}
+
+impl Race<'_> {
+    /// Waits for the end of the new attempt or for a usable response to an earlier one, whichever
+    /// comes first; other ends of earlier ones are reported here. With `replaced`, the earlier ones
+    /// are cancelled once the new one has a slot.
+    pub(super) async fn run(
+        &mut self,
+        replaced: Option<oneshot::Receiver<()>>,
+        next: impl Future<Output = AttemptResult>,
+    ) -> AttemptResult {
+        tokio::pin!(next);
+        let replaced = async {
+            let is_replaced = match replaced {
+                Some(admitted) => admitted.await.is_ok(),
+                None => false,
+            };
+            if !is_replaced {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::pin!(replaced);
+        loop {
+            tokio::select! {
+                // A response that has arrived is not cancelled.
+                biased;
+                result = &mut next => return result,
+                Some(result) = self.earlier.next_end() => {
+                    if is_usable(&result.report) {
+                        return result;
+                    }
+                    keep(self.held, result.held);
+                    send_report(self.context, self.id, result.report).await;
+                }
+                () = &mut replaced, if !self.earlier.is_empty() => {
+                    drop(std::mem::take(self.earlier));
+                }
+            }
+        }
+    }
+}
+
+/// Keeps a new response, if there is one.
+pub(super) fn keep(held: &mut Option<HeldResponse>, new: Option<HeldResponse>) {
+    if new.is_some() {
+        *held = new;
+    }
+}
