Do not call a run stuck once its response has begun

Cause: the gate gives a run up as stuck at the moment at which the head of its response arrives. The run's task then sent the notice behind the head, and the entry took it for a broken link in the midst of the body. The trace has event=stuck at the gate beside the head of the same request.

Change: the run's task sends no notice once the response has begun, and an entry goes on with a response behind such a notice, which gates of earlier versions still send.

Tests, both seen failing before: not_run_gate an_attempt_that_is_answered_is_not_reported_as_stuck, silent_gate a_response_goes_on_after_its_run_was_called_stuck.

--- a/crates/lavenderflow/src/net/drive/stream.rs
+++ b/crates/lavenderflow/src/net/drive/stream.rs
@@ -88,6 +88,8 @@
                     return Ok(AttemptReport::Completed { load, bytes: total });
                 }
                 Some(Body::End(end)) => return Err(Truncation::Length(total, end.length)),
+                // Decided before the response began.
+                Some(Body::Verdict(verdict)) if verdict.stuck => {}
                 Some(Body::Cut(cut)) => return Err(Truncation::Cut(cut.reason)),
                 Some(_) => return Err(LinkError::Unexpected.into()),
                 None => return Err(LinkError::Closed.into()),
--- a/crates/lavenderflow/src/net/serve/run.rs
+++ b/crates/lavenderflow/src/net/serve/run.rs
@@ -39,7 +39,8 @@
             let event = tokio::select! {
                 event = events.recv() => event,
                 end = self.sink.closed() => return self.finish_unwanted(events, end).await,
-                () = self.slot.abandoned() => {
+                // A retry would be worth less than a response that has begun.
+                () = self.slot.abandoned(), if answer.is_none() => {
                     log::info!("event=stuck request={}", self.id);
                     let stuck = wire::Verdict { stuck: true, ..wire::Verdict::default() };
                     self.sink.send(Body::Verdict(stuck)).await?;
--- a/crates/lavenderflow/tests/not_run_gate.rs
+++ b/crates/lavenderflow/tests/not_run_gate.rs
@@ -1,5 +1,5 @@
-//! What a gate reports of an attempt that ends before an upstream has answered it. The test plays
-//! the actors, the entry and the upstream.
+//! What a gate reports of an attempt whose upstream has not answered it, or not to the end. The test
+//! plays the actors, the entry and the upstream.
 
 mod common;
 
@@ -12,8 +12,9 @@
 use lavenderflow::clock::SystemClock;
 use lavenderflow::http::native::NativeDialect;
 use lavenderflow::message::{GateMessage, Message};
+use lavenderflow::net::serve::MAX_BUFFERED_BYTES;
 use lavenderflow::upstream::{Call, CallEvent};
-use lavenderflow_core::gate::RunResult;
+use lavenderflow_core::gate::{RunResult, UpstreamSignals};
 use lavenderflow_core::load::Load;
 use lavenderflow_core::reason::Reason;
 use lavenderflow_schema::wire::frame::Body;
@@ -143,6 +144,30 @@
     })
 }
 
+/// Guards against a response that is cut since its run was given up as stuck when its head came.
+#[tokio::test]
+async fn an_attempt_that_is_answered_is_not_reported_as_stuck() {
+    let mut node = Node::new();
+    let (attempt, _sink, mut source) = submit(&mut node, false).await;
+    let (start, owner) = grant(&node);
+    attempt.reply.send(start).expect("an attempt");
+    assert!(matches!(receive(&mut source).await, Some(Body::Verdict(verdict)) if verdict.admitted));
+    let call = node.calls.recv().await.expect("a call");
+    let signals = UpstreamSignals::default();
+    let head = CallEvent::Head { status: 200, headers: Vec::new(), signals };
+    call.events.send(head).await.expect("a run");
+    let part = Bytes::from(vec![0; MAX_BUFFERED_BYTES + 1]);
+    call.events.send(CallEvent::Data(part.clone())).await.expect("a run");
+    assert!(matches!(receive(&mut source).await, Some(Body::Answer(_))));
+    owner.send(()).await.expect("a run");
+    // Parts and the notice are taken in any order.
+    for _ in 0..20 {
+        call.events.send(CallEvent::Data(part.clone())).await.expect("a run");
+        let frame = receive(&mut source).await;
+        assert!(matches!(frame, Some(Body::Chunk(_))), "{frame:?}");
+    }
+}
+
 /// Guards against an organisation that the gate does not see, and against one that anybody may
 /// claim.
 #[tokio::test]
--- a/crates/lavenderflow/tests/silent_gate.rs
+++ b/crates/lavenderflow/tests/silent_gate.rs
@@ -26,8 +26,8 @@
 use lavenderflow_core::request::Arrival;
 use lavenderflow_core::roster::Member;
 use lavenderflow_core::route::{Idempotency, Route, Router};
-use lavenderflow_schema::wire::Answer;
 use lavenderflow_schema::wire::frame::Body;
+use lavenderflow_schema::wire::{Answer, Chunk, End, Verdict};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -59,6 +59,20 @@
         self.sink.finish().await;
     }
 
+    /// Responds with a body that is streamed, in the midst of which it calls the run stuck.
+    async fn stream_with_notice(mut self) {
+        let answer = Answer { status: 200, ..Answer::default() };
+        let stuck = Verdict { stuck: true, ..Verdict::default() };
+        let data = Bytes::from_static(b"late");
+        let chunk = Body::Chunk(Chunk { data, last: false });
+        let end = Body::End(End { length: 8, load: None });
+        let head = [admitted(), Body::Answer(answer), chunk.clone()];
+        for frame in head.into_iter().chain([Body::Verdict(stuck), chunk, end]) {
+            self.sink.send(frame).await.expect("a link");
+        }
+        self.sink.finish().await;
+    }
+
     async fn refuse(mut self) {
         self.sink.send(refused(Reason::QueueFull)).await.expect("a link");
         self.sink.finish().await;
@@ -325,3 +339,19 @@
     let reply = reply(request).await;
     assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
 }
+
+/// Guards against a response that is cut since its gate, of an earlier version, called its run stuck.
+#[tokio::test]
+async fn a_response_goes_on_after_its_run_was_called_stuck() {
+    let mut fleet = Fleet::start(1, 1).await;
+    let request = fleet.request();
+    let attempt = fleet.next_attempt().await;
+    tokio::spawn(attempt.stream_with_notice());
+    let reply = reply(request).await;
+    let ReplyBody::Streamed(first, mut parts) = reply.body else { panic!("no body") };
+    let mut length = first.len();
+    while let Some(part) = timeout(TEST_TIMEOUT, parts.recv()).await.expect("in time") {
+        length += part.expect("the whole body").len();
+    }
+    assert_eq!(length, 8);
+}
