Judge cut downloads of the soak by the rule, with readers that keep their pace

So the end of a stop meets callers that are slower than the stop is long. The reader of the soak slept 2 ms and more before each part, whatever the time: on a busy machine it was that slow by itself.

Change: the reader keeps to a schedule, a second for a download, and makes no pause while it is late. The check allows a cut answer only as the rule does: sent up to 3 s after the SIGTERM of the node that took it, and the upstream at work in the last sixth of the grace time, which the stand-in now records.

--- a/crates/lavenderflow/tests/common/mod.rs
+++ b/crates/lavenderflow/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 pub mod deployment;
+pub mod pace;
 pub mod scripted;
 
 use std::net::SocketAddr;
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -99,6 +99,8 @@
     pub arrived_at: Option<Instant>,
     /// When the client closed the connection while the request was running.
     pub closed_at: Option<Instant>,
+    /// When a response of a requested size had been written to the connection.
+    pub written_at: Option<Instant>,
 }
 
 impl RequestRecord {
--- a/crates/standins/src/platform_upstream/serve.rs
+++ b/crates/standins/src/platform_upstream/serve.rs
@@ -79,7 +79,13 @@
             let body: Vec<u8> = response_body(&id).bytes().cycle().take(size).collect();
             let headers = signed_headers(settings, &id, state)?;
             write_head(&mut writer, 200, &headers, Some(body.len()))?;
-            writer.write_all(&body)?;
+            if let Err(fault) = writer.write_all(&body) {
+                record_close(&id, state)?;
+                return Err(fault.into());
+            }
+            let written_at = Some(Instant::now());
+            state
+                .ask(move |state| state.requests.entry(id).or_default().written_at = written_at)?;
             continue;
         }
         match mode {
