Bound the connections and heads at the ports that are not for callers

What callers saw: any number of connections at the ports for operators, announcements, readiness and metrics stayed open, each unfinished head for 75 s; once they had used up the node's descriptors it could accept no caller.

A new connection replaces the one that has waited longest for its caller, so nobody is turned away for a crowd. A head has 5 s from its first byte, and so has a pause in a body or in the reading of a response. Every server has an admission now.

The address for operators is a function of the tests' support now; no check changed.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -119,6 +119,48 @@
         is_below && self.budget.held().saturating_add(CONNECTION_BYTES) <= self.budget.limit()
     }
 
+    /// Returns the connection to close at once for a new one: where the limit of connections is
+    /// reached, the one that has waited longest for its caller.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use lavenderflow_core::connections::{ConnectionTable, CloseReason};
+    /// use lavenderflow_core::memory::{Budget, HoldLimits};
+    /// use lavenderflow_core::progress::Progress;
+    ///
+    /// let limits = HoldLimits { connections: Some(2), ..HoldLimits::default() };
+    /// let mut table = ConnectionTable::new(limits, Budget::new(None));
+    /// let start = Instant::now();
+    /// let mut open = |table: &mut ConnectionTable| {
+    ///     let (id, _) = table.open([10, 0, 0, 1].into(), Arc::new(Progress::new(start)))?;
+    ///     Ok::<_, CloseReason>(id)
+    /// };
+    /// let first = open(&mut table).unwrap();
+    /// assert_eq!(table.replace(start), None);
+    /// open(&mut table).unwrap();
+    /// let closing = table.replace(start + Duration::from_millis(1)).unwrap();
+    /// assert_eq!(closing.connection, first);
+    /// ```
+    pub fn replace(&mut self, now: Instant) -> Option<Closing> {
+        let max = self.limits.connections?;
+        let open = self.connections.iter().filter(|(_, connection)| !connection.is_closing);
+        if open.clone().count() < max {
+            return None;
+        }
+        let idle = open.filter_map(|(id, c)| Some((c.progress.idle_time(now)?, Reverse(*id))));
+        let (_, Reverse(longest)) = idle.max()?;
+        self.start_closing(longest, CloseReason::ConnectionLimit, now)
+    }
+
+    /// Returns the number of open connections.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Opens a connection; returns its id and budget.
     ///
     /// # Errors
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -20,6 +20,11 @@
 const CONNECTION_BYTES_DIVISOR: u64 = 16;
 const MIN_CONNECTION_BYTES: u64 = 256 * 1024;
 
+/// Share of the callers' connections that each other port may have, and the range of that number.
+const PORT_DIVISOR: usize = 8;
+const MIN_PORT_CONNECTIONS: usize = 16;
+const MAX_PORT_CONNECTIONS: usize = 128;
+
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum HeldKind {
@@ -96,6 +101,23 @@
         }
     }
 
+    /// Returns the limits of a port that is not for callers. It has one without settings too, since
+    /// few programs use it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::memory::HoldLimits;
+    ///
+    /// assert_eq!(HoldLimits::derive(160, 1024).of_port().connections, Some(64));
+    /// assert_eq!(HoldLimits::default().of_port().connections, Some(128));
+    /// ```
+    pub fn of_port(&self) -> Self {
+        let share = self.connections.map_or(MAX_PORT_CONNECTIONS, |max| max / PORT_DIVISOR);
+        let connections = share.clamp(MIN_PORT_CONNECTIONS, MAX_PORT_CONNECTIONS);
+        Self { connections: Some(connections), ..Self::default() }
+    }
+
     /// Returns whether memory is limited.
     pub fn has_bytes(&self) -> bool {
         self.node_bytes.is_some()
--- a/crates/lavenderflow/src/check/contradiction.rs
+++ b/crates/lavenderflow/src/check/contradiction.rs
@@ -5,7 +5,7 @@
 
 use super::Finding;
 use super::load::Loaded;
-use crate::http::server::MAX_BUFFER_BYTES;
+use crate::http::admission::MAX_BUFFER_BYTES;
 
 pub(super) fn find(loaded: &Loaded, settings: Option<&NodeFile>) -> Vec<Finding> {
     let mut findings = routes(loaded, settings);
--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -9,6 +9,7 @@
 pub mod listen;
 pub mod metrics;
 pub mod native;
+pub mod port;
 pub mod ready;
 pub mod request_head;
 pub mod response;
--- a/crates/lavenderflow/src/http/admin.rs
+++ b/crates/lavenderflow/src/http/admin.rs
@@ -9,9 +9,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
+use super::admission::Admission;
 use super::announcements::{self, AnnouncementError};
 use super::native::NativeDialect;
-use super::server::{self, ServerHandle};
+use super::port;
+use super::server::ServerHandle;
 use crate::message::FleetMessage;
 use crate::prelude::*;
 use crate::status::Status;
@@ -40,8 +42,9 @@
 }
 
 /// Serves operators and upstreams on a bound address.
-pub fn start(listener: TcpListener, mailbox: Mailbox) -> ServerHandle {
-    server::start(listener, move |request| serve(mailbox.clone(), request))
+pub fn start(listener: TcpListener, admission: Admission) -> ServerHandle {
+    let mailbox = admission.mailbox.clone();
+    port::start(listener, admission, move |request| serve(mailbox.clone(), request))
 }
 
 async fn serve(mailbox: Mailbox, request: Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/lavenderflow/src/http/admission.rs
+++ b/crates/lavenderflow/src/http/admission.rs
@@ -14,7 +14,7 @@
 use crate::prelude::*;
 
 /// Size limit of the buffer per connection and direction where memory is not limited, in bytes.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// The same where memory is limited, for heads of the default size and the start of their bodies.
 const LIMITED_BUFFER_BYTES: usize = 32 * 1024;
 /// Space in the buffer beyond a configured limit of the header section, so that larger ones are
@@ -22,6 +22,9 @@
 const HEADER_MARGIN_BYTES: usize = 16 * 1024;
 /// Interval at which a reader that waits for memory tries again.
 const CLAIM_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for a head at the ports that are not for callers, and longest pause in a body or in the
+/// reading of a response.
+const PORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Factor between the times that callers are given by the configuration and those after which their
 /// connections are closed, so that no caller within the former meets the latter.
 const TIMEOUT_FACTOR: u32 = 2;
@@ -39,9 +42,26 @@
     pub clock: SharedClock,
     /// Sends messages to the actors.
     pub mailbox: Mailbox,
+    /// Whether a new connection replaces, at the limit, the one that waited longest for its caller.
+    pub replaces: bool,
 }
 
 impl Admission {
+    /// Creates the admission for a port that is not for callers.
+    pub fn of_port(limits: &HoldLimits, clock: SharedClock, mailbox: Mailbox) -> Self {
+        let timeout = Some(PORT_TIMEOUT / TIMEOUT_FACTOR);
+        let limits = limits.of_port();
+        let request_limits = RequestLimits {
+            header_timeout: timeout,
+            idle_timeout: timeout,
+            ..RequestLimits::default()
+        };
+        let (_, request_limits) = watch::channel(request_limits);
+        // Operators and upstreams are served whatever callers hold.
+        let budget = Budget::new(None);
+        Self { limits, budget, request_limits, clock, mailbox, replaces: true }
+    }
+
     /// Returns the size limit of a connection's buffers.
     pub fn buffer_bytes(&self) -> usize {
         if !self.limits.has_bytes() {
@@ -68,9 +88,16 @@
     recorder: ProgressRecorder,
     closing: watch::Receiver<Option<CloseReason>>,
     is_limited: bool,
+    is_replaceable: bool,
 }
 
 impl CallerConnection {
+    /// Returns whether the connection, when it is closed, is dropped as soon as it waits for its
+    /// caller.
+    pub fn is_replaceable(&self) -> bool {
+        self.is_replaceable
+    }
+
     /// Returns the recorder of the connection's progress.
     pub fn recorder(&self) -> &ProgressRecorder {
         &self.recorder
@@ -169,6 +196,10 @@
 
     /// Returns whether a connection may be accepted.
     pub fn has_room(&self) -> bool {
+        if self.admission.replaces {
+            let max = self.admission.limits.connections.unwrap_or(usize::MAX);
+            return self.table.len() < max.saturating_mul(2);
+        }
         self.table.has_room()
     }
 
@@ -180,6 +211,10 @@
     /// Opens a connection; `None` if its source address may not have another one.
     pub fn open(&mut self, source: IpAddr) -> Option<(CallerConnection, OpenGuard)> {
         let clock = Arc::clone(&self.admission.clock);
+        if self.admission.replaces {
+            let replaced = self.table.replace(clock.now());
+            replaced.into_iter().for_each(|closing| self.close(closing));
+        }
         let progress = Arc::new(Progress::new(clock.now()));
         let (connection, budget) = match self.table.open(source, Arc::clone(&progress)) {
             Ok(opened) => opened,
@@ -194,7 +229,9 @@
         let recorder = ProgressRecorder { progress, clock };
         let is_limited = self.admission.limits.has_bytes();
         let guard = OpenGuard { connection, ended: self.ended.0.clone() };
-        Some((CallerConnection { budget, recorder, closing, is_limited }, guard))
+        let is_replaceable = self.admission.replaces;
+        let connection = CallerConnection { budget, recorder, closing, is_limited, is_replaceable };
+        Some((connection, guard))
     }
 
     /// Waits until a connection ends, and removes it.
@@ -210,17 +247,19 @@
     pub fn sweep(&mut self) {
         let now = self.admission.clock.now();
         let closing = self.table.sweep(now, self.admission.timeouts());
-        for Closing { connection, reason, idle } in closing {
-            log::info!(
-                "event=connection-closed reason={} idle_ms={} held_kb={}",
-                reason.name(),
-                idle.as_millis(),
-                self.admission.budget.held() / 1024
-            );
-            self.count(reason);
-            if let Some(closer) = self.closers.get(&connection) {
-                closer.send_replace(Some(reason));
-            }
+        closing.into_iter().for_each(|closing| self.close(closing));
+    }
+
+    fn close(&self, Closing { connection, reason, idle }: Closing) {
+        log::info!(
+            "event=connection-closed reason={} idle_ms={} held_kb={}",
+            reason.name(),
+            idle.as_millis(),
+            self.admission.budget.held() / 1024
+        );
+        self.count(reason);
+        if let Some(closer) = self.closers.get(&connection) {
+            closer.send_replace(Some(reason));
         }
     }
 
--- a/crates/lavenderflow/src/http/announcements.rs
+++ b/crates/lavenderflow/src/http/announcements.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use lavenderflow_core::progress::Phase;
 use lavenderflow_core::upstream::{AnnouncedPhase, AnnouncementRefusal};
 use lavenderflow_schema::convert::ConvertError;
 use lavenderflow_schema::dialect::Dialect;
@@ -14,7 +15,9 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::server::{self, ServerHandle};
+use super::admission::{Admission, CallerConnection};
+use super::port;
+use super::server::ServerHandle;
 use crate::message::GateMessage;
 use crate::prelude::*;
 
@@ -79,8 +82,12 @@
 }
 
 /// Serves upstreams' announcements on a bound address.
-pub fn start(listener: TcpListener, context: AnnouncementContext) -> ServerHandle {
-    server::start(listener, move |request| serve(context.clone(), request))
+pub fn start(
+    listener: TcpListener,
+    admission: Admission,
+    context: AnnouncementContext,
+) -> ServerHandle {
+    port::start(listener, admission, move |request| serve(context.clone(), request))
 }
 
 async fn serve(context: AnnouncementContext, request: Request<Incoming>) -> Response<Full<Bytes>> {
@@ -106,6 +113,9 @@
     request: Request<Incoming>,
 ) -> Result<(), AnnouncementError> {
     let path = request.uri().path().to_owned();
+    let connection = request.extensions().get::<CallerConnection>().cloned();
+    let set_phase = |phase: Phase| connection.iter().for_each(|c| c.set_phase(phase));
+    set_phase(Phase::Receiving);
     let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
     let text = match timeout(BODY_TIMEOUT, body).await {
         Ok(Ok(text)) => Ok(text),
@@ -113,6 +123,7 @@
         Ok(Err(_)) => Err(AnnouncementError::TruncatedBody),
         Err(_) => Err(AnnouncementError::LateBody),
     };
+    set_phase(Phase::Processing);
     let accepted = match text {
         Ok(text) => announce(context, &path, &text.to_bytes()).await,
         Err(fault) => Err(fault),
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -114,8 +114,9 @@
         request_limits: context.limits.clone(),
         clock: Arc::clone(&context.net.clock),
         mailbox: context.net.mailbox.clone(),
+        replaces: false,
     };
-    server::start_limited(listener, Some(admission), move |request| serve(context.clone(), request))
+    server::start(listener, admission, move |request| serve(context.clone(), request))
 }
 
 async fn serve(
--- a/crates/lavenderflow/src/http/listen.rs
+++ b/crates/lavenderflow/src/http/listen.rs
@@ -7,6 +7,7 @@
 use lavenderflow_schema::dialect::Dialect;
 use tokio::sync::{oneshot, watch};
 
+use super::admission::Admission;
 use super::server::{self, ServerHandle};
 use super::{admin, announcements, callers, metrics, ready};
 use crate::error::NodeError;
@@ -106,18 +107,26 @@
     // address is bound here only to report early if it cannot be bound.
     server::bind(callers).await.map(drop)?;
     let net = &setup.context.net;
-    let mut others = vec![admin::start(server::bind(admin).await?, net.mailbox.clone())];
+    let admission = || {
+        let (clock, mailbox) = (Arc::clone(&net.clock), net.mailbox.clone());
+        Admission::of_port(&setup.context.hold_limits, clock, mailbox)
+    };
+    let mut others = vec![admin::start(server::bind(admin).await?, admission())];
     if let Some(address) = ready {
-        others.push(ready::start(server::bind(address).await?, setup.is_ready.clone()));
+        others.push(ready::start(
+            server::bind(address).await?,
+            admission(),
+            setup.is_ready.clone(),
+        ));
     }
     if let Some(address) = announcements {
         let dialect: Arc<dyn Dialect> = Arc::clone(&net.dialect);
         let context =
             announcements::AnnouncementContext { mailbox: net.mailbox.clone(), dialect, upstream };
-        others.push(announcements::start(server::bind(address).await?, context));
+        others.push(announcements::start(server::bind(address).await?, admission(), context));
     }
     if let Some(address) = metrics {
-        others.push(metrics::start(server::bind(address).await?, net.mailbox.clone()));
+        others.push(metrics::start(server::bind(address).await?, admission()));
     }
     Ok(others)
 }
--- a/crates/lavenderflow/src/http/metrics.rs
+++ b/crates/lavenderflow/src/http/metrics.rs
@@ -7,12 +7,15 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
-use super::server::{self, ServerHandle};
+use super::admission::Admission;
+use super::port;
+use super::server::ServerHandle;
 use crate::prelude::*;
 
 /// Serves the metrics page at every path of a bound address.
-pub fn start(listener: TcpListener, mailbox: Mailbox) -> ServerHandle {
-    server::start(listener, move |request| serve(request, mailbox.clone()))
+pub fn start(listener: TcpListener, admission: Admission) -> ServerHandle {
+    let mailbox = admission.mailbox.clone();
+    port::start(listener, admission, move |request| serve(request, mailbox.clone()))
 }
 
 async fn serve(_: Request<Incoming>, mailbox: Mailbox) -> Response<Full<Bytes>> {
--- a/crates/lavenderflow/src/http/ready.rs
+++ b/crates/lavenderflow/src/http/ready.rs
@@ -7,12 +7,18 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use super::server::{self, ServerHandle};
+use super::admission::Admission;
+use super::port;
+use super::server::ServerHandle;
 
 /// Serves the readiness check at every path of a bound address: 200 if the node accepts new
 /// requests, 503 otherwise.
-pub fn start(listener: TcpListener, is_ready: watch::Receiver<bool>) -> ServerHandle {
-    server::start(listener, move |request| serve(request, is_ready.clone()))
+pub fn start(
+    listener: TcpListener,
+    admission: Admission,
+    is_ready: watch::Receiver<bool>,
+) -> ServerHandle {
+    port::start(listener, admission, move |request| serve(request, is_ready.clone()))
 }
 
 async fn serve(_: Request<Incoming>, is_ready: watch::Receiver<bool>) -> Response<Full<Bytes>> {
--- a/crates/lavenderflow/src/http/server.rs
+++ b/crates/lavenderflow/src/http/server.rs
@@ -20,10 +20,10 @@
 
 /// Timeout for reading the headers of a request, which includes the idle time before it.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
-/// Size limit of the buffer per connection and direction, in bytes.
-pub const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Interval at which connections are checked against the limits.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// The same at the ports that are not for callers.
+const PORT_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed accept before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -54,23 +54,9 @@
     bound.map_err(|fault| NodeError::Listen { address, fault: fault.to_string() })
 }
 
-/// Accepts connections and serves their requests until the server is stopped.
-pub fn start<H, F, B>(listener: TcpListener, handle: H) -> ServerHandle
-where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
-{
-    start_limited(listener, None, handle)
-}
-
-/// Accepts connections within limits, if there are any, and serves their requests until the server
-/// is stopped. Requests carry their [`CallerConnection`] as an extension.
-pub fn start_limited<H, F, B>(
-    listener: TcpListener,
-    admission: Option<Admission>,
-    handle: H,
-) -> ServerHandle
+/// Accepts connections within limits and serves their requests until the server is stopped. Requests
+/// carry their [`CallerConnection`] as an extension.
+pub fn start<H, F, B>(listener: TcpListener, admission: Admission, handle: H) -> ServerHandle
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -84,7 +70,7 @@
 
 async fn accept<H, F, B>(
     listener: TcpListener,
-    admission: Option<Admission>,
+    admission: Admission,
     handle: H,
     mut stopped: watch::Receiver<bool>,
     alive: mpsc::Sender<Infallible>,
@@ -93,33 +79,26 @@
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
 {
-    let mut connections = admission.clone().map(Connections::new);
-    let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
+    let mut connections = Connections::new(admission.clone());
+    let sweep_interval = if admission.replaces { PORT_SWEEP_INTERVAL } else { SWEEP_INTERVAL };
+    let mut sweep = tokio::time::interval(sweep_interval);
     sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let has_room = connections.as_ref().is_none_or(Connections::has_room);
-        let is_empty = connections.as_ref().is_none_or(Connections::is_empty);
+        let (has_room, is_empty) = (connections.has_room(), connections.is_empty());
         let accepted = tokio::select! {
             accepted = listener.accept(), if has_room => accepted,
-            () = remove_ended(&mut connections), if !is_empty => continue,
+            () = connections.remove_ended(), if !is_empty => continue,
             // Without room, memory that others held may have become free.
             _ = sweep.tick(), if !is_empty || !has_room => {
-                connections.iter_mut().for_each(Connections::sweep);
+                connections.sweep();
                 continue;
             }
             _ = stopped.changed() => return,
         };
         match accepted {
             Ok((stream, source)) => {
-                let caller = match &mut connections {
-                    Some(connections) => match connections.open(source.ip()) {
-                        Some((caller, guard)) => Some((caller, guard)),
-                        None => continue,
-                    },
-                    None => None,
-                };
-                let buffer_bytes =
-                    admission.as_ref().map_or(MAX_BUFFER_BYTES, Admission::buffer_bytes);
+                let Some(caller) = connections.open(source.ip()) else { continue };
+                let buffer_bytes = admission.buffer_bytes();
                 let server = (handle.clone(), stopped.clone(), alive.clone());
                 tokio::spawn(serve(stream, buffer_bytes, caller, server));
             }
@@ -131,17 +110,10 @@
     }
 }
 
-async fn remove_ended(connections: &mut Option<Connections>) {
-    match connections {
-        Some(connections) => connections.remove_ended().await,
-        None => std::future::pending().await,
-    }
-}
-
 async fn serve<H, F, B>(
     stream: TcpStream,
     buffer_bytes: usize,
-    caller: Option<(CallerConnection, OpenGuard)>,
+    (caller, _guard): (CallerConnection, OpenGuard),
     (handle, mut stopped, alive): (H, watch::Receiver<bool>, mpsc::Sender<Infallible>),
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
@@ -149,17 +121,13 @@
     B: Body<Data = bytes::Bytes, Error: std::error::Error + Send + Sync> + Send + 'static,
 {
     let _alive = alive;
-    let (caller, _guard) = caller.unzip();
     let _ = stream.set_nodelay(true);
-    let recorder = caller.as_ref().map(CallerConnection::recorder);
-    let (stream, heads) = request_head::record(stream, recorder.cloned());
+    let (stream, heads) = request_head::record(stream, Some(caller.recorder().clone()));
     let service = service_fn(|mut request: Request<Incoming>| {
         if heads.is_ambiguous() {
             request.extensions_mut().insert(AmbiguousLength);
         }
-        if let Some(caller) = &caller {
-            request.extensions_mut().insert(caller.clone());
-        }
+        request.extensions_mut().insert(caller.clone());
         // Boxed, so that a connection without a request does not hold the space for one.
         let response = Box::pin(handle(request));
         async { Ok::<_, Infallible>(response.await) }
@@ -170,13 +138,14 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let mut closed = caller.clone();
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         _ = stopped.changed() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-        (caller, reason) = must_close(caller.clone()) => {
+        reason = closed.closing() => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 ended = connection => ended,
@@ -190,24 +159,17 @@
     }
 }
 
-/// Completes when a limit requires that the connection is closed.
-async fn must_close(caller: Option<CallerConnection>) -> (CallerConnection, CloseReason) {
-    match caller {
-        Some(mut caller) => {
-            let reason = caller.closing().await;
-            (caller, reason)
-        }
-        None => std::future::pending().await,
-    }
-}
-
 /// Completes when a connection that is being closed must be dropped.
 async fn drop_time(caller: &CallerConnection, reason: CloseReason) {
-    let mut review = interval_at(Instant::now() + CLOSE_TIMEOUT, SWEEP_INTERVAL);
-    review.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let ProgressRecorder { progress, clock } = caller.recorder();
+    let delay = if caller.is_replaceable() { Duration::ZERO } else { CLOSE_TIMEOUT };
+    let mut review = interval_at(Instant::now() + delay, SWEEP_INTERVAL);
+    review.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         review.tick().await;
+        if caller.is_replaceable() && progress.idle_time(clock.now()).is_some() {
+            return;
+        }
         if connections::must_drop(reason, progress, clock.now()) {
             return;
         }
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -301,8 +301,7 @@
 
 /// Returns a page of a node's interface for operators.
 pub fn admin_get(vm: &Vm, path: &str) -> Option<String> {
-    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
-    let call = ureq::get(format!("http://{admin}{path}"));
+    let call = ureq::get(format!("http://{}{path}", admin_address(vm)));
     let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
     call.call().ok()?.body_mut().read_to_string().ok()
 }
@@ -317,8 +316,7 @@
 
 /// Returns the status of a node; null if it does not respond.
 pub fn status(vm: &Vm) -> Value {
-    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
-    let call = ureq::get(format!("http://{admin}/v1/status"));
+    let call = ureq::get(format!("http://{}/v1/status", admin_address(vm)));
     let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
     call.call()
         .ok()
@@ -326,6 +324,11 @@
         .unwrap_or_default()
 }
 
+/// Returns the address for operators.
+pub fn admin_address(vm: &Vm) -> SocketAddr {
+    SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)))
+}
+
 fn admin_port(file: &std::path::Path) -> u16 {
     let text = std::fs::read(file).expect("a settings file");
     let value: Value = serde_json::from_slice(&text).expect("settings");
--- a/crates/lavenderflow/tests/endless_ports.rs
+++ b/crates/lavenderflow/tests/endless_ports.rs
@@ -7,8 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, is_ready, status};
+use common::deployment::{Caller, Deployment, admin_address, is_ready, status};
 use lavenderflow_standins::platform_upstream::response_body;
+use serde_json::json;
 
 /// Most memory that a node may use in addition.
 const MAX_GROWTH_BYTES: u64 = 24 * 1024 * 1024;
@@ -22,6 +23,11 @@
 /// Time for which an upstream waits for the response to an announcement, with as much again.
 const MAX_CALL_TIME: Duration = Duration::from_secs(2);
 
+/// Time within which a head must have ended, with as much again.
+const MAX_HEAD_TIME: Duration = Duration::from_secs(10);
+/// Descriptors that the node may use.
+const MAX_DESCRIPTORS: usize = 256;
+
 const HEAD: &str = "POST /lavenderflow/Instances.Heartbeat/i-x HTTP/1.1\r\nHost: node\r\n";
 
 /// What each connection sends: its start, and what is repeated.
@@ -82,6 +88,64 @@
     }
 }
 
+/// Guards against connections at the other ports that are kept without a limit, and against limits
+/// that turn the platform's questions away.
+#[test]
+fn connections_at_the_other_ports_are_bounded_and_turn_nobody_away() {
+    let limits = json!({"memory_mb": 40, "max_fds": MAX_DESCRIPTORS});
+    let deployment = Deployment::start_limited(1, limits);
+    let vm = &deployment.vms[0];
+    let mut crowds = Vec::new();
+    for address in [vm.control, vm.ready, admin_address(vm)] {
+        for index in 0..MAX_DESCRIPTORS {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            // Heads without an end, and connections on which nothing is sent.
+            let start = if index.is_multiple_of(2) { HEAD } else { "" };
+            let _ = stream.write_all(start.as_bytes());
+            crowds.push(stream);
+            if index % 16 == 0 {
+                let started = Instant::now();
+                assert!(is_ready(vm.ready), "readiness beside {} connections", crowds.len());
+                assert!(!status(vm).is_null(), "status beside {} connections", crowds.len());
+                assert!(started.elapsed() < MAX_CALL_TIME, "{:?}", started.elapsed());
+            }
+        }
+    }
+    // Heartbeats go on.
+    thread::sleep(Duration::from_secs(1));
+    let id = "beside-idle";
+    let response = deployment.call(0, "GET", "/read/a", id).expect("a response");
+    assert_eq!(response.text(), response_body(id));
+    let open = vm.process.open_descriptors().expect("a node");
+    assert!(open < MAX_DESCRIPTORS, "{open} descriptors");
+}
+
+#[test]
+fn a_head_that_never_ends_does_not_hold_its_connection_at_the_other_ports() {
+    let deployment = Deployment::start(1);
+    let vm = &deployment.vms[0];
+    let started = Instant::now();
+    let mut streams: Vec<TcpStream> = [vm.control, vm.ready, admin_address(vm)]
+        .into_iter()
+        .map(|address| TcpStream::connect(address).expect("a node"))
+        .collect();
+    for stream in &mut streams {
+        stream.set_read_timeout(Some(BYTE_PAUSE)).expect("a socket");
+        stream.write_all(HEAD.as_bytes()).expect("a connection");
+    }
+    while !streams.is_empty() {
+        streams.retain_mut(|stream| {
+            let _ = stream.write(b"a");
+            match stream.read(&mut [0; 1024]) {
+                Ok(count) => count > 0,
+                Err(fault) => fault.kind() == ErrorKind::WouldBlock,
+            }
+        });
+        let elapsed = started.elapsed();
+        assert!(elapsed < MAX_HEAD_TIME, "{} connections after {elapsed:?}", streams.len());
+    }
+}
+
 #[test]
 fn an_announcement_that_never_ends_does_not_hold_its_connection() {
     let deployment = Deployment::start(1);
