Close connections whose caller reads nothing, by default

What callers saw: nothing, but each caller that reads nothing kept its connection and up to 512 KB, without the setting idle_timeout_s until it closed; with memory or descriptors limited others were closed first.

A response that was written completely but not read counts as an idle connection, which has no bound at all.

Change: without idle_timeout_s a caller has 60 s to read some byte, and the bound, configured or not, holds for the rest of a response on an idle connection too.

Measured: the tests of core/tests/memory.rs pass.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -20,6 +20,9 @@
 /// that are being transferred end.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(250);
 
+/// Longest time in which a caller reads nothing of a response, where no bound is configured.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Time that a connection which must be closed gets to read the rest of a request, and to send its
 /// last response.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -248,11 +251,15 @@
                     let time = progress.phase_time(now);
                     timeouts(time).head.is_some_and(|timeout| time > timeout)
                 }
-                Phase::Idle | Phase::Processing => false,
-                Phase::Receiving | Phase::Responding => {
+                Phase::Processing => false,
+                Phase::Receiving => {
                     let idle = progress.idle_time(now);
                     idle.is_some_and(|idle| timeouts(idle).body.is_some_and(|t| idle > t))
                 }
+                Phase::Idle | Phase::Responding => {
+                    let idle = progress.idle_time(now).filter(|_| progress.is_write_blocked());
+                    idle.is_some_and(|idle| idle > timeouts(idle).body.unwrap_or(UNREAD_TIMEOUT))
+                }
             };
             if is_late && !connection.is_closing {
                 connection.is_closing = true;
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Returns whether bytes wait for the caller to read.
+    pub fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.load(Ordering::Acquire)
+    }
+
     fn record(&self, now: Instant) {
         self.progress_ms.store(self.millis(now), Ordering::Release);
     }
@@ -123,7 +128,7 @@
         let waits = match self.phase() {
             Phase::Idle | Phase::Head | Phase::Receiving => true,
             Phase::Processing => false,
-            Phase::Responding => self.is_write_blocked.load(Ordering::Acquire),
+            Phase::Responding => self.is_write_blocked(),
         };
         waits.then(|| self.since(&self.progress_ms, now))
     }
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -192,6 +192,31 @@
     assert_eq!(ids(&closing, CloseReason::Timeout), [opened[4].0]);
 }
 
+/// Guards against callers that read nothing and keep what is written to them, where no bound is
+/// configured.
+#[test]
+fn responses_that_are_not_read_meet_a_bound_by_default() {
+    let start = Instant::now();
+    let (mut table, _) = table(HoldLimits::default());
+    // The last response of an idle connection can be unread too.
+    let opened = [Phase::Responding, Phase::Idle].map(|phase| {
+        let (id, _, progress) = open(&mut table, address(1), start);
+        progress.set_phase(phase, start);
+        progress.send(true, start);
+        (id, progress)
+    });
+    let reader = open(&mut table, address(1), start).2;
+    reader.set_phase(Phase::Responding, start);
+    let idle = open(&mut table, address(1), start).2;
+    idle.set_phase(Phase::Idle, start);
+    let later = start + SECOND * 59;
+    assert_eq!(table.sweep(later, ProgressTimeouts::default()), []);
+    reader.send(false, later);
+    reader.send(true, later);
+    let closing = table.sweep(start + SECOND * 61, ProgressTimeouts::default());
+    assert_eq!(ids(&closing, CloseReason::Timeout), opened.map(|(id, _)| id));
+}
+
 /// Guards against requests that are cut because their connection was chosen for closing before they
 /// were read, and against connections that never close.
 #[test]
