Name the change beside a request without an answer

The log of a request that ends without a complete answer did not say whether a configuration had taken effect meanwhile, nor what it changed, so a loss beside a change could not be told from one at another time.

`unanswered` names the latest revision, its age and how many took effect while the request was served; `configuration` names what changed: routes added, removed, moved or given other time-outs, the limits, the organisations.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod change;
 pub mod clock;
 pub mod connections;
+pub mod deployment_change;
 pub mod drain_rate;
 pub mod entry;
 pub mod fair_share;
--- a/crates/core/tests/change.rs
+++ b/crates/core/tests/change.rs
@@ -1,6 +1,11 @@
-//! Configuration changes: lost responses of the store and conflicting changes.
+//! Configuration changes: lost responses of the store, conflicting changes, and what they change.
 
+use std::time::Duration;
+
+use lavenderflow_core::catalog::{Deployment, RequestLimits};
 use lavenderflow_core::change::{Change, MAX_CHANGE_IDS, Resolution, StoredState};
+use lavenderflow_core::deployment_change::DeploymentChange;
+use lavenderflow_core::route::{Route, ServiceWeight};
 
 fn stored_state(revision: u64, changes: &[&str], author: &str) -> StoredState {
     let changes = changes.iter().map(ToString::to_string).collect();
@@ -49,3 +54,37 @@
     assert_eq!(history.len(), MAX_CHANGE_IDS);
     assert_eq!(history[0], "new");
 }
+
+#[test]
+fn a_change_of_a_deployment_is_told_by_its_parts() {
+    let route = |prefix: &str, service: &str| Route {
+        prefix: prefix.to_owned(),
+        service: service.into(),
+        ..Route::default()
+    };
+    let weights = |weight| vec![ServiceWeight { service: "a".into(), weight }];
+    let earlier = Deployment {
+        routes: vec![
+            route("/kept", "a"),
+            route("/moved", "a"),
+            Route { service_weights: weights(1), ..route("/split", "") },
+            route("/shorter", "a"),
+            route("/gone", "a"),
+        ],
+        ..Deployment::default()
+    };
+    let later = Deployment {
+        routes: vec![
+            route("/kept", "a"),
+            route("/moved", "b"),
+            Route { service_weights: weights(2), ..route("/split", "") },
+            Route { timeout: Some(Duration::from_secs(1)), ..route("/shorter", "a") },
+            route("/new", "a"),
+        ],
+        limits: RequestLimits { body_bytes: Some(1), ..RequestLimits::default() },
+        ..Deployment::default()
+    };
+    let change = DeploymentChange::between(&earlier, &later);
+    assert_eq!(change.to_string(), "added:1,removed:1,moved:2,timeouts:1,limits");
+    assert_eq!(DeploymentChange::between(&later, &later).to_string(), "none");
+}
--- a/crates/lavenderflow/src/actor/fleet.rs
+++ b/crates/lavenderflow/src/actor/fleet.rs
@@ -10,6 +10,7 @@
 
 use lavenderflow_core::budget::RetryAllowance;
 use lavenderflow_core::catalog::{Catalog, RequestLimits};
+use lavenderflow_core::deployment_change::AppliedRevision;
 use lavenderflow_core::freshness::Freshness;
 use lavenderflow_core::gate::ServiceOffer;
 use lavenderflow_core::gossip::{Exchange, Gossip, PeerCursor};
@@ -60,6 +61,8 @@
     pub next_nodes: watch::Sender<String>,
     /// Publishes the limits on callers' requests.
     pub limits: watch::Sender<RequestLimits>,
+    /// Publishes the latest configuration.
+    pub applied: watch::Sender<AppliedRevision>,
     /// Whether the node becomes ready with its first deployment, which has all routes.
     pub awaits_deployment: bool,
     /// Retries per service that the fleet may make beyond the share in the profile; with 0 each
@@ -86,6 +89,7 @@
     detached_prefixes: IndexSet<&'static str>,
     next_nodes: watch::Sender<String>,
     limits: watch::Sender<RequestLimits>,
+    applied: watch::Sender<AppliedRevision>,
     awaits_deployment: bool,
     burst: u64,
     rejected_count: usize,
@@ -130,6 +134,7 @@
             detached_prefixes: IndexSet::new(),
             next_nodes: setup.next_nodes,
             limits: setup.limits,
+            applied: setup.applied,
             awaits_deployment: setup.awaits_deployment,
             burst: setup.burst,
             rejected_count: 0,
--- a/crates/lavenderflow/src/actor/fleet/configure.rs
+++ b/crates/lavenderflow/src/actor/fleet/configure.rs
@@ -1,6 +1,7 @@
 //! Applies configuration documents to the entry and the gate.
 
 use lavenderflow_core::catalog::{ApplyResult, ConfigItem, Deployment, Document};
+use lavenderflow_core::deployment_change::DeploymentChange;
 use lavenderflow_core::organisation::Directory;
 use lavenderflow_core::route::Router;
 use lavenderflow_schema::convert::configuration;
@@ -62,7 +63,13 @@
         match self.catalog.apply(document, checked, source) {
             ApplyResult::Applied(item, replaced) => {
                 let origin = origin(source);
-                log::info!("event=configuration key={key} revision={revision} origin={origin}");
+                let changed = changed_parts(&item, replaced.as_deref());
+                log::info!(
+                    "event=configuration key={key} revision={revision} origin={origin} \
+                     changed={changed}"
+                );
+                let now = self.roster.now();
+                self.applied.send_modify(|applied| applied.record(revision, now));
                 if let ConfigItem::Deployment(deployment) = &*item {
                     log_unreadable(&key, revision, deployment);
                 }
@@ -182,6 +189,17 @@
     }
 }
 
+/// Names what an item changes.
+fn changed_parts(item: &ConfigItem, replaced: Option<&ConfigItem>) -> String {
+    let ConfigItem::Deployment(deployment) = item else { return "item".to_owned() };
+    match replaced {
+        Some(ConfigItem::Deployment(previous)) => {
+            DeploymentChange::between(previous, deployment).to_string()
+        }
+        _ => "all".to_owned(),
+    }
+}
+
 /// Names where a document came from: a peer, or the store.
 fn origin(source: Option<NodeId>) -> String {
     source.map_or_else(|| "store".to_owned(), |node| format!("{node:x}"))
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -8,6 +8,7 @@
 use hyper::{Response, Version};
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::connections::CloseReason;
+use lavenderflow_core::deployment_change::AppliedRevision;
 use lavenderflow_core::memory::{HoldLimits, OverLimit, Share};
 use lavenderflow_core::progress::Phase;
 use lavenderflow_core::request::Arrival;
@@ -54,6 +55,8 @@
     pub dialect: watch::Receiver<Arc<dyn Dialect>>,
     /// Limits on the size of requests.
     pub limits: watch::Receiver<RequestLimits>,
+    /// The latest configuration.
+    pub applied: watch::Receiver<AppliedRevision>,
     /// Limit of concurrent requests.
     pub max_requests: usize,
     /// Limits on what connections may hold.
@@ -133,7 +136,8 @@
     let metadata = dialect.parse_request(&headers);
     let id = metadata.as_ref().ok().and_then(|metadata| metadata.id.clone());
     let id = id.unwrap_or_else(|| format!("{:016x}", random::<u64>()));
-    let pending = PendingAnswer::new(&context.net, connection.as_ref(), &id);
+    let applied = context.applied.clone();
+    let pending = PendingAnswer::new(&context.net, connection.as_ref(), applied, &id);
     let line = format!("{} {}", request.method(), request.uri().path());
     let reply = if context.net.work.unfinished() > context.max_requests {
         Reply::local(Outcome::NotRun, Reason::WorkersBusy, None)
--- a/crates/lavenderflow/src/http/unanswered.rs
+++ b/crates/lavenderflow/src/http/unanswered.rs
@@ -1,6 +1,7 @@
 //! Reports requests that end without a complete answer.
 
 use lavenderflow_core::connections::CloseReason;
+use lavenderflow_core::deployment_change::AppliedRevision;
 use tokio::sync::watch;
 
 use super::admission::CallerConnection;
@@ -48,6 +49,9 @@
     mailbox: Mailbox,
     stop: crate::shutdown::StopWatch,
     closing: Option<watch::Receiver<Option<CloseReason>>>,
+    applied: watch::Receiver<AppliedRevision>,
+    // Configurations that had taken effect when the request began.
+    earlier_changes: u64,
     // Bytes of the response that were passed to the connection; `None` before its head was.
     sent_bytes: Option<u64>,
     is_truncated: bool,
@@ -56,7 +60,13 @@
 
 impl PendingAnswer {
     /// Begins with a request that was read.
-    pub fn new(net: &NetworkContext, connection: Option<&CallerConnection>, id: &str) -> Self {
+    pub fn new(
+        net: &NetworkContext,
+        connection: Option<&CallerConnection>,
+        applied: watch::Receiver<AppliedRevision>,
+        id: &str,
+    ) -> Self {
+        let earlier_changes = applied.borrow().count;
         Self {
             id: id.to_owned(),
             started: net.clock.now(),
@@ -64,6 +74,8 @@
             mailbox: net.mailbox.clone(),
             stop: net.stop.clone(),
             closing: connection.map(CallerConnection::closing_watch),
+            applied,
+            earlier_changes,
             sent_bytes: None,
             is_truncated: false,
             is_complete: false,
@@ -106,13 +118,18 @@
             return;
         }
         let interruption = self.interruption();
+        let AppliedRevision { revision, count, time } = *self.applied.borrow();
+        let age = time.map(|time| self.clock.now().saturating_duration_since(time));
         log::info!(
-            "event=unanswered request={} reason={} sent_bytes={} stop={} ms={}",
+            "event=unanswered request={} reason={} sent_bytes={} stop={} ms={} revision={revision} \
+             changes={} change_age_ms={}",
             self.id,
             interruption.name(),
             self.sent_bytes.map_or("none".to_owned(), |bytes| bytes.to_string()),
             self.stop.stage_name(),
-            self.elapsed().as_millis()
+            self.elapsed().as_millis(),
+            count - self.earlier_changes,
+            age.map_or("none".to_owned(), |age| age.as_millis().to_string())
         );
         self.mailbox.try_send(Message::Count(Counter::Unanswered(interruption)));
     }
--- a/crates/lavenderflow/src/node.rs
+++ b/crates/lavenderflow/src/node.rs
@@ -7,6 +7,7 @@
 use lavenderflow_core::allowance::Allowances;
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::clock::SharedClock;
+use lavenderflow_core::deployment_change::AppliedRevision;
 use lavenderflow_core::entry::{Entry, Identity, TicketLimits};
 use lavenderflow_core::freshness::Freshness;
 use lavenderflow_core::gate::Gate;
@@ -74,6 +75,7 @@
     let (network, commands) = endpoint::channel();
     let (next_nodes, current_next_nodes) = watch::channel(String::new());
     let (limits, current_limits) = watch::channel(RequestLimits::default());
+    let (applied, latest_applied) = watch::channel(AppliedRevision::default());
     let (dialect, current_dialect) = watch::channel(Arc::clone(&environment.dialect));
     let (is_ready, ready_state) = watch::channel(false);
     let (stop_stage, stop_watch) = shutdown::channel();
@@ -108,6 +110,7 @@
             next_nodes: current_next_nodes,
             dialect: current_dialect,
             limits: current_limits,
+            applied: latest_applied,
             max_requests,
             hold_limits,
         },
@@ -159,6 +162,7 @@
         profile: environment.profile.clone(),
         next_nodes,
         limits,
+        applied,
         awaits_deployment: environment.awaits_deployment,
         burst: settings.burst,
         ready,
--- a/crates/lavenderflow/tests/interrupted.rs
+++ b/crates/lavenderflow/tests/interrupted.rs
@@ -92,3 +92,24 @@
         assert!(hanging.join().expect("a caller").is_some_and(|response| response.is_complete));
     }
 }
+
+/// Guards against a loss beside a change of the configuration whose log does not name the change.
+#[test]
+fn the_log_names_the_change_beside_a_request_without_an_answer() {
+    let mut deployment = Deployment::start(1);
+    let lines = deployment.restart_logged(0);
+    deployment.wait_ready();
+    deployment.upstreams[0].set_mode(Mode::Hangs).expect("an upstream");
+    let mut caller = Caller::connect(deployment.vms[0].outbound).expect("a connection");
+    caller.send(&request_head("POST", "/write/a", "left", 0, 5000)).expect("a request");
+    wait_for_line(&lines, "event=admitted request=left");
+    let text = configuration_json(20, "work", "work");
+    let changed = text.replace("\"timeout_s\":2.0", "\"timeout_s\":3.0");
+    assert_ne!(changed, text);
+    deployment.store.write("op/config", &changed);
+    let change = wait_for_line(&lines, "revision=20 ");
+    assert!(change.ends_with("changed=timeouts:2"), "{change}");
+    drop(caller);
+    let line = wait_for_line(&lines, "event=unanswered request=left reason=caller-gone");
+    assert!(line.contains(" revision=20 changes=1 change_age_ms="), "{line}");
+}
