Replace a silent attempt that its gate then calls stuck

What callers saw: a request that waits for a silent attempt went on to wait when the gate reported the run as stuck, although a retry had become affordable meanwhile.

Cause: the task that follows a silent attempt dropped the notice.

Change: it reports the notice once (AttemptReport::Earlier with Lost(Stuck)) and goes on; the entry replaces the attempt within the budget, or awaits it.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -139,8 +139,8 @@
         /// Why there is no copy.
         suppression: Suppression,
     },
-    /// Wait for the attempts that go on, and report the next end of one of them as
-    /// [`AttemptReport::Earlier`].
+    /// Wait for the attempts that go on, and report the next end of one of them, or that a silent
+    /// one is stuck, as [`AttemptReport::Earlier`].
     Await {
         /// The request.
         request: RequestId,
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -261,11 +261,11 @@
     assert_eq!(may_run_on_arrival(&actions), Some(false));
 }
 
-/// Guards against a refusal that takes back the count of an attempt that ran before it.
-#[test]
-fn a_later_refusal_does_not_uncount_an_awaited_run() {
+/// Returns an entry that awaits a silent attempt of request 1 for want of budget, which later
+/// requests have earned again.
+fn awaiting_entry() -> (Entry, AttemptId) {
     let mut entry = route_limited_entry(3);
-    entry.begin(arrival(1, "GET", None));
+    let silent = attempt(&entry.begin(arrival(1, "GET", None)));
     let mut other = 100;
     // Others use up the budget.
     let actions = loop {
@@ -277,13 +277,30 @@
         }
     };
     assert!(awaits(&actions, 1), "{actions:?}");
-    // Later requests have earned tokens again.
     for _ in 0..100 {
         other += 1;
         entry.begin(arrival(other, "GET", None));
         entry.report(other, AttemptReport::Admitted(Load::default()));
         entry.report(other, answered(200));
     }
+    (entry, silent)
+}
+
+/// Guards against a stuck attempt that is not replaced because it was silent before.
+#[test]
+fn a_silent_attempt_that_is_stuck_is_replaced() {
+    let (mut entry, silent) = awaiting_entry();
+    let stuck = || earlier(silent, AttemptReport::Lost(Reason::Stuck));
+    let actions = entry.report(1, stuck());
+    assert_eq!(dispatch(&actions).and_then(|(reason, _)| reason), Some(Reason::Stuck));
+    entry.report(1, AttemptReport::Admitted(Load::default()));
+    assert!(is_relayed(&entry.report(1, earlier(silent, answered(200)))));
+}
+
+/// Guards against a refusal that takes back the count of an attempt that ran before it.
+#[test]
+fn a_later_refusal_does_not_uncount_an_awaited_run() {
+    let (mut entry, _) = awaiting_entry();
     let mut runs = 1;
     let mut actions = entry.report(1, answered(500));
     assert!(dispatch(&actions).is_some(), "{actions:?}");
--- a/crates/lavenderflow/src/net/drive.rs
+++ b/crates/lavenderflow/src/net/drive.rs
@@ -207,7 +207,7 @@
                 guard.is_finished = true;
                 return conclude(conclusion, held);
             }
-            EntryAction::Await { .. } => match hedged.next_end().await {
+            EntryAction::Await { .. } => match hedged.next_result().await {
                 Some(result) => result,
                 None => {
                     log::error!("event=nothing-to-await request={}", request.id);
--- a/crates/lavenderflow/src/net/drive/hedge.rs
+++ b/crates/lavenderflow/src/net/drive/hedge.rs
@@ -36,7 +36,7 @@
     async fn end(&mut self) -> AttemptResult {
         match self {
             Self::Running(attempt) => attempt.as_mut().await,
-            Self::Earlier(attempts) => match attempts.next_end().await {
+            Self::Earlier(attempts) => match attempts.next_result().await {
                 Some(result) => result,
                 None => std::future::pending().await,
             },
--- a/crates/lavenderflow/src/net/drive/parallel.rs
+++ b/crates/lavenderflow/src/net/drive/parallel.rs
@@ -1,12 +1,11 @@
 //! Attempts that continue in parallel with the next one.
 
 use std::future::poll_fn;
-use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use lavenderflow_core::request::AttemptReport;
 use lavenderflow_schema::wire::frame::Body;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 use super::attempt::{AttemptLink, AttemptResult, DEADLINE_GRACE, HeldResponse, node_ends};
@@ -16,10 +15,13 @@
 use crate::net::link::LinkError;
 use crate::prelude::{AttemptId, Reason, RequestId};
 
+/// Results that an attempt has at most: that it is stuck, and its end.
+const RESULT_CAPACITY: usize = 2;
+
 /// An attempt that continues in parallel with another one. Dropping it abandons the attempt.
 pub(super) struct ParallelAttempt {
     attempt: AttemptId,
-    end: oneshot::Receiver<AttemptResult>,
+    results: mpsc::Receiver<AttemptResult>,
 }
 
 impl ParallelAttempt {
@@ -34,12 +36,12 @@
     }
 
     fn start(attempt: AttemptId, mut link: AttemptLink, silent: Option<String>) -> Self {
-        let (mut sender, end) = oneshot::channel();
+        let (sender, results) = mpsc::channel(RESULT_CAPACITY);
         tokio::spawn(async move {
             let context = link.context.clone();
             let limit = link.time_left() + DEADLINE_GRACE;
             let result = tokio::select! {
-                ended = timeout(limit, link.follow(silent)) => match ended {
+                ended = timeout(limit, link.follow(silent, &sender)) => match ended {
                     Ok(Ok(result)) => result,
                     Ok(Err(_)) => AttemptReport::Lost(Reason::Lost).into(),
                     Err(_) => AttemptReport::Lost(Reason::DeadlinePast).into(),
@@ -48,15 +50,20 @@
                 () = node_ends(&context) => AttemptReport::Lost(Reason::DeadlinePast).into(),
             };
             // The receiver is gone when another attempt has ended the request.
-            let _ = sender.send(result);
+            let _ = sender.send(result).await;
         });
-        Self { attempt, end }
+        Self { attempt, results }
     }
 }
 
 impl AttemptLink {
-    /// Receives frames until the attempt has ended.
-    async fn follow(&mut self, mut silent: Option<String>) -> Result<AttemptResult, LinkError> {
+    /// Receives frames until the attempt has ended. Reports a silent attempt that becomes stuck.
+    async fn follow(
+        &mut self,
+        mut silent: Option<String>,
+        results: &mpsc::Sender<AttemptResult>,
+    ) -> Result<AttemptResult, LinkError> {
+        let mut was_silent = silent.is_some();
         loop {
             let frame = self.next_frame().await?;
             if let Some(request) = silent.take() {
@@ -69,7 +76,11 @@
             match frame {
                 Some(Body::Verdict(verdict)) if verdict.queued => self.is_queued = true,
                 Some(Body::Verdict(verdict)) if verdict.admitted => self.is_queued = false,
-                Some(Body::Verdict(verdict)) if verdict.stuck => {}
+                Some(Body::Verdict(verdict)) if verdict.stuck => {
+                    if std::mem::take(&mut was_silent) {
+                        let _ = results.send(AttemptReport::Lost(Reason::Stuck).into()).await;
+                    }
+                }
                 frame => return self.end(frame),
             }
         }
@@ -98,24 +109,26 @@
         self.running.append(&mut other.running);
     }
 
-    /// Waits for the next end of an attempt. Returns `None` if there are none.
-    pub(super) async fn next_end(&mut self) -> Option<AttemptResult> {
+    /// Waits for the next report on an attempt: its end, or that it is stuck. Returns `None` if
+    /// there are no attempts.
+    pub(super) async fn next_result(&mut self) -> Option<AttemptResult> {
         if self.running.is_empty() {
             return None;
         }
-        Some(poll_fn(|context| self.poll_end(context)).await)
+        Some(poll_fn(|context| self.poll_result(context)).await)
     }
 
-    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<AttemptResult> {
+    fn poll_result(&mut self, context: &mut Context<'_>) -> Poll<AttemptResult> {
         for index in 0..self.running.len() {
-            let ParallelAttempt { attempt, end } = &mut self.running[index];
-            if let Poll::Ready(end) = Pin::new(end).poll(context) {
+            let ParallelAttempt { attempt, results } = &mut self.running[index];
+            if let Poll::Ready(result) = results.poll_recv(context) {
                 let attempt = *attempt;
-                self.running.swap_remove(index);
-                let lost = |_| AttemptReport::Lost(Reason::Lost).into();
-                let end: AttemptResult = end.unwrap_or_else(lost);
-                let report = AttemptReport::Earlier(attempt, Box::new(end.report));
-                return Poll::Ready(AttemptResult { report, ..end });
+                let result = result.unwrap_or_else(|| AttemptReport::Lost(Reason::Lost).into());
+                if result.report != AttemptReport::Lost(Reason::Stuck) {
+                    self.running.swap_remove(index);
+                }
+                let report = AttemptReport::Earlier(attempt, Box::new(result.report));
+                return Poll::Ready(AttemptResult { report, ..result });
             }
         }
         Poll::Pending
@@ -133,7 +146,7 @@
 
 impl Race<'_> {
     /// Waits for the end of the new attempt or for a usable response to an earlier one, whichever
-    /// comes first; other ends of earlier ones are reported here. With `replaced`, the earlier ones
+    /// comes first; other reports on earlier ones are reported here. With `replaced`, the earlier ones
     /// are cancelled once the new one has a slot.
     pub(super) async fn run(
         &mut self,
@@ -156,7 +169,7 @@
                 // A response that has arrived is not cancelled.
                 biased;
                 result = &mut next => return result,
-                Some(result) = self.earlier.next_end() => {
+                Some(result) = self.earlier.next_result() => {
                     if is_usable(&result.report) {
                         return result;
                     }
