Count a run of the stand-in as at work until its response is taken

The soak's check excuses a cut answer only while the upstream is at work in the last sixth of the grace time. The stand-in counted as done once its 8 MB were in the sockets, several MB of which the gate had not read.

Change: a client that closes its socket with unread bytes resets the connection; the stand-in records that as the client's close, at which its work ends. Nothing else is excused: what the nodes have taken and not passed on still counts as a fault.

--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -97,7 +97,8 @@
     pub body_digest: (u64, u64),
     /// When the request arrived last.
     pub arrived_at: Option<Instant>,
-    /// When the client closed the connection while the request was running.
+    /// When the client closed the connection while the request was running, or before it had taken
+    /// the whole of a response of a requested size from its socket.
     pub closed_at: Option<Instant>,
     /// When a response of a requested size had been written to the connection.
     pub written_at: Option<Instant>,
--- a/crates/standins/src/platform_upstream/serve.rs
+++ b/crates/standins/src/platform_upstream/serve.rs
@@ -28,7 +28,19 @@
     let mut reader = BufReader::new(stream);
     // The first refusal, by the mode that repeats it.
     let mut refusal: Option<Vec<(&str, String)>> = None;
-    while let Some(head) = RequestHead::read(&mut reader, peer)? {
+    // The response of a requested size that was written last.
+    let mut written: Option<String> = None;
+    loop {
+        let head = match (RequestHead::read(&mut reader, peer), written.take()) {
+            (Ok(Some(head)), _) => head,
+            (Ok(None), _) => return Ok(()),
+            // A socket that is closed with unread bytes resets the connection.
+            (Err(fault), Some(id)) => {
+                record_close(&id, state)?;
+                return Err(fault);
+            }
+            (Err(fault), None) => return Err(fault),
+        };
         let id = head.header("lavenderflow-request-id").unwrap_or_default().to_owned();
         if head.header("lavenderflow-expect-instance") != Some(&settings.id) {
             head.read_body(&mut reader, peer)?;
@@ -83,6 +95,7 @@
                 record_close(&id, state)?;
                 return Err(fault.into());
             }
+            written = Some(id.clone());
             let written_at = Some(Instant::now());
             state
                 .ask(move |state| state.requests.entry(id).or_default().written_at = written_at)?;
@@ -149,7 +162,6 @@
             _ => respond_signed(&mut writer, settings, &id, 200, state)?,
         }
     }
-    Ok(())
 }
 
 /// Holds the connection until the client closes it, and records when that happens.
