Let callers whose body is refused by its head see the answer

A caller whose body was beyond a limit that had just been lowered got a broken pipe instead of 413: the rest of the body was not read, so closing the connection reset it. The same held for a node with too many requests and for other faults in a head.

The rest is read for a while, as for requests that are refused later. It is not where the length of the body is ambiguous, or where the caller waits for a go-ahead. The checks of the head move to a module of their own.

--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod native;
 pub mod ready;
+mod request_check;
 pub mod request_head;
 pub mod response;
 pub mod server;
--- a/crates/lavenderflow/src/http/body.rs
+++ b/crates/lavenderflow/src/http/body.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::admission::CallerConnection;
-use super::callers::CallerError;
+use super::request_check::CallerError;
 use crate::net::body::BodyPart;
 use crate::prelude::*;
 
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hyper::Response;
 use hyper::body::{Body, Incoming};
-use hyper::{Response, Version};
+use hyper::header::EXPECT;
 use lavenderflow_core::catalog::RequestLimits;
-use lavenderflow_core::connections::CloseReason;
 use lavenderflow_core::deployment_change::AppliedRevision;
-use lavenderflow_core::memory::{HoldLimits, OverLimit, Share};
+use lavenderflow_core::memory::{HoldLimits, Share};
 use lavenderflow_core::progress::Phase;
 use lavenderflow_core::request::Arrival;
 use lavenderflow_schema::dialect::{Completion, Dialect, HeaderError, Headers, RequestMetadata};
@@ -18,6 +18,7 @@
 use tokio::sync::{oneshot, watch};
 
 use super::admission::{Admission, CallerConnection};
+use super::request_check::{CallerError, check_request};
 use super::request_head::AmbiguousLength;
 use super::response::{self, Delivery, ResponseBody};
 use super::server::{self, ServerHandle};
@@ -28,8 +29,6 @@
 use crate::net::drive::{self, Reply, Request};
 use crate::prelude::*;
 
-/// Default limit of the header section, in bytes.
-const DEFAULT_HEADER_BYTES: usize = 16 * 1024;
 /// Time within which the body of a request must arrive that a stopping node refuses anyway, so that
 /// it is refused by the rules for all requests.
 const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
@@ -63,52 +62,6 @@
     pub hold_limits: HoldLimits,
 }
 
-/// Why a request is rejected before it is routed.
-#[derive(Debug, thiserror::Error)]
-pub(super) enum CallerError {
-    #[error("the header section has {0} bytes")]
-    HeadersTooLarge(usize),
-    #[error("HTTP version {0:?} cannot signal a truncated response")]
-    Version(Version),
-    #[error("the request has no Host header, or more than one")]
-    Host,
-    #[error("the body has {0} bytes")]
-    BodyTooLarge(u64),
-    #[error(transparent)]
-    Fields(#[from] HeaderError),
-    #[error("the length of the body is ambiguous")]
-    Length,
-    #[error("body: {0}")]
-    Body(#[from] hyper::Error),
-    #[error("the node stops before the body has arrived")]
-    Stopping,
-    #[error("the connection is closed: {}", .0.name())]
-    Closing(CloseReason),
-    #[error(transparent)]
-    Memory(#[from] OverLimit),
-    #[error("the body consists of {0} chunks of {1} bytes")]
-    SmallChunks(u32, usize),
-}
-
-impl CallerError {
-    fn reason(&self) -> Reason {
-        match self {
-            Self::HeadersTooLarge(_) => Reason::HeadersTooLarge,
-            Self::BodyTooLarge(_) => Reason::BodyTooLarge,
-            Self::Fields(HeaderError::Ticket(_)) => Reason::TicketInvalid,
-            Self::Closing(CloseReason::Timeout) => Reason::RequestTimeout,
-            Self::Closing(_) | Self::Memory(_) => Reason::MemoryLimit,
-            Self::SmallChunks(..)
-            | Self::Version(_)
-            | Self::Fields(HeaderError::Deadline)
-            | Self::Host
-            | Self::Length
-            | Self::Body(_) => Reason::BadRequest,
-            Self::Stopping => Reason::Leaving,
-        }
-    }
-}
-
 /// Serves callers on a bound address.
 pub fn start(listener: TcpListener, context: CallerContext) -> ServerHandle {
     let admission = Admission {
@@ -140,6 +93,7 @@
     let pending = PendingAnswer::new(&context.net, connection.as_ref(), applied, &id);
     let line = format!("{} {}", request.method(), request.uri().path());
     let reply = if context.net.work.unfinished() > context.max_requests {
+        drain_refused(request);
         Reply::local(Outcome::NotRun, Reason::WorkersBusy, None)
     } else if request.uri().path().starts_with(RESERVED_PREFIX) {
         serve_reserved(&context, request.uri().path()).await
@@ -187,9 +141,19 @@
     id: &str,
 ) -> Reply {
     let limits = *context.limits.borrow();
-    let parsed = match metadata {
-        Ok(metadata) => parse_request(&context.net, request, headers, metadata, limits).await,
-        Err(fault) => Err(fault.into()),
+    let checked = metadata.map_err(CallerError::from).and_then(|metadata| {
+        let (host, length) = check_request(&request, &headers, limits)?;
+        Ok((metadata, host, length))
+    });
+    let parsed = match checked {
+        Ok((metadata, host, length)) => {
+            let head = RequestHead { headers, metadata, host, length };
+            parse_request(&context.net, request, head).await
+        }
+        Err(fault) => {
+            drain_refused(request);
+            Err(fault)
+        }
     };
     match parsed {
         Ok(parsed) => forward(context, parsed, id).await,
@@ -250,34 +214,34 @@
     held: Option<Share>,
 }
 
+/// The head of a request that was not refused for it.
+struct RequestHead {
+    headers: Headers,
+    metadata: RequestMetadata,
+    host: String,
+    // Declared length of the body.
+    length: Option<u64>,
+}
+
+/// Reads the rest of a refused request, so that its caller sees the response.
+fn drain_refused(request: hyper::Request<Incoming>) {
+    // What follows a body of ambiguous length may have been smuggled in it.
+    let is_ambiguous = request.extensions().get::<AmbiguousLength>().is_some();
+    // A caller that awaits a go-ahead has sent no body.
+    let awaits_reply = request.headers().contains_key(EXPECT);
+    if !is_ambiguous && !awaits_reply && !request.body().is_end_stream() {
+        tokio::spawn(body::drain(request.into_body()));
+    }
+}
+
 async fn parse_request(
     net: &NetworkContext,
     request: hyper::Request<Incoming>,
-    headers: Headers,
-    metadata: RequestMetadata,
-    limits: RequestLimits,
+    head: RequestHead,
 ) -> Result<ParsedRequest, CallerError> {
+    let RequestHead { headers, metadata, host, length: declared } = head;
     let in_progress = !net.stop.is_refusing();
-    let size: usize = headers.iter().map(|(name, value)| name.len() + value.len() + 4).sum();
     let target = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    if size + target.len() > limits.header_bytes.unwrap_or(DEFAULT_HEADER_BYTES) {
-        return Err(CallerError::HeadersTooLarge(size));
-    }
-    if request.version() < Version::HTTP_11 {
-        return Err(CallerError::Version(request.version()));
-    }
-    let mut hosts = headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case("host"));
-    let (Some((_, host)), None) = (hosts.next(), hosts.next()) else {
-        return Err(CallerError::Host);
-    };
-    let host = host.clone();
-    if request.extensions().get::<AmbiguousLength>().is_some() {
-        return Err(CallerError::Length);
-    }
-    let declared = body_length(&headers)?;
-    if let Some(length) = declared.filter(|length| limits.body_bytes.is_some_and(|m| *length > m)) {
-        return Err(CallerError::BodyTooLarge(length));
-    }
     let method = request.method().to_string();
     let connection = request.extensions().get::<CallerConnection>().cloned();
     let mut unread_body = request.into_body();
@@ -325,25 +289,6 @@
     })
 }
 
-/// Returns the declared length of the body; `None` if it is chunked. Refuses requests whose length
-/// this node and an upstream could read differently (request smuggling).
-fn body_length(headers: &[(String, String)]) -> Result<Option<u64>, CallerError> {
-    let values = |wanted: &str| {
-        let matches = headers.iter().filter(|(name, _)| name.eq_ignore_ascii_case(wanted));
-        matches.map(|(_, value)| value.as_str()).collect::<Vec<&str>>()
-    };
-    let (lengths, codings) = (values("content-length"), values("transfer-encoding"));
-    let is_number = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-    match (lengths.as_slice(), codings.as_slice()) {
-        ([], []) => Ok(Some(0)),
-        ([length], []) if is_number(length) => {
-            length.parse().map(Some).map_err(|_| CallerError::Length)
-        }
-        ([], [coding]) if coding.eq_ignore_ascii_case("chunked") => Ok(None),
-        _ => Err(CallerError::Length),
-    }
-}
-
 /// Returns a hash that binds a ticket to a request: a duplicate with the same ticket must be the
 /// same request.
 fn fingerprint(method: &str, target: &str, length: Option<u64>, body: &Bytes) -> u64 {
--- a/crates/lavenderflow/tests/interrupted.rs
+++ b/crates/lavenderflow/tests/interrupted.rs
@@ -113,3 +113,27 @@
     let line = wait_for_line(&lines, "event=unanswered request=left reason=caller-gone");
     assert!(line.contains(" revision=20 changes=1 change_age_ms="), "{line}");
 }
+
+/// Guards against a refusal that a caller never sees, since the rest of its body arrives unread.
+#[test]
+fn a_body_beyond_a_lowered_limit_is_refused_with_an_answer() {
+    let mut deployment = Deployment::start(1);
+    let lines = deployment.restart_logged(0);
+    deployment.wait_ready();
+    let text = configuration_json(20, "work", "work");
+    let changed = text.replace("\"max_body_bytes\":1048576", "\"max_body_bytes\":100000");
+    assert_ne!(changed, text);
+    deployment.store.write("op/config", &changed);
+    wait_for_line(&lines, "revision=20 ");
+    let part = vec![b'x'; 50_000];
+    for index in 0..10 {
+        let mut caller = Caller::connect(deployment.vms[0].outbound).expect("a connection");
+        let (id, length) = (format!("large-{index}"), 16 * part.len());
+        caller.send(&request_head("POST", "/write/a", &id, length, DEADLINE_MS)).expect("a head");
+        for _ in 0..16 {
+            thread::sleep(Duration::from_millis(5));
+            caller.send(&part).expect("a part of the body");
+        }
+        assert_eq!(caller.read().expect("an answer").status, 413);
+    }
+}
