Give no work to an upstream that deregistered unknown to its gate

The node had started again 0.1 s before.

A deregistration without a body names no lifetime. For a known upstream the gate ends the known one; for an unknown one it acknowledged and remembered nothing, so the next heartbeat brought the upstream back. Now no announcement of it counts for 30 s, also after another restart, as the end is stored like the others. An end that is known already stays as it is, so that an upstream that starts again under its id is not held up.

That the acknowledged message was such a deregistration follows from the log, which has no other explanation, and not from a record of the message.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -58,6 +58,8 @@
     ended_lifetimes: Vec<EndedLifetime>,
     // Lifetimes that may have taken over although they have an earlier start time.
     claims: IndexMap<UpstreamId, Claim>,
+    // Until when all announcements of these upstreams count as late.
+    unordered_ends: IndexMap<UpstreamId, Instant>,
     // The ended lifetimes that were last passed on to be stored.
     stored_lifetimes: Vec<EndedLifetime>,
     // Time until which a started node awaits the lifetimes that had ended before.
@@ -79,6 +81,7 @@
             running: IndexMap::new(),
             ended_lifetimes: Vec::new(),
             claims: IndexMap::new(),
+            unordered_ends: IndexMap::new(),
             stored_lifetimes: Vec::new(),
             recovery_end: None,
             window: ReplayWindow::default(),
@@ -207,6 +210,7 @@
         let mut actions = self.review_running(now);
         actions.extend(self.update_likely_gray(now));
         self.remove_drained();
+        self.forget_unordered_ends(now);
         self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
         actions.extend(self.refuse_late(now));
--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -11,6 +11,9 @@
 
 /// Most ended lifetimes that are remembered.
 const MAX_ENDED_LIFETIMES: usize = 64;
+/// Time for which no announcement of an upstream is applied that deregistered before the gate knew
+/// it, without saying which lifetime ended. It may go on to announce itself until it exits.
+const UNORDERED_END_TIME: Duration = Duration::from_secs(30);
 
 impl Gate {
     /// Accepts announcements of ordered lifetimes only after [`Gate::restore_lifetimes`], or after
@@ -39,7 +42,11 @@
     pub fn restore_lifetimes(&mut self, ended: Vec<EndedLifetime>) -> Vec<GateAction> {
         self.recovery_end = None;
         self.stored_lifetimes.extend(ended.iter().cloned());
+        let end = self.clock.now() + UNORDERED_END_TIME;
         for EndedLifetime { upstream: id, lifetime } in ended {
+            if lifetime == Lifetime::UNORDERED {
+                self.unordered_ends.insert(id.clone(), end);
+            }
             if let Some(upstream) = self.upstreams.swap_remove(&id) {
                 let has_ended = lifetime.includes(upstream.common().lifetime());
                 let upstream = if has_ended { upstream.supersede() } else { upstream };
@@ -127,10 +134,30 @@
             None if announcement.is_ordered() => {
                 self.remember(announcement.id.clone(), Lifetime::of(announcement));
             }
+            None if !self.ended_lifetimes.iter().any(|ended| ended.upstream == announcement.id) => {
+                let id = announcement.id.clone();
+                self.unordered_ends.insert(id.clone(), now + UNORDERED_END_TIME);
+                self.remember(id, Lifetime::UNORDERED);
+            }
             None => {}
         }
     }
 
+    /// Lets upstreams announce themselves again whose unordered ends are long past.
+    pub(super) fn forget_unordered_ends(&mut self, now: Instant) {
+        let ends = std::mem::take(&mut self.unordered_ends);
+        let (past, left): (IndexMap<_, _>, IndexMap<_, _>) =
+            ends.into_iter().partition(|(_, end)| now >= *end);
+        self.unordered_ends = left;
+        if !past.is_empty() {
+            let is_left = |ended: &EndedLifetime| {
+                ended.lifetime != Lifetime::UNORDERED || !past.contains_key(&ended.upstream)
+            };
+            self.ended_lifetimes.retain(is_left);
+            self.stored_lifetimes.retain(is_left);
+        }
+    }
+
     /// Returns the action that stores the ended lifetimes, if one has ended since the last call.
     pub(super) fn store_lifetimes(&mut self) -> Option<GateAction> {
         let ended = self.final_lifetimes();
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -86,6 +86,9 @@
 }
 
 impl Lifetime {
+    /// A lifetime that ended before any of its announcements was known. It includes all lifetimes.
+    pub const UNORDERED: Self = Self { generation: 0, sequence: u64::MAX };
+
     /// Returns the lifetime that an announcement belongs to.
     pub fn of(announcement: &Announcement) -> Self {
         Self { generation: announcement.generation, sequence: announcement.sequence }
--- a/crates/core/tests/lifetimes.rs
+++ b/crates/core/tests/lifetimes.rs
@@ -159,3 +159,45 @@
         assert!(gate.announce(&with_lease(heartbeat(5, sequence))).is_err());
     }
 }
+
+fn deregistration() -> Announcement {
+    Announcement { phase: AnnouncedPhase::Deregistered, ..heartbeat(0, 0) }
+}
+
+/// Guards against work for an upstream that deregistered right after its node had restarted, and
+/// whose heartbeats go on.
+#[test]
+fn an_unknown_upstream_that_deregisters_without_an_order_gets_no_work() {
+    let clock = clock();
+    let mut gate = Gate::new(INCARNATION, clock.clone() as SharedClock);
+    gate.await_lifetimes(Duration::from_secs(2));
+    let ended = stored(&gate.announce(&deregistration()).expect("applied")).expect("stored");
+    gate.restore_lifetimes(Vec::new());
+    gate.announce(&heartbeat(0, 8)).expect("late");
+    assert_eq!(slots(&gate), 0);
+    // It holds for the next process of the node as well.
+    let mut next = Gate::new(INCARNATION + 1, clock.clone() as SharedClock);
+    next.restore_lifetimes(ended);
+    for gate in [&mut gate, &mut next] {
+        gate.announce(&heartbeat(0, 9)).expect("late");
+        assert_eq!(slots(gate), 0);
+        // A later lifetime may have the id again.
+        clock.advance(Duration::from_secs(31));
+        gate.tick();
+        gate.announce(&heartbeat(0, 1)).expect("applied");
+        assert_eq!(slots(gate), 2);
+    }
+}
+
+#[test]
+fn a_deregistration_without_an_order_leaves_a_known_end_as_it_is() {
+    let clock = clock();
+    let mut gate = Gate::new(INCARNATION, clock.clone() as SharedClock);
+    gate.announce(&heartbeat(0, 4)).expect("applied");
+    gate.announce(&leaving(0, 5)).expect("applied");
+    gate.announce(&deregistration()).expect("applied");
+    gate.announce(&heartbeat(0, 5)).expect("late");
+    assert_eq!(slots(&gate), 0);
+    gate.announce(&heartbeat(0, 6)).expect("applied");
+    assert_eq!(slots(&gate), 2);
+}
