--- a/crates/lavenderflow/tests/soak.rs
+++ b/crates/lavenderflow/tests/soak.rs
@@ -99,7 +99,12 @@
                 caller.send(&request_head("GET", &path, &ids[0], 0, DEADLINE_MS))
             }
             Habit::Kept | Habit::Pipelined => {
-                let (method, path) = if is_write { ("POST", "/write") } else { ("GET", "/read") };
+                // The route of `/extra/` comes and goes.
+                let is_extra = !is_write && random.random_bool(0.2);
+                let (method, path) = match is_write {
+                    true => ("POST", "/write"),
+                    false => ("GET", if is_extra { "/extra" } else { "/read" }),
+                };
                 let path = format!("{path}/a?work_ms={work}");
                 let heads = ids.iter().map(|id| request_head(method, &path, id, 0, DEADLINE_MS));
                 caller.send(&heads.collect::<Vec<_>>().concat())
@@ -170,7 +175,12 @@
             spec["max_body_bytes"] = json!(random.random_range(500_000..2_000_000));
         } else {
             spec["timeout_s"] = json!(random.random_range(8.0..12.0));
-            spec["max_attempts"] = json!(random.random_range(2..5));
+            spec["max_attempts"] = json!(random.random_range(1..5));
+            if random.random_bool(0.3) {
+                let weight = random.random_range(1..100);
+                spec["weighted_services"] = json!([{"service": "work", "weight": weight}]);
+                spec.as_object_mut().expect("a route").remove("service");
+            }
         }
     }
     if random.random_bool(0.5) {
