--- a/crates/lavenderflow/src/http.rs
+++ b/crates/lavenderflow/src/http.rs
@@ -11,6 +11,7 @@
 pub mod native;
 pub mod port;
 pub mod ready;
+mod request_check;
 pub mod request_head;
 pub mod response;
 pub mod server;
