Give up a seed that accepts a connection and does not answer

What operators would see: a node that starts beside one faulty seed contacts it once and never again, as the contact does not end while the connection stays alive; if it knows no other seed, it never joins.

Cause: opening the connection to a seed has 5 s, the wait for its response had no deadline.

Change: the response has 5 s too.

--- a/crates/lavenderflow/src/net/ping.rs
+++ b/crates/lavenderflow/src/net/ping.rs
@@ -6,7 +6,7 @@
 use lavenderflow_schema::wire::frame::Body;
 use quinn::Connection;
 use tokio::sync::oneshot;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::connector::{DatagramCount, PeerError};
 use super::context::NetworkContext;
@@ -37,11 +37,17 @@
     context.mailbox.send(Message::Fleet(FleetMessage::PingEnded(node, cursor, reply))).await;
 }
 
+/// Longest wait for the response of a seed, as for opening a connection to it.
+const SEED_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Sends an exchange to a seed address and reports the response.
 pub async fn contact(context: NetworkContext, address: SocketAddr, exchange: Exchange) {
     let result: Result<Connection, PeerError> = context.connector.connect_address(address).await;
     let response = match result {
-        Ok(connection) => send_exchange(&connection, &exchange).await.ok(),
+        Ok(connection) => {
+            let exchanged = timeout(SEED_TIMEOUT, send_exchange(&connection, &exchange)).await;
+            exchanged.ok().and_then(Result::ok)
+        }
         Err(fault) => {
             log::info!("event=seed-unreachable peer={address} fault={fault:?}");
             None
