End the wait for a body whose request has ended

What could grow: a gate or home kept a task and a stream for each request whose entry stopped in the middle of the body and kept its connection, also after the request had ended.

Cause: the task that receives a body waits for the next frame without a deadline, and learns that nobody reads the body only when there is one.

Evidence: endless_home.rs; the link was still open a second after the run (the test had this bound then and failed).

Change: once nobody reads the body, its next frame has 6 s. A frame that is on its way is still received, since an upstream may have the whole body before its end has arrived.

--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -25,6 +25,9 @@
 const QUEUED_NOTICE_DELAY: Duration = Duration::from_millis(20);
 /// Longest time between the grant of a slot and the entry's commit of the request.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the next part of a body that nobody reads any more: the time after which a
+/// connection without a packet is lost.
+const BODY_END_TIMEOUT: Duration = Duration::from_secs(6);
 /// Response bodies up to this size are sent in one frame.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
@@ -253,7 +256,19 @@
 /// Forwards the rest of a request body; drops the sender without an end when the body is truncated.
 async fn receive_body(mut source: FrameSource, parts: mpsc::Sender<BodyPart>) {
     loop {
-        let (part, is_end) = match source.receive().await {
+        let received = {
+            let receiving = source.receive();
+            tokio::pin!(receiving);
+            tokio::select! {
+                received = &mut receiving => received,
+                // The upstream may have the whole body before its end has arrived.
+                () = parts.closed() => match timeout(BODY_END_TIMEOUT, receiving).await {
+                    Ok(received) => received,
+                    Err(_) => return,
+                },
+            }
+        };
+        let (part, is_end) = match received {
             Ok(Some(Body::Chunk(chunk))) => (BodyPart::Data(chunk.data), false),
             Ok(Some(Body::End(_))) => (BodyPart::End, true),
             _ => return,
--- a/crates/lavenderflow/tests/endless_home.rs
+++ b/crates/lavenderflow/tests/endless_home.rs
@@ -1,11 +1,13 @@
-//! A home and a gate whose entry does not read what they send.
+//! A home and a gate whose entry does not read what they send, or stops in the middle of a body.
 
 mod common;
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::scripted::{NODE, Node, TEST_TIMEOUT, admitted, grant, receive, spec, submit};
+use common::scripted::{
+    NODE, Node, TEST_TIMEOUT, admitted, grant, receive, spec, submit, submit_frame,
+};
 use lavenderflow::message::{EntryMessage, GateMessage, Message};
 use lavenderflow::net::link::{FrameSink, FrameSource, local_pair};
 use lavenderflow::net::serve;
@@ -128,3 +130,30 @@
     let ended = timeout(TEST_TIMEOUT + END_MARGIN, attempt.served).await;
     assert!(ended.is_ok(), "the gate still waits");
 }
+
+/// Guards against tasks and streams that wait for the body of a request that has ended.
+#[tokio::test]
+async fn a_body_that_stops_in_the_middle_does_not_outlast_its_run() {
+    let mut node = Node::new();
+    let body = Bytes::from_static(b"first");
+    let begin = Begin { body, body_follows: true, ..Begin::default() };
+    let (attempt, sink, source) = submit_frame(&mut node, begin).await;
+    let (start, _owner) = grant(&node);
+    attempt.reply.send(start).expect("an attempt");
+    let call = timeout(TEST_TIMEOUT, node.calls.recv()).await.expect("in time").expect("a call");
+    let (status, headers, signals) = (200, Vec::new(), UpstreamSignals::default());
+    call.events.send(CallEvent::Head { status, headers, signals }).await.expect("a gate");
+    call.events.send(CallEvent::End).await.expect("a gate");
+    // The call ends with its response.
+    drop(call);
+    loop {
+        if let Message::Gate(GateMessage::Finish(_, _, load)) = node.message().await {
+            load.send(Load::default()).expect("a gate");
+            break;
+        }
+    }
+    timeout(TEST_TIMEOUT, attempt.served).await.expect("in time").expect("a gate");
+    let closed = timeout(TEST_TIMEOUT, sink.closed()).await;
+    assert!(closed.is_ok(), "the gate still waits for the body");
+    drop(source);
+}
