Let the gate of a stopping node admit while the node serves callers

Cause: on SIGTERM the gate refused everything at once, although the node runs on for its callers for the notice and its upstream stays.

Change: the node tells the others that it leaves, and its gate drains, after three quarters of the notice. Meanwhile runs that begin have to end with the node, and upstreams that may be gray get no trial requests.

Evidence: the new test of planned_stop.rs got 503 for ten of ten requests before and passes now.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -9,6 +9,7 @@
 mod order;
 mod report;
 mod signals;
+mod stop;
 mod waiting;
 
 use self::order::Claim;
@@ -63,6 +64,8 @@
     // Time until which a started node awaits the lifetimes that had ended before.
     recovery_end: Option<Instant>,
     window: ReplayWindow,
+    // Time by which all runs must have ended, once the node is stopping.
+    last_answer: Option<Instant>,
     draining: bool,
     published: Vec<ServiceOffer>,
 }
@@ -82,6 +85,7 @@
             stored_lifetimes: Vec::new(),
             recovery_end: None,
             window: ReplayWindow::default(),
+            last_answer: None,
             draining: false,
             published: Vec::new(),
         }
@@ -93,8 +97,9 @@
     }
 
     /// Starts, queues or refuses an attempt.
-    pub fn submit(&mut self, request: SlotRequest) -> Vec<GateAction> {
+    pub fn submit(&mut self, mut request: SlotRequest) -> Vec<GateAction> {
         let now = self.clock.now();
+        self.limit_time(&mut request, now);
         if !request.idempotent && request.incarnation != self.incarnation {
             return vec![self.refusal(&request, Reason::Outdated)];
         }
@@ -220,15 +225,6 @@
         actions
     }
 
-    /// Stops admitting requests. Queued requests are refused, and running ones continue.
-    pub fn drain(&mut self) -> Vec<GateAction> {
-        self.draining = true;
-        let queues = self.services.values_mut();
-        let waiting: Vec<QueuedRequest> =
-            queues.flat_map(|s| [s.short_queue.clear(), s.long_queue.clear()]).flatten().collect();
-        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
-    }
-
     /// Returns whether an attempt waits or runs.
     pub fn holds(&self, attempt: AttemptId) -> bool {
         self.requests.contains_key(&attempt)
--- a/crates/core/src/gate/gray_failure.rs
+++ b/crates/core/src/gate/gray_failure.rs
@@ -139,7 +139,7 @@
             };
             common.last_start.is_none_or(|started| now >= started + interval)
         });
-        (!is_due).then_some(Reason::Doubtful)
+        (!is_due || self.last_answer.is_some()).then_some(Reason::Doubtful)
     }
 
     /// Records a finished run in the detector of its upstream and in the latencies of its kind.
--- /dev/null
+++ b/crates/core/src/gate/stop.rs
@@ -0,0 +1,29 @@
+//! The gate of a stopping node.
+
+use super::{Gate, GateAction, SlotRequest};
+use crate::prelude::*;
+use crate::queue::QueuedRequest;
+
+impl Gate {
+    /// Goes on admitting requests to the upstreams of a stopping node. Runs that begin from now on
+    /// have to end by `last_answer`, and trial requests are refused, since they may hang until then.
+    pub fn prepare_stop(&mut self, last_answer: Instant) {
+        self.last_answer = Some(last_answer);
+    }
+
+    /// Stops admitting requests. Queued requests are refused, and running ones continue.
+    pub fn drain(&mut self) -> Vec<GateAction> {
+        self.draining = true;
+        let queues = self.services.values_mut();
+        let waiting: Vec<QueuedRequest> =
+            queues.flat_map(|s| [s.short_queue.clear(), s.long_queue.clear()]).flatten().collect();
+        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
+    }
+
+    /// Limits the time of a request to that of the node.
+    pub(super) fn limit_time(&self, request: &mut SlotRequest, now: Instant) {
+        if let Some(end) = self.last_answer {
+            request.remaining = request.remaining.min(end.saturating_duration_since(now));
+        }
+    }
+}
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -120,6 +120,11 @@
         self.gate.set_profile(&service, profile);
     }
 
+    /// Prepares for the stop of the node: runs have to end by `last_answer`.
+    pub fn prepare_stop(&mut self, _: CX![], last_answer: Instant) {
+        self.gate.prepare_stop(last_answer);
+    }
+
     /// Refuses new attempts from now on.
     pub fn drain(&mut self, _: CX![]) {
         let actions = self.gate.drain();
--- a/crates/lavenderflow/src/actor/lifecycle.rs
+++ b/crates/lavenderflow/src/actor/lifecycle.rs
@@ -19,6 +19,9 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Divisor of the stop time that limits that margin.
 const ANSWER_MARGIN_DIVISOR: u32 = 10;
+/// Share of the notice for which the gate admits requests. What it admits last ends with the notice,
+/// as a rule, so that the stop takes no longer.
+const ADMISSION_SHARE: f64 = 0.75;
 
 /// The actors that take part in a stop.
 #[derive(Clone)]
@@ -42,7 +45,7 @@
 /// Durations of the phases of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StopTimes {
-    /// Time for which new requests are still accepted.
+    /// Time for which new requests of callers are still accepted.
     pub notice: Duration,
     /// Time to keep running after the last request.
     pub linger: Duration,
@@ -116,18 +119,26 @@
         let margin = ANSWER_MARGIN.min(self.stop.timeout / ANSWER_MARGIN_DIVISOR);
         let last_answer = now + self.stop.timeout - margin;
         self.states.stop_stage.send_replace(StopStage::Noticed { last_answer });
-        let DrainActors { entry, gate, fleet } = &self.actors;
+        let DrainActors { entry, gate, .. } = &self.actors;
         call!([entry], limit_deadlines(last_answer));
-        call!([fleet], leave());
-        call!([gate], drain());
+        call!([gate], prepare_stop(last_answer));
         if self.stop.notice.is_zero() {
+            self.leave(cx);
             self.stop_accepting(cx, last_answer);
         } else {
+            after!(self.stop.notice.mul_f64(ADMISSION_SHARE), [cx], leave());
             after!(self.stop.notice, [cx], stop_accepting(last_answer));
         }
         after!(self.stop.timeout, [cx], stop_early());
     }
 
+    /// Takes no more work from other nodes.
+    fn leave(&mut self, _: CX![]) {
+        let DrainActors { gate, fleet, .. } = &self.actors;
+        call!([fleet], leave());
+        call!([gate], drain());
+    }
+
     /// Refuses new requests from now on and waits until the node is idle.
     fn stop_accepting(&mut self, cx: CX![], last_answer: Instant) {
         self.states.stop_stage.send_replace(StopStage::Refusing { last_answer });
--- a/crates/lavenderflow/tests/planned_stop.rs
+++ b/crates/lavenderflow/tests/planned_stop.rs
@@ -6,7 +6,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, Response, configuration_json, request_head};
+use common::deployment::{
+    Caller, Deployment, Response, configuration_json, is_ready, request_head, status,
+};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::Mode;
 
@@ -112,3 +114,28 @@
     assert_eq!((response.status, run_count(&deployment, "unfinished")), (503, 0));
     wait_ended(&mut deployment);
 }
+
+/// Guards against a sound upstream that gets nothing from the first moment of its node's stop.
+#[test]
+fn a_stopping_node_passes_on_requests_of_others_while_it_serves_callers() {
+    let mut deployment = start_patient(2);
+    // Only the upstream beside the stopping node is left.
+    deployment.upstreams[1].deregister().expect("a leaving upstream");
+    wait_until("one gate is left", || {
+        let upstreams = &status(&deployment.vms[1])["upstreams"];
+        upstreams.as_array().is_some_and(Vec::is_empty)
+    })
+    .expect("a gate");
+    deployment.vms[0].process.terminate().expect("a signal");
+    let stopping = Instant::now();
+    wait_until("the stop has begun", || !is_ready(deployment.vms[0].ready)).expect("a stop");
+    let mut statuses = Vec::new();
+    while stopping.elapsed() < Duration::from_millis(1200) {
+        let id = format!("during-{}", statuses.len());
+        statuses.push(deployment.call(1, "POST", "/write/a", &id).map(|r| r.status));
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert!(statuses.iter().all(|status| *status == Some(200)), "{statuses:?}");
+    assert!(statuses.len() > 1, "{statuses:?}");
+    wait_ended(&mut deployment);
+}
