--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -160,7 +160,7 @@
             && self.budget(&active.service).has_token(now);
         AttemptSpec {
             retryable,
-            degraded: self.is_degraded(&active.service, now),
+            degraded: self.is_strained(&active.service, now),
             level: self.level_counts(&active.service, now),
             service: active.service.clone(),
             long: active.long,
@@ -197,6 +197,13 @@
             || self.fleet_levels.get(service).is_some_and(|level| level.is_median_degraded(now))
     }
 
+    /// Returns whether so many requests are unserved that a gate is to take a due trial request.
+    fn is_strained(&self, service: &ServiceName, now: Instant) -> bool {
+        let fleet_level = self.fleet_levels.get(service);
+        fleet_level.is_some_and(|level| level.is_median_strained(now))
+            || self.is_degraded(service, now)
+    }
+
     fn level_counts(&self, service: &ServiceName, now: Instant) -> LevelCounts {
         let level = self.service_levels.get(service);
         level.map(|level| level.counts(now)).unwrap_or_default()
--- a/crates/core/src/fleet_level.rs
+++ b/crates/core/src/fleet_level.rs
@@ -10,8 +10,12 @@
 
 /// Time constant of the weight of a request: the capacity floor is measured over two seconds.
 pub(crate) const DECAY_TIME: Duration = Duration::from_secs(2);
-/// Share of unserved requests from which the capacity floor must be kept.
-const MAX_UNSERVED_SHARE: f64 = 0.1;
+/// Share of unserved requests above which a service is degraded, from which the capacity floor must
+/// be kept.
+const DEGRADED_SHARE: f64 = 0.1;
+/// Share above which gates take the due trial requests that they are offered anyway. Requests that
+/// hang are counted only when their deadlines pass, and callers also lose some that no entry sees.
+pub(crate) const STRAINED_SHARE: f64 = 0.05;
 /// Unserved requests that a gate must have heard of.
 const MIN_UNSERVED: f64 = 1.0;
 /// Requests that the report of a gate must be based on.
@@ -56,9 +60,9 @@
 /// let counts = LevelCounts { served: 3.0, unserved: 1.0 };
 /// let mut level = FleetLevel::default();
 /// level.record(1, counts, now);
-/// assert!(!level.is_sum_degraded(now));
+/// assert!(!level.is_sum_strained(now));
 /// level.record(2, counts, now);
-/// assert!(level.is_sum_degraded(now));
+/// assert!(level.is_sum_strained(now));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct FleetLevel {
@@ -82,19 +86,32 @@
         LevelCounts { served, unserved }
     }
 
-    /// Returns whether the sum of the reports of entries shows too many unserved requests.
-    pub fn is_sum_degraded(&self, now: Instant) -> bool {
+    /// Returns whether the sum of the reports of entries shows so many unserved requests that due
+    /// trial requests are taken.
+    pub fn is_sum_strained(&self, now: Instant) -> bool {
         let sum = self.sum(now);
-        f64::from(sum.unserved) >= MIN_UNSERVED && sum.unserved_share() > MAX_UNSERVED_SHARE
+        f64::from(sum.unserved) >= MIN_UNSERVED && sum.unserved_share() > STRAINED_SHARE
     }
 
-    /// Returns whether the median of the reports of gates shows too many unserved requests. Their
-    /// sums have requests in common, so they are not added.
+    /// Returns whether the reports of gates show that the service is degraded, so that entries offer
+    /// more trial requests.
     pub fn is_median_degraded(&self, now: Instant) -> bool {
+        self.median_share(now).is_some_and(|share| share > DEGRADED_SHARE)
+    }
+
+    /// Returns whether the reports of gates show so many unserved requests that due trial requests
+    /// are to be taken.
+    pub fn is_median_strained(&self, now: Instant) -> bool {
+        self.median_share(now).is_some_and(|share| share > STRAINED_SHARE)
+    }
+
+    /// Returns the median of the unserved shares that gates report. Their sums have requests in
+    /// common, so they are not added.
+    fn median_share(&self, now: Instant) -> Option<f64> {
         let reported = self.aged(now).filter(|counts| counts.total() >= MIN_REPORTED);
         let mut shares: Vec<f64> = reported.map(LevelCounts::unserved_share).collect();
         shares.sort_unstable_by(f64::total_cmp);
-        shares.len() > 1 && shares[(shares.len() - 1) / 2] > MAX_UNSERVED_SHARE
+        (shares.len() > 1).then(|| shares[(shares.len() - 1) / 2])
     }
 
     fn aged(&self, now: Instant) -> impl Iterator<Item = LevelCounts> {
--- a/crates/core/src/gate/gray_failure.rs
+++ b/crates/core/src/gate/gray_failure.rs
@@ -128,7 +128,7 @@
             return None;
         }
         let state = self.services.get(&request.service);
-        let degraded = request.degraded || state.is_some_and(|s| s.level.is_sum_degraded(now));
+        let degraded = request.degraded || state.is_some_and(|s| s.level.is_sum_strained(now));
         let upstreams = self.upstreams.values().map(|upstream| upstream.common());
         let mut own = upstreams.filter(|common| common.service == request.service);
         let is_due = own.any(|common| {
--- a/crates/core/src/service_level.rs
+++ b/crates/core/src/service_level.rs
@@ -8,13 +8,9 @@
 //! unserved all the same, the service needs its whole capacity floor, and the entry offers likely
 //! gray upstreams work that they would otherwise not get.
 
-use crate::fleet_level::{self, LevelCounts};
+use crate::fleet_level::{self, LevelCounts, STRAINED_SHARE};
 use crate::prelude::*;
 
-/// Share of unserved requests above which a service is degraded: half of the tenth from which the
-/// capacity floor must be kept, since one entry sees few requests.
-const MAX_UNSERVED_SHARE: f64 = 0.05;
-
 /// Tracks which share of the recent requests is unserved.
 ///
 /// # Examples
@@ -52,7 +48,7 @@
     pub fn is_degraded(&self, now: Instant) -> bool {
         // A single unserved request counts until half of its weight has decayed.
         let unserved = self.unserved * self.decay(now);
-        unserved > 0.5 && self.unserved > MAX_UNSERVED_SHARE * (self.served + self.unserved)
+        unserved > 0.5 && self.unserved > STRAINED_SHARE * (self.served + self.unserved)
     }
 
     /// Returns the recent requests, for the gates.
