--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -20,6 +20,9 @@
 /// that are being transferred end.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(250);
 
+/// Longest time in which a caller reads nothing of a response, where no bound is configured.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Time that a connection which must be closed gets to read the rest of a request, and to send its
 /// last response.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -119,6 +122,48 @@
         is_below && self.budget.held().saturating_add(CONNECTION_BYTES) <= self.budget.limit()
     }
 
+    /// Returns the connection to close at once for a new one: where the limit of connections is
+    /// reached, the one that has waited longest for its caller.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use lavenderflow_core::connections::{ConnectionTable, CloseReason};
+    /// use lavenderflow_core::memory::{Budget, HoldLimits};
+    /// use lavenderflow_core::progress::Progress;
+    ///
+    /// let limits = HoldLimits { connections: Some(2), ..HoldLimits::default() };
+    /// let mut table = ConnectionTable::new(limits, Budget::new(None));
+    /// let start = Instant::now();
+    /// let mut open = |table: &mut ConnectionTable| {
+    ///     let (id, _) = table.open([10, 0, 0, 1].into(), Arc::new(Progress::new(start)))?;
+    ///     Ok::<_, CloseReason>(id)
+    /// };
+    /// let first = open(&mut table).unwrap();
+    /// assert_eq!(table.replace(start), None);
+    /// open(&mut table).unwrap();
+    /// let closing = table.replace(start + Duration::from_millis(1)).unwrap();
+    /// assert_eq!(closing.connection, first);
+    /// ```
+    pub fn replace(&mut self, now: Instant) -> Option<Closing> {
+        let max = self.limits.connections?;
+        let open = self.connections.iter().filter(|(_, connection)| !connection.is_closing);
+        if open.clone().count() < max {
+            return None;
+        }
+        let idle = open.filter_map(|(id, c)| Some((c.progress.idle_time(now)?, Reverse(*id))));
+        let (_, Reverse(longest)) = idle.max()?;
+        self.start_closing(longest, CloseReason::ConnectionLimit, now)
+    }
+
+    /// Returns the number of open connections.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
     /// Opens a connection; returns its id and budget.
     ///
     /// # Errors
@@ -206,11 +251,15 @@
                     let time = progress.phase_time(now);
                     timeouts(time).head.is_some_and(|timeout| time > timeout)
                 }
-                Phase::Idle | Phase::Processing => false,
-                Phase::Receiving | Phase::Responding => {
+                Phase::Processing => false,
+                Phase::Receiving => {
                     let idle = progress.idle_time(now);
                     idle.is_some_and(|idle| timeouts(idle).body.is_some_and(|t| idle > t))
                 }
+                Phase::Idle | Phase::Responding => {
+                    let idle = progress.idle_time(now).filter(|_| progress.is_write_blocked());
+                    idle.is_some_and(|idle| idle > timeouts(idle).body.unwrap_or(UNREAD_TIMEOUT))
+                }
             };
             if is_late && !connection.is_closing {
                 connection.is_closing = true;
--- a/crates/core/src/entry/dispatch.rs
+++ b/crates/core/src/entry/dispatch.rs
@@ -79,7 +79,7 @@
     ) -> Vec<EntryAction> {
         let now = self.clock.now();
         if now >= active.deadline {
-            return self.refuse(&active, Reason::DeadlinePast);
+            return self.give_up(active, Reason::DeadlinePast);
         }
         if active.tried.len() + 1 >= active.limits.gates as usize {
             active.stage = DispatchStage::AnyGate;
@@ -121,8 +121,7 @@
         };
         let attempt = self.new_attempt();
         self.selector.record_dispatch(&active.service, gate);
-        active.gate = Some(gate);
-        active.unreported = true;
+        active.attempts.start(attempt, gate);
         active.tried.push(gate);
         if active.stage != DispatchStage::FreeSlot {
             active.queued.push(gate);
@@ -156,7 +155,7 @@
     /// Returns the parameters of the next attempt of a request.
     pub(super) fn attempt_spec(&mut self, active: &ActiveRequest, now: Instant) -> AttemptSpec {
         let retryable = active.idempotent
-            && active.admitted + 1 < active.limits.upstreams
+            && active.attempts.received() + 1 < active.limits.upstreams
             && self.budget(&active.service).has_token(now);
         AttemptSpec {
             retryable,
@@ -216,10 +215,10 @@
         uses_budget: bool,
     ) -> bool {
         let gates = u32::try_from(active.tried.len()).unwrap_or(u32::MAX);
-        !active.body_sent
+        !active.is_body_sent()
             && !active.streaming
             && gates < active.limits.gates
-            && active.admitted < active.limits.upstreams
+            && active.attempts.received() < active.limits.upstreams
             && now < active.deadline
             && (!uses_budget || self.budget(&active.service).withdraw(now))
     }
@@ -258,17 +257,17 @@
         active.searches += 1;
         let time = SEARCH_PAUSE * active.searches;
         let left = active.deadline.saturating_duration_since(now);
-        let is_untouched = !active.body_sent && !active.streaming && active.admitted == 0;
+        let is_untouched = !active.streaming && active.attempts.received() == 0;
         if !active.limits.free_refusals
             || !active.refused_as_gray
             || !is_untouched
             || active.searches >= MAX_SEARCHES
             || left < time * MAX_PAUSE_DIVISOR
         {
-            return self.refuse(&active, reason);
+            return self.give_up(active, reason);
         }
         let request = active.arrival.request;
-        active.gate = None;
+        active.attempts.select(None);
         active.tried.clear();
         active.queued.clear();
         active.stage = DispatchStage::FreeSlot;
@@ -280,15 +279,14 @@
     /// Retries or ends a request whose attempt may have run.
     pub(super) fn retry_lost(
         &mut self,
-        mut active: ActiveRequest,
+        active: ActiveRequest,
         reason: Reason,
         now: Instant,
     ) -> Vec<EntryAction> {
-        active.may_have_run = true;
         if active.idempotent && self.may_retry(&active, now, true) {
             self.dispatch(active, Some(reason))
         } else {
-            self.end_unknown(&active, reason)
+            self.give_up(active, reason)
         }
     }
 
@@ -299,18 +297,16 @@
         mut active: ActiveRequest,
         now: Instant,
     ) -> Vec<EntryAction> {
-        // An upstream may have received it.
-        active.admitted += 1;
+        if active.hedge.has_copy() {
+            self.active_requests.insert(active.arrival.request, active);
+            return Vec::new();
+        }
         // The next attempt is the second one that a request may have.
         active.hedge.is_used |= can_hedge(&active);
         if active.idempotent && self.may_retry(&active, now, true) {
-            active.may_have_run = true;
             return self.dispatch(active, Some(Reason::Lost));
         }
-        let request = active.arrival.request;
-        active.awaited = true;
-        self.active_requests.insert(request, active);
-        vec![EntryAction::Await { request }]
+        self.await_attempts(active)
     }
 }
 
--- a/crates/core/src/entry/report.rs
+++ b/crates/core/src/entry/report.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::conclusion::{conclude, lost_reason};
-use super::hedging::{can_hedge, failed_run};
+use super::hedging::{can_hedge, is_failed};
 use super::{ActiveRequest, Entry};
 use crate::outlier::Observation;
 use crate::prelude::*;
@@ -27,17 +27,26 @@
             return Vec::new();
         };
         // A streamed response has begun and is never replaced.
-        if active.streaming && matches!(report, AttemptReport::Answered { .. }) {
+        if active.streaming
+            && matches!(report, AttemptReport::Answered { .. } | AttemptReport::Earlier(..))
+        {
             self.active_requests.insert(request, active);
             return Vec::new();
         }
-        if let AttemptReport::Copy(report) = report {
-            return self.report_copy(active, *report, now);
+        let report = match report {
+            AttemptReport::Copy(report) => return self.report_copy(active, *report, now),
+            AttemptReport::Earlier(attempt, report) => {
+                return self.report_earlier(active, attempt, *report, now);
+            }
+            report => report,
+        };
+        if let Some(current) = active.attempts.current() {
+            active.attempts.record(current, &report);
+            self.update_selector(&mut active, current, &report, now);
         }
-        self.update_selector(&mut active, &report, now);
         let mut actions = self.hedge_by_load(&active, &report, now);
-        if let Some(may_have_run) = failed_run(&report) {
-            match self.continue_with_copy(active, may_have_run) {
+        if is_failed(&report) {
+            match self.continue_with_copy(active) {
                 Some(own) => active = own,
                 None => return actions,
             }
@@ -54,13 +63,12 @@
         now: Instant,
     ) -> Vec<EntryAction> {
         let request = active.arrival.request;
-        let was_awaited = std::mem::take(&mut active.awaited);
         match report {
             AttemptReport::Admitted(load) => {
                 active.hedge.admit(load, now);
-                active.admitted += 1;
-                // A body that is not buffered is streamed to this gate from now on.
-                active.body_sent = !active.arrival.body_buffered;
+                if active.hedge.replaces_stuck {
+                    active.attempts.cancel();
+                }
                 self.active_requests.insert(request, active);
                 Vec::new()
             }
@@ -69,13 +77,11 @@
                 self.retry_lost(active, reason, now)
             }
             AttemptReport::Refused(reason, load) => {
-                // The awaited attempt has not run.
-                active.admitted -= u32::from(was_awaited);
                 active.refused_as_gray |= reason == Reason::Doubtful;
                 active.drain_time = load.map_or(Duration::ZERO, |load| load.drain_time);
                 if reason == Reason::TooLate {
                     // No gate can serve it in time.
-                    return self.refuse(&active, reason);
+                    return self.give_up(active, reason);
                 }
                 self.retry_refused(active, reason, now)
             }
@@ -112,18 +118,49 @@
             }
             AttemptReport::Overdue => self.overdue(active, now),
             // Handled before.
-            AttemptReport::Copy(_) => Vec::new(),
+            AttemptReport::Copy(_) | AttemptReport::Earlier(..) => Vec::new(),
         }
     }
 
-    /// Records the gate's load and the observation of the path to it.
+    /// Handles a report on an attempt that goes on beside later ones, or after them.
+    fn report_earlier(
+        &mut self,
+        mut active: ActiveRequest,
+        attempt: AttemptId,
+        report: AttemptReport,
+        now: Instant,
+    ) -> Vec<EntryAction> {
+        active.attempts.record(attempt, &report);
+        self.update_selector(&mut active, attempt, &report, now);
+        if active.attempts.is_running() && !is_usable(&report) {
+            self.active_requests.insert(active.arrival.request, active);
+            return Vec::new();
+        }
+        self.resolve_dispatches(&mut active, now);
+        if active.attempts.current() != Some(attempt) {
+            active.attempts.select(Some(attempt));
+            // It belongs to a later attempt.
+            active.hedge.forget_admission();
+        }
+        self.report_first(active, report, now)
+    }
+
+    /// Forgets the attempts of which no load report is awaited any more.
+    fn resolve_dispatches(&mut self, active: &mut ActiveRequest, now: Instant) {
+        for gate in active.attempts.take_unreported() {
+            self.selector.resolve_dispatch(&active.service, gate, None, now);
+        }
+    }
+
+    /// Records the load of an attempt's gate and the observation of the path to it.
     pub(super) fn update_selector(
         &mut self,
         active: &mut ActiveRequest,
+        attempt: AttemptId,
         report: &AttemptReport,
         now: Instant,
     ) {
-        let Some(gate) = active.gate else { return };
+        let Some((gate, was_unreported)) = active.attempts.take_report(attempt) else { return };
         let load = match report {
             AttemptReport::Admitted(load) => Some(*load),
             AttemptReport::Refused(_, load) | AttemptReport::Completed { load, .. } => *load,
@@ -134,7 +171,6 @@
             let level = self.fleet_levels.entry(active.service.clone()).or_default();
             level.record(gate, load.level, now);
         }
-        let was_unreported = std::mem::take(&mut active.unreported);
         if was_unreported {
             self.selector.resolve_dispatch(&active.service, gate, load, now);
         } else if let Some(load) = load {
@@ -167,11 +203,13 @@
         now: Instant,
     ) -> Vec<EntryAction> {
         active.upstream_failed = status >= 500;
-        active.may_have_run = true;
         let can_replace = active.upstream_failed && answer.is_some();
         if can_replace && active.idempotent && self.may_retry(&active, now, true) {
             return self.dispatch(active, Some(Reason::UpstreamFailed));
         }
+        if can_replace && active.attempts.goes_on() {
+            return self.await_attempts(active);
+        }
         let (request, ticket) = (active.arrival.request, active.ticket);
         let relay = EntryAction::Relay { request, ticket };
         if answer.is_none() {
@@ -187,3 +225,9 @@
         actions
     }
 }
+
+/// Returns whether a report ends the request with a response: not a complete server error while
+/// another attempt may have a better one.
+fn is_usable(report: &AttemptReport) -> bool {
+    matches!(report, AttemptReport::Answered { status, answer, .. } if *status < 500 || answer.is_none())
+}
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -10,6 +10,7 @@
 mod order;
 mod report;
 mod signals;
+mod stop;
 mod waiting;
 
 use self::order::Claim;
@@ -61,11 +62,15 @@
     ended_lifetimes: Vec<EndedLifetime>,
     // Lifetimes that may have taken over although they have an earlier start time.
     claims: IndexMap<UpstreamId, Claim>,
+    // Until when all announcements of these upstreams count as late.
+    unordered_ends: IndexMap<UpstreamId, Instant>,
     // The ended lifetimes that were last passed on to be stored.
     stored_lifetimes: Vec<EndedLifetime>,
     // Time until which a started node awaits the lifetimes that had ended before.
     recovery_end: Option<Instant>,
     window: ReplayWindow,
+    // Time by which all runs must have ended, once the node is stopping.
+    last_answer: Option<Instant>,
     draining: bool,
     published: Vec<ServiceOffer>,
 }
@@ -82,9 +87,11 @@
             running: IndexMap::new(),
             ended_lifetimes: Vec::new(),
             claims: IndexMap::new(),
+            unordered_ends: IndexMap::new(),
             stored_lifetimes: Vec::new(),
             recovery_end: None,
             window: ReplayWindow::default(),
+            last_answer: None,
             draining: false,
             published: Vec::new(),
         }
@@ -96,8 +103,9 @@
     }
 
     /// Starts, queues or refuses an attempt.
-    pub fn submit(&mut self, request: SlotRequest) -> Vec<GateAction> {
+    pub fn submit(&mut self, mut request: SlotRequest) -> Vec<GateAction> {
         let now = self.clock.now();
+        self.limit_time(&mut request, now);
         if !request.idempotent && request.incarnation != self.incarnation {
             return vec![self.refusal(&request, Reason::Outdated)];
         }
@@ -211,6 +219,7 @@
         actions.extend(self.update_likely_gray(now));
         actions.extend(self.report_idle(now));
         self.remove_drained();
+        self.forget_unordered_ends(now);
         self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
         actions.extend(self.refuse_late(now));
@@ -224,15 +233,6 @@
         actions
     }
 
-    /// Stops admitting requests. Queued requests are refused, and running ones continue.
-    pub fn drain(&mut self) -> Vec<GateAction> {
-        self.draining = true;
-        let queues = self.services.values_mut();
-        let waiting: Vec<QueuedRequest> =
-            queues.flat_map(|s| [s.short_queue.clear(), s.long_queue.clear()]).flatten().collect();
-        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
-    }
-
     /// Returns whether an attempt waits or runs.
     pub fn holds(&self, attempt: AttemptId) -> bool {
         self.requests.contains_key(&attempt)
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -20,6 +20,11 @@
 const CONNECTION_BYTES_DIVISOR: u64 = 16;
 const MIN_CONNECTION_BYTES: u64 = 256 * 1024;
 
+/// Share of the callers' connections that each other port may have, and the range of that number.
+const PORT_DIVISOR: usize = 8;
+const MIN_PORT_CONNECTIONS: usize = 16;
+const MAX_PORT_CONNECTIONS: usize = 128;
+
 /// What memory is held for.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum HeldKind {
@@ -31,11 +36,14 @@
     Peer,
     /// Responses on their way to callers.
     Response,
+    /// Runs on upstreams, with the responses on their way to the entries.
+    Run,
 }
 
 impl HeldKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Connection, Self::Body, Self::Peer, Self::Response];
+    pub const ALL: [Self; 5] =
+        [Self::Connection, Self::Body, Self::Peer, Self::Response, Self::Run];
 
     /// Returns the value of the metric label.
     pub fn name(self) -> &'static str {
@@ -44,6 +52,7 @@
             Self::Body => "body",
             Self::Peer => "peer",
             Self::Response => "response",
+            Self::Run => "run",
         }
     }
 }
@@ -92,6 +101,23 @@
         }
     }
 
+    /// Returns the limits of a port that is not for callers. It has one without settings too, since
+    /// few programs use it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::memory::HoldLimits;
+    ///
+    /// assert_eq!(HoldLimits::derive(160, 1024).of_port().connections, Some(64));
+    /// assert_eq!(HoldLimits::default().of_port().connections, Some(128));
+    /// ```
+    pub fn of_port(&self) -> Self {
+        let share = self.connections.map_or(MAX_PORT_CONNECTIONS, |max| max / PORT_DIVISOR);
+        let connections = share.clamp(MIN_PORT_CONNECTIONS, MAX_PORT_CONNECTIONS);
+        Self { connections: Some(connections), ..Self::default() }
+    }
+
     /// Returns whether memory is limited.
     pub fn has_bytes(&self) -> bool {
         self.node_bytes.is_some()
@@ -188,6 +214,29 @@
         Share { account: Arc::clone(&self.0), kind, bytes }
     }
 
+    /// Takes a share if the memory is free. A refusal closes no connections, so this is for memory
+    /// that only speeds up a transfer.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::memory::{Budget, HeldKind};
+    ///
+    /// let node = Budget::new(Some(100));
+    /// assert!(node.claim_spare(HeldKind::Run, 101).is_none());
+    /// assert!(!node.take_refusal());
+    /// ```
+    pub fn claim_spare(&self, kind: HeldKind, bytes: u64) -> Option<Share> {
+        let has_room = self.has_room(bytes);
+        has_room.then(|| self.hold(kind, bytes))
+    }
+
+    /// Returns whether the whole chain has this much memory free.
+    pub fn has_room(&self, bytes: u64) -> bool {
+        let fits = |held: u64, limit| held.checked_add(bytes).is_some_and(|sum| sum <= limit);
+        self.0.chain().all(|account| fits(account.held.load(Ordering::Acquire), account.limit))
+    }
+
     /// Returns the bytes that are held.
     pub fn held(&self) -> u64 {
         self.0.held.load(Ordering::Acquire)
@@ -263,6 +312,12 @@
         Ok(())
     }
 
+    /// Adds another share of the same budget to this one.
+    pub fn merge(&mut self, mut other: Self) {
+        debug_assert!(Arc::ptr_eq(&self.account, &other.account) && self.kind == other.kind);
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
     fn release(&self, bytes: u64) {
         for account in self.account.chain() {
             account.held.fetch_sub(bytes, Ordering::AcqRel);
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -5,10 +5,11 @@
 
 use lavenderflow_core::allowance::message::Draw;
 use lavenderflow_core::gossip::{Exchange, PeerCursor};
-use lavenderflow_core::memory::Budget;
+use lavenderflow_core::memory::{Budget, HeldKind, Share};
+use lavenderflow_core::peer_connections::PeerConnections;
 use lavenderflow_schema::dialect::Dialect;
 use lavenderflow_schema::wire::frame::Body;
-use quinn::{ClientConfig, Connection, Endpoint, Incoming, ServerConfig, VarInt};
+use quinn::{ClientConfig, Connection, ConnectionError, Endpoint, Incoming, ServerConfig, VarInt};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -25,6 +26,8 @@
 /// Commands that the channel to the network task buffers.
 const COMMAND_CAPACITY: usize = 4096;
 
+/// Time within which another node must have opened a connection, as on its side.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time within which the first frame of a stream must have arrived: that after which a connection
 /// without a packet is lost.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(6);
@@ -106,9 +109,10 @@
     let mut endpoint = endpoint;
     endpoint.set_default_client_config(client);
     let (local_links, incoming_links) = context::local_link_channel();
+    let runs = context::run_budget(&setup.budget);
     let context = NetworkContext {
         node: setup.node,
-        calls: upstream::start(Arc::clone(&setup.clock), Arc::clone(&setup.dialect)),
+        calls: upstream::start(Arc::clone(&setup.clock), Arc::clone(&setup.dialect), &runs),
         clock: setup.clock,
         local_links,
         dialect: setup.dialect,
@@ -117,6 +121,7 @@
         work: setup.work,
         stop: setup.stop,
         budget: setup.budget,
+        runs,
         ping_interval: setup.ping_interval,
     };
     let _ = bound.send(Ok(context.clone()));
@@ -155,8 +160,16 @@
 }
 
 async fn accept(context: NetworkContext, endpoint: Endpoint) {
+    let mut peers = PeerConnections::new(&context.budget);
     while let Some(incoming) = endpoint.accept().await {
-        tokio::spawn(handshake(context.clone(), incoming));
+        match peers.open(incoming.remote_address().ip()) {
+            Some(share) => drop(tokio::spawn(handshake(context.clone(), incoming, share))),
+            None => {
+                log::warn!("event=peer-refused peer={}", incoming.remote_address());
+                incoming.refuse();
+                context.mailbox.try_send(Message::Count(Counter::Fault(Fault::Handshake)));
+            }
+        }
     }
 }
 
@@ -172,9 +185,11 @@
     }
 }
 
-async fn handshake(context: NetworkContext, incoming: Incoming) {
+/// Opens and serves a connection, which is accounted until it ends.
+async fn handshake(context: NetworkContext, incoming: Incoming, _held: Share) {
     let address = incoming.remote_address();
-    match incoming.await {
+    let opened = timeout(HANDSHAKE_TIMEOUT, incoming).await;
+    match opened.unwrap_or(Err(ConnectionError::TimedOut)) {
         Ok(connection) => serve_connection(context, connection).await,
         Err(fault) => {
             log::warn!("event=handshake-failed peer={address} fault={fault:?}");
@@ -186,7 +201,7 @@
 async fn serve_connection(context: NetworkContext, connection: Connection) {
     let budget = context.frame_budget();
     while let Ok((sink, source)) = connection.accept_bi().await {
-        let source = FrameSource::Accepted(source, budget.clone());
+        let source = FrameSource::Accepted(source, budget.hold(HeldKind::Peer, 0));
         tokio::spawn(serve_link(context.clone(), FrameSink::Quic(sink), source));
     }
 }
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -25,6 +25,9 @@
 const QUEUED_NOTICE_DELAY: Duration = Duration::from_millis(20);
 /// Longest time between the grant of a slot and the entry's commit of the request.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the next part of a body that nobody reads any more: the time after which a
+/// connection without a packet is lost.
+const BODY_END_TIMEOUT: Duration = Duration::from_secs(6);
 /// Response bodies up to this size are sent in one frame.
 pub const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
@@ -97,6 +100,11 @@
             let admitted = wire::Verdict { admitted: true, load, ..wire::Verdict::default() };
             sink.send(Body::Verdict(admitted)).await?;
             let (id, idempotent) = (begin.request_id.clone(), begin.idempotent);
+            let Some(held) = context.hold_run() else {
+                log::info!("event=no-memory request={id}");
+                let load = slot.finish(RunResult::Cancelled).await;
+                return refuse(sink, Reason::MemoryLimit, load).await;
+            };
             let Some((body, body_rest)) = request_body(&begin, source).await else {
                 log::info!("event=not-committed request={id}");
                 let load = slot.finish(RunResult::Cancelled).await;
@@ -116,7 +124,7 @@
                 let load = slot.finish(RunResult::Cancelled).await;
                 return refuse(sink, Reason::Leaving, load).await;
             }
-            UpstreamRun { context, slot, id, sink, idempotent, deadline: sent_by }
+            UpstreamRun { context, slot, id, sink, idempotent, deadline: sent_by, _held: held }
                 .relay(event_receiver)
                 .await
         }
@@ -191,13 +199,11 @@
     context.mailbox.send(Message::Gate(message)).await;
 }
 
-async fn refuse(mut sink: FrameSink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
+async fn refuse(sink: FrameSink, reason: Reason, load: Option<Load>) -> Result<(), LinkError> {
     let load = load.map(Into::into);
     let reason = reason.name().to_owned();
     let verdict = wire::Verdict { reason, load, ..wire::Verdict::default() };
-    sink.send(Body::Verdict(verdict)).await?;
-    sink.finish().await;
-    Ok(())
+    sink.send_last(Body::Verdict(verdict), tokio::time::Instant::now()).await
 }
 
 /// The first part of a request body and the channel with the others.
@@ -251,7 +257,19 @@
 /// Forwards the rest of a request body; drops the sender without an end when the body is truncated.
 async fn receive_body(mut source: FrameSource, parts: mpsc::Sender<BodyPart>) {
     loop {
-        let (part, is_end) = match source.receive().await {
+        let received = {
+            let receiving = source.receive();
+            tokio::pin!(receiving);
+            tokio::select! {
+                received = &mut receiving => received,
+                // The upstream may have the whole body before its end has arrived.
+                () = parts.closed() => match timeout(BODY_END_TIMEOUT, receiving).await {
+                    Ok(received) => received,
+                    Err(_) => return,
+                },
+            }
+        };
+        let (part, is_end) = match received {
             Ok(Some(Body::Chunk(chunk))) => (BodyPart::Data(chunk.data), false),
             Ok(Some(Body::End(_))) => (BodyPart::End, true),
             _ => return,
--- a/crates/lavenderflow/tests/common/deployment.rs
+++ b/crates/lavenderflow/tests/common/deployment.rs
@@ -6,7 +6,6 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Receiver;
-use std::thread;
 use std::time::Duration;
 
 use lavenderflow_standins::fleet::{free_tcp_port, wait_until};
@@ -17,6 +16,7 @@
 use serde_json::{Value, json};
 
 use super::binary;
+use super::pace::Pace;
 
 /// Host of the requests and of the routes.
 pub const HOST: &str = "work.example";
@@ -103,7 +103,8 @@
         self.read_slowly(Duration::ZERO)
     }
 
-    /// Reads a response as [`read`](Self::read) does, with a pause before each part of its body.
+    /// Reads a response as [`read`](Self::read) does, with a pause before each part of its body. A
+    /// reader that is late makes no pause until it has caught up.
     pub fn read_slowly(&mut self, pause: Duration) -> Option<Response> {
         let mut line = String::new();
         self.reader.read_line(&mut line).ok()?;
@@ -121,8 +122,9 @@
             let length: usize = response.header("content-length").parse().unwrap_or(0);
             response.body = vec![0; length];
             let mut parts = response.body.chunks_mut(PART_BYTES);
+            let mut pace = Pace::new(pause);
             response.is_complete = parts.all(|part| {
-                thread::sleep(pause);
+                pace.wait();
                 self.reader.read_exact(part).is_ok()
             });
         }
@@ -130,8 +132,9 @@
     }
 
     fn read_chunks(&mut self, body: &mut Vec<u8>, pause: Duration) -> bool {
+        let mut pace = Pace::new(pause);
         loop {
-            thread::sleep(pause);
+            pace.wait();
             let mut line = String::new();
             if self.reader.read_line(&mut line).unwrap_or(0) == 0 {
                 return false;
@@ -301,8 +304,7 @@
 
 /// Returns a page of a node's interface for operators.
 pub fn admin_get(vm: &Vm, path: &str) -> Option<String> {
-    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
-    let call = ureq::get(format!("http://{admin}{path}"));
+    let call = ureq::get(format!("http://{}{path}", admin_address(vm)));
     let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
     call.call().ok()?.body_mut().read_to_string().ok()
 }
@@ -317,8 +319,7 @@
 
 /// Returns the status of a node; null if it does not respond.
 pub fn status(vm: &Vm) -> Value {
-    let admin = SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)));
-    let call = ureq::get(format!("http://{admin}/v1/status"));
+    let call = ureq::get(format!("http://{}/v1/status", admin_address(vm)));
     let call = call.config().timeout_global(Some(Duration::from_secs(2))).build();
     call.call()
         .ok()
@@ -326,6 +327,11 @@
         .unwrap_or_default()
 }
 
+/// Returns the address for operators.
+pub fn admin_address(vm: &Vm) -> SocketAddr {
+    SocketAddr::from((vm.outbound.ip(), admin_port(&vm.settings_file)))
+}
+
 fn admin_port(file: &std::path::Path) -> u16 {
     let text = std::fs::read(file).expect("a settings file");
     let value: Value = serde_json::from_slice(&text).expect("settings");
--- a/crates/lavenderflow/tests/endless_peers.rs
+++ b/crates/lavenderflow/tests/endless_peers.rs
@@ -19,6 +19,8 @@
 const MEMORY_MB: u64 = 40;
 /// Streams on which a frame does not end.
 const STREAMS: usize = 96;
+/// Connections that the peer opens.
+const CONNECTIONS: usize = 400;
 /// Time for which the peer sends.
 const SEND_TIME: Duration = Duration::from_secs(3);
 
@@ -77,6 +79,59 @@
     assert!(peak < MEMORY_MB << 20, "{peak} bytes");
 }
 
+/// Guards against messages of two bytes that take a hundred times that once decoded.
+#[tokio::test]
+async fn an_exchange_of_empty_records_stays_within_the_memory_of_a_node() {
+    let limits = json!({"memory_mb": MEMORY_MB, "max_fds": 1024});
+    let deployment = Deployment::start_limited(2, limits);
+    let (_endpoint, connection) = connect(&deployment.vms[0]).await;
+    // Field 7 of a frame is an exchange, whose fields 3, 4, 5, 11 and 13 are records.
+    for field in [3u8, 4, 5, 11, 13] {
+        let records = [field << 3 | 2, 0].repeat(MAX_FRAME_BYTES / 2 - 8);
+        let mut exchange = vec![7 << 3 | 2];
+        prost::encode_length_delimiter(records.len(), &mut exchange).expect("a length");
+        exchange.extend_from_slice(&records);
+        let length = u32::try_from(exchange.len()).expect("a length");
+        let frame = [length.to_be_bytes().to_vec(), exchange].concat();
+        let (mut sink, mut source) = connection.open_bi().await.expect("a stream");
+        let mut peak = 0;
+        // The node may stop reading.
+        let _ = sink.write_all(&frame).await;
+        let _ = sink.finish();
+        let ended = timeout(SEND_TIME, source.read_to_end(MAX_FRAME_BYTES));
+        tokio::pin!(ended);
+        while timeout(Duration::from_millis(5), &mut ended).await.is_err() {
+            peak = deployment.vms[0].process.resident_bytes().expect("a node").max(peak);
+        }
+        assert!(peak < MEMORY_MB << 20, "field {field}: {peak} bytes");
+        assert_serves(&deployment.vms[0], format!("after-{field}")).await;
+    }
+}
+
+/// Guards against connections of other nodes without a limit, each of which takes memory.
+#[tokio::test]
+async fn connections_of_a_peer_without_end_stay_within_the_memory_of_a_node() {
+    let limits = json!({"memory_mb": MEMORY_MB, "max_fds": 1024});
+    let deployment = Deployment::start_limited(2, limits);
+    let vm = &deployment.vms[0];
+    let (_, client) = self_signed(None).expect("keys");
+    let mut endpoint = Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a socket");
+    endpoint.set_default_client_config(client);
+    let mut connections = Vec::new();
+    let mut peak = 0;
+    for index in 0..CONNECTIONS {
+        let connecting = endpoint.connect(peer_address(vm), SERVER_NAME).expect("an address");
+        // The node may refuse the connection.
+        connections.extend(timeout(SEND_TIME, connecting).await.into_iter().flatten());
+        peak = vm.process.resident_bytes().expect("a node").max(peak);
+        if index % 100 == 0 {
+            assert_serves(vm, format!("beside-{index}")).await;
+        }
+    }
+    println!("{} connections, {peak} bytes", connections.len());
+    assert!(peak < MEMORY_MB << 20, "{peak} bytes with {} connections", connections.len());
+}
+
 #[tokio::test]
 async fn streams_on_which_a_peer_sends_nothing_end() {
     let deployment = Deployment::start(2);
