Keep the start of a frame whose wait is given up

What callers would see: 502 (unknown) although the gate answers, where the first frame of a silent attempt arrives in parts and the entry stops waiting for it in the middle: what had been read of it was lost, and its rest was read as a new frame, which is malformed. The same holds for a withdrawal that a gate awaits beside the decision on a slot.

Cause: a read of a frame kept what it had received in the future, which the callers cancel.

Change: FrameReader keeps what has arrived, so cancelling a read loses nothing.

Test: silent_gate a_first_frame_that_arrives_in_parts_is_read_whole.

--- a/crates/lavenderflow/src/net.rs
+++ b/crates/lavenderflow/src/net.rs
@@ -6,6 +6,7 @@
 pub mod draw;
 pub mod drive;
 pub mod endpoint;
+pub mod frame_reader;
 pub mod link;
 pub mod ping;
 pub mod serve;
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -2,23 +2,19 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use lavenderflow_core::memory::{OverLimit, Share};
-use lavenderflow_schema::layouts::FRAME;
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
-use quinn::{
-    ConnectionError, ReadExactError, RecvStream, SendStream, StoppedError, VarInt, WriteError,
-};
+use quinn::{ConnectionError, RecvStream, SendStream, StoppedError, VarInt, WriteError};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+use super::frame_reader::FrameReader;
 use crate::prelude::Duration;
 
 /// Size limit of a frame.
 pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
-/// Size limit of a frame once it is decoded.
-const MAX_DECODED_BYTES: usize = 8 * MAX_FRAME_BYTES;
 /// Size of the length prefix of each frame.
-const LENGTH_PREFIX_BYTES: usize = 4;
+pub(super) const LENGTH_PREFIX_BYTES: usize = 4;
 /// Frames that a link within a process buffers.
 const LOCAL_FRAME_CAPACITY: usize = 2;
 /// Time within which a peer must have received the end of a link: that after which a connection
@@ -94,10 +90,10 @@
 #[derive(Debug)]
 pub enum FrameSource {
     /// From another process.
-    Quic(RecvStream),
+    Quic(FrameReader),
     /// From another process that opened the stream; what has arrived of a frame, and an exchange
     /// until the end of its stream, count against the budget of its connection.
-    Accepted(RecvStream, Share),
+    Accepted(FrameReader, Share),
     /// Within the process.
     Local(mpsc::Receiver<Body>),
 }
@@ -180,18 +176,24 @@
     }
 }
 
+impl From<RecvStream> for FrameSource {
+    fn from(stream: RecvStream) -> Self {
+        Self::Quic(stream.into())
+    }
+}
+
 impl FrameSource {
-    /// Receives the next frame; `None` at the end of the link.
+    /// Receives the next frame; `None` at the end of the link. Cancelling it loses nothing.
     ///
     /// # Errors
     ///
     /// The frame is malformed or the link failed.
     pub async fn receive(&mut self) -> Result<Option<Body>, LinkError> {
         match self {
-            Self::Quic(stream) => receive_frame(stream, None).await,
-            Self::Accepted(stream, share) => {
+            Self::Quic(reader) => reader.read(None).await,
+            Self::Accepted(reader, share) => {
                 share.resize(0)?;
-                let body = receive_frame(stream, Some(share)).await?;
+                let body = reader.read(Some(share)).await?;
                 if !matches!(body, Some(Body::Exchange(_))) {
                     share.resize(0)?;
                 }
@@ -214,41 +216,3 @@
     frame.encode_raw(&mut bytes);
     Ok(bytes.freeze())
 }
-
-async fn receive_frame(
-    stream: &mut RecvStream,
-    share: Option<&mut Share>,
-) -> Result<Option<Body>, LinkError> {
-    let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    match stream.read_exact(&mut prefix).await {
-        Ok(()) => {}
-        Err(ReadExactError::FinishedEarly(0)) => return Ok(None),
-        Err(error) => return Err(read_error(error)),
-    }
-    let length = u32::from_be_bytes(prefix) as usize;
-    if length > MAX_FRAME_BYTES {
-        return Err(LinkError::TooLarge(length));
-    }
-    let mut share = share;
-    if let Some(share) = &mut share {
-        share.resize(length as u64)?;
-    }
-    let mut bytes = BytesMut::zeroed(length);
-    stream.read_exact(&mut bytes).await.map_err(read_error)?;
-    let decoded = FRAME.decoded_size(&bytes).ok_or(LinkError::Unexpected)?;
-    if decoded > MAX_DECODED_BYTES {
-        return Err(LinkError::TooLarge(decoded));
-    }
-    if let Some(share) = share {
-        share.resize((length + decoded) as u64)?;
-    }
-    let frame = Frame::decode(bytes.freeze())?;
-    frame.body.map(Some).ok_or(LinkError::Unexpected)
-}
-
-fn read_error(error: ReadExactError) -> LinkError {
-    match error {
-        ReadExactError::FinishedEarly(_) => LinkError::Closed,
-        ReadExactError::ReadError(error) => LinkError::Read(error),
-    }
-}
--- a/crates/lavenderflow/tests/silent_gate.rs
+++ b/crates/lavenderflow/tests/silent_gate.rs
@@ -27,10 +27,11 @@
 use lavenderflow_core::roster::Member;
 use lavenderflow_core::route::{Idempotency, Route, Router};
 use lavenderflow_schema::wire::frame::Body;
-use lavenderflow_schema::wire::{Answer, Chunk, End, Verdict};
+use lavenderflow_schema::wire::{Answer, Chunk, End, Frame, Verdict};
+use prost::Message as _;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time after which the silent gate sends its first frame: twice as long as the entry waits.
 const LATE: Duration = Duration::from_millis(300);
@@ -78,6 +79,23 @@
         self.sink.finish().await;
     }
 
+    /// Sends the start of the first frame, and the rest of it only after the entry has given up the
+    /// wait for it.
+    async fn serve_in_parts(mut self) {
+        let mut frame = vec![0; 4];
+        Frame { body: Some(admitted()) }.encode(&mut frame).expect("room");
+        let length = u32::try_from(frame.len() - 4).expect("a small frame");
+        frame[..4].copy_from_slice(&length.to_be_bytes());
+        let FrameSink::Quic(stream) = &mut self.sink else { panic!("no stream") };
+        stream.write_all(&frame[..5]).await.expect("a link");
+        sleep(LATE).await;
+        stream.write_all(&frame[5..]).await.expect("a link");
+        let body = Bytes::from_static(b"late");
+        let answer = Answer { status: 200, body, whole: true, ..Answer::default() };
+        self.sink.send(Body::Answer(answer)).await.expect("a link");
+        self.sink.finish().await;
+    }
+
     async fn is_open(&self) -> bool {
         timeout(QUIET_TIME, self.sink.closed()).await.is_err()
     }
@@ -109,7 +127,7 @@
             tokio::spawn(accept(endpoint, sender.clone()));
             // A gate without a connection would use up an attempt.
             while context.connector.connect_node(gate).await.is_err() {
-                tokio::time::sleep(QUIET_TIME).await;
+                sleep(QUIET_TIME).await;
             }
         }
         tokio::spawn(decide(entry, messages));
@@ -224,7 +242,7 @@
         let (connection, attempts) = (incoming.await.expect("a connection"), attempts.clone());
         tokio::spawn(async move {
             while let Ok((sink, source)) = connection.accept_bi().await {
-                let (sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source));
+                let (sink, mut source) = (FrameSink::Quic(sink), FrameSource::from(source));
                 if let Ok(Some(Body::Begin(begin))) = source.receive().await {
                     let (connection, on_commit) = (connection.clone(), begin.on_commit);
                     let attempt = Attempt { sink, _source: source, connection, on_commit };
@@ -251,7 +269,7 @@
     let request = fleet.request();
     let silent = fleet.attempt().await;
     fleet.fill();
-    tokio::time::sleep(LATE).await;
+    sleep(LATE).await;
     assert!(silent.is_open().await, "the run is cut");
     silent.serve().await;
     assert_served(&reply(request).await);
@@ -265,7 +283,7 @@
     fleet.attempt().await.refuse().await;
     let first = fleet.attempt().await;
     let last = fleet.attempt().await;
-    tokio::time::sleep(LATE).await;
+    sleep(LATE).await;
     assert!(first.is_open().await, "the first run is cut");
     assert!(last.is_open().await, "the last run is cut");
     first.serve().await;
@@ -279,7 +297,7 @@
     let request = fleet.request();
     fleet.attempt().await.refuse().await;
     let last = fleet.attempt().await;
-    tokio::time::sleep(LATE).await;
+    sleep(LATE).await;
     last.refuse().await;
     let reply = reply(request).await;
     assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
@@ -320,7 +338,7 @@
     let request = fleet.request();
     let silent = fleet.attempt().await;
     fleet.fill();
-    tokio::time::sleep(LATE).await;
+    sleep(LATE).await;
     assert!(!request.is_finished(), "the run is cut");
     silent.connection.close(quinn::VarInt::from_u32(0), b"");
     let reply = timeout(REMAINING / 2, request).await.expect("in time").expect("a reply");
@@ -334,7 +352,7 @@
     let request = fleet.request();
     let silent = fleet.attempt().await;
     fleet.next_attempt().await.refuse().await;
-    tokio::time::sleep(LATE).await;
+    sleep(LATE).await;
     silent.refuse().await;
     let reply = reply(request).await;
     assert_eq!((reply.outcome, reply.reason), (Outcome::NotRun, Reason::QueueFull), "{reply:?}");
@@ -355,3 +373,15 @@
     }
     assert_eq!(length, 8);
 }
+
+/// Guards against a frame whose start is lost with the wait for it.
+#[tokio::test]
+async fn a_first_frame_that_arrives_in_parts_is_read_whole() {
+    let mut fleet = Fleet::start(2, 3).await;
+    let request = fleet.request();
+    let attempt = fleet.attempt().await;
+    fleet.fill();
+    attempt.serve_in_parts().await;
+    let reply = reply(request).await;
+    assert_eq!((reply.status, reply.outcome), (200, Outcome::Ran));
+}
