--- a/crates/lavenderflow/tests/allowances.rs
+++ b/crates/lavenderflow/tests/allowances.rs
@@ -5,7 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, HOST, Response};
+use common::caller::{Caller, HOST, Response};
+use common::deployment::Deployment;
 use serde_json::{Value, json};
 
 /// Requests per second that the limited organisation may make.
--- a/crates/lavenderflow/tests/common/mod.rs
+++ b/crates/lavenderflow/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)]
 
+pub mod caller;
 pub mod deployment;
 pub mod pace;
 pub mod scripted;
--- a/crates/lavenderflow/tests/crowds.rs
+++ b/crates/lavenderflow/tests/crowds.rs
@@ -8,7 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, HOST};
+use common::caller::{Caller, HOST};
+use common::deployment::Deployment;
 use common::{Site, SiteConfig};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::{Mode, Part};
--- a/crates/lavenderflow/tests/endless.rs
+++ b/crates/lavenderflow/tests/endless.rs
@@ -5,7 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment};
+use common::caller::Caller;
+use common::deployment::Deployment;
 use lavenderflow_standins::fleet::wait_with_timeout;
 use lavenderflow_standins::platform_upstream::{Mode, Part, response_body};
 
--- a/crates/lavenderflow/tests/endless_bodies.rs
+++ b/crates/lavenderflow/tests/endless_bodies.rs
@@ -8,7 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Deployment, Vm, request_head, start_upstream};
+use common::caller::request_head;
+use common::deployment::{Deployment, Vm, start_upstream};
 use lavenderflow_standins::error::Error;
 use lavenderflow_standins::fleet::{wait_until, wait_with_timeout};
 use lavenderflow_standins::platform_upstream::{Mode, Part, response_body};
--- a/crates/lavenderflow/tests/endless_crowd.rs
+++ b/crates/lavenderflow/tests/endless_crowd.rs
@@ -7,7 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Deployment, request_head};
+use common::caller::request_head;
+use common::deployment::Deployment;
 use lavenderflow_standins::fleet::{wait_until, wait_with_timeout};
 use lavenderflow_standins::platform_upstream::{
     Mode, Part, PlatformUpstream, Settings, response_body,
--- a/crates/lavenderflow/tests/endless_peers.rs
+++ b/crates/lavenderflow/tests/endless_peers.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::deployment::{Caller, Deployment, Vm};
+use common::caller::Caller;
+use common::deployment::{Deployment, Vm};
 use lavenderflow::net::link::MAX_FRAME_BYTES;
 use lavenderflow::net::tls::{SERVER_NAME, self_signed};
 use lavenderflow_standins::platform_upstream::response_body;
--- a/crates/lavenderflow/tests/endless_ports.rs
+++ b/crates/lavenderflow/tests/endless_ports.rs
@@ -7,7 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, admin_address, is_ready, status};
+use common::caller::Caller;
+use common::deployment::{Deployment, admin_address, is_ready, status};
 use lavenderflow_standins::platform_upstream::response_body;
 use serde_json::json;
 
--- a/crates/lavenderflow/tests/explain.rs
+++ b/crates/lavenderflow/tests/explain.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use common::binary;
-use common::deployment::{Caller, Deployment, request_head};
+use common::caller::{Caller, request_head};
+use common::deployment::Deployment;
 use lavenderflow::explain::{NodeLog, explain};
 use lavenderflow_core::id::node_id;
 use lavenderflow_standins::fleet::wait_until;
--- a/crates/lavenderflow/tests/future_configuration.rs
+++ b/crates/lavenderflow/tests/future_configuration.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::deployment::{Caller, Deployment, HOST, admin_get, configuration_json};
+use common::caller::{Caller, HOST};
+use common::deployment::{Deployment, admin_get, configuration_json};
 use lavenderflow_standins::fleet::wait_until;
 use serde_json::{Value, json};
 
--- a/crates/lavenderflow/tests/interrupted.rs
+++ b/crates/lavenderflow/tests/interrupted.rs
@@ -6,7 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
-use common::deployment::{Caller, Deployment, configuration_json, request_head};
+use common::caller::{Caller, request_head};
+use common::deployment::{Deployment, configuration_json};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::Mode;
 
--- a/crates/lavenderflow/tests/odd_input.rs
+++ b/crates/lavenderflow/tests/odd_input.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use common::deployment::{Caller, Deployment};
+use common::caller::Caller;
+use common::deployment::Deployment;
 use lavenderflow_standins::fleet::wait_until;
 use serde_json::{Value, json};
 
--- a/crates/lavenderflow/tests/organisations.rs
+++ b/crates/lavenderflow/tests/organisations.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::deployment::{Caller, Deployment, HOST, Response, configuration_json};
+use common::caller::{Caller, HOST, Response};
+use common::deployment::{Deployment, configuration_json};
 use lavenderflow_standins::fleet::wait_until;
 use serde_json::{Value, json};
 
--- a/crates/lavenderflow/tests/planned_stop.rs
+++ b/crates/lavenderflow/tests/planned_stop.rs
@@ -6,9 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{
-    Caller, Deployment, Response, configuration_json, is_ready, request_head, status,
-};
+use common::caller::{Caller, Response, request_head};
+use common::deployment::{Deployment, configuration_json, is_ready, status};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::Mode;
 
--- a/crates/lavenderflow/tests/platform.rs
+++ b/crates/lavenderflow/tests/platform.rs
@@ -4,9 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use common::deployment::{
-    Caller, Deployment, HOST, configuration_json, is_ready, request_head, start_upstream,
-};
+use common::caller::{Caller, HOST, request_head};
+use common::deployment::{Deployment, configuration_json, is_ready, start_upstream};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::{Mode, response_body};
 use lavenderflow_standins::store::Mode as StoreMode;
--- a/crates/lavenderflow/tests/reload.rs
+++ b/crates/lavenderflow/tests/reload.rs
@@ -6,7 +6,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, Vm, admin_get, request_head};
+use common::caller::{Caller, request_head};
+use common::deployment::{Deployment, Vm, admin_get};
 use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::Mode;
 use serde_json::{Value, json};
--- a/crates/lavenderflow/tests/slots.rs
+++ b/crates/lavenderflow/tests/slots.rs
@@ -5,7 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, request_head, status};
+use common::caller::{Caller, request_head};
+use common::deployment::{Deployment, status};
 use lavenderflow_standins::fleet::wait_until;
 
 /// Callers at the same time, many times the slots of all upstreams.
--- a/crates/lavenderflow/tests/soak.rs
+++ b/crates/lavenderflow/tests/soak.rs
@@ -10,7 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::deployment::{Caller, Deployment, HOST, Response, configuration_json, request_head};
+use common::caller::{Caller, HOST, Response, request_head};
+use common::deployment::{Deployment, configuration_json};
 use lavenderflow_standins::platform_upstream::RequestRecord;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
