End runs of requests queued before a stop with the node

The gate of a stopping node limits the time of requests that come after the signal, but not of those that waited in its queue by then. Until it drains it admits these too, and their runs may last beyond the end of the node, which cuts them without a word to their entries.

--- a/crates/core/src/gate/stop.rs
+++ b/crates/core/src/gate/stop.rs
@@ -5,10 +5,16 @@
 use crate::queue::QueuedRequest;
 
 impl Gate {
-    /// Goes on admitting requests to the upstreams of a stopping node. Runs that begin from now on
-    /// have to end by `last_answer`, and trial requests are refused, since they may hang until then.
+    /// Goes on admitting requests to the upstreams of a stopping node. Runs that begin from now on,
+    /// those of queued requests too, have to end by `last_answer`, and trial requests are refused,
+    /// since they may hang until then.
     pub fn prepare_stop(&mut self, last_answer: Instant) {
         self.last_answer = Some(last_answer);
+        for (attempt, (_, deadline)) in &mut self.requests {
+            if !self.running.contains_key(attempt) {
+                *deadline = (*deadline).min(last_answer);
+            }
+        }
     }
 
     /// Stops admitting requests. Queued requests are refused, and running ones continue.
--- a/crates/core/tests/gate_stop.rs
+++ b/crates/core/tests/gate_stop.rs
@@ -77,3 +77,21 @@
     gate.prepare_stop(clock.now() + STOP);
     assert_eq!(offer(&mut gate, 4), Err(Reason::Doubtful));
 }
+
+#[test]
+fn what_was_queued_before_the_stop_has_to_end_with_the_node_too() {
+    let clock = clock();
+    let mut gate = gate(1, &clock, 1);
+    assert!(offer(&mut gate, 1).is_ok());
+    let waiting = SlotRequest { queue_timeout: Duration::from_secs(2), ..request(2) };
+    gate.submit(waiting);
+    let last_answer = clock.now() + STOP;
+    gate.prepare_stop(last_answer);
+    clock.advance(Duration::from_millis(50));
+    let (_, actions) = gate.finish(attempt(1), RunResult::Success);
+    let deadline = actions.iter().find_map(|action| match action {
+        GateAction::Start { deadline, .. } => Some(*deadline),
+        _ => None,
+    });
+    assert_eq!(deadline, Some(last_answer));
+}
