Forget ends without an order in the store as well

The end of an upstream that deregistered unknown to its gate counts for 30 s, but stayed in the store, for up to 600 s and over each later write. So each restart of the node kept the id out for another 30 s, with acknowledged heartbeats, although a sound upstream had been used under it meanwhile. Now the gate stores the others once the time is over, and what an earlier process had stored is not merged into writes after this time.

The merge in the store's thread has no test of its own. Found by reading; not seen in a play.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -219,7 +219,7 @@
         actions.extend(self.update_likely_gray(now));
         actions.extend(self.report_idle(now));
         self.remove_drained();
-        self.forget_unordered_ends(now);
+        actions.extend(self.forget_unordered_ends(now));
         self.services.values_mut().for_each(|state| state.shares.forget_idle(now));
         actions.extend(self.expire(now));
         actions.extend(self.refuse_late(now));
--- a/crates/core/src/gate/lifetimes.rs
+++ b/crates/core/src/gate/lifetimes.rs
@@ -11,9 +11,6 @@
 
 /// Most ended lifetimes that are remembered.
 const MAX_ENDED_LIFETIMES: usize = 64;
-/// Time for which no announcement of an upstream is applied that deregistered before the gate knew
-/// it, without saying which lifetime ended. It may go on to announce itself until it exits.
-const UNORDERED_END_TIME: Duration = Duration::from_secs(30);
 
 impl Gate {
     /// Accepts announcements of ordered lifetimes only after [`Gate::restore_lifetimes`], or after
@@ -42,7 +39,7 @@
     pub fn restore_lifetimes(&mut self, ended: Vec<EndedLifetime>) -> Vec<GateAction> {
         self.recovery_end = None;
         self.stored_lifetimes.extend(ended.iter().cloned());
-        let end = self.clock.now() + UNORDERED_END_TIME;
+        let end = self.clock.now() + Lifetime::UNORDERED_TIME;
         for EndedLifetime { upstream: id, lifetime } in ended {
             if lifetime == Lifetime::UNORDERED {
                 self.unordered_ends.insert(id.clone(), end);
@@ -136,26 +133,28 @@
             }
             None if !self.ended_lifetimes.iter().any(|ended| ended.upstream == announcement.id) => {
                 let id = announcement.id.clone();
-                self.unordered_ends.insert(id.clone(), now + UNORDERED_END_TIME);
+                self.unordered_ends.insert(id.clone(), now + Lifetime::UNORDERED_TIME);
                 self.remember(id, Lifetime::UNORDERED);
             }
             None => {}
         }
     }
 
-    /// Lets upstreams announce themselves again whose unordered ends are long past.
-    pub(super) fn forget_unordered_ends(&mut self, now: Instant) {
+    /// Lets upstreams announce themselves again whose unordered ends are long past. Returns the
+    /// action that stores the others, so that a later process does not hold them up again.
+    pub(super) fn forget_unordered_ends(&mut self, now: Instant) -> Option<GateAction> {
         let ends = std::mem::take(&mut self.unordered_ends);
         let (past, left): (IndexMap<_, _>, IndexMap<_, _>) =
             ends.into_iter().partition(|(_, end)| now >= *end);
         self.unordered_ends = left;
-        if !past.is_empty() {
-            let is_left = |ended: &EndedLifetime| {
-                ended.lifetime != Lifetime::UNORDERED || !past.contains_key(&ended.upstream)
-            };
-            self.ended_lifetimes.retain(is_left);
-            self.stored_lifetimes.retain(is_left);
+        if past.is_empty() {
+            return None;
         }
+        self.ended_lifetimes.retain(|ended| {
+            ended.lifetime != Lifetime::UNORDERED || !past.contains_key(&ended.upstream)
+        });
+        self.stored_lifetimes = self.final_lifetimes();
+        Some(GateAction::StoreLifetimes(self.stored_lifetimes.clone()))
     }
 
     /// Returns the action that stores the ended lifetimes, if one has ended since the last call.
--- a/crates/core/src/upstream/announcement.rs
+++ b/crates/core/src/upstream/announcement.rs
@@ -88,6 +88,8 @@
 impl Lifetime {
     /// A lifetime that ended before any of its announcements was known. It includes all lifetimes.
     pub const UNORDERED: Self = Self { generation: 0, sequence: u64::MAX };
+    /// Time for which such an end counts. The upstream may go on to announce itself until it exits.
+    pub const UNORDERED_TIME: Duration = Duration::from_secs(30);
 
     /// Returns the lifetime that an announcement belongs to.
     pub fn of(announcement: &Announcement) -> Self {
--- a/crates/core/tests/lifetimes.rs
+++ b/crates/core/tests/lifetimes.rs
@@ -203,3 +203,20 @@
     gate.announce(&heartbeat(0, 6)).expect("applied");
     assert_eq!(slots(&gate), 2);
 }
+
+/// Guards against an end without an order that holds up a sound upstream after each restart of its
+/// node.
+#[test]
+fn an_end_without_an_order_is_forgotten_in_the_store_as_well() {
+    let clock = clock();
+    let mut gate = Gate::new(INCARNATION, clock.clone() as SharedClock);
+    let ended = stored(&gate.announce(&deregistration()).expect("applied")).expect("stored");
+    clock.advance(Duration::from_secs(31));
+    let ended = stored(&gate.tick()).unwrap_or(ended);
+    gate.announce(&heartbeat(7, 1)).expect("applied");
+    assert_eq!(slots(&gate), 2);
+    let mut next = Gate::new(INCARNATION + 1, clock as SharedClock);
+    next.restore_lifetimes(ended);
+    next.announce(&heartbeat(7, 2)).expect("applied");
+    assert_eq!(slots(&next), 2);
+}
--- a/crates/lavenderflow/src/store/lifetimes.rs
+++ b/crates/lavenderflow/src/store/lifetimes.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread;
 
-use lavenderflow_core::upstream::EndedLifetime;
+use lavenderflow_core::upstream::{EndedLifetime, Lifetime};
 use lavenderflow_platform::store::LeaseId;
 use lavenderflow_schema::convert::state;
 use tokio::sync::oneshot;
@@ -94,8 +94,8 @@
 struct LifetimeTask {
     key: String,
     setup: LifetimeSetup,
-    // What an earlier process of this node has stored; `None` until it was read.
-    restored: Option<Vec<EndedLifetime>>,
+    // What an earlier process of this node has stored, and when it was read; `None` until then.
+    restored: Option<(Vec<EndedLifetime>, Instant)>,
     unwritten: Option<Vec<EndedLifetime>>,
     // Senders that are notified once everything is written.
     waiting: Vec<oneshot::Sender<()>>,
@@ -147,9 +147,10 @@
     fn step(&mut self) -> Result<(), StoreError> {
         if self.restored.is_none() {
             let restored = self.read()?;
+            let read_at = self.setup.clock.now();
             let message = GateMessage::RestoreLifetimes(restored.clone());
             self.setup.mailbox.send_blocking(Message::Gate(message));
-            self.restored = Some(restored);
+            self.restored = Some((restored, read_at));
         }
         if let Some(ended) = &self.unwritten {
             let text = self.encode(ended);
@@ -184,14 +185,20 @@
         }
     }
 
-    /// Encodes ended lifetimes, with the restored ones that the gate did not know yet.
+    /// Encodes ended lifetimes, with the restored ones that the gate did not know yet. By the time
+    /// for which they count, it has taken over the unordered ones, or has forgotten them.
     fn encode(&self, ended: &[EndedLifetime]) -> String {
+        let now = self.setup.clock.now();
         let is_missing = |old: &&EndedLifetime| {
             !ended.iter().any(|new| {
                 new.upstream == old.upstream && new.lifetime.generation == old.lifetime.generation
             })
         };
-        let restored = self.restored.iter().flatten().filter(is_missing);
+        let restored = self.restored.iter().flat_map(|(restored, read_at)| {
+            let is_past = now >= *read_at + Lifetime::UNORDERED_TIME;
+            restored.iter().filter(move |old| !is_past || old.lifetime != Lifetime::UNORDERED)
+        });
+        let restored = restored.filter(is_missing);
         let all: Vec<EndedLifetime> = restored.chain(ended).cloned().collect();
         let oldest = all.len().saturating_sub(MAX_STORED_LIFETIMES);
         state::encode_ended(&all[oldest..])
