Go on with a frame whose receiver gave up waiting

The entry waits 150 ms for the first frame of a gate, and then goes on with the attempt in a task of its own. If a part of the frame had arrived, the first wait had taken it from the stream; the second one read the rest as a new frame. The attempt was lost, which cuts its run, and the caller got 502. A link now keeps what it has read of a frame.

How often a frame is split so in a fleet was not measured.

--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -1,13 +1,11 @@
 //! Links that carry frames over a QUIC stream, or over channels when both ends are in one process.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use lavenderflow_core::memory::{OverLimit, Share};
 use lavenderflow_schema::layouts::FRAME;
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
-use quinn::{
-    ConnectionError, ReadExactError, RecvStream, SendStream, StoppedError, VarInt, WriteError,
-};
+use quinn::{ConnectionError, RecvStream, SendStream, StoppedError, VarInt, WriteError};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
@@ -94,14 +92,27 @@
 #[derive(Debug)]
 pub enum FrameSource {
     /// From another process.
-    Quic(RecvStream),
+    Quic(FrameStream),
     /// From another process that opened the stream; what has arrived of a frame, and an exchange
     /// until the end of its stream, count against the budget of its connection.
-    Accepted(RecvStream, Share),
+    Accepted(FrameStream, Share),
     /// Within the process.
     Local(mpsc::Receiver<Body>),
 }
 
+/// A stream with what has been read of its next frame.
+#[derive(Debug)]
+pub struct FrameStream {
+    stream: RecvStream,
+    read: BytesMut,
+}
+
+impl From<RecvStream> for FrameStream {
+    fn from(stream: RecvStream) -> Self {
+        Self { stream, read: BytesMut::new() }
+    }
+}
+
 /// Creates both ends of a link within the process.
 pub fn local_pair() -> ((FrameSink, FrameSource), (FrameSink, FrameSource)) {
     let (first_sink, second_source) = mpsc::channel(LOCAL_FRAME_CAPACITY);
@@ -181,7 +192,8 @@
 }
 
 impl FrameSource {
-    /// Receives the next frame; `None` at the end of the link.
+    /// Receives the next frame; `None` at the end of the link. A call that is dropped loses nothing:
+    /// the next one goes on with the frame.
     ///
     /// # Errors
     ///
@@ -190,7 +202,9 @@
         match self {
             Self::Quic(stream) => receive_frame(stream, None).await,
             Self::Accepted(stream, share) => {
-                share.resize(0)?;
+                if stream.read.is_empty() {
+                    share.resize(0)?;
+                }
                 let body = receive_frame(stream, Some(share)).await?;
                 if !matches!(body, Some(Body::Exchange(_))) {
                     share.resize(0)?;
@@ -216,16 +230,13 @@
 }
 
 async fn receive_frame(
-    stream: &mut RecvStream,
+    stream: &mut FrameStream,
     share: Option<&mut Share>,
 ) -> Result<Option<Body>, LinkError> {
-    let mut prefix = [0; LENGTH_PREFIX_BYTES];
-    match stream.read_exact(&mut prefix).await {
-        Ok(()) => {}
-        Err(ReadExactError::FinishedEarly(0)) => return Ok(None),
-        Err(error) => return Err(read_error(error)),
+    if !stream.fill(LENGTH_PREFIX_BYTES).await? {
+        return if stream.read.is_empty() { Ok(None) } else { Err(LinkError::Closed) };
     }
-    let length = u32::from_be_bytes(prefix) as usize;
+    let length = (&stream.read[..]).get_u32() as usize;
     if length > MAX_FRAME_BYTES {
         return Err(LinkError::TooLarge(length));
     }
@@ -233,8 +244,10 @@
     if let Some(share) = &mut share {
         share.resize(length as u64)?;
     }
-    let mut bytes = BytesMut::zeroed(length);
-    stream.read_exact(&mut bytes).await.map_err(read_error)?;
+    if !stream.fill(LENGTH_PREFIX_BYTES + length).await? {
+        return Err(LinkError::Closed);
+    }
+    let bytes = std::mem::take(&mut stream.read).freeze().slice(LENGTH_PREFIX_BYTES..);
     let decoded = FRAME.decoded_size(&bytes).ok_or(LinkError::Unexpected)?;
     if decoded > MAX_DECODED_BYTES {
         return Err(LinkError::TooLarge(decoded));
@@ -242,13 +255,23 @@
     if let Some(share) = share {
         share.resize((length + decoded) as u64)?;
     }
-    let frame = Frame::decode(bytes.freeze())?;
+    let frame = Frame::decode(bytes)?;
     frame.body.map(Some).ok_or(LinkError::Unexpected)
 }
 
-fn read_error(error: ReadExactError) -> LinkError {
-    match error {
-        ReadExactError::FinishedEarly(_) => LinkError::Closed,
-        ReadExactError::ReadError(error) => LinkError::Read(error),
+impl FrameStream {
+    /// Reads until so many bytes of the frame are there; returns whether they are before the stream
+    /// ends.
+    async fn fill(&mut self, length: usize) -> Result<bool, LinkError> {
+        self.read.reserve(length.saturating_sub(self.read.len()));
+        while self.read.len() < length {
+            // Bytes are taken only when this is ready.
+            let missing = length - self.read.len();
+            match self.stream.read_chunk(missing, true).await? {
+                Some(chunk) => self.read.extend_from_slice(&chunk.bytes),
+                None => return Ok(false),
+            }
+        }
+        Ok(true)
     }
 }
