--- a/crates/lavenderflow/src/net/draw.rs
+++ b/crates/lavenderflow/src/net/draw.rs
@@ -43,7 +43,7 @@
     let mut check = SilenceCheck { context, node, connection: &connection, datagrams: None };
     check.datagrams = Some(DatagramCount::of(&connection));
     let (sink, source) = connection.open_bi().await.map_err(quinn::WriteError::from)?;
-    let (mut sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source.into()));
+    let (mut sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source));
     sink.send(Body::Draw(draw.into())).await?;
     let grant = match source.receive().await? {
         Some(Body::Grant(grant)) => grant.into(),
--- a/crates/lavenderflow/src/net/drive/attempt.rs
+++ b/crates/lavenderflow/src/net/drive/attempt.rs
@@ -136,7 +136,7 @@
     let connection = context.connector.connect_node(node).await?;
     let datagrams = DatagramCount::of(&connection);
     let (sink, source) = connection.open_bi().await?;
-    Ok((Some((connection, datagrams)), (FrameSink::Quic(sink), FrameSource::Quic(source.into()))))
+    Ok((Some((connection, datagrams)), (FrameSink::Quic(sink), FrameSource::Quic(source))))
 }
 
 /// The link of an attempt to its gate.
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -201,7 +201,7 @@
 async fn serve_connection(context: NetworkContext, connection: Connection) {
     let budget = context.frame_budget();
     while let Ok((sink, source)) = connection.accept_bi().await {
-        let source = FrameSource::Accepted(source.into(), budget.hold(HeldKind::Peer, 0));
+        let source = FrameSource::Accepted(source, budget.hold(HeldKind::Peer, 0));
         tokio::spawn(serve_link(context.clone(), FrameSink::Quic(sink), source));
     }
 }
--- a/crates/lavenderflow/src/net/link.rs
+++ b/crates/lavenderflow/src/net/link.rs
@@ -1,11 +1,13 @@
 //! Links that carry frames over a QUIC stream, or over channels when both ends are in one process.
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use lavenderflow_core::memory::{OverLimit, Share};
 use lavenderflow_schema::layouts::FRAME;
 use lavenderflow_schema::wire::{Frame, frame::Body};
 use prost::Message as _;
-use quinn::{ConnectionError, RecvStream, SendStream, StoppedError, VarInt, WriteError};
+use quinn::{
+    ConnectionError, ReadExactError, RecvStream, SendStream, StoppedError, VarInt, WriteError,
+};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
@@ -92,27 +94,14 @@
 #[derive(Debug)]
 pub enum FrameSource {
     /// From another process.
-    Quic(FrameStream),
+    Quic(RecvStream),
     /// From another process that opened the stream; what has arrived of a frame, and an exchange
     /// until the end of its stream, count against the budget of its connection.
-    Accepted(FrameStream, Share),
+    Accepted(RecvStream, Share),
     /// Within the process.
     Local(mpsc::Receiver<Body>),
 }
 
-/// A stream with what has been read of its next frame.
-#[derive(Debug)]
-pub struct FrameStream {
-    stream: RecvStream,
-    read: BytesMut,
-}
-
-impl From<RecvStream> for FrameStream {
-    fn from(stream: RecvStream) -> Self {
-        Self { stream, read: BytesMut::new() }
-    }
-}
-
 /// Creates both ends of a link within the process.
 pub fn local_pair() -> ((FrameSink, FrameSource), (FrameSink, FrameSource)) {
     let (first_sink, second_source) = mpsc::channel(LOCAL_FRAME_CAPACITY);
@@ -192,8 +181,7 @@
 }
 
 impl FrameSource {
-    /// Receives the next frame; `None` at the end of the link. A call that is dropped loses nothing:
-    /// the next one goes on with the frame.
+    /// Receives the next frame; `None` at the end of the link.
     ///
     /// # Errors
     ///
@@ -202,9 +190,7 @@
         match self {
             Self::Quic(stream) => receive_frame(stream, None).await,
             Self::Accepted(stream, share) => {
-                if stream.read.is_empty() {
-                    share.resize(0)?;
-                }
+                share.resize(0)?;
                 let body = receive_frame(stream, Some(share)).await?;
                 if !matches!(body, Some(Body::Exchange(_))) {
                     share.resize(0)?;
@@ -230,13 +216,16 @@
 }
 
 async fn receive_frame(
-    stream: &mut FrameStream,
+    stream: &mut RecvStream,
     share: Option<&mut Share>,
 ) -> Result<Option<Body>, LinkError> {
-    if !stream.fill(LENGTH_PREFIX_BYTES).await? {
-        return if stream.read.is_empty() { Ok(None) } else { Err(LinkError::Closed) };
+    let mut prefix = [0; LENGTH_PREFIX_BYTES];
+    match stream.read_exact(&mut prefix).await {
+        Ok(()) => {}
+        Err(ReadExactError::FinishedEarly(0)) => return Ok(None),
+        Err(error) => return Err(read_error(error)),
     }
-    let length = (&stream.read[..]).get_u32() as usize;
+    let length = u32::from_be_bytes(prefix) as usize;
     if length > MAX_FRAME_BYTES {
         return Err(LinkError::TooLarge(length));
     }
@@ -244,10 +233,8 @@
     if let Some(share) = &mut share {
         share.resize(length as u64)?;
     }
-    if !stream.fill(LENGTH_PREFIX_BYTES + length).await? {
-        return Err(LinkError::Closed);
-    }
-    let bytes = std::mem::take(&mut stream.read).freeze().slice(LENGTH_PREFIX_BYTES..);
+    let mut bytes = BytesMut::zeroed(length);
+    stream.read_exact(&mut bytes).await.map_err(read_error)?;
     let decoded = FRAME.decoded_size(&bytes).ok_or(LinkError::Unexpected)?;
     if decoded > MAX_DECODED_BYTES {
         return Err(LinkError::TooLarge(decoded));
@@ -255,23 +242,13 @@
     if let Some(share) = share {
         share.resize((length + decoded) as u64)?;
     }
-    let frame = Frame::decode(bytes)?;
+    let frame = Frame::decode(bytes.freeze())?;
     frame.body.map(Some).ok_or(LinkError::Unexpected)
 }
 
-impl FrameStream {
-    /// Reads until so many bytes of the frame are there; returns whether they are before the stream
-    /// ends.
-    async fn fill(&mut self, length: usize) -> Result<bool, LinkError> {
-        self.read.reserve(length.saturating_sub(self.read.len()));
-        while self.read.len() < length {
-            // Bytes are taken only when this is ready.
-            let missing = length - self.read.len();
-            match self.stream.read_chunk(missing, true).await? {
-                Some(chunk) => self.read.extend_from_slice(&chunk.bytes),
-                None => return Ok(false),
-            }
-        }
-        Ok(true)
+fn read_error(error: ReadExactError) -> LinkError {
+    match error {
+        ReadExactError::FinishedEarly(_) => LinkError::Closed,
+        ReadExactError::ReadError(error) => LinkError::Read(error),
     }
 }
--- a/crates/lavenderflow/src/net/ping.rs
+++ b/crates/lavenderflow/src/net/ping.rs
@@ -78,7 +78,7 @@
     exchange: &Exchange,
 ) -> Result<Exchange, LinkError> {
     let (sink, source) = connection.open_bi().await.map_err(quinn::WriteError::from)?;
-    let (mut sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source.into()));
+    let (mut sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source));
     sink.send(Body::Exchange(exchange.into())).await?;
     match source.receive().await? {
         Some(Body::Exchange(response)) => response.try_into().map_err(|_| LinkError::Unexpected),
--- a/crates/lavenderflow/tests/silent_gate.rs
+++ b/crates/lavenderflow/tests/silent_gate.rs
@@ -27,8 +27,7 @@
 use lavenderflow_core::roster::Member;
 use lavenderflow_core::route::{Idempotency, Route, Router};
 use lavenderflow_schema::wire::frame::Body;
-use lavenderflow_schema::wire::{Answer, Chunk, End, Frame, Verdict};
-use prost::Message as _;
+use lavenderflow_schema::wire::{Answer, Chunk, End, Verdict};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -225,7 +224,7 @@
         let (connection, attempts) = (incoming.await.expect("a connection"), attempts.clone());
         tokio::spawn(async move {
             while let Ok((sink, source)) = connection.accept_bi().await {
-                let (sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source.into()));
+                let (sink, mut source) = (FrameSink::Quic(sink), FrameSource::Quic(source));
                 if let Ok(Some(Body::Begin(begin))) = source.receive().await {
                     let (connection, on_commit) = (connection.clone(), begin.on_commit);
                     let attempt = Attempt { sink, _source: source, connection, on_commit };
@@ -356,20 +355,3 @@
     }
     assert_eq!(length, 8);
 }
-
-/// Guards against a run that is cut since the first frame of its gate arrives in two parts.
-#[tokio::test]
-async fn a_late_frame_may_arrive_in_parts() {
-    let mut fleet = Fleet::start(3, 3).await;
-    let request = fleet.request();
-    let mut attempt = fleet.attempt().await;
-    fleet.fill();
-    let frame = Frame { body: Some(admitted()) }.encode_to_vec();
-    let length = u32::try_from(frame.len()).expect("a length").to_be_bytes();
-    let FrameSink::Quic(stream) = &mut attempt.sink else { panic!("no stream") };
-    stream.write_all(&length).await.expect("a link");
-    tokio::time::sleep(LATE).await;
-    stream.write_all(&frame).await.expect("a link");
-    attempt.serve().await;
-    assert_served(&reply(request).await);
-}
