Count attempts that were lost unheard against the limit of upstreams

An attempt that its gate may run on arrival and whose link is lost before any frame was recorded as ended without having reached an upstream, though Lost is reported only for committed attempts.

--- a/crates/core/src/entry/attempts.rs
+++ b/crates/core/src/entry/attempts.rs
@@ -36,9 +36,11 @@
             AttemptReport::Refused(..) | AttemptReport::Unreachable if !report.may_have_run() => {
                 Self::NotRun { had_slot: matches!(self, Self::Admitted | Self::Stuck) }
             }
-            AttemptReport::Refused(..)
-            | AttemptReport::Answered { .. }
-            | AttemptReport::Lost(_) => Self::Ended { is_received: self.is_received() },
+            AttemptReport::Refused(..) => Self::Ended { is_received: self.is_received() },
+            // It was committed, although its gate may not have said that it has a slot.
+            AttemptReport::Answered { .. } | AttemptReport::Lost(_) => {
+                Self::Ended { is_received: true }
+            }
             _ => self,
         }
     }
--- a/crates/core/tests/silence.rs
+++ b/crates/core/tests/silence.rs
@@ -312,3 +312,15 @@
     }
     assert!(runs <= 3, "{runs}");
 }
+
+/// Guards against a request that runs on more upstreams than its route allows, since the links to the
+/// first ones were lost before their gates sent anything.
+#[test]
+fn an_attempt_that_was_lost_unheard_counts_against_the_limit_of_upstreams() {
+    let mut entry = route_limited_entry(2);
+    entry.begin(arrival(1, "GET", None));
+    assert!(dispatch(&entry.report(1, AttemptReport::Lost(Reason::Lost))).is_some());
+    let actions = entry.report(1, AttemptReport::Lost(Reason::Lost));
+    assert_eq!(dispatch(&actions), None);
+    assert_eq!(conclusion(&actions).map(|ended| ended.outcome), Some(Outcome::Unknown));
+}
