Leave long work to other nodes while a node stops

What callers would see: an upload or another long run that begins at the gate of a stopping node is cut at the end of the stop, 502, though another node had time for it.

Cause: the gate admits for most of the notice, and limits each run to the time that the node has left, whatever the work needs.

Change: from the signal on, long work is refused as leaving, also where it waits, as all work was before.

Test: gate_stop a_stopping_gate_leaves_long_work_to_others failed before and passes; gate, path, model, silence and lifetimes of core pass.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -263,7 +263,7 @@
     }
 
     fn refusal_reason(&self, request: &SlotRequest, now: Instant) -> Option<Reason> {
-        if self.draining {
+        if self.is_leaving(request) {
             return Some(Reason::Leaving);
         }
         if request.remaining.is_zero() {
--- a/crates/core/src/gate/stop.rs
+++ b/crates/core/src/gate/stop.rs
@@ -7,14 +7,17 @@
 impl Gate {
     /// Goes on admitting requests to the upstreams of a stopping node. Runs that begin from now on,
     /// those of queued requests too, have to end by `last_answer`, and trial requests are refused,
-    /// since they may hang until then.
-    pub fn prepare_stop(&mut self, last_answer: Instant) {
+    /// since they may hang until then. So is long work, which another node has more time for.
+    pub fn prepare_stop(&mut self, last_answer: Instant) -> Vec<GateAction> {
         self.last_answer = Some(last_answer);
         for (attempt, (_, deadline)) in &mut self.requests {
             if !self.running.contains_key(attempt) {
                 *deadline = (*deadline).min(last_answer);
             }
         }
+        let queues = self.services.values_mut();
+        let long: Vec<QueuedRequest> = queues.flat_map(|s| s.long_queue.clear()).collect();
+        self.refuse_leaving(&long)
     }
 
     /// Stops admitting requests. Queued requests are refused, and running ones continue.
@@ -23,7 +26,12 @@
         let queues = self.services.values_mut();
         let waiting: Vec<QueuedRequest> =
             queues.flat_map(|s| [s.short_queue.clear(), s.long_queue.clear()]).flatten().collect();
-        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
+        self.refuse_leaving(&waiting)
+    }
+
+    /// Returns whether the node is about to stop and does not admit a request any more.
+    pub(super) fn is_leaving(&self, request: &SlotRequest) -> bool {
+        self.draining || request.long && self.last_answer.is_some()
     }
 
     /// Limits the time of a request to that of the node.
@@ -32,4 +40,8 @@
             request.remaining = request.remaining.min(end.saturating_duration_since(now));
         }
     }
+
+    fn refuse_leaving(&mut self, waiting: &[QueuedRequest]) -> Vec<GateAction> {
+        waiting.iter().filter_map(|w| self.refuse_waiting(w, Reason::Leaving)).collect()
+    }
 }
--- a/crates/core/tests/gate_stop.rs
+++ b/crates/core/tests/gate_stop.rs
@@ -95,3 +95,22 @@
     });
     assert_eq!(deadline, Some(last_answer));
 }
+
+/// Guards against uploads and other long work that is cut at the end of the stop.
+#[test]
+fn a_stopping_gate_leaves_long_work_to_others() {
+    let clock = clock();
+    let mut gate = gate(1, &clock, 1);
+    assert!(offer(&mut gate, 1).is_ok());
+    let long = |serial| SlotRequest {
+        long: true,
+        queue_timeout: Duration::from_secs(2),
+        ..request(serial)
+    };
+    gate.submit(long(2));
+    gate.prepare_stop(clock.now() + STOP);
+    assert!(!gate.holds(attempt(2)));
+    gate.submit(long(3));
+    assert!(!gate.holds(attempt(3)));
+    assert!(gate.holds(attempt(1)));
+}
--- a/crates/lavenderflow/src/actor/gate.rs
+++ b/crates/lavenderflow/src/actor/gate.rs
@@ -124,7 +124,8 @@
 
     /// Prepares for the stop of the node: runs have to end by `last_answer`.
     pub fn prepare_stop(&mut self, _: CX![], last_answer: Instant) {
-        self.gate.prepare_stop(last_answer);
+        let actions = self.gate.prepare_stop(last_answer);
+        self.execute(actions);
     }
 
     /// Refuses new attempts from now on.
