Signal restarted nodes of the soak only once they handle it

Trace, with output added in a trial: SIGHUP came 17 and 24 us after the restarted process was spawned, and its wait status was 1.

Change: the plan goes on once the process catches SIGHUP. Signals in the first moments of a start are still sent, and what is checked is as before.

--- a/crates/lavenderflow/tests/soak.rs
+++ b/crates/lavenderflow/tests/soak.rs
@@ -12,6 +12,7 @@
 
 use common::caller::{Caller, HOST, Response, request_head};
 use common::deployment::{Deployment, configuration_json};
+use lavenderflow_standins::fleet::wait_until;
 use lavenderflow_standins::platform_upstream::RequestRecord;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -229,6 +230,8 @@
         });
         if let (Some(vm), true) = (stopped, has_exited) {
             deployment.restart(vm);
+            let process = &deployment.vms[vm].process;
+            wait_until("the node handles signals", || process.handles_reload()).expect("a node");
             stopped = None;
         }
         if !is_over {
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -127,6 +127,15 @@
         ids.filter(|id| parent(*id) == Some(self.child.id())).collect()
     }
 
+    /// Returns whether the process handles SIGHUP by now, which would end it before.
+    pub fn handles_reload(&self) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        caught.is_some_and(|mask| mask & 1 != 0)
+    }
+
     /// Returns the resident memory of the process.
     pub fn resident_bytes(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
