Show that crowds with large heads exceed the memory of a machine

Fault: two crowds of 955 connections with three pipelined requests each, whose heads are within max_header_bytes, take the nodes to 177 to 189 MB (10^3 KB) of resident memory; a machine of the site has 160 MB (163,840 KB). A connection is accounted with 32 KB, and the copies of its request's head with nothing.

--- a/review/cases-2/src/deployment.rs
+++ b/review/cases-2/src/deployment.rs
@@ -15,6 +15,8 @@
 
 /// Host of all routes.
 pub const HOST: &str = "work.example";
+/// Memory of a machine where a case names none, in MB.
+const MEMORY_MB: u64 = 260;
 /// Longest time until all nodes serve.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -71,9 +73,15 @@
 
     /// Starts nodes without upstreams.
     pub fn start_nodes(program: &Path, count: usize) -> Self {
+        Self::start_nodes_with(program, count, MEMORY_MB)
+    }
+
+    /// Starts nodes without upstreams on machines with this memory.
+    pub fn start_nodes_with(program: &Path, count: usize, memory_mb: u64) -> Self {
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let store = StoreStandin::start(address).expect("a store");
-        let node = |index| start_node(program, index, store.listen().expect("an address"));
+        let node =
+            |index| start_node(program, index, memory_mb, store.listen().expect("an address"));
         let nodes = (0..count).map(node).collect();
         store.write("op/config", &configuration(3, "work"));
         Self { store, nodes, upstreams: Vec::new() }
@@ -126,7 +134,7 @@
     .expect("an upstream")
 }
 
-fn start_node(program: &Path, index: usize, store: SocketAddr) -> Node {
+fn start_node(program: &Path, index: usize, memory_mb: u64, store: SocketAddr) -> Node {
     let port = || free_tcp_port().expect("a port");
     let (outbound, ready, control, app, metrics) = (port(), port(), port(), port(), port());
     let first = peer_port();
@@ -137,7 +145,7 @@
         "listen": {"outbound": outbound.to_string(), "inbound": port().to_string(),
             "ready": ready.to_string(), "control_plane": control.to_string()},
         "internal_ports": [first, first + 1], "seeds": [], "is_first_start": true,
-        "limits": {"cpu_share": 0.2, "cores": 1, "memory_mb": 260, "max_fds": 4100,
+        "limits": {"cpu_share": 0.2, "cores": 1, "memory_mb": memory_mb, "max_fds": 4100,
             "link_mbps": 1000.0, "disk_mb": 0},
         "heartbeat_s": 0.3,
         "bounds": {"contact_s": 3, "drain_s": 2, "grace_s": 6, "retry_budget_ratio": 0.2,
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod early;
 mod endpoint;
+mod heads;
 mod left;
 mod ordinary;
 mod refusal;
@@ -36,12 +37,19 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, name, address] = arguments.as_slice()
+        && name == heads::CROWD
+        && let Ok(address) = address.parse()
+    {
+        heads::drive_crowd(address);
+    }
     let [_, name, program, record] = arguments.as_slice() else {
         eprintln!("usage: cases-2 CASE PROGRAM RECORD");
         return ExitCode::from(2);
     };
     let case: Case = match name.as_str() {
         "early" => early::run,
+        "heads" => heads::run,
         "left" => left::run,
         "refusal" => refusal::run,
         "stray" => stray::run,
