--- a/review/cases-2/src/client.rs
+++ b/review/cases-2/src/client.rs
@@ -15,7 +15,6 @@
 pub struct Answer {
     pub status: u16,
     pub is_signed: bool,
-    pub says_leaving: bool,
     pub body: String,
 }
 
@@ -48,7 +47,7 @@
         let mut line = String::new();
         self.reader.read_line(&mut line).ok()?;
         let status = line.split_whitespace().nth(1)?.parse().ok()?;
-        let (mut length, mut is_signed, mut says_leaving) = (0, false, false);
+        let (mut length, mut is_signed) = (0, false);
         loop {
             let mut line = String::new();
             self.reader.read_line(&mut line).ok()?;
@@ -56,17 +55,11 @@
             if name.eq_ignore_ascii_case("content-length") {
                 length = value.trim().parse().ok()?;
             }
-            says_leaving |= name.eq_ignore_ascii_case("server-leaving");
             is_signed |= name.eq_ignore_ascii_case("lavenderflow-server-signature");
         }
         let mut body = vec![0; length];
         self.reader.read_exact(&mut body).ok()?;
-        Some(Answer {
-            status,
-            is_signed,
-            says_leaving,
-            body: String::from_utf8_lossy(&body).into_owned(),
-        })
+        Some(Answer { status, is_signed, body: String::from_utf8_lossy(&body).into_owned() })
     }
 }
 
--- a/review/cases-2/src/early.rs
+++ b/review/cases-2/src/early.rs
@@ -44,7 +44,7 @@
         };
         Endpoint::start(&deployment.nodes[index], 4, Arc::new(behaviour))
     };
-    let endpoints: Vec<Arc<Endpoint>> = (0..2).map(start).collect();
+    let endpoints: Vec<Endpoint> = (0..2).map(start).collect();
     deployment.wait_serving();
     let address = deployment.nodes[0].outbound;
     let other = thread::spawn(move || {
--- a/review/cases-2/src/endpoint.rs
+++ b/review/cases-2/src/endpoint.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
@@ -51,35 +50,18 @@
 
 type Events = Arc<Mutex<BTreeMap<String, Vec<Event>>>>;
 
-/// The part of an endpoint that its threads share.
-#[derive(Default)]
-struct Shared {
-    events: Events,
-    is_leaving: AtomicBool,
-    sequence: AtomicU64,
-}
-
 /// A running endpoint.
 pub struct Endpoint {
-    id: String,
-    control: SocketAddr,
-    app: SocketAddr,
-    slots: u32,
-    shared: Arc<Shared>,
+    events: Events,
 }
 
 impl Endpoint {
     /// Starts an endpoint beside a node.
-    pub fn start(node: &Node, slots: u32, behaviour: Behaviour) -> Arc<Self> {
+    pub fn start(node: &Node, slots: u32, behaviour: Behaviour) -> Self {
         let listener = TcpListener::bind(node.app).expect("an address");
-        let endpoint = Arc::new(Self {
-            id: format!("i-{}", node.name),
-            control: node.control,
-            app: node.app,
-            slots,
-            shared: Arc::default(),
-        });
-        let (own, shared) = (endpoint.id.clone(), Arc::clone(&endpoint.shared));
+        let id = format!("i-{}", node.name);
+        let events = Events::default();
+        let (own, shared) = (id.clone(), Arc::clone(&events));
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (own, shared) = (own.clone(), Arc::clone(&shared));
@@ -87,66 +69,42 @@
                 thread::spawn(move || serve(stream, &own, &shared, &behaviour));
             }
         });
-        let checking_in = Arc::clone(&endpoint);
+        let (control, app) = (node.control, node.app);
         thread::spawn(move || {
-            while !checking_in.shared.is_leaving.load(Ordering::SeqCst) {
-                let sequence = checking_in.next_sequence();
-                checking_in.check_in(sequence);
+            for sequence in 1_u64.. {
+                let body = json!({"service": "work", "address": app.to_string(),
+                    "zone": "zone-0", "version": "v1", "slots": slots, "state": "ready",
+                    "cold_remaining_s": 0, "sequence": sequence, "born": BORN});
+                // A check-in without an answer is followed by the next one.
+                check_in(control, &id, &body.to_string());
                 thread::sleep(HEARTBEAT);
             }
         });
-        endpoint
-    }
-
-    /// Returns the number of a check-in that is sent now.
-    pub fn next_sequence(&self) -> u64 {
-        self.shared.sequence.fetch_add(1, Ordering::SeqCst) + 1
-    }
-
-    /// Delivers a check-in to the node; returns the status of the answer.
-    pub fn check_in(&self, sequence: u64) -> Option<u16> {
-        let body = json!({"service": "work", "address": self.app.to_string(), "zone": "zone-0",
-            "version": "v1", "slots": self.slots, "state": "ready", "cold_remaining_s": 0,
-            "sequence": sequence, "born": BORN});
-        self.call("Heartbeat", &body.to_string())
-    }
-
-    /// Leaves: deregisters, and says in all answers from now on that it leaves.
-    pub fn deregister(&self) -> Option<u16> {
-        self.shared.is_leaving.store(true, Ordering::SeqCst);
-        let body = json!({"sequence": self.next_sequence(), "born": BORN});
-        self.call("Deregister", &body.to_string())
-    }
-
-    fn call(&self, name: &str, body: &str) -> Option<u16> {
-        let Self { id, control, .. } = self;
-        let text = format!(
-            "POST /lavenderflow/Instances.{name}/{id} HTTP/1.1\r\nHost: {control}\r\n\
-             Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        let mut client = Client::connect(*control).ok()?;
-        client.send(text.as_bytes()).ok()?;
-        Some(client.read()?.status)
+        Self { events }
     }
 
     /// Returns what the endpoint did with each request.
     pub fn events(&self) -> BTreeMap<String, Vec<Event>> {
-        lock(&self.shared.events).clone()
+        lock(&self.events).clone()
     }
+}
 
-    /// Returns the id of the endpoint.
-    pub fn id(&self) -> &str {
-        &self.id
-    }
+fn check_in(control: SocketAddr, id: &str, body: &str) -> Option<u16> {
+    let text = format!(
+        "POST /lavenderflow/Instances.Heartbeat/{id} HTTP/1.1\r\nHost: {control}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut client = Client::connect(control).ok()?;
+    client.send(text.as_bytes()).ok()?;
+    Some(client.read()?.status)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no panic while it is held")
 }
 
-fn serve(stream: TcpStream, own: &str, shared: &Shared, behaviour: &Behaviour) -> Option<()> {
-    let events = &shared.events;
+fn serve(stream: TcpStream, own: &str, events: &Events, behaviour: &Behaviour) -> Option<()> {
     let peer = stream.peer_addr().ok()?;
     stream.set_nodelay(true).ok()?;
     let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
@@ -187,8 +145,7 @@
             record(&id, Event::Ran);
             thread::sleep(plan.work);
             record(&id, Event::Answered(200));
-            let is_leaving = shared.is_leaving.load(Ordering::SeqCst);
-            send(&writer, answer(&id, own, is_leaving).as_bytes())?;
+            send(&writer, answer(&id, own).as_bytes())?;
         }
         if plan.is_early {
             match head.read_body(&mut reader, peer) {
@@ -217,11 +174,10 @@
 }
 
 /// Returns the answer to a request.
-fn answer(id: &str, own: &str, is_leaving: bool) -> String {
+fn answer(id: &str, own: &str) -> String {
     let body = format!("answer to {id}");
-    let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
     format!(
-        "HTTP/1.1 200 OK\r\nLavenderflow-Request-Id: {id}\r\n{leaving}\
+        "HTTP/1.1 200 OK\r\nLavenderflow-Request-Id: {id}\r\n\
          Lavenderflow-Server-Signature: signed-by-{own}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
--- a/review/cases-2/src/heads.rs
+++ b/review/cases-2/src/heads.rs
@@ -36,7 +36,7 @@
         Plan { work, ..Plan::default() }
     };
     let start = |node| Endpoint::start(node, SLOTS, Arc::new(behaviour));
-    let _endpoints: Vec<Arc<Endpoint>> = deployment.nodes.iter().map(start).collect();
+    let _endpoints: Vec<Endpoint> = deployment.nodes.iter().map(start).collect();
     deployment.wait_serving();
     let own = std::env::current_exe().expect("this program");
     let start = |address: SocketAddr| {
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -7,7 +7,6 @@
 mod early;
 mod endpoint;
 mod heads;
-mod left;
 mod ordinary;
 mod refusal;
 mod stray;
@@ -50,7 +49,6 @@
     let case: Case = match name.as_str() {
         "early" => early::run,
         "heads" => heads::run,
-        "left" => left::run,
         "refusal" => refusal::run,
         "stray" => stray::run,
         "trickle" => trickle::run,
--- a/review/cases-2/src/refusal.rs
+++ b/review/cases-2/src/refusal.rs
@@ -34,7 +34,7 @@
     let behaviour = move |id: &str, number: u64| {
         let is_trouble = has_trouble && TROUBLE.contains(&started.elapsed());
         let refuses = is_trouble && number % PERIOD < REFUSED;
-        let is_repeated = refuses && number % PERIOD == 0;
+        let is_repeated = refuses && number.is_multiple_of(PERIOD);
         let extra = is_repeated.then(|| (DELAY, endpoint::refusal(id).into_bytes()));
         Plan { refuses, work: WORK, extra, ..Plan::default() }
     };
--- a/review/cases-2/src/stray.rs
+++ b/review/cases-2/src/stray.rs
@@ -30,13 +30,13 @@
     let start = |index: usize| {
         let behaviour = move |_: &str, number: u64| {
             let is_trouble = has_trouble && index == 0 && TROUBLE.contains(&started.elapsed());
-            let is_followed = is_trouble && number % GARBLED == 0;
+            let is_followed = is_trouble && number.is_multiple_of(GARBLED);
             let extra = is_followed.then(|| (DELAY, BYTES.as_bytes().to_vec()));
             Plan { work: WORK, extra, ..Plan::default() }
         };
         Endpoint::start(&deployment.nodes[index], 4, Arc::new(behaviour))
     };
-    let endpoints: Vec<Arc<Endpoint>> = (0..2).map(start).collect();
+    let endpoints: Vec<Endpoint> = (0..2).map(start).collect();
     deployment.wait_serving();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
