Log which connection carried a rejected response

The logs showed two attempts with result=Shed, but not whether both were on one connection, so a repeated refusal could not be told from two refusals.

Change: event=response-rejected names the request, the local port of the connection, whether it was reused, the status and the class.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -235,7 +235,18 @@
         let (mut connection, response) = self.send(call, request, pooled, deadline).await?;
         let (parts, incoming) = response.into_parts();
         let (status, headers) = (parts.status.as_u16(), header::text_headers(&parts.headers));
-        match self.dialect.classify_response(&call.id, status, &headers) {
+        let class = self.dialect.classify_response(&call.id, status, &headers);
+        if class != ResponseClass::Answer {
+            log::info!(
+                "event=response-rejected request={} upstream={} port={} reused={} status={status} \
+                 class={class:?}",
+                call.id,
+                call.upstream,
+                connection.port(),
+                connection.is_reused()
+            );
+        }
+        match class {
             ResponseClass::Answer => {}
             ResponseClass::NotRun { is_named: false, .. } if connection.is_reused() => {
                 return Err(CallFailure::Foreign);
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -42,6 +42,7 @@
 #[derive(Debug)]
 pub(super) struct PooledConnection {
     address: SocketAddr,
+    port: u16,
     sender: SendRequest<CallBody>,
     driver: AbortHandle,
     progress: Progress,
@@ -78,6 +79,11 @@
         self.is_reused
     }
 
+    /// Returns the local port, which identifies the connection in logs.
+    pub(super) fn port(&self) -> u16 {
+        self.port
+    }
+
     /// Records that a part of the response body has arrived.
     pub(super) fn record_progress(&self) {
         self.progress.record();
@@ -94,6 +100,7 @@
     let opened = timeout_at(deadline, TcpStream::connect(address)).await;
     let stream = opened.map_err(|_| CallFailure::ConnectTimeout)?.map_err(CallFailure::Connect)?;
     stream.set_nodelay(true).map_err(CallFailure::Connect)?;
+    let port = stream.local_addr().map_err(CallFailure::Connect)?.port();
     let (stream, progress) = read_limit::limit(stream, budget.clone());
     let (sender, http_connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
@@ -109,6 +116,7 @@
     let driver = driver.abort_handle();
     Ok(PooledConnection {
         address,
+        port,
         sender,
         driver,
         progress,
