Carry each request id at most once on a connection

Cause: the pool remembered only the last request that was refused on a connection. After another refusal on it the first request could come back, and its id then no longer told the copy from the answer.

Change: a connection records a hash of each id that it has carried and is not used for the same id again, whether the first was refused or answered. It carries 1,024 requests at most, which bounds the record. This holds whenever the copy comes, since nothing is forgotten while the connection is open.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -258,7 +258,6 @@
                 }
                 // The connection can be reused when the refusal was read completely.
                 if drain(incoming, deadline.min(Instant::now() + REFUSAL_TIMEOUT)).await {
-                    connection.refused = Some(call.id.clone());
                     self.return_connection(connection, &headers).await;
                 }
                 return Err(CallFailure::Refused(reason));
@@ -285,7 +284,7 @@
         deadline: Instant,
     ) -> Result<(PooledConnection, Response<Incoming>), CallFailure> {
         if let Some(mut connection) = pooled {
-            match timeout_at(deadline, connection.send(request)).await {
+            match timeout_at(deadline, connection.send(&call.id, request)).await {
                 Err(_) => return Err(CallFailure::Timeout),
                 Ok(Ok(response)) => return Ok((connection, response)),
                 Ok(Err(mut fault)) => match fault.take_message() {
@@ -295,7 +294,7 @@
             }
         }
         let mut connection = connect(call.address, &self.budget, deadline).await?;
-        match timeout_at(deadline, connection.send(request)).await {
+        match timeout_at(deadline, connection.send(&call.id, request)).await {
             Err(_) => Err(CallFailure::Timeout),
             Ok(Ok(response)) => Ok((connection, response)),
             // The HTTP library returns a request of which it has written nothing.
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of idle connections to upstreams.
 
+use std::hash::BuildHasher;
 use std::io;
 use std::net::SocketAddr;
 
@@ -17,7 +18,7 @@
 use super::read_limit::{self, Progress};
 use super::{Call, CallFailure};
 use crate::http::header;
-use crate::prelude::{Duration, IndexMap};
+use crate::prelude::{Duration, IndexMap, IndexSet};
 
 /// Size limit of the buffer per connection and direction, in bytes. It bounds the head of a
 /// response and the parts of its body, several of which wait in the channels to the caller. The
@@ -27,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum idle connections per upstream.
 const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Most requests that a connection carries, so that what it records about them is bounded.
+const MAX_REQUESTS: usize = 1024;
 /// Idle time of a connection when the upstream does not announce one.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(5);
 /// Longest idle time of a connection, whatever the upstream announces.
@@ -48,11 +51,10 @@
     progress: Progress,
     /// How long the connection may stay idle; zero when it must not be reused.
     pub(super) idle_time: Duration,
-    /// Id of the last request that was refused on this connection. The refusal may be sent again,
-    /// so the connection must not carry that request once more.
-    pub(super) refused: Option<String>,
     idle_since: Instant,
     is_reused: bool,
+    /// Hashes of the ids of the requests that the connection has carried.
+    carried: IndexSet<u64>,
 }
 
 impl Drop for PooledConnection {
@@ -66,8 +68,10 @@
     /// Sends a request and waits for the response headers.
     pub(super) async fn send(
         &mut self,
+        id: &str,
         request: Request<CallBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<CallBody>>> {
+        self.carried.insert(self.hash(id));
         self.progress.record();
         let response = self.sender.try_send_request(request).await;
         self.progress.record();
@@ -79,6 +83,17 @@
         self.is_reused
     }
 
+    /// Returns whether the connection may have carried a request with this id. It must not carry
+    /// another one: the upstream may repeat its response to the first, at any later time, and the id
+    /// could not tell the two apart.
+    fn has_carried(&self, id: &str) -> bool {
+        self.carried.contains(&self.hash(id))
+    }
+
+    fn hash(&self, id: &str) -> u64 {
+        self.carried.hasher().hash_one(id)
+    }
+
     /// Returns the local port, which identifies the connection in logs.
     pub(super) fn port(&self) -> u16 {
         self.port
@@ -121,9 +136,9 @@
         driver,
         progress,
         idle_time,
-        refused: None,
         idle_since,
         is_reused: false,
+        carried: IndexSet::new(),
     })
 }
 
@@ -155,7 +170,7 @@
         let idle = self.idle.get_mut(&call.address)?;
         let may_carry = |connection: &PooledConnection| {
             let is_recent = now < connection.idle_since + MAX_NON_IDEMPOTENT_IDLE;
-            (call.idempotent || is_recent) && connection.refused.as_ref() != Some(&call.id)
+            (call.idempotent || is_recent) && !connection.has_carried(&call.id)
         };
         let place = idle.iter().rposition(may_carry)?;
         Some(idle.remove(place))
@@ -183,5 +198,6 @@
 
 fn is_usable(connection: &PooledConnection, now: Instant) -> bool {
     let expires_at = connection.idle_since + connection.idle_time.saturating_sub(IDLE_MARGIN);
-    now < expires_at && !connection.sender.is_closed()
+    let has_requests = connection.carried.len() < MAX_REQUESTS;
+    now < expires_at && has_requests && !connection.sender.is_closed()
 }
--- /dev/null
+++ b/crates/lavenderflow/tests/reused_connection.rs
@@ -0,0 +1,148 @@
+//! Repeated, late and stray responses on a reused connection to an upstream.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use lavenderflow::clock::SystemClock;
+use lavenderflow::upstream::{self, Call, CallEvent, CallSender};
+use lavenderflow_core::memory::Budget;
+use lavenderflow_core::reason::Reason;
+use lavenderflow_platform::header::PlatformDialect;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use common::scripted::TEST_TIMEOUT;
+
+/// What the upstream writes to a request: its id, the number of its connection, and its number on
+/// that connection, from zero.
+type Script = fn(&str, usize, usize) -> String;
+
+fn refusal(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 Full\r\nLavenderflow-Request-Id: {id}\r\nLavenderflow-Not-Executed: 1\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+fn response(status: u16, id: &str) -> String {
+    format!(
+        "HTTP/1.1 {status} status\r\nLavenderflow-Request-Id: {id}\r\n\
+         Lavenderflow-Server-Signature: signed\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Starts an upstream whose connections follow a script.
+fn start_upstream(script: Script) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("an address");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for (connection, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+            thread::spawn(move || serve(stream, connection, script));
+        }
+    });
+    address
+}
+
+/// Serves requests without a body until the connection ends.
+fn serve(stream: TcpStream, connection: usize, script: Script) -> Option<()> {
+    let mut writer = stream.try_clone().ok()?;
+    let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+    for number in 0.. {
+        let head: Vec<String> = lines.by_ref().take_while(|line| !line.is_empty()).collect();
+        let id = head.iter().find_map(|line| line.strip_prefix("lavenderflow-request-id: "))?;
+        writer.write_all(script(id, connection, number).as_bytes()).ok()?;
+    }
+    None
+}
+
+fn start_calls() -> CallSender {
+    let dialect =
+        PlatformDialect { service: "work".to_owned(), heartbeat_interval: Duration::from_secs(1) };
+    upstream::start(Arc::new(SystemClock), Arc::new(dialect), &Budget::new(None))
+}
+
+/// The end of a call: the status of its response, or the reason for which the request did not run.
+#[derive(Debug, Eq, PartialEq)]
+enum Ended {
+    Response(u16),
+    NotRun(Reason),
+    Unknown,
+}
+
+/// Makes a call and waits for its end.
+async fn call(calls: &CallSender, address: SocketAddr, id: &str) -> Ended {
+    let (events, mut received) = mpsc::channel(8);
+    let call = Call {
+        address,
+        upstream: "upstream".into(),
+        id: id.to_owned(),
+        organisation: None,
+        deadline: Instant::now() + TEST_TIMEOUT,
+        idempotent: false,
+        method: "GET".to_owned(),
+        target: "/".to_owned(),
+        headers: vec![("lavenderflow-request-id".to_owned(), id.to_owned())],
+        body: Bytes::new(),
+        body_rest: None,
+        body_length: None,
+        events,
+    };
+    calls.send(call).await.expect("the task that makes calls");
+    let mut status = None;
+    loop {
+        match timeout(TEST_TIMEOUT, received.recv()).await.expect("in time").expect("an event") {
+            CallEvent::Head { status: received, .. } => status = Some(received),
+            CallEvent::Signals(_) | CallEvent::Data(_) => {}
+            CallEvent::End => return Ended::Response(status.expect("a status")),
+            CallEvent::Failed { not_run, .. } => {
+                return not_run.map_or(Ended::Unknown, Ended::NotRun);
+            }
+        }
+    }
+}
+
+/// Guards against a 503 for a request that ran: the repeated refusal of its first attempt was taken
+/// for the answer to its second one, after another refusal on the connection (review/6).
+#[tokio::test]
+async fn a_repeated_refusal_does_not_answer_a_later_attempt() {
+    let address = start_upstream(|id, connection, number| match (connection, number) {
+        (0, 0 | 1) => refusal(id),
+        (0, _) => refusal("a") + &response(200, id),
+        _ => response(200, id),
+    });
+    let calls = start_calls();
+    assert_eq!(call(&calls, address, "a").await, Ended::NotRun(Reason::Shed));
+    assert_eq!(call(&calls, address, "b").await, Ended::NotRun(Reason::Shed));
+    assert_eq!(call(&calls, address, "a").await, Ended::Response(200));
+}
+
+/// Guards against the repeated response of one run as the answer of a later run under the same id.
+#[tokio::test]
+async fn a_repeated_response_does_not_answer_a_request_with_the_same_id() {
+    let address = start_upstream(|id, connection, number| match (connection, number) {
+        (0, 0) => response(500, id),
+        (0, _) => response(500, id) + &response(200, id),
+        _ => response(200, id),
+    });
+    let calls = start_calls();
+    assert_eq!(call(&calls, address, "a").await, Ended::Response(500));
+    assert_eq!(call(&calls, address, "a").await, Ended::Response(200));
+}
+
+/// Guards against a record of requests that grows with the age of a connection.
+#[tokio::test]
+async fn a_connection_carries_a_bounded_number_of_requests() {
+    const REQUESTS: usize = 1024;
+    let address = start_upstream(|id, connection, _| response(200 + connection as u16, id));
+    let calls = start_calls();
+    for number in 0..2 * REQUESTS {
+        let status = 200 + (number / REQUESTS) as u16;
+        assert_eq!(call(&calls, address, &number.to_string()).await, Ended::Response(status));
+    }
+}
