Do not take the end of a broken connection for the end of a response

Cause: such a response ends with its connection, and an end of the stream was taken for its end also while the request was still being written. Besides, Linux reports a reset that follows the end of the stream only to a write or to SO_ERROR, not to a read.

Change: the connection records when its request has been written. An end of the stream before that is an error; after it, SO_ERROR decides.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -6,6 +6,7 @@
 pub mod body;
 mod pool;
 mod read_limit;
+mod request_state;
 mod response;
 
 use std::net::SocketAddr;
--- a/crates/lavenderflow/src/upstream/body.rs
+++ b/crates/lavenderflow/src/upstream/body.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use super::request_state::RequestState;
 use crate::net::body::BodyPart;
 
 /// The request body ended early.
@@ -34,6 +35,7 @@
     rest: Option<mpsc::Receiver<BodyPart>>,
     remaining_bytes: Option<u64>,
     truncation: TruncationFlag,
+    state: Option<RequestState>,
 }
 
 impl CallBody {
@@ -44,12 +46,37 @@
         length: Option<u64>,
     ) -> (Self, TruncationFlag) {
         let truncation = TruncationFlag::default();
-        (Self { first, rest, remaining_bytes: length, truncation: truncation.clone() }, truncation)
+        let body = Self {
+            first,
+            rest,
+            remaining_bytes: length,
+            truncation: truncation.clone(),
+            state: None,
+        };
+        (body, truncation)
+    }
+
+    /// Makes the body record in `state` when it has ended.
+    pub(super) fn track(&mut self, state: RequestState) {
+        if self.is_end_stream() {
+            state.end();
+        }
+        self.state = Some(state);
     }
 
     fn count(&mut self, data: &Bytes) {
         self.remaining_bytes =
             self.remaining_bytes.map(|bytes| bytes.saturating_sub(data.len() as u64));
+        // A body with a length is not read up to its end.
+        if self.remaining_bytes == Some(0) || self.is_end_stream() {
+            self.record_end();
+        }
+    }
+
+    fn record_end(&self) {
+        if let Some(state) = &self.state {
+            state.end();
+        }
     }
 }
 
@@ -75,6 +102,7 @@
             }
             Poll::Ready(Some(BodyPart::End)) => {
                 self.rest = None;
+                self.record_end();
                 Poll::Ready(None)
             }
             Poll::Ready(None) => {
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -16,6 +16,7 @@
 
 use super::body::CallBody;
 use super::read_limit::{self, Progress};
+use super::request_state::RequestState;
 use super::{Call, CallFailure};
 use crate::http::header;
 use crate::prelude::{Duration, IndexMap, IndexSet};
@@ -49,6 +50,7 @@
     sender: SendRequest<CallBody>,
     driver: AbortHandle,
     progress: Progress,
+    state: RequestState,
     /// How long the connection may stay idle; zero when it must not be reused.
     pub(super) idle_time: Duration,
     idle_since: Instant,
@@ -69,9 +71,11 @@
     pub(super) async fn send(
         &mut self,
         id: &str,
-        request: Request<CallBody>,
+        mut request: Request<CallBody>,
     ) -> Result<Response<Incoming>, TrySendError<Request<CallBody>>> {
         self.carried.insert(self.hash(id));
+        self.state.begin();
+        request.body_mut().track(self.state.clone());
         self.progress.record();
         let response = self.sender.try_send_request(request).await;
         self.progress.record();
@@ -116,7 +120,8 @@
     let stream = opened.map_err(|_| CallFailure::ConnectTimeout)?.map_err(CallFailure::Connect)?;
     stream.set_nodelay(true).map_err(CallFailure::Connect)?;
     let port = stream.local_addr().map_err(CallFailure::Connect)?.port();
-    let (stream, progress) = read_limit::limit(stream, budget.clone());
+    let state = RequestState::idle();
+    let (stream, progress) = read_limit::limit(stream, budget.clone(), state.clone());
     let (sender, http_connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -135,6 +140,7 @@
         sender,
         driver,
         progress,
+        state,
         idle_time,
         idle_since,
         is_reused: false,
--- a/crates/lavenderflow/src/upstream/read_limit.rs
+++ b/crates/lavenderflow/src/upstream/read_limit.rs
@@ -1,8 +1,13 @@
-//! Limits what an upstream may send without completing a head or a part of a body.
+//! Limits what an upstream may send without completing a head or a part of a body, and tells the
+//! end of its responses from a broken connection.
 //!
 //! `hyper` limits the size of a head, but skips informational responses and reads the size of a
 //! chunk without a limit. An upstream that sends either without end would keep the thread busy
 //! until the deadline. While memory is short, a connection reads little at a time.
+//!
+//! The end of a connection may be the end of a response. It is not if the upstream has not received
+//! the whole request: it has given up then, and the kernel would report a reset if the upstream had
+//! closed its socket a moment later.
 
 use std::io;
 use std::pin::Pin;
@@ -12,6 +17,9 @@
 
 use lavenderflow_core::memory::Budget;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::request_state::RequestState;
 
 /// Most bytes without progress: more than `hyper` buffers of a head or of a body that is not read.
 const MAX_BYTES: usize = 512 * 1024;
@@ -34,19 +42,36 @@
 
 /// A stream that fails once it has read too many bytes without progress.
 #[derive(Debug)]
-pub(super) struct LimitedStream<S> {
-    stream: S,
+pub(super) struct LimitedStream {
+    stream: TcpStream,
     remaining: Arc<AtomicUsize>,
     budget: Budget,
+    state: RequestState,
 }
 
-/// Wraps a stream; returns the wrapper and the handle that renews its limit.
-pub(super) fn limit<S>(stream: S, budget: Budget) -> (LimitedStream<S>, Progress) {
+/// Wraps a stream; returns the wrapper and the handle that renews its limit. The wrapper records in
+/// `state` when a request has been written.
+pub(super) fn limit(
+    stream: TcpStream,
+    budget: Budget,
+    state: RequestState,
+) -> (LimitedStream, Progress) {
     let remaining = Arc::new(AtomicUsize::new(MAX_BYTES));
-    (LimitedStream { stream, remaining: Arc::clone(&remaining), budget }, Progress(remaining))
+    let limited = LimitedStream { stream, remaining: Arc::clone(&remaining), budget, state };
+    (limited, Progress(remaining))
 }
 
-impl<S: AsyncRead + Unpin> LimitedStream<S> {
+impl LimitedStream {
+    /// Returns an error if the upstream closed the connection before it had received the request.
+    fn check_end(&self) -> io::Result<()> {
+        if !self.state.is_written() {
+            let fault = "the connection was closed before the request was written";
+            return Err(io::Error::new(io::ErrorKind::ConnectionReset, fault));
+        }
+        // A read does not report a reset that follows the end of the stream.
+        self.stream.take_error()?.map_or(Ok(()), Err)
+    }
+
     fn poll_small(
         &mut self,
         context: &mut Context<'_>,
@@ -61,7 +86,7 @@
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for LimitedStream<S> {
+impl AsyncRead for LimitedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -80,11 +105,14 @@
         };
         let read = buffer.filled().len() - before;
         self.remaining.store(remaining.saturating_sub(read), Ordering::Relaxed);
+        if read == 0 && buffer.remaining() > 0 && matches!(polled, Poll::Ready(Ok(()))) {
+            self.check_end()?;
+        }
         polled
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for LimitedStream<S> {
+impl AsyncWrite for LimitedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -106,7 +134,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.state.flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/lavenderflow/tests/common/mod.rs
+++ b/crates/lavenderflow/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 pub mod caller;
+pub mod calls;
 pub mod deployment;
 pub mod pace;
 pub mod scripted;
--- a/crates/lavenderflow/tests/faulty_upstream.rs
+++ b/crates/lavenderflow/tests/faulty_upstream.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::thread;
+use std::time::Duration;
+
+use common::caller::{Caller, request_head};
 use common::deployment::Deployment;
 use lavenderflow_standins::platform_upstream::{Mode, response_body};
 
@@ -50,3 +54,30 @@
         assert_eq!(response.status, if ran { 502 } else { 503 }, "{}", response.text());
     }
 }
+
+/// Guards against a part of a response as a complete one, where the upstream answers an upload at
+/// once, without a length, and closes its socket before it has the body (issue 53).
+#[test]
+fn an_upload_gets_no_complete_response_from_an_upstream_that_closes_early() {
+    const PARTS: usize = 40;
+    const PART: &[u8] = &[b'x'; 8 * 1024];
+    let deployment = Deployment::start(1);
+    deployment.upstreams[0].set_mode(Mode::ClosesEarly).expect("an upstream");
+    for (number, pause) in [0, 2, 10].map(Duration::from_millis).into_iter().enumerate() {
+        let mut caller = Caller::connect(deployment.vms[0].outbound).expect("a connection");
+        let id = format!("u{number}");
+        let head = request_head("POST", "/write/a", &id, PARTS * PART.len(), 5000);
+        caller.send(&head).expect("a connection");
+        // The node may answer, and close the connection, before it has the whole body.
+        for _ in 0..PARTS {
+            thread::sleep(pause);
+            let _ = caller.send(PART);
+        }
+        let response = caller.read();
+        assert!(deployment.run_counts().contains_key(&id), "{id} did not run");
+        assert!(
+            response.is_none_or(|response| response.status == 502 || !response.is_complete),
+            "{id}: a complete response"
+        );
+    }
+}
--- a/crates/lavenderflow/tests/reused_connection.rs
+++ b/crates/lavenderflow/tests/reused_connection.rs
@@ -4,20 +4,11 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use lavenderflow::clock::SystemClock;
-use lavenderflow::upstream::{self, Call, CallEvent, CallSender};
-use lavenderflow_core::memory::Budget;
 use lavenderflow_core::reason::Reason;
-use lavenderflow_platform::header::PlatformDialect;
-use tokio::sync::mpsc;
-use tokio::time::timeout;
 
-use common::scripted::TEST_TIMEOUT;
+use common::calls::{Calls, Ended};
 
 /// What the upstream writes to a request: its id, the number of its connection, and its number on
 /// that connection, from zero.
@@ -61,52 +52,6 @@
     None
 }
 
-fn start_calls() -> CallSender {
-    let dialect =
-        PlatformDialect { service: "work".to_owned(), heartbeat_interval: Duration::from_secs(1) };
-    upstream::start(Arc::new(SystemClock), Arc::new(dialect), &Budget::new(None))
-}
-
-/// The end of a call: the status of its response, or the reason for which the request did not run.
-#[derive(Debug, Eq, PartialEq)]
-enum Ended {
-    Response(u16),
-    NotRun(Reason),
-    Unknown,
-}
-
-/// Makes a call and waits for its end.
-async fn call(calls: &CallSender, address: SocketAddr, id: &str) -> Ended {
-    let (events, mut received) = mpsc::channel(8);
-    let call = Call {
-        address,
-        upstream: "upstream".into(),
-        id: id.to_owned(),
-        organisation: None,
-        deadline: Instant::now() + TEST_TIMEOUT,
-        idempotent: false,
-        method: "GET".to_owned(),
-        target: "/".to_owned(),
-        headers: vec![("lavenderflow-request-id".to_owned(), id.to_owned())],
-        body: Bytes::new(),
-        body_rest: None,
-        body_length: None,
-        events,
-    };
-    calls.send(call).await.expect("the task that makes calls");
-    let mut status = None;
-    loop {
-        match timeout(TEST_TIMEOUT, received.recv()).await.expect("in time").expect("an event") {
-            CallEvent::Head { status: received, .. } => status = Some(received),
-            CallEvent::Signals(_) | CallEvent::Data(_) => {}
-            CallEvent::End => return Ended::Response(status.expect("a status")),
-            CallEvent::Failed { not_run, .. } => {
-                return not_run.map_or(Ended::Unknown, Ended::NotRun);
-            }
-        }
-    }
-}
-
 /// Guards against a 503 for a request that ran: the repeated refusal of its first attempt was taken
 /// for the answer to its second one, after another refusal on the connection (review/6).
 #[tokio::test]
@@ -116,10 +61,10 @@
         (0, _) => refusal("a") + &response(200, id),
         _ => response(200, id),
     });
-    let calls = start_calls();
-    assert_eq!(call(&calls, address, "a").await, Ended::NotRun(Reason::Shed));
-    assert_eq!(call(&calls, address, "b").await, Ended::NotRun(Reason::Shed));
-    assert_eq!(call(&calls, address, "a").await, Ended::Response(200));
+    let calls = Calls::start(address);
+    assert_eq!(calls.call("a").await, Ended::NotRun(Reason::Shed));
+    assert_eq!(calls.call("b").await, Ended::NotRun(Reason::Shed));
+    assert_eq!(calls.call("a").await, Ended::Response(200, 0));
 }
 
 /// Guards against the repeated response of one run as the answer of a later run under the same id.
@@ -130,9 +75,9 @@
         (0, _) => response(500, id) + &response(200, id),
         _ => response(200, id),
     });
-    let calls = start_calls();
-    assert_eq!(call(&calls, address, "a").await, Ended::Response(500));
-    assert_eq!(call(&calls, address, "a").await, Ended::Response(200));
+    let calls = Calls::start(address);
+    assert_eq!(calls.call("a").await, Ended::Response(500, 0));
+    assert_eq!(calls.call("a").await, Ended::Response(200, 0));
 }
 
 /// Guards against a record of requests that grows with the age of a connection.
@@ -140,9 +85,9 @@
 async fn a_connection_carries_a_bounded_number_of_requests() {
     const REQUESTS: usize = 1024;
     let address = start_upstream(|id, connection, _| response(200 + connection as u16, id));
-    let calls = start_calls();
+    let calls = Calls::start(address);
     for number in 0..2 * REQUESTS {
         let status = 200 + (number / REQUESTS) as u16;
-        assert_eq!(call(&calls, address, &number.to_string()).await, Ended::Response(status));
+        assert_eq!(calls.call(&number.to_string()).await, Ended::Response(status, 0));
     }
 }
--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -31,6 +31,9 @@
     Healthy,
     /// Responds before it has read the request body.
     RespondsEarly,
+    /// Responds without a content length before it has read the request body, and closes the
+    /// connection.
+    ClosesEarly,
     /// Responds to each request with status 500.
     Errors,
     /// Sends a second response right after the first.
--- a/crates/standins/src/platform_upstream/serve.rs
+++ b/crates/standins/src/platform_upstream/serve.rs
@@ -78,6 +78,10 @@
         if mode == Mode::RespondsEarly {
             respond_signed(&mut writer, settings, &id, 200, state)?;
         }
+        if mode == Mode::ClosesEarly {
+            write_head(&mut writer, 200, &signed_headers(settings, &id, state)?, None)?;
+            return Ok(writer.write_all(b"part of it")?);
+        }
         let received = head.read_body(&mut reader, peer)?;
         let name = id.clone();
         state.ask(move |state| state.requests.entry(name).or_default().body_digest = received)?;
