--- a/crates/lavenderflow/tests/reused_connection.rs
+++ b/crates/lavenderflow/tests/reused_connection.rs
@@ -91,3 +91,15 @@
         assert_eq!(calls.call(&number.to_string()).await, Ended::Response(status, 0));
     }
 }
+
+/// Guards against a status that HTTP does not have as an answer (issue 53).
+#[tokio::test]
+async fn a_status_below_100_is_no_answer() {
+    for status in [0, 99] {
+        let address = start_upstream(match status {
+            0 => |id, _, _| response(0, id).replace(" 0 ", " 000 "),
+            _ => |id, _, _| response(99, id).replace(" 99 ", " 099 "),
+        });
+        assert_eq!(Calls::start(address).call("a").await, Ended::Unknown, "{status}");
+    }
+}
