Do not take a response without an id for an answer on a reused connection

Cause: responses without an id were foreign on a reused connection only if they were a success or a refusal; a failure was passed on.

Evidence: the bytes of the case are a whole 500 without an id, sent 20 ms after a 200; the requests concerned have Ran and Answered(200) at their upstream.

Change: the class of a response says whether it names its request, and one function decides for all classes on a reused connection. In the native dialect a response that names another request is foreign.

--- a/crates/lavenderflow/src/http/native.rs
+++ b/crates/lavenderflow/src/http/native.rs
@@ -56,11 +56,15 @@
         status: u16,
         headers: &[(String, String)],
     ) -> ResponseClass {
+        let named = find_header(headers, header::REQUEST_ID);
+        if named.is_some_and(|named| named != id) {
+            return ResponseClass::Foreign;
+        }
         if status == 503 && find_header(headers, header::OUTCOME) == Some("not-run") {
-            let is_named = find_header(headers, header::REQUEST_ID) == Some(id);
-            ResponseClass::NotRun { reason: Reason::Shed, is_named }
+            ResponseClass::NotRun { reason: Reason::Shed, is_named: named.is_some() }
         } else {
-            ResponseClass::Answer
+            // Plain HTTP servers do not know the header.
+            ResponseClass::Answer { is_named: true }
         }
     }
 
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -236,8 +236,11 @@
         let (mut connection, response) = self.send(call, request, pooled, deadline).await?;
         let (parts, incoming) = response.into_parts();
         let (status, headers) = (parts.status.as_u16(), header::text_headers(&parts.headers));
-        let class = self.dialect.classify_response(&call.id, status, &headers);
-        if class != ResponseClass::Answer {
+        let mut class = self.dialect.classify_response(&call.id, status, &headers);
+        if connection.is_reused() {
+            class = class.on_reused_connection();
+        }
+        if !matches!(class, ResponseClass::Answer { .. }) {
             log::info!(
                 "event=response-rejected request={} upstream={} port={} reused={} status={status} \
                  class={class:?}",
@@ -248,10 +251,7 @@
             );
         }
         match class {
-            ResponseClass::Answer => {}
-            ResponseClass::NotRun { is_named: false, .. } if connection.is_reused() => {
-                return Err(CallFailure::Foreign);
-            }
+            ResponseClass::Answer { .. } => {}
             ResponseClass::NotRun { reason, .. } => {
                 // Another refusal may come from another upstream at the same address.
                 if reason == Reason::Shed {
--- a/crates/lavenderflow/tests/reused_connection.rs
+++ b/crates/lavenderflow/tests/reused_connection.rs
@@ -103,3 +103,32 @@
         assert_eq!(Calls::start(address).call("a").await, Ended::Unknown, "{status}");
     }
 }
+
+/// Guards against a stray response without an id as the answer to the next request on the connection
+/// (review/7).
+#[tokio::test]
+async fn a_response_without_an_id_is_no_answer_on_a_reused_connection() {
+    const UNNAMED: &str = "HTTP/1.1 500 Error\r\nLavenderflow-Server-Signature: signed\r\n\
+                           Content-Length: 0\r\n\r\n";
+    let address = start_upstream(|id, connection, number| match (connection, number) {
+        (0, 0) | (1.., _) => response(200, id),
+        (0, _) => UNNAMED.to_owned() + &response(200, id),
+    });
+    let calls = Calls::start(address);
+    assert_eq!(calls.call("a").await, Ended::Response(200, 0));
+    // The request has run, and its own response can no longer be told from a stray one.
+    assert_eq!(calls.call("b").await, Ended::Unknown);
+    assert_eq!(calls.call("c").await, Ended::Response(200, 0));
+}
+
+/// A connection that has carried nothing else has no stray responses.
+#[tokio::test]
+async fn a_failure_without_an_id_is_an_answer_on_a_new_connection() {
+    let address = start_upstream(|_, _, _| {
+        "HTTP/1.1 500 Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".to_owned()
+    });
+    let calls = Calls::start(address);
+    for id in ["a", "b"] {
+        assert_eq!(calls.call(id).await, Ended::Response(500, 0));
+    }
+}
--- a/crates/schema/src/dialect.rs
+++ b/crates/schema/src/dialect.rs
@@ -86,7 +86,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseClass {
     /// The request ran, and this is its response.
-    Answer,
+    Answer {
+        /// Whether the response names the request, or upstreams need not do so. If it does not, it
+        /// may be a stray response on a connection that has carried other requests.
+        is_named: bool,
+    },
     /// The request did not run and will not run.
     NotRun {
         /// Reason for the refusal.
@@ -99,6 +103,30 @@
     Foreign,
 }
 
+impl ResponseClass {
+    /// Returns the class of the same response on a connection that has carried other requests.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_schema::dialect::ResponseClass;
+    ///
+    /// let stray = ResponseClass::Answer { is_named: false };
+    /// assert_eq!(stray.on_reused_connection(), ResponseClass::Foreign);
+    /// let own = ResponseClass::Answer { is_named: true };
+    /// assert_eq!(own.on_reused_connection(), own);
+    /// ```
+    #[must_use]
+    pub fn on_reused_connection(self) -> Self {
+        match self {
+            Self::Answer { is_named: false } | Self::NotRun { is_named: false, .. } => {
+                Self::Foreign
+            }
+            class => class,
+        }
+    }
+}
+
 /// The result of a request, from which the headers of its response are set.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Completion {
