Return a connection to the pool once its request has been written

Cause: the connection went back to the pool with the end of the response. The next call took it, could not send on it, and dropped it, which closed it.

The test shows the same with one call beside the upload.

Change: a task holds the connection until the request has been written, at most until the deadline; what ends it sooner is logged as upload-cut.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -259,7 +259,8 @@
                 }
                 // The connection can be reused when the refusal was read completely.
                 if drain(incoming, deadline.min(Instant::now() + REFUSAL_TIMEOUT)).await {
-                    self.return_connection(connection, &headers).await;
+                    connection.idle_time = pool::idle_time(&headers);
+                    self.release(call, connection, deadline).await;
                 }
                 return Err(CallFailure::Refused(reason));
             }
@@ -271,10 +272,22 @@
         relay(call, incoming, &connection, &self.budget, deadline).await?;
         connection.idle_time = idle_time;
         // Return the connection before the end event, so that the next call finds it.
-        let _ = self.idle_sender.send(connection).await;
+        self.release(call, connection, deadline).await;
         send(call, CallEvent::End).await
     }
 
+    /// Returns a connection to the pool, at once or when the rest of its request has been written.
+    async fn release(&self, call: &Call, connection: PooledConnection, deadline: Instant) {
+        if connection.is_written() {
+            // Sending fails only when the node stops; the connection is closed then.
+            let _ = self.idle_sender.send(connection).await;
+        } else {
+            // The upstream has responded early, and may read on.
+            let id = call.id.clone();
+            tokio::spawn(finish_request(id, connection, self.idle_sender.clone(), deadline));
+        }
+    }
+
     /// Sends the request. Falls back to a new connection if the pooled one turns out to be closed
     /// before anything was sent.
     async fn send(
@@ -306,16 +319,6 @@
         }
     }
 
-    async fn return_connection(
-        &self,
-        mut connection: PooledConnection,
-        headers: &[(String, String)],
-    ) {
-        connection.idle_time = pool::idle_time(headers);
-        // Sending fails only when the node stops; the connection is closed then.
-        let _ = self.idle_sender.send(connection).await;
-    }
-
     fn request(
         &self,
         call: &Call,
@@ -346,3 +349,19 @@
         Ok(builder.body(body)?)
     }
 }
+
+/// Keeps a connection open until the rest of its request has been written, and returns it to the
+/// pool. The connection is closed if the body is truncated, and at the deadline.
+async fn finish_request(
+    id: String,
+    mut connection: PooledConnection,
+    idle_sender: mpsc::Sender<PooledConnection>,
+    deadline: Instant,
+) {
+    match timeout_at(deadline, connection.wait_idle()).await {
+        Ok(Ok(())) => drop(idle_sender.send(connection).await),
+        ended => {
+            log::info!("event=upload-cut request={id} port={} ended={ended:?}", connection.port());
+        }
+    }
+}
--- a/crates/lavenderflow/src/upstream/pool.rs
+++ b/crates/lavenderflow/src/upstream/pool.rs
@@ -103,6 +103,20 @@
         self.port
     }
 
+    /// Returns whether the whole request has been written.
+    pub(super) fn is_written(&self) -> bool {
+        self.state.is_written()
+    }
+
+    /// Waits until the connection can carry another request.
+    ///
+    /// # Errors
+    ///
+    /// The connection was closed.
+    pub(super) async fn wait_idle(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
     /// Records that a part of the response body has arrived.
     pub(super) fn record_progress(&self) {
         self.progress.record();
--- a/crates/lavenderflow/tests/common/calls.rs
+++ b/crates/lavenderflow/tests/common/calls.rs
@@ -31,6 +31,11 @@
 impl Events {
     /// Waits for the end of the call.
     pub async fn end(mut self) -> Ended {
+        self.wait_end().await
+    }
+
+    /// Waits for the end of the call, and keeps the receiver of its events.
+    pub async fn wait_end(&mut self) -> Ended {
         let (mut status, mut length) = (0, 0);
         loop {
             match timeout(TEST_TIMEOUT, self.0.recv()).await.expect("in time").expect("an event") {
--- a/crates/lavenderflow/tests/common/mod.rs
+++ b/crates/lavenderflow/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod calls;
 pub mod deployment;
+pub mod exchange;
 pub mod pace;
 pub mod scripted;
 
