Wait for uploads that have their responses when a node stops

What callers would see: an upload with a signed 200 that is cut by a planned stop of the node beside its upstream.

Cause: a run ended with its response, and a stop waits for runs only.

Change: the rest of such a request counts as unfinished work.

Test: an_upload_that_has_its_response_is_unfinished_work failed before (0 units instead of 1) and passes.

--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -112,7 +112,12 @@
     let runs = context::run_budget(&setup.budget);
     let context = NetworkContext {
         node: setup.node,
-        calls: upstream::start(Arc::clone(&setup.clock), Arc::clone(&setup.dialect), &runs),
+        calls: upstream::start(
+            Arc::clone(&setup.clock),
+            Arc::clone(&setup.dialect),
+            &runs,
+            setup.work.clone(),
+        ),
         clock: setup.clock,
         local_links,
         dialect: setup.dialect,
--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -28,6 +28,7 @@
 use crate::http::header;
 use crate::net::body::BodyPart;
 use crate::prelude::{Duration, Reason, SharedClock};
+use crate::work::WorkTracker;
 
 /// Calls that the channel to the task buffers.
 const CALL_CAPACITY: usize = 256;
@@ -102,8 +103,13 @@
 pub type CallSender = mpsc::Sender<Call>;
 
 /// Starts the task that makes calls; it ends when the last sender is dropped. `budget` is what runs
-/// may hold.
-pub fn start(clock: SharedClock, dialect: Arc<dyn Dialect>, budget: &Budget) -> CallSender {
+/// may hold. Requests that are still being written after their responses count as `work`.
+pub fn start(
+    clock: SharedClock,
+    dialect: Arc<dyn Dialect>,
+    budget: &Budget,
+    work: WorkTracker,
+) -> CallSender {
     let budget = budget.source(Some(budget.limit() / PARTS_DIVISOR));
     let (calls, mut call_receiver) = mpsc::channel::<Call>(CALL_CAPACITY);
     let (idle_sender, mut idle_receiver) = mpsc::channel::<PooledConnection>(CALL_CAPACITY);
@@ -119,6 +125,7 @@
                         clock,
                         dialect: Arc::clone(&dialect),
                         budget: budget.clone(),
+                        work: work.clone(),
                         idle_sender: idle_sender.clone(),
                     };
                     tokio::spawn(task.run(call, pooled));
@@ -194,6 +201,7 @@
     clock: SharedClock,
     dialect: Arc<dyn Dialect>,
     budget: Budget,
+    work: WorkTracker,
     idle_sender: mpsc::Sender<PooledConnection>,
 }
 
@@ -283,8 +291,12 @@
             let _ = self.idle_sender.send(connection).await;
         } else {
             // The upstream has responded early, and may read on.
-            let id = call.id.clone();
-            tokio::spawn(finish_request(id, connection, self.idle_sender.clone(), deadline));
+            let (id, guard) = (call.id.clone(), self.work.begin());
+            let finish = finish_request(id, connection, self.idle_sender.clone(), deadline);
+            tokio::spawn(async move {
+                finish.await;
+                drop(guard);
+            });
         }
     }
 
--- a/crates/lavenderflow/tests/common/calls.rs
+++ b/crates/lavenderflow/tests/common/calls.rs
@@ -8,6 +8,7 @@
 use lavenderflow::clock::SystemClock;
 use lavenderflow::net::body::BodyPart;
 use lavenderflow::upstream::{self, Call, CallEvent, CallSender};
+use lavenderflow::work::WorkTracker;
 use lavenderflow_core::memory::Budget;
 use lavenderflow_core::reason::Reason;
 use lavenderflow_platform::header::PlatformDialect;
@@ -55,15 +56,17 @@
 pub struct Calls {
     sender: CallSender,
     address: SocketAddr,
+    /// What a stop would wait for.
+    pub work: WorkTracker,
 }
 
 impl Calls {
     pub fn start(address: SocketAddr) -> Self {
         let (service, heartbeat_interval) = ("work".to_owned(), Duration::from_secs(1));
         let dialect = PlatformDialect { service, heartbeat_interval };
-        let clock = Arc::new(SystemClock);
-        let sender = upstream::start(clock, Arc::new(dialect), &Budget::new(None));
-        Self { sender, address }
+        let (clock, work) = (Arc::new(SystemClock), WorkTracker::default());
+        let sender = upstream::start(clock, Arc::new(dialect), &Budget::new(None), work.clone());
+        Self { sender, address, work }
     }
 
     /// Makes a call without a body and waits for its end.
--- a/crates/lavenderflow/tests/early_response.rs
+++ b/crates/lavenderflow/tests/early_response.rs
@@ -78,6 +78,23 @@
     }
 }
 
+/// Guards against a stop that cuts an upload whose response has been sent.
+#[tokio::test]
+async fn an_upload_that_has_its_response_is_unfinished_work() {
+    let mut exchange = respond_early(ANSWER).await;
+    let work = exchange.calls.work.clone();
+    assert_eq!(work.unfinished(), 1);
+    for _ in 0..3 {
+        exchange.upload().await;
+    }
+    let finished = async {
+        while work.unfinished() > 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TEST_TIMEOUT, finished).await.expect("in time");
+}
+
 /// Guards against a connection that stays open for an upload that its caller has given up.
 #[tokio::test]
 async fn an_upload_that_breaks_off_after_an_early_answer_closes_its_connection() {
--- a/crates/lavenderflow/tests/not_run_gate.rs
+++ b/crates/lavenderflow/tests/not_run_gate.rs
@@ -16,6 +16,7 @@
 use lavenderflow::message::{GateMessage, Message};
 use lavenderflow::net::serve::MAX_BUFFERED_BYTES;
 use lavenderflow::upstream::{Call, CallEvent};
+use lavenderflow::work::WorkTracker;
 use lavenderflow_core::gate::{RunResult, UpstreamSignals};
 use lavenderflow_core::load::Load;
 use lavenderflow_core::memory::Budget;
@@ -105,6 +106,7 @@
         Arc::new(SystemClock),
         Arc::new(NativeDialect),
         &Budget::new(None),
+        WorkTracker::default(),
     );
     let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.expect("a socket");
     let address = listener.local_addr().expect("an address");
