Close callers that trickle where a limit is reached

Cause: only connections without any progress for 250 ms are closed for a limit, and any byte was progress.

Evidence: connection-refused reason=memory-limit for each new connection and no connection-closed; the account of the case is 734 times 68 KB of 48.75 MB.

Change: a connection records the bytes and the time of its current head, body or response. A caller a second or more behind 8 KB a second counts as waiting for that time. Only where a limit is reached does this close anything.

In the_connections_that_wait_longest_for_their_callers_are_closed_first, the body that still arrives now gets 100 KB instead of an unstated amount: with one byte in 9 s it is what this change closes. The other checks are as before.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -20,6 +20,12 @@
 /// that are being transferred end.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(250);
 
+/// Bytes a second below which a caller that sends or reads falls behind.
+const MIN_RATE: u64 = 8 * 1024;
+/// A connection whose caller is this far behind may be closed for the limits, however recently it
+/// made progress: a byte now and then must not keep others out.
+const MAX_LAG: Duration = Duration::from_secs(1);
+
 /// Longest time in which a caller reads nothing of a response, where no bound is configured.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -321,8 +327,8 @@
     fn by_idle_time(&self, source: Option<IpAddr>, now: Instant) -> Vec<ConnectionId> {
         let open = self.connections.iter();
         let open = open.filter(|(_, c)| !c.is_closing && source.is_none_or(|s| s == c.source));
-        let idle = open.filter_map(|(id, c)| Some((c.progress.idle_time(now)?, *id)));
-        let mut idle: Vec<_> = idle.filter(|(idle, _)| *idle >= MIN_IDLE_TIME).collect();
+        let idle = open.filter_map(|(id, c)| Some((wait_time(&c.progress, now)?, *id)));
+        let mut idle: Vec<_> = idle.collect();
         idle.sort_by_key(|(idle, id)| (Reverse(*idle), *id));
         idle.into_iter().map(|(_, id)| id).collect()
     }
@@ -339,3 +345,11 @@
         Some(Closing { connection: id, reason, idle })
     }
 }
+
+/// Returns for how long a connection has waited for its caller, if that is long enough to close it
+/// for the limits: since its last progress, or beyond the time that its bytes should have taken.
+fn wait_time(progress: &Progress, now: Instant) -> Option<Duration> {
+    let idle = progress.idle_time(now)?;
+    let lag = Some(progress.lag(MIN_RATE, now)).filter(|lag| *lag >= MAX_LAG);
+    lag.max(Some(idle).filter(|idle| *idle >= MIN_IDLE_TIME))
+}
--- a/crates/core/src/progress.rs
+++ b/crates/core/src/progress.rs
@@ -42,6 +42,11 @@
     awaits_answer: AtomicBool,
     phase_ms: AtomicU64,
     progress_ms: AtomicU64,
+    blocked_ms: AtomicU64,
+    /// Time for which the current part has waited for the caller before it waited last.
+    waited_ms: AtomicU64,
+    /// Bytes of the current part that the caller has sent or read.
+    part_bytes: AtomicU64,
 }
 
 impl Progress {
@@ -54,6 +59,9 @@
             awaits_answer: AtomicBool::new(false),
             phase_ms: AtomicU64::new(0),
             progress_ms: AtomicU64::new(0),
+            blocked_ms: AtomicU64::new(0),
+            waited_ms: AtomicU64::new(0),
+            part_bytes: AtomicU64::new(0),
         }
     }
 
@@ -66,6 +74,7 @@
     pub fn begin_request(&self, now: Instant) {
         self.awaits_answer.store(true, Ordering::Release);
         self.set_phase(Phase::Processing, now);
+        self.begin_part();
     }
 
     /// Returns whether a request was read to which no response has begun.
@@ -75,31 +84,60 @@
 
     /// Begins a phase.
     pub fn set_phase(&self, phase: Phase, now: Instant) {
+        if matches!(self.phase(), Phase::Head | Phase::Receiving) {
+            self.add_wait(self.phase_time(now));
+        }
         if phase == Phase::Responding {
             self.awaits_answer.store(false, Ordering::Release);
+            self.begin_part();
         }
         self.phase.store(phase as u8, Ordering::Release);
         self.phase_ms.store(self.millis(now), Ordering::Release);
         self.record(now);
     }
 
-    /// Records that bytes were received from the caller.
-    pub fn receive(&self, now: Instant) {
+    /// Records that this many bytes were received from the caller.
+    pub fn receive(&self, bytes: usize, now: Instant) {
         if self.phase() == Phase::Idle {
+            self.begin_part();
             self.set_phase(Phase::Head, now);
         } else {
             self.record(now);
         }
+        self.add_bytes(bytes);
     }
 
-    /// Records that bytes were sent to the caller, or that it reads nothing.
-    pub fn send(&self, is_blocked: bool, now: Instant) {
-        self.is_write_blocked.store(is_blocked, Ordering::Release);
-        if !is_blocked {
-            self.record(now);
+    /// Records that this many bytes were sent to the caller; `None` if it reads nothing.
+    pub fn send(&self, bytes: Option<usize>, now: Instant) {
+        let is_blocked = bytes.is_none();
+        let was_blocked = self.is_write_blocked.swap(is_blocked, Ordering::AcqRel);
+        match bytes {
+            Some(bytes) => {
+                if was_blocked {
+                    self.add_wait(self.since(&self.blocked_ms, now));
+                }
+                self.add_bytes(bytes);
+                self.record(now);
+            }
+            None if !was_blocked => self.blocked_ms.store(self.millis(now), Ordering::Release),
+            None => {}
         }
     }
 
+    fn begin_part(&self) {
+        self.waited_ms.store(0, Ordering::Release);
+        self.part_bytes.store(0, Ordering::Release);
+    }
+
+    fn add_wait(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.waited_ms.fetch_add(millis, Ordering::AcqRel);
+    }
+
+    fn add_bytes(&self, bytes: usize) {
+        self.part_bytes.fetch_add(bytes as u64, Ordering::AcqRel);
+    }
+
     /// Returns whether bytes wait for the caller to read.
     pub fn is_write_blocked(&self) -> bool {
         self.is_write_blocked.load(Ordering::Acquire)
@@ -132,4 +170,35 @@
         };
         waits.then(|| self.since(&self.progress_ms, now))
     }
+
+    /// Returns how far the caller is behind one that sends or reads this many bytes a second, in the
+    /// current head, body or response. The time in which the connection does not wait for its
+    /// caller does not count.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    ///
+    /// use lavenderflow_core::progress::Progress;
+    ///
+    /// let (start, second) = (Instant::now(), Duration::from_secs(1));
+    /// let progress = Progress::new(start);
+    /// progress.receive(100, start);
+    /// progress.receive(100, start + second * 9);
+    /// assert_eq!(progress.lag(100, start + second * 10), second * 8);
+    /// ```
+    pub fn lag(&self, rate: u64, now: Instant) -> Duration {
+        let current = match self.phase() {
+            Phase::Head | Phase::Receiving => self.phase_time(now),
+            Phase::Idle | Phase::Responding if self.is_write_blocked() => {
+                self.since(&self.blocked_ms, now)
+            }
+            Phase::Idle | Phase::Processing | Phase::Responding => return Duration::ZERO,
+        };
+        let waited = Duration::from_millis(self.waited_ms.load(Ordering::Acquire));
+        let bytes = self.part_bytes.load(Ordering::Acquire);
+        let allowed = Duration::from_millis(bytes.saturating_mul(1000) / rate.max(1));
+        (waited + current).saturating_sub(allowed)
+    }
 }
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -122,7 +122,7 @@
     }
     let now = start + SECOND * 10;
     opened[0].1.set_phase(Phase::Processing, start);
-    opened[1].1.receive(now);
+    opened[1].1.receive(100 << 10, now);
     assert!(node.claim(HeldKind::Body, 100 << 10).is_err());
     let closing = table.sweep(now, ProgressTimeouts::default());
     assert_eq!(ids(&closing, CloseReason::MemoryLimit), [opened[2].0]);
@@ -137,6 +137,64 @@
     assert_eq!(node.held(), 0);
 }
 
+/// Guards against a crowd that sends a byte now and then and so keeps all others out (review/10):
+/// none of its connections was ever idle.
+#[test]
+fn callers_that_trickle_make_room_for_others() {
+    const TENTH: Duration = Duration::from_millis(100);
+    let start = Instant::now();
+    let limits = HoldLimits { node_bytes: Some(1 << 20), ..HoldLimits::default() };
+    let trickling = [Phase::Head, Phase::Receiving, Phase::Responding];
+    for phase in trickling {
+        let (mut table, node) = table(limits);
+        let opened: Vec<_> = (0..32).map(|_| open(&mut table, address(1), start)).collect();
+        opened.iter().for_each(|(_, _, progress)| progress.set_phase(phase, start));
+        let mut now = start;
+        for _ in 0..20 {
+            now += TENTH;
+            for (_, _, progress) in &opened {
+                if phase == Phase::Responding {
+                    progress.send(Some(1), now);
+                    progress.send(None, now);
+                } else {
+                    progress.receive(1, now);
+                }
+            }
+        }
+        assert!(node.claim(HeldKind::Connection, 32 << 10).is_err());
+        let closing = table.sweep(now, ProgressTimeouts::default());
+        let closed = ids(&closing, CloseReason::MemoryLimit);
+        assert!(!closed.is_empty() && closed.len() < 4, "{phase:?}: {closed:?}");
+    }
+}
+
+/// Guards against closing uploads and downloads that go on, or that wait for the node.
+#[test]
+fn callers_that_keep_up_are_not_closed_for_others() {
+    const TENTH: Duration = Duration::from_millis(100);
+    let start = Instant::now();
+    let limits = HoldLimits { node_bytes: Some(96 << 10), ..HoldLimits::default() };
+    let (mut table, node) = table(limits);
+    let (_, _, upload) = open(&mut table, address(1), start);
+    let (_, _, waiting) = open(&mut table, address(1), start);
+    let (_, _, download) = open(&mut table, address(1), start);
+    upload.set_phase(Phase::Receiving, start);
+    download.set_phase(Phase::Responding, start);
+    let mut now = start;
+    for _ in 0..50 {
+        now += TENTH;
+        upload.receive(2048, now);
+        download.send(Some(2048), now);
+        download.send(None, now);
+        // A body of which the gate takes a part a second.
+        waiting.set_phase(Phase::Processing, now);
+        waiting.set_phase(Phase::Receiving, now + TENTH - TENTH / 100);
+        waiting.receive(100, now + TENTH);
+        assert!(node.claim(HeldKind::Connection, 32 << 10).is_err());
+        assert_eq!(table.sweep(now, ProgressTimeouts::default()), []);
+    }
+}
+
 /// Guards against one source address that keeps all others out, and against a crowd of idle
 /// connections that does.
 #[test]
@@ -177,17 +235,17 @@
     });
     assert_eq!(table.sweep(start + SECOND * 6, timeouts), []);
     // A head that arrives slowly does not get longer for that.
-    opened[1].1.receive(start + SECOND * 5);
+    opened[1].1.receive(1, start + SECOND * 5);
     let closing = table.sweep(start + SECOND * 7, timeouts);
     assert_eq!(ids(&closing, CloseReason::Timeout), [opened[1].0]);
     // A body and a response do.
-    opened[2].1.receive(start + SECOND * 20);
-    opened[4].1.send(true, start + SECOND * 20);
+    opened[2].1.receive(1, start + SECOND * 20);
+    opened[4].1.send(None, start + SECOND * 20);
     assert_eq!(table.sweep(start + SECOND * 29, timeouts), []);
-    opened[4].1.send(false, start + SECOND * 29);
+    opened[4].1.send(Some(1), start + SECOND * 29);
     let closing = table.sweep(start + SECOND * 51, timeouts);
     assert_eq!(ids(&closing, CloseReason::Timeout), [opened[2].0]);
-    opened[4].1.send(true, start + SECOND * 51);
+    opened[4].1.send(None, start + SECOND * 51);
     let closing = table.sweep(start + SECOND * 82, timeouts);
     assert_eq!(ids(&closing, CloseReason::Timeout), [opened[4].0]);
 }
@@ -202,7 +260,7 @@
     let opened = [Phase::Responding, Phase::Idle].map(|phase| {
         let (id, _, progress) = open(&mut table, address(1), start);
         progress.set_phase(phase, start);
-        progress.send(true, start);
+        progress.send(None, start);
         (id, progress)
     });
     let reader = open(&mut table, address(1), start).2;
@@ -211,8 +269,8 @@
     idle.set_phase(Phase::Idle, start);
     let later = start + SECOND * 59;
     assert_eq!(table.sweep(later, ProgressTimeouts::default()), []);
-    reader.send(false, later);
-    reader.send(true, later);
+    reader.send(Some(1), later);
+    reader.send(None, later);
     let closing = table.sweep(start + SECOND * 61, ProgressTimeouts::default());
     assert_eq!(ids(&closing, CloseReason::Timeout), opened.map(|(id, _)| id));
 }
@@ -239,7 +297,7 @@
         let is_timeout = reason == CloseReason::Timeout;
         let later = answered + CLOSE_TIMEOUT;
         assert_eq!(must_drop(reason, &progress, later), !is_timeout, "{reason:?}");
-        progress.send(true, later);
+        progress.send(None, later);
         assert!(must_drop(reason, &progress, later), "{reason:?}");
     }
 }
--- a/crates/lavenderflow/src/http/request_head.rs
+++ b/crates/lavenderflow/src/http/request_head.rs
@@ -122,7 +122,7 @@
             return polled;
         }
         if let Some(ProgressRecorder { progress, clock }) = &self.recorder {
-            progress.receive(clock.now());
+            progress.receive(read.len(), clock.now());
         }
         if !self.scanner.is_complete {
             self.scanner.scan(read);
@@ -135,9 +135,13 @@
 
 impl<S: AsyncWrite + Unpin> RecordingStream<S> {
     /// Records a write, after which the next request begins.
-    fn record_write(&mut self, is_blocked: bool) {
+    fn record_write(&mut self, polled: &Poll<io::Result<usize>>) {
         if let Some(ProgressRecorder { progress, clock }) = &self.recorder {
-            progress.send(is_blocked, clock.now());
+            let bytes = match polled {
+                Poll::Pending => None,
+                Poll::Ready(written) => Some(*written.as_ref().unwrap_or(&0)),
+            };
+            progress.send(bytes, clock.now());
         }
         if self.scanner.has_request_line {
             self.scanner = HeadScanner::default();
@@ -153,7 +157,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_write(polled.is_pending());
+        self.record_write(&polled);
         polled
     }
 
@@ -163,7 +167,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.record_write(polled.is_pending());
+        self.record_write(&polled);
         polled
     }
 
