Account for the heads of requests

Cause: connections, bodies, responses and runs were accounted, heads were not. While a request is served its head is held several times, at its entry and at a gate on another node.

Change: a request claims three times its head before it is dispatched, and is refused as memory-limit beyond an eighth of what may be held, callers and peers apart. What connections hold refuses no request.

--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -38,12 +38,14 @@
     Response,
     /// Runs on upstreams, with the responses on their way to the entries.
     Run,
+    /// Heads of requests that are being served.
+    Head,
 }
 
 impl HeldKind {
     /// All kinds.
-    pub const ALL: [Self; 5] =
-        [Self::Connection, Self::Body, Self::Peer, Self::Response, Self::Run];
+    pub const ALL: [Self; 6] =
+        [Self::Connection, Self::Body, Self::Peer, Self::Response, Self::Run, Self::Head];
 
     /// Returns the value of the metric label.
     pub fn name(self) -> &'static str {
@@ -53,6 +55,7 @@
             Self::Peer => "peer",
             Self::Response => "response",
             Self::Run => "run",
+            Self::Head => "head",
         }
     }
 }
@@ -231,6 +234,31 @@
         has_room.then(|| self.hold(kind, bytes))
     }
 
+    /// Takes a share unless this budget would exceed its own limit, whatever others hold of the
+    /// budgets that it is a part of. A refusal closes no connections.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use lavenderflow_core::memory::{Budget, HeldKind};
+    ///
+    /// let node = Budget::new(Some(100));
+    /// let _connections = node.hold(HeldKind::Connection, 100);
+    /// let heads = node.source(Some(20));
+    /// let share = heads.claim_own(HeldKind::Head, 20);
+    /// assert!(share.is_some() && heads.claim_own(HeldKind::Head, 1).is_none());
+    /// assert_eq!(node.held(), 120);
+    /// ```
+    pub fn claim_own(&self, kind: HeldKind, bytes: u64) -> Option<Share> {
+        let fits = |held: u64| held.checked_add(bytes).filter(|sum| *sum <= self.0.limit);
+        self.0.held.fetch_update(Ordering::AcqRel, Ordering::Acquire, fits).ok()?;
+        for account in self.0.chain().skip(1) {
+            account.held.fetch_add(bytes, Ordering::AcqRel);
+        }
+        self.0.count_kind(kind, 0, bytes);
+        Some(Share { account: Arc::clone(&self.0), kind, bytes })
+    }
+
     /// Returns whether the whole chain has this much memory free.
     pub fn has_room(&self, bytes: u64) -> bool {
         let fits = |held: u64, limit| held.checked_add(bytes).is_some_and(|sum| sum <= limit);
--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -9,7 +9,7 @@
 use hyper::header::EXPECT;
 use lavenderflow_core::catalog::RequestLimits;
 use lavenderflow_core::deployment_change::AppliedRevision;
-use lavenderflow_core::memory::{HoldLimits, Share};
+use lavenderflow_core::memory::{HoldLimits, OverLimit, Share};
 use lavenderflow_core::progress::Phase;
 use lavenderflow_core::request::Arrival;
 use lavenderflow_schema::dialect::{Completion, Dialect, HeaderError, Headers, RequestMetadata};
@@ -144,11 +144,12 @@
     let limits = *context.limits.borrow();
     let checked = metadata.map_err(CallerError::from).and_then(|metadata| {
         let (host, length) = check_request(&request, &headers, limits)?;
-        Ok((metadata, host, length))
+        let share = context.net.heads.claim_caller(request.uri().path(), &headers);
+        Ok((metadata, host, length, share.ok_or(OverLimit::Shared)?))
     });
     let parsed = match checked {
-        Ok((metadata, host, length)) => {
-            let head = RequestHead { headers, metadata, host, length };
+        Ok((metadata, host, length, share)) => {
+            let head = RequestHead { headers, metadata, host, length, share };
             parse_request(&context.net, request, head).await
         }
         Err(fault) => {
@@ -213,6 +214,8 @@
     connection: Option<CallerConnection>,
     // Accounts for the body as long as the request is served.
     held: Option<Share>,
+    // The same for the head.
+    head_share: Share,
 }
 
 /// The head of a request that was not refused for it.
@@ -222,6 +225,8 @@
     host: String,
     // Declared length of the body.
     length: Option<u64>,
+    // Accounts for the head.
+    share: Share,
 }
 
 /// Reads the rest of a refused request, so that its caller sees the response.
@@ -240,7 +245,7 @@
     request: hyper::Request<Incoming>,
     head: RequestHead,
 ) -> Result<ParsedRequest, CallerError> {
-    let RequestHead { headers, metadata, host, length: declared } = head;
+    let RequestHead { headers, metadata, host, length: declared, share: head_share } = head;
     let in_progress = !net.stop.is_refusing();
     let target = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let method = request.method().to_string();
@@ -287,6 +292,7 @@
         unread_body: (!body_buffered).then_some(unread_body),
         connection,
         held,
+        head_share,
     })
 }
 
@@ -309,7 +315,8 @@
 
 /// Serves a request, with a task that streams the rest of its body.
 async fn forward(context: &CallerContext, parsed: ParsedRequest, id: &str) -> Reply {
-    let ParsedRequest { arrival, headers, body, unread_body, connection, held } = parsed;
+    let ParsedRequest { arrival, headers, body, unread_body, connection, held, head_share } =
+        parsed;
     let body_rest = unread_body.map(|body| {
         let (body_request, requested) = oneshot::channel();
         tokio::spawn(body::stream(body, connection, requested));
@@ -317,6 +324,6 @@
     });
     let request = Request { arrival, id: id.to_owned(), headers, body, body_rest };
     let reply = drive::drive(&context.net, request).await;
-    drop(held);
+    drop((held, head_share));
     reply
 }
--- a/crates/lavenderflow/src/net/context.rs
+++ b/crates/lavenderflow/src/net/context.rs
@@ -32,6 +32,15 @@
 /// start of its body, and the buffers of the connection to the upstream.
 const RUN_BYTES: u64 = 32 * 1024;
 
+/// Part of what the node may hold for others that the heads of callers' requests may take; as much
+/// is for the heads of requests from other nodes.
+const HEADS_DIVISOR: u64 = 8;
+/// Copies of a head: that of the request, that of its attempt, and the one that is being encoded,
+/// decoded or written.
+const HEAD_COPIES: u64 = 3;
+/// Memory of a header beside its text: two strings with their allocations.
+const HEADER_BYTES: u64 = 96;
+
 /// The server end of a link within this node, served like a link from another node.
 pub type LocalLink = (FrameSink, FrameSource);
 
@@ -60,6 +69,8 @@
     pub budget: Budget,
     /// Accounts for the runs on upstreams, as a part of it.
     pub runs: Budget,
+    /// Accounts for the heads of requests that are being served.
+    pub heads: HeadBudgets,
     /// Interval between pings.
     pub ping_interval: Duration,
 }
@@ -74,25 +85,61 @@
     /// Accounts for a run on an upstream; `None` if the runs hold as much as they may. What the node
     /// holds for callers refuses no run.
     pub fn hold_run(&self) -> Option<Share> {
-        let has_room = self.runs.held().saturating_add(RUN_BYTES) <= self.runs.limit();
-        has_room.then(|| self.runs.hold(HeldKind::Run, RUN_BYTES))
+        self.runs.claim_own(HeldKind::Run, RUN_BYTES)
     }
 
-    /// Accounts for the body of a request from another node. Within the node the entry does so.
+    /// Accounts for the head and the body of a request from another node. Within the node the entry
+    /// does so.
     ///
     /// # Errors
     ///
     /// The node holds as much for others as it may.
-    pub fn claim_body(
+    pub fn claim_request(
         &self,
         begin: &Begin,
         source: &FrameSource,
-    ) -> Result<Option<Share>, OverLimit> {
+    ) -> Result<Option<(Share, Share)>, OverLimit> {
         let FrameSource::Accepted(..) = source else { return Ok(None) };
+        let head = self.heads.claim_peer(begin).ok_or(OverLimit::Shared)?;
         let length = begin.body_length.unwrap_or(u64::MAX).min(MAX_PART_BYTES);
         let later = if begin.on_commit || begin.body_follows { length } else { 0 };
-        self.budget.claim(HeldKind::Peer, begin.body.len() as u64 + later).map(Some)
+        let body = self.budget.claim(HeldKind::Peer, begin.body.len() as u64 + later)?;
+        Ok(Some((head, body)))
+    }
+}
+
+/// Accounts for the heads of requests, apart from what else is held: a crowd of connections refuses
+/// no request, and large heads refuse those that have no room beside them.
+#[derive(Clone, Debug)]
+pub struct HeadBudgets {
+    callers: Budget,
+    peers: Budget,
+}
+
+impl HeadBudgets {
+    /// Creates the budgets, as parts of what the node may hold.
+    pub fn new(node: &Budget) -> Self {
+        let part = || node.source(Some(node.limit() / HEADS_DIVISOR));
+        Self { callers: part(), peers: part() }
     }
+
+    /// Accounts for the head of a caller's request; `None` if such heads hold as much as they may.
+    pub fn claim_caller(&self, target: &str, headers: &[(String, String)]) -> Option<Share> {
+        let fields = headers.iter().map(|(name, value)| name.len() + value.len());
+        self.callers.claim_own(HeldKind::Head, head_bytes(target, fields))
+    }
+
+    /// The same for a request from another node.
+    pub fn claim_peer(&self, begin: &Begin) -> Option<Share> {
+        let fields = begin.headers.iter().map(|field| field.name.len() + field.value.len());
+        self.peers.claim_own(HeldKind::Head, head_bytes(&begin.target, fields))
+    }
+}
+
+/// Returns the memory of a head with a target and fields of these sizes.
+fn head_bytes(target: &str, fields: impl Iterator<Item = usize>) -> u64 {
+    let fields: u64 = fields.map(|bytes| bytes as u64 + HEADER_BYTES).sum();
+    HEAD_COPIES * (target.len() as u64 + fields)
 }
 
 /// Returns the budget of the runs on upstreams, a part of what the node may hold.
--- a/crates/lavenderflow/src/net/endpoint.rs
+++ b/crates/lavenderflow/src/net/endpoint.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use super::connector::Connector;
-use super::context::{self, LocalLink, NetworkContext};
+use super::context::{self, HeadBudgets, LocalLink, NetworkContext};
 use super::link::{FrameSink, FrameSource, LinkError};
 use super::{draw, ping, serve};
 use crate::error::NodeError;
@@ -110,6 +110,7 @@
     endpoint.set_default_client_config(client);
     let (local_links, incoming_links) = context::local_link_channel();
     let runs = context::run_budget(&setup.budget);
+    let heads = HeadBudgets::new(&setup.budget);
     let context = NetworkContext {
         node: setup.node,
         calls: upstream::start(
@@ -127,6 +128,7 @@
         stop: setup.stop,
         budget: setup.budget,
         runs,
+        heads,
         ping_interval: setup.ping_interval,
     };
     let _ = bound.send(Ok(context.clone()));
--- a/crates/lavenderflow/src/net/serve.rs
+++ b/crates/lavenderflow/src/net/serve.rs
@@ -62,7 +62,7 @@
     mut source: FrameSource,
 ) -> Result<(), LinkError> {
     let attempt: AttemptId = begin.attempt.ok_or(LinkError::Unexpected)?.into();
-    let Ok(_held) = context.claim_body(&begin, &source) else {
+    let Ok(_held) = context.claim_request(&begin, &source) else {
         return refuse(sink, Reason::MemoryLimit, None).await;
     };
     let slot_request = SlotRequest {
--- a/crates/lavenderflow/tests/common/scripted.rs
+++ b/crates/lavenderflow/tests/common/scripted.rs
@@ -9,7 +9,7 @@
 use lavenderflow::http::native::NativeDialect;
 use lavenderflow::message::{AdmissionDecision, EntryMessage, GateMessage, Mailbox, Message};
 use lavenderflow::net::connector::Connector;
-use lavenderflow::net::context::{LocalLink, NetworkContext, local_link_channel};
+use lavenderflow::net::context::{HeadBudgets, LocalLink, NetworkContext, local_link_channel};
 use lavenderflow::net::drive::{Reply, Request, drive};
 use lavenderflow::net::link::{FrameSink, FrameSource, local_pair};
 use lavenderflow::net::serve;
@@ -73,6 +73,7 @@
             stop: stop_watch,
             budget: Budget::new(None),
             runs: Budget::new(None),
+            heads: HeadBudgets::new(&Budget::new(None)),
             ping_interval: Duration::from_secs(1),
         };
         Self { context, messages, links, calls, stop }
