Count the time in which a body arrives as time of its caller

What callers saw: a request with a slow body was held after its deadline, up to the pauses that the configuration allows, and its upstream got the whole time of the caller once the body had arrived (1,499 ms of 1,500 after 600 ms).

Cause: the deadline of a request began when its body had been buffered.

Change: it begins with the head.

--- a/crates/lavenderflow/src/http/callers.rs
+++ b/crates/lavenderflow/src/http/callers.rs
@@ -166,6 +166,10 @@
                 ..Reply::local(Outcome::NotRun, fault.reason(), None)
             }
         }
+        Err(fault @ CallerError::LateBody) => {
+            log::info!("event=body-too-late request={id} fault={fault}");
+            Reply::local(Outcome::NotRun, fault.reason(), None)
+        }
         Err(fault @ (CallerError::Closing(_) | CallerError::Memory(_))) => {
             log::info!("event=body-refused request={id} fault={fault}");
             Reply {
@@ -251,6 +255,7 @@
     let method = request.method().to_string();
     let connection = request.extensions().get::<CallerConnection>().cloned();
     let mut unread_body = request.into_body();
+    let started = net.clock.now();
     // A large body is not read until a gate has admitted the request.
     let is_large = declared.is_some_and(|length| length > body::MAX_BUFFERED_BYTES as u64);
     let (body, body_buffered, held) = if is_large || unread_body.is_end_stream() {
@@ -258,17 +263,22 @@
     } else {
         set_phase(&connection, Phase::Receiving);
         let received = tokio::select! {
-            received = body::buffer(&mut unread_body, connection.as_ref()) => Some(received?),
+            received = body::buffer(&mut unread_body, connection.as_ref()) => Ok(received?),
             reason = body::closing(connection.clone()) => return Err(CallerError::Closing(reason)),
-            () = body_is_too_late(net, in_progress) => None,
-        };
-        let Some(received) = received else {
-            tokio::spawn(body::drain(unread_body));
-            return Err(CallerError::Stopping);
+            () = body_is_too_late(net, in_progress) => Err(CallerError::Stopping),
+            () = caller_leaves(metadata.timeout) => Err(CallerError::LateBody),
         };
         set_phase(&connection, Phase::Processing);
-        received
+        match received {
+            Ok(received) => received,
+            Err(fault) => {
+                tokio::spawn(body::drain(unread_body));
+                return Err(fault);
+            }
+        }
     };
+    // The caller has waited since it sent the head.
+    let elapsed = net.clock.now().saturating_duration_since(started);
     let length = if body_buffered { Some(body.len() as u64) } else { declared };
     let arrival = Arrival {
         request: random(),
@@ -278,7 +288,7 @@
         body_length: length,
         body_buffered,
         fingerprint: fingerprint(&method, &target, length, &body),
-        timeout: metadata.timeout,
+        timeout: metadata.timeout.map(|timeout| timeout.saturating_sub(elapsed)),
         in_progress,
         forwarded: false,
         method,
@@ -313,6 +323,14 @@
     }
 }
 
+/// Waits until the caller no longer waits.
+async fn caller_leaves(timeout: Option<Duration>) {
+    match timeout {
+        Some(timeout) => tokio::time::sleep(timeout).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Serves a request, with a task that streams the rest of its body.
 async fn forward(context: &CallerContext, parsed: ParsedRequest, id: &str) -> Reply {
     let ParsedRequest { arrival, headers, body, unread_body, connection, held, head_share } =
--- a/crates/lavenderflow/src/http/request_check.rs
+++ b/crates/lavenderflow/src/http/request_check.rs
@@ -32,6 +32,8 @@
     Body(#[from] hyper::Error),
     #[error("the node stops before the body has arrived")]
     Stopping,
+    #[error("the body arrives too late for its caller")]
+    LateBody,
     #[error("the connection is closed: {}", .0.name())]
     Closing(CloseReason),
     #[error(transparent)]
@@ -56,6 +58,7 @@
             | Self::Length
             | Self::Body(_) => Reason::BadRequest,
             Self::Stopping => Reason::Leaving,
+            Self::LateBody => Reason::DeadlinePast,
         }
     }
 }
