--- a/crates/standins/src/platform_upstream.rs
+++ b/crates/standins/src/platform_upstream.rs
@@ -17,8 +17,8 @@
 use serde_json::json;
 
 pub use self::endless::Part;
-pub use self::serve::response_body;
 use self::serve::serve;
+pub use self::serve::{EARLY_BODY, response_body};
 use crate::error::Error;
 
 /// Interval between heartbeats.
@@ -54,6 +54,11 @@
         /// Whether refusals name their request.
         named: bool,
     },
+    /// Refuses the first two requests of each connection, and sends the first refusal once more before
+    /// each response to the others.
+    RepeatsOldRefusal,
+    /// Sends a response without the id of a request some milliseconds after each response.
+    Strays,
     /// Closes the connection in the middle of the response head.
     TruncatesHead,
     /// Closes the connection in the middle of the response body.
--- a/crates/standins/src/platform_upstream/serve.rs
+++ b/crates/standins/src/platform_upstream/serve.rs
@@ -11,6 +11,12 @@
 
 /// Interval at which a hanging request checks whether the upstream has stopped.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between a response and a stray one, and the status of that.
+const STRAY_DELAY: Duration = Duration::from_millis(8);
+const STRAY_STATUS: u16 = 501;
+
+/// Body of the responses after which an upstream closes its connection early.
+pub const EARLY_BODY: &str = "part of it";
 
 /// Returns the body of the response to a request.
 pub fn response_body(id: &str) -> String {
@@ -26,8 +32,9 @@
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
-    // The first refusal, by the mode that repeats it.
+    // The first refusal, by the modes that repeat it, and the number of refusals.
     let mut refusal: Option<Vec<(&str, String)>> = None;
+    let mut refusals = 0;
     // The response of a requested size that was written last.
     let mut written: Option<String> = None;
     loop {
@@ -59,13 +66,17 @@
             let _ = Part::FastBody.drip_body(&mut writer);
             return Ok(());
         }
-        if let Mode::RepeatsRefusal { named } = mode
-            && refusal.is_none()
-        {
+        let (named, most) = match mode {
+            Mode::RepeatsRefusal { named } => (named, 1),
+            Mode::RepeatsOldRefusal => (true, 2),
+            _ => (true, 0),
+        };
+        if refusals < most {
             head.read_body(&mut reader, peer)?;
             let headers = refusal_headers(named.then_some(&*id));
             write_head(&mut writer, 503, &headers, Some(0))?;
-            refusal = Some(headers);
+            refusal.get_or_insert(headers);
+            refusals += 1;
             continue;
         }
         let (name, headers) = (id.clone(), head.headers.clone());
@@ -80,7 +91,7 @@
         }
         if mode == Mode::ClosesEarly {
             write_head(&mut writer, 200, &signed_headers(settings, &id, state)?, None)?;
-            return Ok(writer.write_all(b"part of it")?);
+            return Ok(writer.write_all(EARLY_BODY.as_bytes())?);
         }
         let received = head.read_body(&mut reader, peer)?;
         let name = id.clone();
@@ -124,10 +135,17 @@
                 respond_signed(&mut writer, settings, &id, 200, state)?;
                 respond_signed(&mut writer, settings, &id, 200, state)?;
             }
+            Mode::Strays => {
+                respond_signed(&mut writer, settings, &id, 200, state)?;
+                thread::sleep(STRAY_DELAY);
+                let headers =
+                    [("Lavenderflow-Server-Signature", format!("signed-by-{}", settings.id))];
+                write_head(&mut writer, STRAY_STATUS, &headers, Some(0))?;
+            }
             Mode::WrongRequestId => respond_signed(&mut writer, settings, "another", 200, state)?,
             Mode::Garbage => writer.write_all(b"\x00\x01 not an answer\r\n\r\n")?,
             Mode::Disconnects => return Ok(writer.shutdown(Shutdown::Both)?),
-            Mode::RepeatsRefusal { .. } => {
+            Mode::RepeatsRefusal { .. } | Mode::RepeatsOldRefusal => {
                 if let Some(headers) = &refusal {
                     write_head(&mut writer, 503, headers, Some(0))?;
                 }
