Replace connections that wait for their callers at the limit of a source

Change: a new connection at the memory limit of its source address closes the one that has waited longest for its caller, and exceeds the limit by a sixteenth at most until that has ended. Where none has waited long enough it is refused as before.

--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -145,7 +145,7 @@
     /// let mut table = ConnectionTable::new(limits, Budget::new(None));
     /// let start = Instant::now();
     /// let mut open = |table: &mut ConnectionTable| {
-    ///     let (id, _) = table.open([10, 0, 0, 1].into(), Arc::new(Progress::new(start)))?;
+    ///     let (id, _) = table.open([10, 0, 0, 1].into(), Arc::new(Progress::new(start)), false)?;
     ///     Ok::<_, CloseReason>(id)
     /// };
     /// let first = open(&mut table).unwrap();
@@ -170,15 +170,31 @@
         self.connections.len()
     }
 
+    /// Returns the connection to close at once for a new one of the same source address: where that
+    /// holds as much memory as it may, the one that has waited longest for its caller. Until this one
+    /// has ended, the new one exceeds the limit by a part that the next sweep would make free.
+    pub fn replace_in_source(&mut self, source: IpAddr, now: Instant) -> Option<Closing> {
+        let budget = &self.sources.get(&source)?.budget;
+        let needed = budget.held().saturating_add(CONNECTION_BYTES);
+        let most = budget.limit().saturating_add(budget.limit() / FREED_DIVISOR);
+        if needed <= budget.limit() || needed > most {
+            return None;
+        }
+        let longest = *self.by_idle_time(Some(source), now).first()?;
+        self.start_closing(longest, CloseReason::MemoryLimit, now)
+    }
+
     /// Opens a connection; returns its id and budget.
     ///
     /// # Errors
     ///
-    /// Its source address has as many connections, or holds as much memory, as it may.
+    /// Its source address has as many connections, or holds as much memory, as it may and
+    /// `replaces` does not say that another one is closed for it.
     pub fn open(
         &mut self,
         source: IpAddr,
         progress: Arc<Progress>,
+        replaces: bool,
     ) -> Result<(ConnectionId, Budget), CloseReason> {
         let (limits, node) = (self.limits, &self.budget);
         let entry = self.sources.entry(source);
@@ -188,7 +204,12 @@
             return Err(CloseReason::ConnectionLimit);
         }
         let budget = owner.budget.connection(limits.connection_bytes);
-        let Ok(share) = budget.claim(HeldKind::Connection, CONNECTION_BYTES) else {
+        let claimed = if replaces {
+            Ok(budget.hold(HeldKind::Connection, CONNECTION_BYTES))
+        } else {
+            budget.claim(HeldKind::Connection, CONNECTION_BYTES)
+        };
+        let Ok(share) = claimed else {
             if owner.connections == 0 {
                 self.sources.swap_remove(&source);
             }
--- a/crates/lavenderflow/src/http/admission.rs
+++ b/crates/lavenderflow/src/http/admission.rs
@@ -211,12 +211,16 @@
     /// Opens a connection; `None` if its source address may not have another one.
     pub fn open(&mut self, source: IpAddr) -> Option<(CallerConnection, OpenGuard)> {
         let clock = Arc::clone(&self.admission.clock);
+        let now = clock.now();
         if self.admission.replaces {
-            let replaced = self.table.replace(clock.now());
+            let replaced = self.table.replace(now);
             replaced.into_iter().for_each(|closing| self.close(closing));
         }
-        let progress = Arc::new(Progress::new(clock.now()));
-        let (connection, budget) = match self.table.open(source, Arc::clone(&progress)) {
+        let replaced = self.table.replace_in_source(source, now);
+        replaced.into_iter().for_each(|closing| self.close(closing));
+        let progress = Arc::new(Progress::new(now));
+        let opened = self.table.open(source, Arc::clone(&progress), replaced.is_some());
+        let (connection, budget) = match opened {
             Ok(opened) => opened,
             Err(reason) => {
                 log::info!("event=connection-refused source={source} reason={}", reason.name());
