--- a/crates/core/src/connections.rs
+++ b/crates/core/src/connections.rs
@@ -145,7 +145,7 @@
     /// let mut table = ConnectionTable::new(limits, Budget::new(None));
     /// let start = Instant::now();
     /// let mut open = |table: &mut ConnectionTable| {
-    ///     let (id, _) = table.open([10, 0, 0, 1].into(), Arc::new(Progress::new(start)), false)?;
+    ///     let (id, _) = table.open([10, 0, 0, 1].into(), Arc::new(Progress::new(start)), None)?;
     ///     Ok::<_, CloseReason>(id)
     /// };
     /// let first = open(&mut table).unwrap();
@@ -188,13 +188,13 @@
     ///
     /// # Errors
     ///
-    /// Its source address has as many connections, or holds as much memory, as it may and
-    /// `replaces` does not say that another one is closed for it.
+    /// Its source address has as many connections as it may, or holds as much memory and no other
+    /// connection was `replaced`.
     pub fn open(
         &mut self,
         source: IpAddr,
         progress: Arc<Progress>,
-        replaces: bool,
+        replaced: Option<Closing>,
     ) -> Result<(ConnectionId, Budget), CloseReason> {
         let (limits, node) = (self.limits, &self.budget);
         let entry = self.sources.entry(source);
@@ -204,7 +204,7 @@
             return Err(CloseReason::ConnectionLimit);
         }
         let budget = owner.budget.connection(limits.connection_bytes);
-        let claimed = if replaces {
+        let claimed = if replaced.is_some() {
             Ok(budget.hold(HeldKind::Connection, CONNECTION_BYTES))
         } else {
             budget.claim(HeldKind::Connection, CONNECTION_BYTES)
--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -30,7 +30,7 @@
     start: Instant,
 ) -> (ConnectionId, Budget, Arc<Progress>) {
     let progress = Arc::new(Progress::new(start));
-    let (id, budget) = table.open(source, Arc::clone(&progress), false).expect("a connection");
+    let (id, budget) = table.open(source, Arc::clone(&progress), None).expect("a connection");
     (id, budget, progress)
 }
 
@@ -179,18 +179,19 @@
     opened.iter().skip(8).for_each(|(_, _, progress)| progress.begin_request(start));
     // Nobody has waited for long enough.
     assert_eq!(table.replace_in_source(address(1), start), None);
-    let refused = table.open(address(1), Arc::new(Progress::new(start)), false);
+    let refused = table.open(address(1), Arc::new(Progress::new(start)), None);
     assert_eq!(refused.map(|_| ()).unwrap_err(), CloseReason::MemoryLimit);
     let now = start + SECOND;
     for (waiting, ..) in &opened[..2] {
-        let closing = table.replace_in_source(address(1), now).expect("a connection");
-        assert_eq!((closing.connection, closing.reason), (*waiting, CloseReason::MemoryLimit));
-        assert!(table.open(address(1), Arc::new(Progress::new(now)), true).is_ok());
+        let replaced = table.replace_in_source(address(1), now);
+        let closing = replaced.map(|closing| (closing.connection, closing.reason));
+        assert_eq!(closing, Some((*waiting, CloseReason::MemoryLimit)));
+        assert!(table.open(address(1), Arc::new(Progress::new(now)), replaced).is_ok());
     }
     // The limit is exceeded by a sixteenth at most.
     assert_eq!(table.replace_in_source(address(1), now), None);
     assert_eq!(node.held(), (1 << 20) + (64 << 10));
-    assert!(table.open(address(2), Arc::new(Progress::new(now)), false).is_ok());
+    assert!(table.open(address(2), Arc::new(Progress::new(now)), None).is_ok());
 }
 
 /// Guards against closing uploads and downloads that go on, or that wait for the node.
@@ -229,7 +230,7 @@
     assert_eq!((limits.connections, limits.source_connections), (Some(32), Some(24)));
     let (mut table, _) = table(limits);
     let first: Vec<_> = (0..24).map(|_| open(&mut table, address(1), start)).collect();
-    let refused = table.open(address(1), Arc::new(Progress::new(start)), false);
+    let refused = table.open(address(1), Arc::new(Progress::new(start)), None);
     assert_eq!(refused.map(|_| ()).unwrap_err(), CloseReason::ConnectionLimit);
     let others: Vec<_> = (0..8).map(|_| open(&mut table, address(2), start)).collect();
     assert!(!table.has_room());
--- a/crates/lavenderflow/src/http/admission.rs
+++ b/crates/lavenderflow/src/http/admission.rs
@@ -219,7 +219,7 @@
         let replaced = self.table.replace_in_source(source, now);
         replaced.into_iter().for_each(|closing| self.close(closing));
         let progress = Arc::new(Progress::new(now));
-        let opened = self.table.open(source, Arc::clone(&progress), replaced.is_some());
+        let opened = self.table.open(source, Arc::clone(&progress), replaced);
         let (connection, budget) = match opened {
             Ok(opened) => opened,
             Err(reason) => {
