Tell an upload that was cut from a connection that closes as announced

An upstream that answers early and announces that it closes the connection still gets the whole upload; its end was logged as upload-cut. Callers saw nothing.

--- a/crates/lavenderflow/src/upstream.rs
+++ b/crates/lavenderflow/src/upstream.rs
@@ -372,6 +372,8 @@
 ) {
     match timeout_at(deadline, connection.wait_idle()).await {
         Ok(Ok(())) => drop(idle_sender.send(connection).await),
+        // The upstream has announced that it closes the connection.
+        Ok(Err(_)) if connection.is_written() => {}
         ended => {
             log::info!("event=upload-cut request={id} port={} ended={ended:?}", connection.port());
         }
--- a/crates/lavenderflow/tests/early_response.rs
+++ b/crates/lavenderflow/tests/early_response.rs
@@ -95,6 +95,19 @@
     timeout(TEST_TIMEOUT, finished).await.expect("in time");
 }
 
+/// Guards against an upload that is cut by the announced end of its connection.
+#[tokio::test]
+async fn an_upload_goes_on_where_its_response_closes_the_connection() {
+    for headers in [ANSWER, REFUSAL] {
+        let mut exchange = respond_early(&format!("Connection: close\r\n{headers}")).await;
+        for _ in 0..3 {
+            exchange.upload().await;
+        }
+        let read = timeout(TEST_TIMEOUT, exchange.stream.read(&mut [0; 1])).await;
+        assert!(matches!(read, Ok(Ok(0))), "{read:?}");
+    }
+}
+
 /// Guards against a connection that stays open for an upload that its caller has given up.
 #[tokio::test]
 async fn an_upload_that_breaks_off_after_an_early_answer_closes_its_connection() {
