Record the end of a request body in one place

A body with a declared length of zero and an open rest would never have counted as ended. Not reachable today; found when the change was read again. The tests of early_response, response_end and reused_connection pass.

--- a/crates/lavenderflow/src/upstream/body.rs
+++ b/crates/lavenderflow/src/upstream/body.rs
@@ -58,23 +58,20 @@
 
     /// Makes the body record in `state` when it has ended.
     pub(super) fn track(&mut self, state: RequestState) {
-        if self.is_end_stream() {
-            state.end();
-        }
         self.state = Some(state);
+        self.record_end();
     }
 
     fn count(&mut self, data: &Bytes) {
         self.remaining_bytes =
             self.remaining_bytes.map(|bytes| bytes.saturating_sub(data.len() as u64));
-        // A body with a length is not read up to its end.
-        if self.remaining_bytes == Some(0) || self.is_end_stream() {
-            self.record_end();
-        }
+        self.record_end();
     }
 
+    /// Records the end if there is no further part. A body with a length is not read up to its end.
     fn record_end(&self) {
-        if let Some(state) = &self.state {
+        let has_ended = self.remaining_bytes == Some(0) || self.is_end_stream();
+        if let Some(state) = self.state.as_ref().filter(|_| has_ended) {
             state.end();
         }
     }
