--- a/crates/core/tests/memory.rs
+++ b/crates/core/tests/memory.rs
@@ -137,8 +137,7 @@
     assert_eq!(node.held(), 0);
 }
 
-/// Guards against a crowd that sends a byte now and then and so keeps all others out (review/10):
-/// none of its connections was ever idle.
+/// Guards against a crowd that sends a byte now and then and so keeps all others out (review/10).
 #[test]
 fn callers_that_trickle_make_room_for_others() {
     const TENTH: Duration = Duration::from_millis(100);
--- a/crates/lavenderflow/tests/early_response.rs
+++ b/crates/lavenderflow/tests/early_response.rs
@@ -40,8 +40,7 @@
     assert_eq!(ended, Ended::Response(200, 0));
 }
 
-/// Guards against an upload that is cut by the next request, although its caller has a success: the
-/// connection was in the pool while the upstream still read the body (review/8).
+/// Guards against an upload that the next request cuts although its caller has a success (review/8).
 #[tokio::test]
 async fn a_request_does_not_cut_an_upload_that_has_its_response() {
     for headers in [ANSWER, REFUSAL] {
--- a/crates/lavenderflow/tests/fault_series.rs
+++ b/crates/lavenderflow/tests/fault_series.rs
@@ -146,8 +146,7 @@
     (is_signed && ![200, 500].contains(&response.status)).then_some("a failure that nobody gave")
 }
 
-/// Guards against responses that reach another request than their own, whatever the upstreams did
-/// before on the same connections.
+/// Guards against what one fault leaves on a connection for the next request.
 #[test]
 fn faults_that_change_leave_what_callers_are_told_true() {
     let faults: Vec<String> = (1..=2).flat_map(play).collect();
--- a/crates/lavenderflow/tests/faulty_upstream.rs
+++ b/crates/lavenderflow/tests/faulty_upstream.rs
@@ -55,8 +55,7 @@
     }
 }
 
-/// Guards against a part of a response as a complete one, where the upstream answers an upload at
-/// once, without a length, and closes its socket before it has the body (issue 53).
+/// Guards against a part of a response as a complete one, where the socket closes early (issue 53).
 #[test]
 fn an_upload_gets_no_complete_response_from_an_upstream_that_closes_early() {
     const PARTS: usize = 40;
--- a/crates/lavenderflow/tests/large_heads.rs
+++ b/crates/lavenderflow/tests/large_heads.rs
@@ -53,8 +53,7 @@
     assert!(claims().count() > 0);
 }
 
-/// Guards against a crowd of large heads that takes the memory of the node, and against one that
-/// keeps other callers out.
+/// Guards against a crowd of large heads that takes the memory, or keeps other callers out.
 #[test]
 fn large_heads_beyond_the_limit_are_refused_and_others_are_served() {
     let limits = json!({"memory_mb": MEMORY_MB, "max_fds": MAX_DESCRIPTORS});
--- a/crates/lavenderflow/tests/response_end.rs
+++ b/crates/lavenderflow/tests/response_end.rs
@@ -9,8 +9,7 @@
 use common::calls::Ended;
 use common::exchange::{Exchange, PART};
 
-/// Guards against a part of a response as a complete one: the upstream answered an upload at once,
-/// without a length, and closed its socket before it had the body (issue 53).
+/// Guards against a part of a response as a complete one, where the socket closes early (issue 53).
 #[tokio::test]
 async fn a_response_that_ends_before_its_request_was_sent_is_not_complete() {
     for length in [Some(4 * PART.len() as u64), None] {
--- a/crates/lavenderflow/tests/reused_connection.rs
+++ b/crates/lavenderflow/tests/reused_connection.rs
@@ -52,8 +52,7 @@
     None
 }
 
-/// Guards against a 503 for a request that ran: the repeated refusal of its first attempt was taken
-/// for the answer to its second one, after another refusal on the connection (review/6).
+/// Guards against a 503 for a request that ran, from the refusal of an earlier attempt (review/6).
 #[tokio::test]
 async fn a_repeated_refusal_does_not_answer_a_later_attempt() {
     let address = start_upstream(|id, connection, number| match (connection, number) {
@@ -104,8 +103,7 @@
     }
 }
 
-/// Guards against a stray response without an id as the answer to the next request on the connection
-/// (review/7).
+/// Guards against a stray response as the answer to the next request on its connection (review/7).
 #[tokio::test]
 async fn a_response_without_an_id_is_no_answer_on_a_reused_connection() {
     const UNNAMED: &str = "HTTP/1.1 500 Error\r\nLavenderflow-Server-Signature: signed\r\n\
