Wait for bytes instead of readiness in the tests of early ends

Two tests waited for a readable socket, which may say so without bytes: one could have waited for ever where a call used another connection, the other closed its socket before the body had come. Both wait for bytes now; what they check is as before, or stricter.

--- a/crates/lavenderflow/tests/early_response.rs
+++ b/crates/lavenderflow/tests/early_response.rs
@@ -60,10 +60,11 @@
     while !is_reused {
         let next = exchange.calls.call("c");
         let upstream = async {
-            let mut accepted = None;
+            let (mut accepted, mut byte) = (None, [0]);
             let stream = tokio::select! {
                 stream = exchange.listener.accept() => &mut accepted.insert(stream.expect("one")).0,
-                _ = exchange.stream.readable() => &mut exchange.stream,
+                // Unlike readable, this waits for bytes.
+                _ = exchange.stream.peek(&mut byte) => &mut exchange.stream,
             };
             read_head(stream).await;
             let headers = "Connection: close\r\nContent-Length: 0\r\n\r\n";
--- a/crates/lavenderflow/tests/response_end.rs
+++ b/crates/lavenderflow/tests/response_end.rs
@@ -39,7 +39,7 @@
 async fn a_response_before_a_reset_is_not_complete() {
     let mut exchange = Exchange::begin(Some(PART.len() as u64)).await;
     exchange.body.send(BodyPart::Data(Bytes::from_static(PART))).await.expect("a call");
-    exchange.stream.readable().await.expect("a part");
+    exchange.stream.peek(&mut [0]).await.expect("a part");
     exchange.respond_open(b"part").await;
     // A socket that is closed with unread bytes resets its connection.
     drop(exchange.stream);
